--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Targets for maintainers. `make demo` shows the product working.
+
+BIN := bin
+
+.PHONY: build demo test measure generate lint
+
+build:
+	go build -o $(BIN)/ . ./standin
+
+demo: build
+	go run ./test/demo
+
+test:
+	scripts/test
+
+measure: build
+	go run ./test/measure
+
+generate:
+	scripts/generate
+
+lint:
+	scripts/lint
--- /dev/null
+++ b/app/agent.go
@@ -0,0 +1,79 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+	"skylarkstand/io/entry"
+)
+
+type agentCmd struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+func (cmd *agentCmd) run(ctx context.Context) error {
+	set, err := settings.LoadAgent(cmd.Settings)
+	if err != nil {
+		return &exitError{ExitUsage, err}
+	}
+	ag, cleanup, err := wireAgent(set)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return ag.run(ctx)
+}
+
+// agentProcess is the parts of an agent process that start and stop.
+type agentProcess struct {
+	set   settings.Agent
+	deps  core.Deps
+	srv   *entry.Server
+	admin http.Handler
+}
+
+// run serves until the context ends and then stops as planned: the upstream
+// is said to be leaving, the attempts in flight end.
+func (ag *agentProcess) run(ctx context.Context) error {
+	li, err := net.Listen("tcp", ag.set.Listen)
+	if err != nil {
+		return err
+	}
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if ag.set.Admin != "" {
+		hs := &http.Server{Addr: ag.set.Admin, Handler: ag.admin, ReadHeaderTimeout: headerLimit}
+		go func() { _ = hs.ListenAndServe() }()
+		defer hs.Close()
+	}
+	served := make(chan error, 1)
+	go func() { served <- ag.srv.Serve(duties, li) }()
+	event.Log(ag.deps.Log, event.Started, "role", "agent", "listen", li.Addr().String(), "upstream", ag.set.Upstream)
+
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	event.Log(ag.deps.Log, event.Stopping)
+	ag.srv.Leave()
+	// Entries that read the notice late still dispatch; they get refusals.
+	time.Sleep(noticeTime)
+	dctx, cancel := context.WithTimeout(context.Background(), time.Duration(ag.set.DrainLimit))
+	defer cancel()
+	if err := ag.srv.Drain(dctx); err != nil {
+		event.Log(ag.deps.Log, event.DrainCut, "error", err)
+	}
+	stop()
+	if err := <-served; !errors.Is(err, context.Canceled) {
+		return err
+	}
+	event.Log(ag.deps.Log, event.Stopped)
+	return nil
+}
--- /dev/null
+++ b/app/app.go
@@ -0,0 +1,115 @@
+// Package app wires the processes and owns their start and stop. Each role and
+// each operators' command is a subcommand of one binary.
+//
+// # Usage
+//
+//	os.Exit(app.Main(os.Args[1:]))
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of the commands.
+const (
+	// ExitOK: done.
+	ExitOK = 0
+	// ExitFailed: the command failed; the message says why.
+	ExitFailed = 1
+	// ExitUsage: the command line was wrong.
+	ExitUsage = 2
+	// ExitRefused: a configuration was refused; nothing was changed.
+	ExitRefused = 3
+	// ExitUncertain: it is not known whether the change was accepted.
+	ExitUncertain = 4
+)
+
+type args struct {
+	Entry     *entryCmd     `arg:"subcommand:entry" help:"serve callers"`
+	Agent     *agentCmd     `arg:"subcommand:agent" help:"guard the upstream on this host"`
+	Check     *checkCmd     `arg:"subcommand:check" help:"find mistakes in a configuration"`
+	Diff      *diffCmd      `arg:"subcommand:diff" help:"show what a configuration would change"`
+	Apply     *applyCmd     `arg:"subcommand:apply" help:"put a configuration in force"`
+	Status    *statusCmd    `arg:"subcommand:status" help:"show what is in force"`
+	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
+	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
+	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
+}
+
+// Description implements go-arg's interface.
+func (args) Description() string {
+	return "skylarkstand routes requests to versions of models, from cheap to costly.\n"
+}
+
+// Epilogue implements go-arg's interface.
+func (args) Epilogue() string {
+	return `Examples:
+  skylarkstand entry --settings entry.jsonc
+  skylarkstand check routing.jsonc
+  skylarkstand apply routing.jsonc --store http://127.0.0.1:9200 --why "roll out desk v2"
+
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known.`
+}
+
+// command is what each subcommand implements.
+type command interface {
+	run(ctx context.Context) error
+}
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (ex *exitError) Error() string { return ex.err.Error() }
+
+// Unwrap returns the cause.
+func (ex *exitError) Unwrap() error { return ex.err }
+
+// Main runs the program and returns its exit code.
+func Main(argv []string) int {
+	var ar args
+	ps, err := arg.NewParser(arg.Config{Program: "skylarkstand"}, &ar)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	switch err := ps.Parse(argv); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = ps.WriteHelpForSubcommand(os.Stdout, ps.SubcommandNames()...)
+		return ExitOK
+	case err != nil:
+		_ = ps.WriteUsageForSubcommand(os.Stderr, ps.SubcommandNames()...)
+		fmt.Fprintln(os.Stderr, "error:", err)
+		return ExitUsage
+	}
+	cmd, ok := ps.Subcommand().(command)
+	if !ok {
+		ps.WriteHelp(os.Stderr)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return exitCode(cmd.run(ctx))
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "error:", err)
+	var ex *exitError
+	if errors.As(err, &ex) {
+		return ex.code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/app/entry.go
@@ -0,0 +1,116 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+	"skylarkstand/core/ledger"
+	"skylarkstand/io/agent"
+	"skylarkstand/io/caller"
+)
+
+type entryCmd struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+func (cmd *entryCmd) run(ctx context.Context) error {
+	set, err := settings.LoadEntry(cmd.Settings)
+	if err != nil {
+		return &exitError{ExitUsage, err}
+	}
+	en, cleanup, err := wireEntry(set)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return en.run(ctx)
+}
+
+// entryProcess is the parts of an entry process that start and stop.
+type entryProcess struct {
+	set    settings.Entry
+	deps   core.Deps
+	pool   *agent.Pool
+	led    *ledger.Writer
+	reader *configReader
+	srv    *caller.Server
+}
+
+// run serves until the context ends and then stops as planned: readyz fails,
+// the listener closes, the work in flight ends, the ledger is flushed.
+func (en *entryProcess) run(ctx context.Context) error {
+	li, err := net.Listen("tcp", en.set.Listen)
+	if err != nil {
+		return err
+	}
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	sup := newSupervisor("entry", en.deps)
+	sup.Add(en.pool)
+	sup.Add(en.led)
+	sup.Add(en.reader)
+	done := sup.ServeBackground(duties)
+
+	hs := &http.Server{Handler: en.srv, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	served := make(chan error, 1)
+	go func() { served <- hs.Serve(li) }()
+	event.Log(en.deps.Log, event.Started, "role", "entry", "listen", li.Addr().String(), "process", en.deps.Self)
+
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	en.drain(hs)
+	stop()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		return err
+	}
+	event.Log(en.deps.Log, event.Stopped)
+	return nil
+}
+
+const (
+	// headerLimit stops a caller that never ends its header from holding a
+	// connection; idleLimit closes kept connections nobody uses.
+	headerLimit = 10 * time.Second
+	idleLimit   = 2 * time.Minute
+	// noticeTime is what the platform's balancer needs to see that readyz
+	// fails. Closing the listener at once would refuse callers that it still
+	// sends here.
+	noticeTime = 500 * time.Millisecond
+)
+
+func (en *entryProcess) drain(hs *http.Server) {
+	event.Log(en.deps.Log, event.Stopping)
+	en.srv.Leave()
+	time.Sleep(noticeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(en.set.DrainLimit))
+	defer cancel()
+	if err := hs.Shutdown(ctx); err != nil {
+		event.Log(en.deps.Log, event.DrainCut, "error", err)
+	}
+	if err := en.led.Flush(ctx); err != nil {
+		event.Log(en.deps.Log, event.BillLost, "error", err)
+	}
+}
+
+// newSupervisor returns the root of a process's tree. A duty that ends with an
+// error or a panic is started again, with a growing pause.
+func newSupervisor(name string, deps core.Deps) *suture.Supervisor {
+	return suture.New(name, suture.Spec{
+		EventHook: func(ev suture.Event) {
+			if ev.Type() != suture.EventTypeStopTimeout {
+				event.Log(deps.Log, event.DutyFailed, "detail", ev.String())
+			}
+		},
+	})
+}
--- /dev/null
+++ b/app/providers.go
@@ -0,0 +1,115 @@
+package app
+
+import (
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+	"skylarkstand/core/claim"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/dispatch"
+	"skylarkstand/core/execute"
+	"skylarkstand/core/ledger"
+	"skylarkstand/core/session"
+	"skylarkstand/io/agent"
+	"skylarkstand/io/caller"
+	"skylarkstand/io/engine"
+	entrylink "skylarkstand/io/entry"
+	"skylarkstand/io/hosts"
+	"skylarkstand/io/metrics"
+	"skylarkstand/io/rater"
+	"skylarkstand/io/service"
+	"skylarkstand/io/store"
+)
+
+// metricsPage is the handler of GET /metrics.
+type metricsPage http.Handler
+
+func newLogger(level string) *slog.Logger {
+	var lv slog.Level
+	if lv.UnmarshalText([]byte(level)) != nil {
+		lv = slog.LevelInfo
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
+}
+
+// process is what every process has, whatever its role.
+type process struct {
+	Deps core.Deps
+	Page metricsPage
+}
+
+func newProcess(role, level string, zo core.Zone, re core.Region) (process, func()) {
+	scope, page, cleanup := metrics.New(role)
+	deps := core.Deps{
+		Self: core.ProcessID(core.NewID()), Zone: zo, Region: re,
+		Log: newLogger(level), Metrics: scope,
+	}
+	return process{Deps: deps, Page: page}, cleanup
+}
+
+func newEntryProcess(set settings.Entry) (process, func()) {
+	return newProcess("entry", set.LogLevel, set.Zone, set.Region)
+}
+
+func newAgentProcess(set settings.Agent) (process, func()) {
+	return newProcess("agent", set.LogLevel, set.Zone, set.Region)
+}
+
+func newEntryStore(set settings.Entry) *store.Store { return store.New(set.Store) }
+func newAgentStore(set settings.Agent) *store.Store { return store.New(set.Store) }
+func newHosts(set settings.Entry) *hosts.List       { return hosts.New(set.Hosts) }
+func newRater(set settings.Entry) *rater.Rater      { return rater.New(set.Rater) }
+
+func newKeyring(set settings.Entry) *session.Keyring { return session.NewKeyring(set.PinSecret) }
+
+func newLedger(set settings.Entry, deps core.Deps, st core.Store, po *agent.Pool) *ledger.Writer {
+	durable := func(bills []ledger.Bill) {
+		ids := make([]core.RequestID, len(bills))
+		for i, bi := range bills {
+			ids[i] = bi.Request
+		}
+		po.Durable(ids)
+	}
+	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
+}
+
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+	return caller.New(deps, inf, dis, kr,
+		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+}
+
+// newUpstreamHost returns the agent's own line of the host list.
+func newUpstreamHost(set settings.Agent) core.Host {
+	return core.Host{
+		Role: core.RoleAgent, ID: set.Upstream, Addr: set.Listen, Zone: set.Zone, Region: set.Region,
+		Model: set.Model, Version: set.Version, Service: set.Service,
+	}
+}
+
+func newRunner(set settings.Agent, deps core.Deps) core.Runner {
+	if set.ServiceURL != "" {
+		return service.New(set.ServiceURL)
+	}
+	return engine.New(deps, set.Engine)
+}
+
+func newClaims(deps core.Deps, st core.Store) *claim.Table { return claim.New(st, deps.Self) }
+
+func newExecutor(set settings.Agent, deps core.Deps, ho core.Host, inf *declaration.InForce, ru core.Runner, tbl *claim.Table) *execute.Executor {
+	return execute.New(deps, ho, inf, ru, tbl, execute.Slots(set.Slots), execute.Queue(set.Queue))
+}
+
+func newLinkServer(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor) *entrylink.Server {
+	return entrylink.New(deps, ho, inf, ex)
+}
+
+func newAdmin(page metricsPage) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", page)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	return mux
+}
--- /dev/null
+++ b/app/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings holds the settings of the processes: JSON with comments,
+// one struct a role. The reference page and the JSON schema are generated from
+// the structs.
+//
+// # Usage
+//
+//	set, err := settings.LoadEntry(path)   // all faults at once
+package settings
+
+import (
+	"encoding/json"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Entry is the settings of an entry process.
+type Entry struct {
+	// Listen is the address for callers, as IP:port.
+	Listen string `json:"listen"`
+	// PeerListen is the address for other entries, as IP:port.
+	PeerListen string `json:"peer-listen,omitempty"`
+	// Zone is the availability zone that the process stands in.
+	Zone core.Zone `json:"zone"`
+	// Region holds the zone.
+	Region core.Region `json:"region"`
+	// Store is the base URL of the platform's key-value service.
+	Store string `json:"store"`
+	// Hosts is the base URL of the platform's host list.
+	Hosts string `json:"hosts"`
+	// Rater is the base URL of the rating service.
+	Rater string `json:"rater"`
+	// PinSecret signs the tokens that keep sessions on their versions. All
+	// entries share it.
+	PinSecret string `json:"pin-secret"`
+	// MaxBody bounds a caller's body, in bytes.
+	MaxBody int64 `json:"max-body,omitempty"`
+	// MaxInFlight bounds the requests in the process.
+	MaxInFlight int64 `json:"max-in-flight,omitempty"`
+	// LedgerPace is the time between two ledger segments.
+	LedgerPace Duration `json:"ledger-pace,omitempty"`
+	// DrainLimit bounds a planned stop. It must be above the longest answer.
+	DrainLimit Duration `json:"drain-limit,omitempty"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"log-level,omitempty"`
+}
+
+// Agent is the settings of an agent process.
+type Agent struct {
+	// Listen is the address for entries, as IP:port.
+	Listen string `json:"listen"`
+	// Admin is the address of healthz and metrics, as IP:port.
+	Admin string `json:"admin,omitempty"`
+	// Upstream is the id of the upstream beside the agent, as the host list
+	// has it.
+	Upstream core.UpstreamID `json:"upstream"`
+	// Zone is the availability zone that the process stands in.
+	Zone core.Zone `json:"zone"`
+	// Region holds the zone.
+	Region core.Region `json:"region"`
+	// Engine is the base URL of the model engine beside the agent.
+	Engine string `json:"engine,omitempty"`
+	// Model is what the engine runs, with Version.
+	Model core.ModelID `json:"model,omitempty"`
+	// Version of the model.
+	Version core.VersionID `json:"version,omitempty"`
+	// ServiceURL is the base URL of the plain service beside the agent, in
+	// place of an engine.
+	ServiceURL string `json:"service-url,omitempty"`
+	// Service is the id of the plain service.
+	Service core.ServiceID `json:"service,omitempty"`
+	// Store is the base URL of the platform's key-value service, for claims.
+	Store string `json:"store"`
+	// Slots is how many attempts the upstream runs at once.
+	Slots int `json:"slots,omitempty"`
+	// Queue is how many attempts may wait for a slot.
+	Queue int `json:"queue,omitempty"`
+	// DrainLimit bounds a planned stop. It must be above the longest answer.
+	DrainLimit Duration `json:"drain-limit,omitempty"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"log-level,omitempty"`
+}
+
+// DefaultEntry returns an entry's settings before the file is read.
+func DefaultEntry() Entry {
+	return Entry{
+		MaxBody: 4 << 20, MaxInFlight: 4096,
+		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
+	}
+}
+
+// DefaultAgent returns an agent's settings before the file is read.
+func DefaultAgent() Agent {
+	return Agent{Slots: 16, Queue: 32, DrainLimit: Duration(time.Minute), LogLevel: "info"}
+}
+
+// Duration is a time in settings, written as "1.5s".
+type Duration time.Duration
+
+// MarshalJSON implements [json.Marshaler].
+func (du Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(du).String()) }
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (du *Duration) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(text)
+	*du = Duration(d)
+	return err
+}
--- /dev/null
+++ b/app/wire.go
@@ -0,0 +1,43 @@
+//go:build wireinject
+
+package app
+
+import (
+	"github.com/google/wire"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/dispatch"
+	"skylarkstand/core/ledger"
+	"skylarkstand/io/agent"
+	"skylarkstand/io/hosts"
+	"skylarkstand/io/rater"
+	"skylarkstand/io/store"
+)
+
+//go:generate wire
+
+func wireEntry(set settings.Entry) (*entryProcess, func(), error) {
+	wire.Build(
+		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
+		declaration.NewInForce, agent.New, newLedger, dispatch.New, newKeyring, newCaller, newConfigReader,
+		wire.Bind(new(core.Store), new(*store.Store)),
+		wire.Bind(new(core.Hosts), new(*hosts.List)),
+		wire.Bind(new(core.Rater), new(*rater.Rater)),
+		wire.Bind(new(core.Upstreams), new(*agent.Pool)),
+		wire.Bind(new(dispatch.Biller), new(*ledger.Writer)),
+		wire.Struct(new(entryProcess), "*"),
+	)
+	return nil, nil, nil
+}
+
+func wireAgent(set settings.Agent) (*agentProcess, func(), error) {
+	wire.Build(
+		newAgentProcess, wire.FieldsOf(new(process), "Deps", "Page"), newAgentStore, newUpstreamHost, newRunner,
+		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAdmin,
+		wire.Bind(new(core.Store), new(*store.Store)),
+		wire.Struct(new(agentProcess), "*"),
+	)
+	return nil, nil, nil
+}
--- /dev/null
+++ b/core/chain/chain.go
@@ -0,0 +1,231 @@
+// Package chain keeps rows of immutable entries in the platform's store.
+//
+// A chain is the keys <name>/<n>, n = 1, 2, 3 …, each written once by
+// create-if-absent with a nonce of its writer. Entry n+1 is accepted when its
+// key was created and never changes afterwards. The store's reply to a write
+// may be lost after the write took effect: the writer then reads the key back
+// and compares the nonce.
+//
+// The key <name>/head is only a hint where to begin the search for the last
+// entry; a wrong or missing one costs reads, never correctness.
+//
+// # Usage
+//
+//	ch := chain.New(store, "configuration")
+//	last, err := ch.Last(ctx)
+//	err = ch.Create(ctx, last.Number+1, payload)   // chain.ErrTaken: another was first
+package chain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+)
+
+// Errors of a chain.
+var (
+	// ErrTaken: the entry exists and is another writer's.
+	ErrTaken = errors.New("chain: entry is taken")
+	// ErrSealed: the entry is a seal; the chain takes no more.
+	ErrSealed = errors.New("chain: sealed")
+	// ErrAbsent: there is no such entry.
+	ErrAbsent = errors.New("chain: no such entry")
+	// ErrAway: the store cannot be reached. Nothing was written by this call.
+	ErrAway = errors.New("chain: store away")
+	// ErrUnsettled: the context ended while it was unknown whether the write
+	// took effect.
+	ErrUnsettled = errors.New("chain: write unsettled")
+)
+
+// Entry is one accepted entry of a chain. Number 0 is before the first one.
+type Entry struct {
+	Number  uint64
+	Nonce   string
+	Seal    bool
+	Payload []byte
+}
+
+// record is the stored form.
+type record struct {
+	Nonce   string          `json:"nonce"`
+	Seal    bool            `json:"seal,omitempty"`
+	Payload json.RawMessage `json:"payload,omitempty"`
+}
+
+// Chain is one chain in a store. It is safe for concurrent use.
+type Chain struct {
+	store core.Store
+	name  string
+}
+
+// New returns the chain of a name.
+func New(st core.Store, name string) *Chain { return &Chain{store: st, name: name} }
+
+func (ch *Chain) key(n uint64) string { return ch.name + "/" + strconv.FormatUint(n, 10) }
+func (ch *Chain) headKey() string     { return ch.name + "/head" }
+
+// Create writes entry n with a payload in JSON. It returns nil once the entry
+// is known to be this call's. Errors: ErrTaken, ErrSealed, ErrAway,
+// ErrUnsettled.
+func (ch *Chain) Create(ctx context.Context, n uint64, payload []byte) error {
+	return ch.create(ctx, n, record{Nonce: core.NewID(), Payload: payload})
+}
+
+// Seal ends a chain after entry n-1 by creating entry n as a seal. A paused
+// writer that wakes then fails its next Create with ErrSealed.
+func (ch *Chain) Seal(ctx context.Context, n uint64) error {
+	return ch.create(ctx, n, record{Nonce: core.NewID(), Seal: true})
+}
+
+// create repeats one write until its outcome is known.
+//
+// A lost reply leaves three cases: the write took effect, it did not, or it
+// still may, because it is on its way. Reading the key back tells the first.
+// The other two cannot be told apart, so the same record is written again: if
+// the first write lands late, the entry is this call's all the same.
+func (ch *Chain) create(ctx context.Context, n uint64, rec record) error {
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		return eris.Wrap(err, "encode chain entry")
+	}
+	uncertain := false
+	try := func() (struct{}, error) {
+		_, err := ch.store.Create(ctx, ch.key(n), raw, "")
+		switch {
+		case err == nil:
+			return struct{}{}, nil
+		case errors.Is(err, core.ErrConflict):
+			return struct{}{}, ch.settle(ctx, n, rec.Nonce)
+		case errors.Is(err, core.ErrUnavailable) && !uncertain:
+			return struct{}{}, backoff.Permanent(ErrAway)
+		default:
+			uncertain = true
+			return struct{}{}, err
+		}
+	}
+	_, err = backoff.Retry(ctx, try, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
+	switch {
+	case err == nil:
+		ch.hint(ctx, n)
+		return nil
+	case errors.Is(err, ErrTaken), errors.Is(err, ErrSealed), errors.Is(err, ErrAway):
+		return unwrapPermanent(err)
+	default:
+		return ErrUnsettled
+	}
+}
+
+// settle reads an entry back and compares its nonce. An error that is not
+// permanent makes the caller try again.
+func (ch *Chain) settle(ctx context.Context, n uint64, nonce string) error {
+	en, err := ch.Read(ctx, n)
+	switch {
+	case err != nil:
+		return err
+	case en.Nonce == nonce:
+		return nil
+	case en.Seal:
+		return backoff.Permanent(ErrSealed)
+	default:
+		return backoff.Permanent(ErrTaken)
+	}
+}
+
+func unwrapPermanent(err error) error {
+	var per *backoff.PermanentError
+	if errors.As(err, &per) {
+		return per.Unwrap()
+	}
+	return err
+}
+
+func newBackOff() backoff.BackOff {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval = 20 * time.Millisecond
+	bo.MaxInterval = time.Second
+	return bo
+}
+
+// Read returns entry n. Errors: ErrAbsent, ErrAway.
+func (ch *Chain) Read(ctx context.Context, n uint64) (Entry, error) {
+	it, err := ch.store.Get(ctx, ch.key(n))
+	return decode(n, it, err)
+}
+
+// Watch waits for entry n. Errors: ErrAway, the context's.
+func (ch *Chain) Watch(ctx context.Context, n uint64) (Entry, error) {
+	it, err := ch.store.Watch(ctx, ch.key(n), 0)
+	return decode(n, it, err)
+}
+
+func decode(n uint64, it core.Item, err error) (Entry, error) {
+	switch {
+	case errors.Is(err, core.ErrNotFound):
+		return Entry{}, ErrAbsent
+	case err != nil:
+		return Entry{}, ErrAway
+	}
+	var rec record
+	if err := json.Unmarshal(it.Value, &rec); err != nil {
+		return Entry{}, eris.Wrapf(err, "chain entry %d is broken", n)
+	}
+	return Entry{Number: n, Nonce: rec.Nonce, Seal: rec.Seal, Payload: rec.Payload}, nil
+}
+
+// Last returns the last entry, or an Entry of number 0 for an empty chain. It
+// begins at the hint and goes on until an entry is absent.
+func (ch *Chain) Last(ctx context.Context) (Entry, error) {
+	var last Entry
+	n, err := ch.hinted(ctx)
+	if err != nil {
+		return last, err
+	}
+	for ; ; n++ {
+		en, err := ch.Read(ctx, n)
+		switch {
+		case errors.Is(err, ErrAbsent) && last.Number == 0 && n > 1:
+			n = 0 // The hint was wrong: begin at the first entry.
+		case errors.Is(err, ErrAbsent):
+			return last, nil
+		case err != nil:
+			return last, err
+		default:
+			last = en
+		}
+	}
+}
+
+func (ch *Chain) hinted(ctx context.Context) (uint64, error) {
+	it, err := ch.store.Get(ctx, ch.headKey())
+	switch {
+	case errors.Is(err, core.ErrNotFound):
+		return 1, nil
+	case err != nil:
+		return 0, ErrAway
+	}
+	n, err := strconv.ParseUint(string(it.Value), 10, 64)
+	if err != nil || n == 0 {
+		return 1, nil
+	}
+	return n, nil
+}
+
+// hint moves the head forward, at best effort.
+func (ch *Chain) hint(ctx context.Context, n uint64) {
+	val := []byte(strconv.FormatUint(n, 10))
+	it, err := ch.store.Get(ctx, ch.headKey())
+	if errors.Is(err, core.ErrNotFound) {
+		_, _ = ch.store.Create(ctx, ch.headKey(), val, "")
+		return
+	}
+	if err == nil {
+		_, _ = ch.store.Swap(ctx, ch.headKey(), it.Revision, val)
+	}
+}
--- /dev/null
+++ b/core/event/catalogue.go
@@ -0,0 +1,59 @@
+package event
+
+import "log/slog"
+
+// The events. Numbers below 200 concern the process, below 300 links and
+// upstreams, below 400 the configuration, below 500 the store, claims and the
+// ledger, below 600 requests.
+var (
+	Started = &Event{100, "started", slog.LevelInfo,
+		"The process is up and listens.", "Nothing."}
+	Stopping = &Event{101, "stopping", slog.LevelInfo,
+		"A planned stop has begun; listeners drain.", "Nothing."}
+	Stopped = &Event{102, "stopped", slog.LevelInfo,
+		"All work in flight has ended and the process exits.", "Nothing."}
+	DutyFailed = &Event{103, "duty-failed", slog.LevelError,
+		"A duty of the supervisor tree ended and is started again.", "Report it when it repeats."}
+	DrainCut = &Event{104, "drain-cut", slog.LevelError,
+		"A planned stop ran out of its time and cut work off.", "Raise `drain-limit` above the longest answer."}
+	LinkUp = &Event{200, "link-up", slog.LevelInfo,
+		"A link to a peer was opened.", "Nothing."}
+	LinkDown = &Event{201, "link-down", slog.LevelWarn,
+		"A link to a peer was lost.", "Look at the peer when it does not come back."}
+	UpstreamLeaving = &Event{202, "upstream-leaving", slog.LevelInfo,
+		"An upstream takes no new work from now on.", "Nothing."}
+	UpstreamDown = &Event{203, "upstream-down", slog.LevelWarn,
+		"An agent cannot reach its upstream.", "Look at the engine or service."}
+	HostsAway = &Event{204, "hosts-away", slog.LevelWarn,
+		"The platform's host list cannot be read; the last one is kept.", "Look at the platform."}
+	ForeignFrame = &Event{205, "foreign-frame", slog.LevelWarn,
+		"A frame or event of another attempt arrived and was dropped.", "Report it when it repeats."}
+	ConfigAdopted = &Event{300, "configuration-adopted", slog.LevelInfo,
+		"A newer configuration is in force in this process.", "Nothing."}
+	ConfigBroken = &Event{301, "configuration-broken", slog.LevelError,
+		"A generation could not be read; the one before stays in force.", "Roll the configuration back."}
+	ConfigStale = &Event{302, "configuration-stale", slog.LevelWarn,
+		"No word of the newest configuration for longer than the freshness bound; versions under roll-out get no new sessions.",
+		"Look at the store and the links."}
+	StoreDown = &Event{400, "store-down", slog.LevelWarn,
+		"The store cannot be reached.", "Look at the platform."}
+	SegmentWritten = &Event{401, "segment-written", slog.LevelDebug,
+		"A ledger segment is durable.", "Nothing."}
+	SegmentLate = &Event{402, "segment-late", slog.LevelWarn,
+		"A ledger segment could not be written yet; its bills are kept and tried again.", "Look at the store."}
+	RequestFailed = &Event{500, "request-failed", slog.LevelDebug,
+		"A request ended without an answer.", "Nothing; the code tells the caller."}
+	BillLost = &Event{501, "bill-lost", slog.LevelError,
+		"A bill could not be written before the process ended.", "Keep the line: it is the bill."}
+)
+
+// Catalogue lists all events by number.
+func Catalogue() []*Event {
+	return []*Event{
+		Started, Stopping, Stopped, DutyFailed, DrainCut,
+		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame,
+		ConfigAdopted, ConfigBroken, ConfigStale,
+		StoreDown, SegmentWritten, SegmentLate,
+		RequestFailed, BillLost,
+	}
+}
--- /dev/null
+++ b/core/execute/answer.go
@@ -0,0 +1,62 @@
+package execute
+
+import (
+	"errors"
+	"io"
+	"sync"
+
+	"skylarkstand/core"
+	"skylarkstand/core/claim"
+)
+
+// held is an answer that gives its slot back once.
+type held struct {
+	core.Answer
+	once sync.Once
+	exit func()
+}
+
+// Close gives the attempt up and frees the slot.
+func (he *held) Close() {
+	he.Answer.Close()
+	he.once.Do(he.exit)
+}
+
+// stored is an answer that is whole in memory.
+type stored struct {
+	ans  claim.Answer
+	read bool
+}
+
+func newStored(ans claim.Answer) *stored { return &stored{ans: ans} }
+
+func (st *stored) Next() ([]byte, error) {
+	if st.read || len(st.ans.Body) == 0 {
+		return nil, io.EOF
+	}
+	st.read = true
+	return st.ans.Body, nil
+}
+
+func (st *stored) Usage() core.Usage   { return core.Usage{} }
+func (st *stored) Status() int         { return st.ans.Status }
+func (st *stored) ContentType() string { return st.ans.ContentType }
+func (st *stored) Close()              {}
+
+// readStored reads a whole answer.
+func readStored(ans core.Answer, limit int) (claim.Answer, error) {
+	var body []byte
+	for {
+		data, err := ans.Next()
+		if errors.Is(err, io.EOF) {
+			return claim.Answer{Status: ans.Status(), ContentType: ans.ContentType(), Body: body}, nil
+		}
+		if err != nil {
+			return claim.Answer{}, err
+		}
+		if len(body)+len(data) > limit {
+			return claim.Answer{}, &core.Failure{Code: core.CodeTooLarge, Ran: core.RanFailed, Message: "the service's answer is too large to be kept"}
+		}
+		body = append(body, data...)
+	}
+}
--- /dev/null
+++ b/core/execute/execute.go
@@ -0,0 +1,231 @@
+// Package execute is the agent's path of one attempt: the last check, the
+// local bound, the claim for what may run at most once, and the upstream.
+//
+// # Usage
+//
+//	ex := execute.New(deps, host, inForce, runner, claims, execute.Slots(8))
+//	ans, err := ex.Run(ctx, attempt)
+//
+// Errors are [core.Failure]s; one that says it was not run was refused before
+// any byte went to the upstream.
+package execute
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/claim"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/guard"
+)
+
+// Executor is safe for concurrent use.
+type Executor struct {
+	deps   core.Deps
+	host   core.Host
+	inf    *declaration.InForce
+	runner core.Runner
+	claims *claim.Table
+	slots  chan struct{}
+	queue  int
+
+	leaving atomic.Bool
+	running atomic.Int64
+	queued  atomic.Int64
+}
+
+// Option changes an Executor at construction.
+type Option func(*Executor)
+
+// Slots sets how many attempts the upstream runs at once, and Queue how many
+// may wait for a slot.
+func Slots(n int) Option { return func(ex *Executor) { ex.slots = make(chan struct{}, n) } }
+
+// Queue bounds the waiting attempts. The load it is made for is a burst of
+// entries that all saw the same old report; beyond it the agent refuses at
+// once, so that the entry can still try elsewhere in time.
+func Queue(n int) Option { return func(ex *Executor) { ex.queue = n } }
+
+const (
+	defaultSlots = 16
+	defaultQueue = 32
+	// adoptLimit bounds the wait for the configuration that an entry decided
+	// by; it comes over the same link within milliseconds.
+	adoptLimit = 2 * time.Second
+	// retryFull is told with a refusal for want of room.
+	retryFull = time.Second
+)
+
+// New returns an executor for the upstream beside the agent.
+func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ru core.Runner, tbl *claim.Table, opts ...Option) *Executor {
+	ex := &Executor{deps: deps, host: ho, inf: inf, runner: ru, claims: tbl, queue: defaultQueue}
+	Slots(defaultSlots)(ex)
+	for _, opt := range opts {
+		opt(ex)
+	}
+	return ex
+}
+
+// Leave makes the executor refuse all new work from now on.
+func (ex *Executor) Leave() { ex.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (ex *Executor) Leaving() bool { return ex.leaving.Load() }
+
+// Load returns what the upstream is doing now.
+func (ex *Executor) Load() core.Load {
+	return core.Load{Running: int(ex.running.Load()), Queued: int(ex.queued.Load()), Slots: cap(ex.slots)}
+}
+
+// Run takes an attempt to the upstream.
+func (ex *Executor) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
+	ex.awaitGeneration(ctx, at.Generation)
+	if fl := ex.check(at); fl != nil {
+		return nil, fl
+	}
+	if err := ex.enter(ctx); err != nil {
+		return nil, err
+	}
+	// The configuration may have changed while the attempt waited.
+	if fl := ex.check(at); fl != nil {
+		ex.exit()
+		return nil, fl
+	}
+	ans, err := ex.runClaimed(ctx, at)
+	if err != nil {
+		ex.exit()
+		return nil, err
+	}
+	return &held{Answer: ans, exit: ex.exit}, nil
+}
+
+func (ex *Executor) check(at *core.Attempt) *core.Failure {
+	return guard.Check(ex.inf.Current(), ex.host, ex.leaving.Load(), at)
+}
+
+// awaitGeneration waits until the agent's configuration is as new as the
+// entry's, or a bound has passed; the check that follows refuses then.
+func (ex *Executor) awaitGeneration(ctx context.Context, gen core.Generation) {
+	if ex.inf.Number() >= gen {
+		return
+	}
+	limit := time.NewTimer(adoptLimit)
+	defer limit.Stop()
+	for {
+		changed := ex.inf.Changed()
+		if ex.inf.Number() >= gen {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// enter takes a slot, waiting in the bounded queue.
+func (ex *Executor) enter(ctx context.Context) error {
+	select {
+	case ex.slots <- struct{}{}:
+		ex.running.Add(1)
+		return nil
+	default:
+	}
+	if ex.queued.Add(1) > int64(ex.queue) {
+		ex.queued.Add(-1)
+		return core.Refuse(core.CodeOverloaded, retryFull, "the queue of upstream %s is full", ex.host.ID)
+	}
+	defer ex.queued.Add(-1)
+	select {
+	case ex.slots <- struct{}{}:
+		ex.running.Add(1)
+		return nil
+	case <-ctx.Done():
+		return core.Refuse(core.CodeCallerGone, 0, "the caller gave up while the request waited")
+	}
+}
+
+func (ex *Executor) exit() {
+	ex.running.Add(-1)
+	<-ex.slots
+}
+
+// runClaimed runs the attempt, under a claim when it may run at most once.
+func (ex *Executor) runClaimed(ctx context.Context, at *core.Attempt) (core.Answer, error) {
+	if at.IdempotencyKey == "" || at.Service == "" {
+		return ex.runner.Run(ctx, at)
+	}
+	op := ex.inf.Current().Operation(at.Service, at.Operation)
+	if op == nil || !op.AtMostOnce {
+		return ex.runner.Run(ctx, at)
+	}
+	req := claim.Request{
+		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
+		Digest: digest(at.Body), Attempt: at.ID,
+	}
+	out, err := ex.claims.Claim(ctx, req)
+	if err != nil {
+		return nil, refuseClaim(err)
+	}
+	switch out.State {
+	case claim.Owned:
+		return ex.runOwned(ctx, at, req)
+	case claim.Done:
+		return newStored(out.Answer), nil
+	default:
+		return nil, core.Lost("the operation was handed to attempt %s, whose outcome is not known", out.Attempt)
+	}
+}
+
+func refuseClaim(err error) *core.Failure {
+	switch {
+	case errors.Is(err, claim.ErrReused):
+		return core.Refuse(core.CodeKeyReused, 0, "the idempotency key was used with another body")
+	case errors.Is(err, claim.ErrExpired):
+		return core.Refuse(core.CodeKeyExpired, 0, "the idempotency key is older than the retention")
+	default:
+		// Whether the claim was written or not, nothing was dispatched under
+		// it, and nothing will be: this attempt's id is never used again.
+		return core.Refuse(core.CodeStoreDown, 2*time.Second, "the claim could not be written")
+	}
+}
+
+// maxStored bounds a stored answer: many of them share a value of the store.
+const maxStored = 64 << 10
+
+// runOwned calls the upstream under an owned claim and stores the answer. It
+// goes on when the caller is gone: the operation has begun, and its answer is
+// what the caller's next try with the same key is told.
+func (ex *Executor) runOwned(ctx context.Context, at *core.Attempt, req claim.Request) (core.Answer, error) {
+	ctx = context.WithoutCancel(ctx)
+	ans, err := ex.runner.Run(ctx, at)
+	if err != nil {
+		var fl *core.Failure
+		if errors.As(err, &fl) && fl.Ran == core.NotRun {
+			_ = ex.claims.Release(ctx, req)
+		}
+		return nil, err
+	}
+	defer ans.Close()
+	st, err := readStored(ans, maxStored)
+	if err != nil {
+		return nil, err
+	}
+	if err := ex.claims.Finish(ctx, req, st); err != nil {
+		ex.deps.Metrics.Counter("claims-unfinished").Inc(1)
+	}
+	return newStored(st), nil
+}
+
+func digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/core/failure.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// Ran says whether the work of a failed request was run.
+type Ran string
+
+// The three truthful endings of a request that got no answer.
+const (
+	// NotRun is said only when no byte went to an upstream, or when the agent
+	// refused before its call. A caller may send the request again safely.
+	NotRun Ran = "not-run"
+	// RanFailed means that the upstream ran the request and failed.
+	RanFailed Ran = "ran"
+	// RanUnknown means that the request was handed over and its outcome was
+	// lost. An operation that may run at most once is not run again.
+	RanUnknown Ran = "unknown"
+)
+
+// Code classifies a failure for programs.
+type Code string
+
+// The failure codes that a caller can meet.
+const (
+	CodeBadRequest    Code = "bad-request"
+	CodeUnauthorized  Code = "unauthorized"
+	CodeNotAllowed    Code = "not-allowed"
+	CodeUnknownModel  Code = "unknown-model"
+	CodeTooLarge      Code = "too-large"
+	CodeOverloaded    Code = "overloaded"
+	CodeDeadline      Code = "deadline"
+	CodeNoUpstream    Code = "no-upstream"
+	CodeUpstream      Code = "upstream-failed"
+	CodeOutcomeLost   Code = "outcome-unknown"
+	CodeWithdrawn     Code = "withdrawn"
+	CodeLeaving       Code = "leaving"
+	CodeKeyReused     Code = "key-reused"
+	CodeKeyExpired    Code = "key-expired"
+	CodeStoreDown     Code = "store-unavailable"
+	CodeQuarantined   Code = "quarantined"
+	CodeNoConfig      Code = "no-configuration"
+	CodeStaleConfig   Code = "stale-configuration"
+	CodeCallerGone    Code = "caller-gone"
+	CodeInternalError Code = "internal"
+)
+
+// Failure is the one error type that crosses from the layers to a caller. It
+// is also what an agent sends to an entry in place of an answer.
+type Failure struct {
+	Code    Code
+	Ran     Ran
+	Message string
+	// RetryAfter is the time after which trying again makes sense. Zero means
+	// that trying the same request again will not help.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (fl *Failure) Error() string {
+	return fmt.Sprintf("%s (%s): %s", fl.Code, fl.Ran, fl.Message)
+}
+
+// Refuse returns a failure that was certainly not run.
+func Refuse(code Code, retryAfter time.Duration, format string, args ...any) *Failure {
+	return &Failure{Code: code, Ran: NotRun, RetryAfter: retryAfter, Message: fmt.Sprintf(format, args...)}
+}
+
+// Lost returns a failure whose work may or may not have run.
+func Lost(format string, args ...any) *Failure {
+	return &Failure{Code: CodeOutcomeLost, Ran: RanUnknown, Message: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/core/hosts.go
@@ -0,0 +1,43 @@
+package core
+
+import "context"
+
+// Role says what runs on a listed host.
+type Role string
+
+// The roles in the platform's host list.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Host is one line of the platform's host list. The list lags: a host may be
+// gone already, and one that is leaving may still be listed as live.
+type Host struct {
+	Role    Role       `json:"role"`
+	Addr    string     `json:"addr"`
+	Zone    Zone       `json:"zone"`
+	Region  Region     `json:"region"`
+	Leaving bool       `json:"leaving,omitempty"`
+	ID      UpstreamID `json:"id,omitempty"`
+	// Model and Version are set for an agent beside a model engine, Service
+	// for one beside a plain service.
+	Model   ModelID   `json:"model,omitempty"`
+	Version VersionID `json:"version,omitempty"`
+	Service ServiceID `json:"service,omitempty"`
+}
+
+// Serves returns the model version of an engine's host.
+func (ho Host) Serves() ModelVersion { return ModelVersion{Model: ho.Model, Version: ho.Version} }
+
+// Hosts is the platform's list of live and leaving hosts.
+type Hosts interface {
+	List(ctx context.Context) ([]Host, error)
+}
+
+// Rater is the platform's service that rates answers. Its ratings may be late
+// or away; a caller of Rate bounds the wait by its context.
+type Rater interface {
+	// Rate returns the quality of an answer to a prompt, from 0 to 1.
+	Rate(ctx context.Context, mv ModelVersion, prompt, answer []byte) (Quality, error)
+}
--- /dev/null
+++ b/io/agent/answer.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+	"skylarkstand/io/frame"
+	protocol "skylarkstand/io/link"
+)
+
+// answer reads the frames of one attempt.
+type answer struct {
+	ln    *link
+	st    *yamux.Stream
+	rd    *frame.Reader
+	id    core.AttemptID
+	ctx   context.Context
+	stop  func() bool
+	once  sync.Once
+	first *frame.Frame
+
+	usage  core.Usage
+	status int
+	ctype  string
+}
+
+func newAnswer(ctx context.Context, ln *link, st *yamux.Stream, id core.AttemptID) *answer {
+	return &answer{
+		ln: ln, st: st, rd: frame.NewReader(st), id: id, ctx: ctx, status: 200,
+		// A caller that is gone closes the stream, which tells the agent to
+		// cancel.
+		stop: context.AfterFunc(ctx, func() { st.Close() }),
+	}
+}
+
+// begin waits for the first frame. A failure there is Dispatch's error, so
+// that another upstream can be tried.
+func (an *answer) begin() error {
+	fr, err := an.read()
+	if err != nil {
+		return err
+	}
+	if fa, ok := fr.Body.(*frame.Frame_Failure); ok {
+		an.ln.state(fa.Failure.State)
+		return protocol.Failure(fa.Failure)
+	}
+	an.first = fr
+	if ch, ok := fr.Body.(*frame.Frame_Chunk); ok {
+		an.status, an.ctype = int(ch.Chunk.Status), ch.Chunk.ContentType
+	}
+	return nil
+}
+
+// read returns the next frame of this attempt.
+//
+// A frame of another attempt on this stream would put a stranger's answer
+// before the caller. It cannot happen while both sides keep to the protocol;
+// it is dropped and counted all the same, because nothing after this point
+// could notice it.
+func (an *answer) read() (*frame.Frame, error) {
+	for {
+		fr, err := an.rd.Read()
+		if err != nil {
+			if an.ctx.Err() != nil {
+				return nil, &core.Failure{Code: core.CodeCallerGone, Ran: core.RanUnknown, Message: "the caller gave up or its deadline passed"}
+			}
+			return nil, core.Lost("the link to upstream %s was lost before the answer was whole", an.ln.host.ID)
+		}
+		if attemptOf(fr) == string(an.id) {
+			return fr, nil
+		}
+		event.Log(an.ln.deps.Log, event.ForeignFrame, "upstream", an.ln.host.ID, "attempt", an.id)
+		an.ln.deps.Metrics.Counter("foreign-frames").Inc(1)
+	}
+}
+
+func attemptOf(fr *frame.Frame) string {
+	switch body := fr.Body.(type) {
+	case *frame.Frame_Chunk:
+		return body.Chunk.Attempt
+	case *frame.Frame_End:
+		return body.End.Attempt
+	case *frame.Frame_Failure:
+		return body.Failure.Attempt
+	default:
+		return ""
+	}
+}
+
+// Next implements [core.Answer].
+func (an *answer) Next() ([]byte, error) {
+	fr := an.first
+	an.first = nil
+	if fr == nil {
+		var err error
+		if fr, err = an.read(); err != nil {
+			return nil, err
+		}
+	}
+	switch body := fr.Body.(type) {
+	case *frame.Frame_Chunk:
+		return body.Chunk.Data, nil
+	case *frame.Frame_End:
+		an.usage = core.Usage{Prompt: core.Tokens(body.End.PromptTokens), Generated: core.Tokens(body.End.GeneratedTokens)}
+		an.ln.state(body.End.State)
+		an.Close()
+		return nil, io.EOF
+	case *frame.Frame_Failure:
+		an.ln.state(body.Failure.State)
+		return nil, protocol.Failure(body.Failure)
+	default:
+		return nil, core.Lost("upstream %s sent an unknown frame", an.ln.host.ID)
+	}
+}
+
+// Usage implements [core.Answer].
+func (an *answer) Usage() core.Usage { return an.usage }
+
+// Status implements [core.Answer].
+func (an *answer) Status() int { return an.status }
+
+// ContentType implements [core.Answer].
+func (an *answer) ContentType() string { return an.ctype }
+
+// Close implements [core.Answer].
+func (an *answer) Close() {
+	an.once.Do(func() {
+		an.stop()
+		an.st.Close()
+		an.ln.own.Add(-1)
+	})
+}
--- /dev/null
+++ b/io/agent/link.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/yamux"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/event"
+	"skylarkstand/io/frame"
+	protocol "skylarkstand/io/link"
+)
+
+// link is the way to one agent. It dials again for as long as it lives.
+type link struct {
+	deps   core.Deps
+	inf    *declaration.InForce
+	host   core.Host
+	cancel context.CancelFunc
+
+	up            atomic.Bool
+	listedLeaving atomic.Bool
+	toldLeaving   atomic.Bool
+	own           atomic.Int64
+	load          atomic.Pointer[core.Load]
+	ses           atomic.Pointer[yamux.Session]
+	control       atomic.Pointer[protocol.Control]
+}
+
+func newLink(deps core.Deps, inf *declaration.InForce, ho core.Host) *link {
+	return &link{deps: deps, inf: inf, host: ho}
+}
+
+func (ln *link) snapshot() core.Upstream {
+	up := core.Upstream{
+		Host: ln.host, Up: ln.up.Load(), Own: int(ln.own.Load()),
+		Leaving: ln.listedLeaving.Load() || ln.toldLeaving.Load(),
+	}
+	if lo := ln.load.Load(); lo != nil {
+		up.Load = *lo
+	}
+	return up
+}
+
+// dialLimit bounds one try to connect; maxRedial bounds the pause between two,
+// so that an agent that came back gets work within seconds.
+const (
+	dialLimit = 2 * time.Second
+	maxRedial = 3 * time.Second
+)
+
+func (ln *link) serve(ctx context.Context) {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval, bo.MaxInterval = 50*time.Millisecond, maxRedial
+	for ctx.Err() == nil {
+		began := time.Now()
+		ln.connect(ctx)
+		if time.Since(began) > maxRedial {
+			bo.Reset()
+		}
+		select {
+		case <-time.After(bo.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// connect holds one connection until it ends.
+func (ln *link) connect(ctx context.Context) {
+	dl := net.Dialer{Timeout: dialLimit}
+	conn, err := dl.DialContext(ctx, "tcp", ln.host.Addr)
+	if err != nil {
+		return
+	}
+	ses, err := yamux.Client(conn, protocol.Config())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer ses.Close()
+	st, err := ses.OpenStream()
+	if err != nil {
+		return
+	}
+	co := protocol.NewControl(ln.deps, ln.inf, st, protocol.Handlers{State: ln.state, Hello: func(he *frame.Hello) {
+		if he.Upstream != string(ln.host.ID) {
+			// The address was given to another upstream and the list lags.
+			ses.Close()
+			return
+		}
+		ln.ses.Store(ses)
+		ln.toldLeaving.Store(false)
+		ln.up.Store(true)
+		event.Log(ln.deps.Log, event.LinkUp, "upstream", ln.host.ID)
+	}})
+	ln.control.Store(co)
+	if err := co.Hello(""); err != nil {
+		return
+	}
+	err = co.Serve(ctx)
+	ln.control.Store(nil)
+	if ln.up.Swap(false) && ctx.Err() == nil {
+		event.Log(ln.deps.Log, event.LinkDown, "upstream", ln.host.ID, "error", err)
+	}
+}
+
+func (ln *link) state(st *frame.State) {
+	if st == nil {
+		return
+	}
+	ln.load.Store(&core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)})
+	if st.Leaving && !ln.toldLeaving.Swap(true) {
+		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
+	}
+}
+
+func (ln *link) send(fr *frame.Frame) {
+	if co := ln.control.Load(); co != nil {
+		_ = co.Send(fr)
+	}
+}
+
+// dispatch opens a stream for the attempt, hands it over and waits for the
+// first frame back.
+func (ln *link) dispatch(ctx context.Context, at *core.Attempt) (core.Answer, error) {
+	ses := ln.ses.Load()
+	if ses == nil || !ln.up.Load() {
+		return nil, core.Refuse(core.CodeNoUpstream, time.Second, "there is no link to upstream %s", ln.host.ID)
+	}
+	st, err := ses.OpenStream()
+	if err != nil {
+		return nil, core.Refuse(core.CodeNoUpstream, time.Second, "the link to upstream %s is lost", ln.host.ID)
+	}
+	ln.own.Add(1)
+	an := newAnswer(ctx, ln, st, at.ID)
+	if err := frame.NewWriter(st).Write(protocol.DispatchFrame(at)); err != nil {
+		an.Close()
+		// The agent may have got the whole frame before the link failed.
+		return nil, core.Lost("the link to upstream %s was lost in the hand-over", ln.host.ID)
+	}
+	if err := an.begin(); err != nil {
+		an.Close()
+		return nil, err
+	}
+	return an, nil
+}
--- /dev/null
+++ b/io/agent/pool.go
@@ -0,0 +1,167 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/event"
+	"skylarkstand/io/frame"
+)
+
+// Pool is the entry's links to all agents. It implements [core.Upstreams].
+type Pool struct {
+	deps  core.Deps
+	inf   *declaration.InForce
+	hosts core.Hosts
+
+	mu    sync.Mutex
+	links map[core.UpstreamID]*link
+	index atomic.Pointer[index]
+}
+
+// index is what dispatching reads; it is replaced as a whole.
+type index struct {
+	byID     map[core.UpstreamID]*link
+	versions map[core.ModelVersion][]*link
+	services map[core.ServiceID][]*link
+}
+
+// New returns a pool without links; Serve makes them.
+func New(deps core.Deps, inf *declaration.InForce, ho core.Hosts) *Pool {
+	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}}
+	po.index.Store(newIndex(nil))
+	return po
+}
+
+// refresh is how often the host list is read. The list lags by itself; agents
+// that leave say so on their links at once.
+const refresh = time.Second
+
+// Serve keeps the links in step with the host list until the context ends.
+func (po *Pool) Serve(ctx context.Context) error {
+	tick := time.NewTicker(refresh)
+	defer tick.Stop()
+	defer po.closeAll()
+	for {
+		po.update(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (po *Pool) update(ctx context.Context) {
+	list, err := po.hosts.List(ctx)
+	if err != nil {
+		// The last list stays in use: agents that went are noticed by their
+		// links, and a list that is away must not empty the pool.
+		if ctx.Err() == nil {
+			event.Log(po.deps.Log, event.HostsAway, "error", err)
+		}
+		return
+	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	listed := map[core.UpstreamID]bool{}
+	for _, ho := range list {
+		if ho.Role != core.RoleAgent {
+			continue
+		}
+		listed[ho.ID] = true
+		old := po.links[ho.ID]
+		if old != nil && old.host.Addr == ho.Addr && old.host.Serves() == ho.Serves() && old.host.Service == ho.Service {
+			old.listedLeaving.Store(ho.Leaving)
+			continue
+		}
+		if old != nil {
+			old.cancel()
+		}
+		ln := newLink(po.deps, po.inf, ho)
+		ln.listedLeaving.Store(ho.Leaving)
+		po.links[ho.ID] = ln
+		lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		ln.cancel = cancel
+		go ln.serve(lctx)
+	}
+	for id, ln := range po.links {
+		if !listed[id] && !ln.up.Load() {
+			ln.cancel()
+			delete(po.links, id)
+		}
+	}
+	po.index.Store(newIndex(po.links))
+}
+
+func newIndex(links map[core.UpstreamID]*link) *index {
+	ix := &index{byID: map[core.UpstreamID]*link{}, versions: map[core.ModelVersion][]*link{}, services: map[core.ServiceID][]*link{}}
+	for id, ln := range links {
+		ix.byID[id] = ln
+		if ln.host.Service != "" {
+			ix.services[ln.host.Service] = append(ix.services[ln.host.Service], ln)
+		} else {
+			ix.versions[ln.host.Serves()] = append(ix.versions[ln.host.Serves()], ln)
+		}
+	}
+	return ix
+}
+
+func (po *Pool) closeAll() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for _, ln := range po.links {
+		ln.cancel()
+	}
+}
+
+// Serving implements [core.Upstreams].
+func (po *Pool) Serving(mv core.ModelVersion) []core.Upstream {
+	return snapshots(po.index.Load().versions[mv])
+}
+
+// Offering implements [core.Upstreams].
+func (po *Pool) Offering(sv core.ServiceID) []core.Upstream {
+	return snapshots(po.index.Load().services[sv])
+}
+
+func snapshots(links []*link) []core.Upstream {
+	ups := make([]core.Upstream, len(links))
+	for i, ln := range links {
+		ups[i] = ln.snapshot()
+	}
+	return ups
+}
+
+// Dispatch implements [core.Upstreams].
+func (po *Pool) Dispatch(ctx context.Context, id core.UpstreamID, at *core.Attempt) (core.Answer, error) {
+	ln := po.index.Load().byID[id]
+	if ln == nil {
+		return nil, core.Refuse(core.CodeNoUpstream, time.Second, "upstream %s is gone", id)
+	}
+	return ln.dispatch(ctx, at)
+}
+
+// Settle implements [core.Upstreams].
+func (po *Pool) Settle(id core.UpstreamID, rq core.RequestID, at core.AttemptID, bill []byte) {
+	ln := po.index.Load().byID[id]
+	if ln == nil {
+		return
+	}
+	ln.send(&frame.Frame{Body: &frame.Frame_Settled{Settled: &frame.Settled{Request: string(rq), Attempt: string(at), Bill: bill}}})
+}
+
+// Durable tells the agents that requests' bills stand in the store.
+func (po *Pool) Durable(rqs []core.RequestID) {
+	du := &frame.Durable{}
+	for _, rq := range rqs {
+		du.Requests = append(du.Requests, string(rq))
+	}
+	for _, ln := range po.index.Load().byID {
+		ln.send(&frame.Frame{Body: &frame.Frame_Durable{Durable: du}})
+	}
+}
--- /dev/null
+++ b/io/caller/handlers.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"skylarkstand/core"
+	"skylarkstand/core/dispatch"
+	"skylarkstand/core/session"
+)
+
+// admit takes a place among the requests in flight.
+func (srv *Server) admit() error {
+	if srv.flying.Add(1) > srv.limit {
+		srv.flying.Add(-1)
+		return core.Refuse(core.CodeOverloaded, time.Second, "too many requests are in this entry")
+	}
+	return nil
+}
+
+func (srv *Server) chat(rq *restful.Request, rs *restful.Response) {
+	id := requestID(rq.Request)
+	rs.Header().Set(HeaderRequest, string(id))
+	if err := srv.serveChat(rs.ResponseWriter, rq.Request, id); err != nil {
+		srv.refuse(rs.ResponseWriter, id, err)
+	}
+}
+
+func (srv *Server) serveChat(w http.ResponseWriter, rq *http.Request, id core.RequestID) error {
+	ws, dr, err := srv.common(w, rq, id)
+	if err != nil {
+		return err
+	}
+	if err := parseChat(dr); err != nil {
+		return err
+	}
+	pin, se, err := srv.pin(rq, ws.ID, id)
+	if err != nil {
+		return err
+	}
+	dr.Session = se
+	if err := srv.admit(); err != nil {
+		return err
+	}
+	defer srv.flying.Add(-1)
+	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
+	defer cancel()
+	out, err := srv.dis.Chat(ctx, dr)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	srv.tellVersion(w.Header(), pin, out)
+	return srv.relay(w, id, out, dr.Stream)
+}
+
+func withDeadline(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	if limit == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+// tellVersion sets the headers that keep the session on its version.
+func (srv *Server) tellVersion(hd http.Header, pin session.Pin, out *dispatch.Outcome) {
+	versions := map[core.ModelID]core.VersionID{}
+	for mo, ve := range pin.Versions {
+		versions[mo] = ve
+	}
+	versions[out.Target.Model] = out.Target.Version
+	pin.Versions = versions
+	hd.Set(HeaderVersion, out.Target.String())
+	hd.Set(HeaderPin, srv.keys.Sign(pin))
+	if out.Repinned {
+		hd.Set(HeaderRepinned, "true")
+	}
+}
+
+func (srv *Server) call(rq *restful.Request, rs *restful.Response) {
+	id := requestID(rq.Request)
+	rs.Header().Set(HeaderRequest, string(id))
+	sv, op := core.ServiceID(rq.PathParameter("service")), core.OperationID(rq.PathParameter("operation"))
+	if err := srv.serveCall(rs.ResponseWriter, rq.Request, id, sv, op); err != nil {
+		srv.refuse(rs.ResponseWriter, id, err)
+	}
+}
+
+func (srv *Server) serveCall(w http.ResponseWriter, rq *http.Request, id core.RequestID, sv core.ServiceID, op core.OperationID) error {
+	_, dr, err := srv.common(w, rq, id)
+	if err != nil {
+		return err
+	}
+	dr.Service, dr.Operation, dr.IdempotencyKey = sv, op, rq.Header.Get(headerIdempotency)
+	if len(dr.IdempotencyKey) > maxKey {
+		return core.Refuse(core.CodeBadRequest, 0, "the header %s is longer than %d bytes", headerIdempotency, maxKey)
+	}
+	if err := srv.admit(); err != nil {
+		return err
+	}
+	defer srv.flying.Add(-1)
+	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
+	defer cancel()
+	out, err := srv.dis.Call(ctx, dr)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	return srv.relay(w, id, out, dr.Stream)
+}
+
+// doneMark ends a whole stream; a caller that has it takes the answer for whole.
+var doneMark = []byte("data: [DONE]")
+
+// relay copies an answer to the caller. The end of it is held until the
+// request is settled: once the caller has the whole answer, the bill is filed.
+//
+// Of a stream only the end mark is held. Holding each piece until the next one
+// came would delay every token by one.
+func (srv *Server) relay(w http.ResponseWriter, id core.RequestID, out *dispatch.Outcome, stream bool) error {
+	piece, err := out.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	if ct := out.ContentType(); ct != "" {
+		w.Header().Set("Content-Type", ct)
+	}
+	w.WriteHeader(out.Status())
+	ctl := http.NewResponseController(w)
+	var held []byte
+	for ; err == nil; piece, err = out.Next() {
+		if len(held) > 0 {
+			_, _ = w.Write(held)
+			held = held[:0]
+		}
+		if !stream || bytes.HasPrefix(piece, doneMark) {
+			held = append(held, piece...)
+			continue
+		}
+		if _, werr := w.Write(piece); werr != nil {
+			return nil // The caller is gone.
+		}
+		_ = ctl.Flush()
+	}
+	if !errors.Is(err, io.EOF) {
+		srv.breakOff(w, id, err)
+		return nil
+	}
+	out.Settle()
+	_, _ = w.Write(held)
+	return nil
+}
--- /dev/null
+++ b/io/caller/reply.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+)
+
+// errorBody is what a caller gets in place of an answer.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    core.Code `json:"code"`
+	Message string    `json:"message"`
+	// Ran is "not-run", "ran" or "unknown".
+	Ran core.Ran `json:"ran"`
+	// RetryAfter is in seconds; 0 when trying again will not help.
+	RetryAfter float64        `json:"retry-after"`
+	RequestID  core.RequestID `json:"request-id"`
+}
+
+// statuses maps failure codes to HTTP. Others are 502.
+var statuses = map[core.Code]int{
+	core.CodeBadRequest:    http.StatusBadRequest,
+	core.CodeUnauthorized:  http.StatusUnauthorized,
+	core.CodeNotAllowed:    http.StatusForbidden,
+	core.CodeUnknownModel:  http.StatusNotFound,
+	core.CodeTooLarge:      http.StatusRequestEntityTooLarge,
+	core.CodeKeyReused:     http.StatusUnprocessableEntity,
+	core.CodeKeyExpired:    http.StatusUnprocessableEntity,
+	core.CodeQuarantined:   http.StatusUnprocessableEntity,
+	core.CodeOverloaded:    http.StatusServiceUnavailable,
+	core.CodeDeadline:      http.StatusServiceUnavailable,
+	core.CodeNoUpstream:    http.StatusServiceUnavailable,
+	core.CodeWithdrawn:     http.StatusServiceUnavailable,
+	core.CodeLeaving:       http.StatusServiceUnavailable,
+	core.CodeStoreDown:     http.StatusServiceUnavailable,
+	core.CodeNoConfig:      http.StatusServiceUnavailable,
+	core.CodeStaleConfig:   http.StatusServiceUnavailable,
+	core.CodeInternalError: http.StatusInternalServerError,
+}
+
+func asFailure(err error) *core.Failure {
+	var fl *core.Failure
+	if errors.As(err, &fl) {
+		return fl
+	}
+	return &core.Failure{Code: core.CodeInternalError, Ran: core.RanUnknown, Message: "internal error"}
+}
+
+func detail(fl *core.Failure, id core.RequestID) errorBody {
+	return errorBody{errorDetail{
+		Code: fl.Code, Message: fl.Message, Ran: fl.Ran, RetryAfter: fl.RetryAfter.Seconds(), RequestID: id,
+	}}
+}
+
+// refuse answers a request with a failure, at once: an answer held back would
+// only hide from the client when to come back.
+func (srv *Server) refuse(w http.ResponseWriter, id core.RequestID, err error) {
+	fl := asFailure(err)
+	event.Log(srv.deps.Log, event.RequestFailed, "request", id, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
+	srv.deps.Metrics.Tagged(map[string]string{"code": string(fl.Code), "ran": string(fl.Ran)}).Counter("requests-failed").Inc(1)
+	status, ok := statuses[fl.Code]
+	if !ok {
+		status = http.StatusBadGateway
+	}
+	hd := w.Header()
+	hd.Set("Content-Type", "application/json")
+	if fl.RetryAfter > 0 {
+		hd.Set("Retry-After", retryAfter(fl.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(detail(fl, id))
+}
+
+// retryAfter is in whole seconds, rounded up: coming back early would be
+// refused again.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// breakOff ends a stream that cannot be finished: an error event, and no
+// [DONE], which is the mark of a whole answer.
+func (srv *Server) breakOff(w http.ResponseWriter, id core.RequestID, err error) {
+	fl := asFailure(err)
+	event.Log(srv.deps.Log, event.RequestFailed, "request", id, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
+	raw, err := json.Marshal(detail(fl, id))
+	if err != nil {
+		return
+	}
+	_, _ = w.Write([]byte("event: error\ndata: " + string(raw) + "\n\n"))
+}
--- /dev/null
+++ b/io/hosts/hosts.go
@@ -0,0 +1,51 @@
+// Package hosts reads the platform's list of live and leaving hosts by HTTP.
+//
+// # Usage
+//
+//	list, err := hosts.New("http://127.0.0.1:9300").List(ctx)
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+)
+
+// List implements [core.Hosts].
+type List struct {
+	url string
+	cli *http.Client
+}
+
+const callLimit = 2 * time.Second
+
+// New returns the list at a base URL.
+func New(base string) *List {
+	return &List{url: base, cli: &http.Client{Timeout: callLimit}}
+}
+
+// List implements [core.Hosts].
+func (li *List) List(ctx context.Context) ([]core.Host, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, li.url+"/v1/hosts", http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "host list")
+	}
+	rs, err := li.cli.Do(rq)
+	if err != nil {
+		return nil, eris.Wrap(err, "host list")
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("host list: %s", rs.Status)
+	}
+	var list []core.Host
+	if err := json.NewDecoder(rs.Body).Decode(&list); err != nil {
+		return nil, eris.Wrap(err, "host list")
+	}
+	return list, nil
+}
--- /dev/null
+++ b/io/link/control.go
@@ -0,0 +1,152 @@
+package link
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/event"
+	"skylarkstand/io/frame"
+)
+
+// Handlers are called from the goroutine that reads the control stream. They
+// must not block. A nil handler drops its message.
+type Handlers struct {
+	Hello   func(*frame.Hello)
+	State   func(*frame.State)
+	Settled func(*frame.Settled)
+	Durable func(*frame.Durable)
+	Ask     func(*frame.Ask)
+	Told    func(*frame.Told)
+}
+
+// Control is one side of a control stream.
+type Control struct {
+	deps core.Deps
+	inf  *declaration.InForce
+	st   io.ReadWriteCloser
+	hd   Handlers
+
+	mu sync.Mutex
+	wr *frame.Writer
+}
+
+// NewControl returns the control of an opened stream.
+func NewControl(deps core.Deps, inf *declaration.InForce, st io.ReadWriteCloser, hd Handlers) *Control {
+	return &Control{deps: deps, inf: inf, st: st, hd: hd, wr: frame.NewWriter(st)}
+}
+
+// Send writes a frame. It is safe for concurrent use.
+func (co *Control) Send(fr *frame.Frame) error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.wr.Write(fr)
+}
+
+// Hello sends this side's first frame.
+func (co *Control) Hello(id core.UpstreamID) error {
+	return co.Send(&frame.Frame{Body: &frame.Frame_Hello{Hello: &frame.Hello{
+		Process: string(co.deps.Self), Zone: string(co.deps.Zone), Region: string(co.deps.Region),
+		Generation: uint64(co.inf.Number()), Upstream: string(id),
+	}}})
+}
+
+// Serve reads the stream until it or the context ends, and tells the peer of
+// each newer generation.
+func (co *Control) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { co.st.Close() })
+	defer stop()
+	go co.announce(ctx)
+	rd := frame.NewReader(co.st)
+	for {
+		fr, err := rd.Read()
+		if err != nil {
+			return err
+		}
+		if err := co.handle(fr); err != nil {
+			return err
+		}
+	}
+}
+
+// announce sends a notice now and at each change of the configuration.
+func (co *Control) announce(ctx context.Context) {
+	for {
+		changed := co.inf.Changed()
+		if co.notice() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (co *Control) notice() error {
+	return co.Send(&frame.Frame{Body: &frame.Frame_Notice{Notice: &frame.Notice{Generation: uint64(co.inf.Number())}}})
+}
+
+func (co *Control) handle(fr *frame.Frame) error {
+	switch body := fr.Body.(type) {
+	case *frame.Frame_Hello:
+		call(co.hd.Hello, body.Hello)
+		return co.behind(body.Hello.Generation)
+	case *frame.Frame_Notice:
+		return co.behind(body.Notice.Generation)
+	case *frame.Frame_Want:
+		return co.body()
+	case *frame.Frame_Config:
+		co.adopt(body.Config.Generation)
+	case *frame.Frame_State:
+		call(co.hd.State, body.State)
+		return co.behind(body.State.Generation)
+	case *frame.Frame_Settled:
+		call(co.hd.Settled, body.Settled)
+	case *frame.Frame_Durable:
+		call(co.hd.Durable, body.Durable)
+	case *frame.Frame_Ask:
+		call(co.hd.Ask, body.Ask)
+	case *frame.Frame_Told:
+		call(co.hd.Told, body.Told)
+	}
+	return nil
+}
+
+func call[T any](fn func(*T), msg *T) {
+	if fn != nil {
+		fn(msg)
+	}
+}
+
+// behind asks for the peer's generation when it is newer than ours.
+func (co *Control) behind(theirs uint64) error {
+	if theirs <= uint64(co.inf.Number()) {
+		return nil
+	}
+	return co.Send(&frame.Frame{Body: &frame.Frame_Want{Want: &frame.Want{Generation: theirs}}})
+}
+
+func (co *Control) body() error {
+	sn := co.inf.Current()
+	if sn == nil {
+		return nil
+	}
+	return co.Send(&frame.Frame{Body: &frame.Frame_Config{Config: &frame.Config{Generation: sn.Raw}}})
+}
+
+func (co *Control) adopt(raw []byte) {
+	adopted, err := co.inf.Adopt(raw)
+	if err != nil {
+		event.Log(co.deps.Log, event.ConfigBroken, "error", err)
+		return
+	}
+	if adopted {
+		event.Log(co.deps.Log, event.ConfigAdopted, "generation", co.inf.Number(), "from", "link")
+	}
+}
--- /dev/null
+++ b/io/link/convert.go
@@ -0,0 +1,47 @@
+package link
+
+import (
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/io/frame"
+)
+
+// DispatchFrame returns the frame that hands an attempt over.
+func DispatchFrame(at *core.Attempt) *frame.Frame {
+	return &frame.Frame{Body: &frame.Frame_Dispatch{Dispatch: &frame.Dispatch{
+		Attempt: string(at.ID), Request: string(at.Request), Workspace: string(at.Workspace),
+		Generation: uint64(at.Generation), Model: string(at.Target.Model), Version: string(at.Target.Version),
+		Service: string(at.Service), Operation: string(at.Operation), IdempotencyKey: at.IdempotencyKey,
+		DeadlineMicros: at.Deadline.Microseconds(), Priority: int32(at.Priority), Stream: at.Stream, Body: at.Body,
+	}}}
+}
+
+// Attempt reads what DispatchFrame wrote.
+func Attempt(di *frame.Dispatch) *core.Attempt {
+	return &core.Attempt{
+		ID: core.AttemptID(di.Attempt), Request: core.RequestID(di.Request), Workspace: core.WorkspaceID(di.Workspace),
+		Generation: core.Generation(di.Generation),
+		Target:     core.ModelVersion{Model: core.ModelID(di.Model), Version: core.VersionID(di.Version)},
+		Service:    core.ServiceID(di.Service), Operation: core.OperationID(di.Operation), IdempotencyKey: di.IdempotencyKey,
+		Deadline: time.Duration(di.DeadlineMicros) * time.Microsecond, Priority: int(di.Priority), Stream: di.Stream, Body: di.Body,
+	}
+}
+
+// FailureFrame returns the frame that ends an attempt without an answer.
+func FailureFrame(id core.AttemptID, fl *core.Failure, st *frame.State) *frame.Frame {
+	return &frame.Frame{Body: &frame.Frame_Failure{Failure: &frame.Failure{
+		Attempt: string(id), Code: string(fl.Code), Ran: string(fl.Ran), Message: fl.Message,
+		RetryAfterMicros: fl.RetryAfter.Microseconds(), State: st,
+	}}}
+}
+
+// Failure reads what FailureFrame wrote. An ending that this side does not
+// know is taken for an unknown outcome, the one that promises nothing.
+func Failure(fa *frame.Failure) *core.Failure {
+	ran := core.Ran(fa.Ran)
+	if ran != core.NotRun && ran != core.RanFailed {
+		ran = core.RanUnknown
+	}
+	return &core.Failure{Code: core.Code(fa.Code), Ran: ran, Message: fa.Message, RetryAfter: time.Duration(fa.RetryAfterMicros) * time.Microsecond}
+}
--- /dev/null
+++ b/io/metrics/metrics.go
@@ -0,0 +1,30 @@
+// Package metrics joins tally's scopes to a page that a collector reads.
+//
+// # Usage
+//
+//	scope, page, cleanup := metrics.New("entry")
+//	mux.Handle("/metrics", page)
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const flushEvery = time.Second
+
+// New returns the root scope of a process, the page that shows it, and the
+// clean-up.
+func New(role string) (tally.Scope, http.Handler, func()) {
+	reg := prometheus.NewRegistry()
+	rep := tallyprom.NewReporter(tallyprom.Options{Registerer: reg, Gatherer: reg})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "skylarkstand", Tags: map[string]string{"role": role},
+		CachedReporter: rep, Separator: tallyprom.DefaultSeparator, SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, flushEvery)
+	return scope, rep.HTTPHandler(), func() { _ = closer.Close() }
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Skylarkstand is a model-aware router for versions and cascades.
+package main
+
+import (
+	"os"
+
+	"skylarkstand/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:])) }
--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// answer is one completion under way.
+type answer struct {
+	en     *Engine
+	fa     Faults
+	id     string
+	words  int
+	prompt int
+	sent   int
+}
+
+// run writes the completion and reports whether it was written whole.
+func (an *answer) run(w http.ResponseWriter, rq *http.Request, stream bool) bool {
+	slow := time.Duration(max(an.fa.SlowFactor, 1))
+	if !an.sleep(rq, an.en.cfg.First*slow) {
+		return false
+	}
+	if !stream {
+		return an.whole(w, rq, slow)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	ctl := http.NewResponseController(w)
+	for an.sent < an.words {
+		if an.fa.CutAfter > 0 && an.sent >= an.fa.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if an.fa.Cross {
+			_, _ = w.Write([]byte(chunk("foreign", "STRANGER ")))
+		}
+		an.sent++
+		_, err := w.Write([]byte(chunk(an.id, fmt.Sprintf("w%d ", an.sent))))
+		if err != nil || ctl.Flush() != nil {
+			return false
+		}
+		if an.sent < an.words && !an.sleep(rq, an.en.cfg.Pace*slow) {
+			return false
+		}
+	}
+	_, err := fmt.Fprintf(w, `data: {"id":"chatcmpl-%s","choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d}}`+"\n\ndata: [DONE]\n\n", an.id, an.prompt, an.sent)
+	return err == nil
+}
+
+func (an *answer) whole(w http.ResponseWriter, rq *http.Request, slow time.Duration) bool {
+	if !an.sleep(rq, an.en.cfg.Pace*slow*time.Duration(an.words)) {
+		return false
+	}
+	id := an.id
+	if an.fa.Cross {
+		id = "foreign"
+	}
+	var sb strings.Builder
+	for an.sent < an.words {
+		an.sent++
+		fmt.Fprintf(&sb, "w%d ", an.sent)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, err := fmt.Fprintf(w, `{"id":"chatcmpl-%s","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"%s"}}],"usage":{"prompt_tokens":%d,"completion_tokens":%d}}`,
+		id, sb.String(), an.prompt, an.sent)
+	return err == nil
+}
+
+func (an *answer) sleep(rq *http.Request, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	tm := time.NewTimer(d)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-rq.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,180 @@
+// Package engine stands in for a model engine: it streams tokens at a set
+// pace from a bounded number of slots, and has the faults of one.
+//
+// A prompt that contains "#crash" ends the process, as the rare request does
+// that crashes every engine. A prompt with "#words=N" asks for N tokens.
+//
+// # Usage
+//
+//	http.ListenAndServe(addr, engine.New(engine.Config{Slots: 4, Pace: time.Millisecond, Words: 16}))
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config shapes an engine.
+type Config struct {
+	Model string
+	// Slots run at once; further requests wait.
+	Slots int
+	// First is the time to the first token, Pace between two.
+	First, Pace time.Duration
+	// Words is the usual length of an answer, in tokens.
+	Words int
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
+}
+
+// Faults is what goes wrong until the next order.
+type Faults struct {
+	// Cross puts events of another request into streams.
+	Cross bool `json:"cross"`
+	// CutAfter breaks streams off after so many tokens; 0 is never.
+	CutAfter int `json:"cut-after"`
+	// SlowFactor stretches First and Pace; 0 is 1.
+	SlowFactor int `json:"slow-factor"`
+	// Fail answers 500.
+	Fail bool `json:"fail"`
+}
+
+// Run is one line of the engine's journal.
+type Run struct {
+	Attempt string `json:"attempt"`
+	Tokens  int    `json:"tokens"`
+	Whole   bool   `json:"whole"`
+}
+
+// Engine is safe for concurrent use.
+type Engine struct {
+	cfg     Config
+	mux     *http.ServeMux
+	slots   chan struct{}
+	waiting atomic.Int64
+
+	mu      sync.Mutex
+	faults  Faults
+	journal []Run
+	fence   uint64
+	crash   func()
+}
+
+// New returns an engine.
+func New(cfg Config) *Engine {
+	en := &Engine{cfg: cfg, mux: http.NewServeMux(), slots: make(chan struct{}, max(cfg.Slots, 1)), crash: func() { os.Exit(3) }}
+	en.mux.HandleFunc("POST /v1/chat/completions", en.complete)
+	en.mux.HandleFunc("GET /load", en.load)
+	en.mux.HandleFunc("GET /journal", en.showJournal)
+	en.mux.HandleFunc("POST /orders", en.order)
+	en.mux.HandleFunc("POST /faults", en.setFaults)
+	return en
+}
+
+// ServeHTTP implements [http.Handler].
+func (en *Engine) ServeHTTP(w http.ResponseWriter, rq *http.Request) { en.mux.ServeHTTP(w, rq) }
+
+type chatBody struct {
+	Stream    bool            `json:"stream"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+func (en *Engine) complete(w http.ResponseWriter, rq *http.Request) {
+	var cb chatBody
+	if json.NewDecoder(rq.Body).Decode(&cb) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if strings.Contains(string(cb.Messages), "#crash") {
+		en.crash()
+	}
+	en.waiting.Add(1)
+	select {
+	case en.slots <- struct{}{}:
+		en.waiting.Add(-1)
+	case <-rq.Context().Done():
+		en.waiting.Add(-1)
+		return
+	}
+	defer func() { <-en.slots }()
+	en.mu.Lock()
+	fa := en.faults
+	en.mu.Unlock()
+	if fa.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	an := &answer{en: en, fa: fa, id: rq.Header.Get("X-Request-Id"), words: en.words(cb), prompt: len(cb.Messages)/4 + 1}
+	whole := an.run(w, rq, cb.Stream)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.journal = append(en.journal, Run{Attempt: an.id, Tokens: an.sent, Whole: whole})
+}
+
+func (en *Engine) words(cb chatBody) int {
+	words := en.cfg.Words
+	if _, rest, ok := strings.Cut(string(cb.Messages), "#words="); ok {
+		digits := strings.IndexFunc(rest, func(r rune) bool { return r < '0' || r > '9' })
+		if n, err := strconv.Atoi(rest[:max(digits, 0)]); err == nil {
+			words = n
+		}
+	}
+	if cb.MaxTokens > 0 {
+		words = min(words, cb.MaxTokens)
+	}
+	return max(words, 1)
+}
+
+func (en *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	reply(w, map[string]int{"running": len(en.slots), "waiting": int(en.waiting.Load()), "slots": cap(en.slots)})
+}
+
+func (en *Engine) showJournal(w http.ResponseWriter, _ *http.Request) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	reply(w, en.journal)
+}
+
+// order accepts an order with a fencing number, as in {"fence":7,"load":"v2"}.
+func (en *Engine) order(w http.ResponseWriter, rq *http.Request) {
+	var or struct{ Fence uint64 }
+	if json.NewDecoder(rq.Body).Decode(&or) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if en.cfg.ChecksFencing && or.Fence < en.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	en.fence = or.Fence
+}
+
+func (en *Engine) setFaults(w http.ResponseWriter, rq *http.Request) {
+	var fa Faults
+	if json.NewDecoder(rq.Body).Decode(&fa) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.faults = fa
+}
+
+func reply(w http.ResponseWriter, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func chunk(id, text string) string {
+	return fmt.Sprintf(`data: {"id":"chatcmpl-%s","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"%s"}}]}`+"\n\n", id, text)
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,144 @@
+// Package platform stands in for the platform's host list and its service
+// that rates answers.
+//
+// A prompt has a difficulty between 0 and 1 that depends on its text alone; a
+// version of quality q answers it well when the difficulty is below q. Ratings
+// are so the same in every run.
+//
+// # Usage
+//
+//	http.ListenAndServe(addr, platform.New(map[string]float64{"desk@v1": 0.8}))
+//	curl -X PUT addr/v1/hosts -d '[{"role":"agent", …}]'
+package platform
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkstand/core"
+)
+
+// Faults is what goes wrong until the next order.
+type Faults struct {
+	// ListDown refuses the host list, RatingDown the ratings.
+	ListDown   bool `json:"list-down"`
+	RatingDown bool `json:"rating-down"`
+	// RatingSlow delays ratings, in milliseconds.
+	RatingSlow int `json:"rating-slow"`
+	// Lag delays changes of the list, in milliseconds.
+	Lag int `json:"lag"`
+}
+
+// Platform is safe for concurrent use.
+type Platform struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	quality map[string]float64
+	hosts   []core.Host
+	faults  Faults
+}
+
+// New returns a platform. Quality is by model@version.
+func New(quality map[string]float64) *Platform {
+	pl := &Platform{mux: http.NewServeMux(), quality: quality, hosts: []core.Host{}}
+	pl.mux.HandleFunc("GET /v1/hosts", pl.list)
+	pl.mux.HandleFunc("PUT /v1/hosts", pl.setHosts)
+	pl.mux.HandleFunc("PUT /v1/quality", pl.setQuality)
+	pl.mux.HandleFunc("POST /v1/rate", pl.rate)
+	pl.mux.HandleFunc("POST /faults", pl.setFaults)
+	return pl
+}
+
+// ServeHTTP implements [http.Handler].
+func (pl *Platform) ServeHTTP(w http.ResponseWriter, rq *http.Request) { pl.mux.ServeHTTP(w, rq) }
+
+func (pl *Platform) current() Faults {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.faults
+}
+
+func (pl *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	if pl.current().ListDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(pl.hosts)
+}
+
+func (pl *Platform) setHosts(w http.ResponseWriter, rq *http.Request) {
+	var hosts []core.Host
+	if !decode(w, rq, &hosts) {
+		return
+	}
+	set := func() {
+		pl.mu.Lock()
+		defer pl.mu.Unlock()
+		pl.hosts = hosts
+	}
+	if lag := pl.current().Lag; lag > 0 {
+		time.AfterFunc(time.Duration(lag)*time.Millisecond, set)
+		return
+	}
+	set()
+}
+
+func (pl *Platform) setQuality(w http.ResponseWriter, rq *http.Request) {
+	var quality map[string]float64
+	if !decode(w, rq, &quality) {
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.quality = quality
+}
+
+func (pl *Platform) setFaults(w http.ResponseWriter, rq *http.Request) {
+	var fa Faults
+	if !decode(w, rq, &fa) {
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.faults = fa
+}
+
+func (pl *Platform) rate(w http.ResponseWriter, rq *http.Request) {
+	var qu struct {
+		core.ModelVersion
+		Prompt []byte `json:"prompt"`
+	}
+	if !decode(w, rq, &qu) {
+		return
+	}
+	fa := pl.current()
+	time.Sleep(time.Duration(fa.RatingSlow) * time.Millisecond)
+	if fa.RatingDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	difficulty := float64(xxhash.Sum64(qu.Prompt)) / math.MaxUint64
+	good := 0.0
+	pl.mu.Lock()
+	if difficulty < pl.quality[qu.String()] {
+		good = 1
+	}
+	pl.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]float64{"quality": good})
+}
+
+func decode(w http.ResponseWriter, rq *http.Request, out any) bool {
+	if json.NewDecoder(rq.Body).Decode(out) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,59 @@
+// Package service stands in for a plain service. It runs whatever it is told
+// as often as it is told, and its journal shows each run.
+//
+// # Usage
+//
+//	http.ListenAndServe(addr, service.New(5*time.Millisecond))
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one line of the journal.
+type Run struct {
+	Operation string `json:"operation"`
+	Key       string `json:"key"`
+	Attempt   string `json:"attempt"`
+}
+
+// Service is safe for concurrent use.
+type Service struct {
+	mux   *http.ServeMux
+	takes time.Duration
+
+	mu      sync.Mutex
+	journal []Run
+}
+
+// New returns a service whose operations take a time.
+func New(takes time.Duration) *Service {
+	sv := &Service{mux: http.NewServeMux(), takes: takes}
+	sv.mux.HandleFunc("POST /{operation}", sv.run)
+	sv.mux.HandleFunc("GET /journal", sv.showJournal)
+	return sv
+}
+
+// ServeHTTP implements [http.Handler].
+func (sv *Service) ServeHTTP(w http.ResponseWriter, rq *http.Request) { sv.mux.ServeHTTP(w, rq) }
+
+func (sv *Service) run(w http.ResponseWriter, rq *http.Request) {
+	ru := Run{Operation: rq.PathValue("operation"), Key: rq.Header.Get("Skylarkstand-Idempotency-Key"), Attempt: rq.Header.Get("X-Request-Id")}
+	sv.mu.Lock()
+	sv.journal = append(sv.journal, ru)
+	n := len(sv.journal)
+	sv.mu.Unlock()
+	time.Sleep(sv.takes)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"confirmation": n, "operation": ru.Operation})
+}
+
+func (sv *Service) showJournal(w http.ResponseWriter, _ *http.Request) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(sv.journal)
+}
--- /dev/null
+++ b/test/fleet/client.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Reply is what a caller got.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Whole tells that a stream came with its end mark, or that a whole
+	// answer was read to its end.
+	Whole bool
+	// Text is a chat answer's text.
+	Text string
+	// Error is the typed error, if that is what came.
+	Error struct {
+		Code       string  `json:"code"`
+		Ran        string  `json:"ran"`
+		Message    string  `json:"message"`
+		RetryAfter float64 `json:"retry-after"`
+	}
+	First, Took time.Duration
+}
+
+// Chat asks for a completion.
+func Chat(url, key, model, prompt string, stream bool, header map[string]string) (*Reply, error) {
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": stream, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return Post(url+"/v1/chat/completions", key, body, header)
+}
+
+// Call calls an operation of a plain service.
+func Call(url, key, path, idempotency string, body []byte) (*Reply, error) {
+	return Post(url+"/v1/services/"+path, key, body, map[string]string{"Idempotency-Key": idempotency})
+}
+
+// Post sends a request and reads the whole reply.
+func Post(url, key string, body []byte, header map[string]string) (*Reply, error) {
+	rq, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	rq.Header.Set("Authorization", "Bearer "+key)
+	rq.Header.Set("Content-Type", "application/json")
+	for name, val := range header {
+		if val != "" {
+			rq.Header.Set(name, val)
+		}
+	}
+	rq.GetBody = nil // The client's own silent retries would hide a fault.
+	began := time.Now()
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer rs.Body.Close()
+	re := &Reply{Status: rs.StatusCode, Header: rs.Header, First: time.Since(began)}
+	if strings.HasPrefix(rs.Header.Get("Content-Type"), "text/event-stream") {
+		re.readEvents(rs.Body)
+	} else {
+		re.readWhole(rs.Body)
+	}
+	re.Took = time.Since(began)
+	return re, nil
+}
+
+func (re *Reply) readWhole(rd io.Reader) {
+	raw, err := io.ReadAll(rd)
+	re.Body, re.Whole = raw, err == nil && re.Status == http.StatusOK
+	var body struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+		Error json.RawMessage
+	}
+	if json.Unmarshal(raw, &body) != nil {
+		return
+	}
+	if len(body.Choices) > 0 {
+		re.Text = body.Choices[0].Message.Content
+	}
+	_ = json.Unmarshal(body.Error, &re.Error)
+}
+
+func (re *Reply) readEvents(rd io.Reader) {
+	sc := bufio.NewScanner(rd)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		re.Body = append(append(re.Body, data...), '\n')
+		if data == "[DONE]" {
+			re.Whole = true
+			continue
+		}
+		var ev struct {
+			Choices []struct{ Delta struct{ Content string } }
+			Error   json.RawMessage
+		}
+		if json.Unmarshal([]byte(data), &ev) != nil {
+			continue
+		}
+		if len(ev.Choices) > 0 {
+			re.Text += ev.Choices[0].Delta.Content
+		}
+		if ev.Error != nil {
+			_ = json.Unmarshal(ev.Error, &re.Error)
+		}
+	}
+}
+
+// String describes a reply in a line.
+func (re *Reply) String() string {
+	if re.Error.Code != "" {
+		return fmt.Sprintf("%d %s (%s), come back in %.0f s: %s", re.Status, re.Error.Code, re.Error.Ran, re.Error.RetryAfter, re.Error.Message)
+	}
+	return fmt.Sprintf("%d from %s, whole %v, %d words", re.Status, re.Header.Get("Skylarkstand-Version"), re.Whole, len(strings.Fields(re.Text)))
+}
+
+// GetJSON reads a stand-in's page, such as a journal.
+func GetJSON(url string, out any) error {
+	rs, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	return json.NewDecoder(rs.Body).Decode(out)
+}
+
+// Order posts a stand-in's fault order.
+func Order(url, body string) error {
+	rs, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return rs.Body.Close()
+}
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,341 @@
+// Package fleet runs skylarkstand and its stand-ins as separate processes on
+// loopback, for the demonstration, the whole-path tests and the measurements.
+//
+// # Usage
+//
+//	fl, cleanup, err := fleet.New(binDir, logDir)
+//	defer cleanup()
+//	err = fl.StartPlatform(map[string]float64{"desk@v1": 0.8})
+//	err = fl.StartEngine("desk-1", core.ModelVersion{Model: "desk", Version: "v1"}, fleet.Zone{…})
+//	err = fl.StartEntry("entry-1", zone)
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+)
+
+// Place is an availability zone with its region.
+type Place struct {
+	Zone   core.Zone
+	Region core.Region
+}
+
+// Fleet is a set of processes. Its methods may be called from one goroutine.
+type Fleet struct {
+	bin, dir string
+
+	mu    sync.Mutex
+	procs map[string]*Process
+	hosts []core.Host
+
+	StoreURL, PlatformURL string
+}
+
+// Process is one running program.
+type Process struct {
+	Name string
+	// URL is where it answers HTTP; Addr its links.
+	URL, Addr string
+	cmd       *exec.Cmd
+	done      chan struct{}
+	err       error
+	stopped   bool
+}
+
+// New returns an empty fleet of the programs in bin, with logs and settings in
+// dir. The clean-up kills what still runs.
+func New(bin, dir string) (*Fleet, func(), error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, nil, eris.Wrap(err, "fleet")
+	}
+	fl := &Fleet{bin: bin, dir: dir, procs: map[string]*Process{}}
+	return fl, fl.killAll, nil
+}
+
+// Addr returns a free loopback address.
+func Addr() (string, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free port")
+	}
+	defer li.Close()
+	return li.Addr().String(), nil
+}
+
+// Start runs a program of the fleet.
+func (fl *Fleet) Start(name, program string, args ...string) (*Process, error) {
+	logFile, err := os.OpenFile(filepath.Join(fl.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, eris.Wrap(err, name)
+	}
+	defer logFile.Close()
+	pr := &Process{Name: name, cmd: exec.Command(filepath.Join(fl.bin, program), args...), done: make(chan struct{})}
+	pr.cmd.Stdout, pr.cmd.Stderr = logFile, logFile
+	if err := pr.cmd.Start(); err != nil {
+		return nil, eris.Wrap(err, name)
+	}
+	go func() {
+		pr.err = pr.cmd.Wait()
+		close(pr.done)
+	}()
+	fl.mu.Lock()
+	fl.procs[name] = pr
+	fl.mu.Unlock()
+	return pr, nil
+}
+
+func (fl *Fleet) startHTTP(name, program, addr, probe string, args ...string) (*Process, error) {
+	pr, err := fl.Start(name, program, args...)
+	if err != nil {
+		return nil, err
+	}
+	pr.URL = "http://" + addr
+	return pr, fl.await(pr, probe)
+}
+
+const startLimit = 15 * time.Second
+
+// await polls until a process answers, or has ended.
+func (fl *Fleet) await(pr *Process, probe string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	return Poll(ctx, "start of "+pr.Name, func() (bool, error) {
+		select {
+		case <-pr.done:
+			return false, eris.Errorf("%s ended at its start; see %s.log", pr.Name, pr.Name)
+		default:
+		}
+		rs, err := http.Get(pr.URL + probe)
+		if err != nil {
+			return false, nil
+		}
+		rs.Body.Close()
+		return rs.StatusCode < http.StatusInternalServerError, nil
+	})
+}
+
+// Poll calls fn until it reports true or an error, or the context ends.
+func Poll(ctx context.Context, what string, fn func() (bool, error)) error {
+	for {
+		ok, err := fn()
+		if ok || err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("%s: not within the limit", what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// StartPlatform runs the stand-ins for the store, the host list and ratings.
+func (fl *Fleet) StartPlatform(quality map[string]float64) error {
+	addr, err := Addr()
+	if err != nil {
+		return err
+	}
+	pr, err := fl.startHTTP("store", "standin", addr, "/counts", "--listen", addr, "store")
+	if err != nil {
+		return err
+	}
+	fl.StoreURL = pr.URL
+	if addr, err = Addr(); err != nil {
+		return err
+	}
+	args := []string{"--listen", addr, "platform"}
+	for name, q := range quality {
+		args = append(args, "--quality", fmt.Sprintf("%s=%g", name, q))
+	}
+	pr, err = fl.startHTTP("platform", "standin", addr, "/v1/hosts", args...)
+	if err != nil {
+		return err
+	}
+	fl.PlatformURL = pr.URL
+	return nil
+}
+
+// StartEngine runs an engine with its agent and lists it.
+func (fl *Fleet) StartEngine(id string, mv core.ModelVersion, pl Place, args ...string) error {
+	addr, err := Addr()
+	if err != nil {
+		return err
+	}
+	eng, err := fl.startHTTP(id+"-engine", "standin", addr, "/load", append([]string{"--listen", addr, "engine"}, args...)...)
+	if err != nil {
+		return err
+	}
+	return fl.startAgent(id, pl, core.Host{Model: mv.Model, Version: mv.Version}, map[string]any{
+		"engine": eng.URL, "model": mv.Model, "version": mv.Version,
+	})
+}
+
+// StartService runs a plain service with its agent and lists it.
+func (fl *Fleet) StartService(id string, sv core.ServiceID, pl Place, args ...string) error {
+	addr, err := Addr()
+	if err != nil {
+		return err
+	}
+	svc, err := fl.startHTTP(id+"-service", "standin", addr, "/journal", append([]string{"--listen", addr, "service"}, args...)...)
+	if err != nil {
+		return err
+	}
+	return fl.startAgent(id, pl, core.Host{Service: sv}, map[string]any{"service-url": svc.URL, "service": sv})
+}
+
+func (fl *Fleet) startAgent(id string, pl Place, ho core.Host, set map[string]any) error {
+	listen, err := Addr()
+	if err != nil {
+		return err
+	}
+	admin, err := Addr()
+	if err != nil {
+		return err
+	}
+	set["listen"], set["admin"], set["upstream"] = listen, admin, id
+	set["zone"], set["region"], set["store"] = pl.Zone, pl.Region, fl.StoreURL
+	path, err := fl.writeSettings(id, set)
+	if err != nil {
+		return err
+	}
+	pr, err := fl.startHTTP(id, "skylarkstand", admin, "/healthz", "agent", "--settings", path)
+	if err != nil {
+		return err
+	}
+	pr.Addr = listen
+	ho.Role, ho.ID, ho.Addr, ho.Zone, ho.Region = core.RoleAgent, core.UpstreamID(id), listen, pl.Zone, pl.Region
+	fl.hosts = append(fl.hosts, ho)
+	return fl.PublishHosts()
+}
+
+// StartEntry runs an entry. It is ready once it knows a configuration.
+func (fl *Fleet) StartEntry(name string, pl Place, extra map[string]any) (*Process, error) {
+	listen, err := Addr()
+	if err != nil {
+		return nil, err
+	}
+	peer, err := Addr()
+	if err != nil {
+		return nil, err
+	}
+	set := map[string]any{
+		"listen": listen, "peer-listen": peer, "zone": pl.Zone, "region": pl.Region,
+		"store": fl.StoreURL, "hosts": fl.PlatformURL, "rater": fl.PlatformURL,
+		"pin-secret": "fleet", "ledger-pace": "200ms",
+	}
+	for key, val := range extra {
+		set[key] = val
+	}
+	path, err := fl.writeSettings(name, set)
+	if err != nil {
+		return nil, err
+	}
+	pr, err := fl.startHTTP(name, "skylarkstand", listen, "/healthz", "entry", "--settings", path)
+	if err != nil {
+		return nil, err
+	}
+	pr.Addr = peer
+	fl.hosts = append(fl.hosts, core.Host{Role: core.RoleEntry, Addr: peer, Zone: pl.Zone, Region: pl.Region})
+	return pr, fl.PublishHosts()
+}
+
+func (fl *Fleet) writeSettings(name string, set map[string]any) (string, error) {
+	raw, err := json.MarshalIndent(set, "", "  ")
+	if err != nil {
+		return "", eris.Wrap(err, name)
+	}
+	path := filepath.Join(fl.dir, name+".jsonc")
+	return path, eris.Wrap(os.WriteFile(path, raw, 0o600), name)
+}
+
+// PublishHosts sends the fleet's hosts to the list.
+func (fl *Fleet) PublishHosts() error {
+	raw, err := json.Marshal(fl.hosts)
+	if err != nil {
+		return eris.Wrap(err, "host list")
+	}
+	rq, err := http.NewRequest(http.MethodPut, fl.PlatformURL+"/v1/hosts", strings.NewReader(string(raw)))
+	if err != nil {
+		return eris.Wrap(err, "host list")
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return eris.Wrap(err, "host list")
+	}
+	return rs.Body.Close()
+}
+
+// Command runs an operators' command to its end and returns its output.
+func (fl *Fleet) Command(args ...string) (string, error) {
+	out, err := exec.Command(filepath.Join(fl.bin, "skylarkstand"), args...).CombinedOutput()
+	return string(out), err
+}
+
+// Process returns a process by name, or nil.
+func (fl *Fleet) Process(name string) *Process {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.procs[name]
+}
+
+// Kill ends a process without warning; Freeze and Resume pause it.
+func (pr *Process) Kill() {
+	pr.signal(syscall.SIGKILL)
+	<-pr.done
+}
+
+// Freeze pauses the process.
+func (pr *Process) Freeze() { pr.signal(syscall.SIGSTOP) }
+
+// Resume ends a pause.
+func (pr *Process) Resume() { pr.signal(syscall.SIGCONT) }
+
+func (pr *Process) signal(sig syscall.Signal) {
+	pr.stopped = true
+	_ = pr.cmd.Process.Signal(sig)
+}
+
+// PID returns the process's id.
+func (pr *Process) PID() int { return pr.cmd.Process.Pid }
+
+// Terminate asks for a planned stop without waiting for it.
+func (pr *Process) Terminate() { pr.signal(syscall.SIGTERM) }
+
+// Wait waits for the end and returns the error of a bad exit.
+func (pr *Process) Wait() error {
+	<-pr.done
+	return pr.err
+}
+
+// Stop ends the process as planned and returns the error of a bad exit.
+func (pr *Process) Stop() error {
+	pr.Terminate()
+	return pr.Wait()
+}
+
+func (fl *Fleet) killAll() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, pr := range fl.procs {
+		select {
+		case <-pr.done:
+		default:
+			pr.Kill()
+		}
+	}
+}
