Pass each token on when it arrives; measure the path

Cause: the engine adapter waited for more input after an event's data line, so a token went on only when the next one came. Ruled out: flushing towards the caller (the same with curl against the engine alone is even).

Change: an event ends with its empty line; the adapter returns there when nothing more has arrived.

--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -61,15 +61,16 @@
 			return nil, core.Lost("the engine broke the stream off")
 		}
 		line = bytes.TrimRight(line, "\r\n")
-		if !bytes.HasPrefix(line, dataPrefix) {
-			continue
+		if bytes.HasPrefix(line, dataPrefix) {
+			sm.take(line)
 		}
-		sm.take(line)
 		if sm.done && len(sm.out) == 0 {
 			sm.ended = true
 			return doneEvent, nil
 		}
-		if sm.done || len(sm.out) > 0 && sm.br.Buffered() == 0 {
+		// An event ends with an empty line; waiting for more after that line
+		// would hold the token back until the next one comes.
+		if sm.done || len(sm.out) > 0 && len(line) == 0 && sm.br.Buffered() == 0 {
 			return sm.out, nil
 		}
 	}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -44,6 +45,8 @@
 	hosts []core.Host
 
 	StoreURL, PlatformURL string
+	// AgentSettings are added to the settings of agents started from now on.
+	AgentSettings map[string]any
 }
 
 // Process is one running program.
@@ -209,6 +212,7 @@
 	}
 	set["listen"], set["admin"], set["upstream"] = listen, admin, id
 	set["zone"], set["region"], set["store"] = pl.Zone, pl.Region, fl.StoreURL
+	maps.Copy(set, fl.AgentSettings)
 	path, err := fl.writeSettings(id, set)
 	if err != nil {
 		return err
@@ -238,9 +242,7 @@
 		"store": fl.StoreURL, "hosts": fl.PlatformURL, "rater": fl.PlatformURL,
 		"pin-secret": "fleet", "ledger-pace": "200ms",
 	}
-	for key, val := range extra {
-		set[key] = val
-	}
+	maps.Copy(set, extra)
 	path, err := fl.writeSettings(name, set)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/test/measure/bench.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"skylarkstand/core"
+	"skylarkstand/test/fleet"
+)
+
+// bench is one engine with its agent and one entry, and a way to ask the
+// engine directly for comparison.
+type bench struct {
+	fl     *fleet.Fleet
+	entry  *fleet.Process
+	agent  *fleet.Process
+	engine *fleet.Process
+	cli    *http.Client
+}
+
+// wide are limits above anything that a measurement offers, so that the path
+// is measured and not its bounds.
+var wide = map[string]any{"slots": 8192, "queue": 8192}
+
+func newBench(name string, engineArgs ...string) (*bench, func(), error) {
+	fl, cleanup, err := fleet.New("bin", filepath.Join("out", "measure", name))
+	if err != nil {
+		return nil, nil, err
+	}
+	be := &bench{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
+	if err := be.start(engineArgs); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return be, cleanup, nil
+}
+
+func (be *bench) start(engineArgs []string) error {
+	fl := be.fl
+	fl.AgentSettings = wide
+	if err := fl.StartPlatform(nil); err != nil {
+		return err
+	}
+	place := fleet.Place{Zone: "muc-a", Region: "muc"}
+	mv := core.ModelVersion{Model: "desk", Version: "v1"}
+	if err := fl.StartEngine("desk-1", mv, place, append([]string{"--slots", "8192"}, engineArgs...)...); err != nil {
+		return err
+	}
+	var err error
+	if be.entry, err = fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
+		return err
+	}
+	be.agent, be.engine = fl.Process("desk-1"), fl.Process("desk-1-engine")
+	out, err := fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", fl.StoreURL, "--why", "measure", "--who", "measure")
+	if err != nil {
+		return fmt.Errorf("%s: %w", out, err)
+	}
+	for range 200 {
+		if re, err := fleet.Chat(be.entry.URL, "schools-key", "desk", "ready?", false, nil); err == nil && re.Status == 200 {
+			return nil
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return fmt.Errorf("the bench is not ready")
+}
+
+// ask sends one request and reads its answer; it returns the time to the first
+// byte, and calls gap with the time between two reads that brought data.
+func (be *bench) ask(base string, stream bool, gap func(time.Duration)) (time.Duration, error) {
+	body := []byte(fmt.Sprintf(`{"model":"desk","stream":%v,"messages":[{"role":"user","content":"hello"}]}`, stream))
+	rq, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	rq.Header.Set("Authorization", "Bearer schools-key")
+	rq.Header.Set("X-Request-Id", core.NewID())
+	began := time.Now()
+	rs, err := be.cli.Do(rq)
+	if err != nil {
+		return 0, err
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d", rs.StatusCode)
+	}
+	buf := make([]byte, 4096)
+	var first time.Duration
+	last := time.Time{}
+	for {
+		n, err := rs.Body.Read(buf)
+		now := time.Now()
+		if n > 0 && first == 0 {
+			first = now.Sub(began)
+		} else if n > 0 && gap != nil {
+			gap(now.Sub(last))
+		}
+		last = now
+		if err == io.EOF {
+			return first, nil
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// openLoop sends requests at a rate for a time, whatever the answers take, and
+// records the time from when each was due to its first byte, in microseconds.
+func (be *bench) openLoop(base string, rate int, lasts time.Duration, stream bool) (first, gaps *hdrhistogram.Histogram, failed int64) {
+	first, gaps = hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var bad atomic.Int64
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i := range int(lasts.Seconds() * float64(rate)) {
+		due := began.Add(time.Duration(i) * time.Second / time.Duration(rate))
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			var own []time.Duration
+			sent := time.Now()
+			d, err := be.ask(base, stream, func(g time.Duration) { own = append(own, g) })
+			if err != nil {
+				bad.Add(1)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			_ = first.RecordValue((d + sent.Sub(due)).Microseconds())
+			for _, g := range own {
+				_ = gaps.RecordValue(max(g.Microseconds(), 1))
+			}
+		})
+	}
+	wg.Wait()
+	return first, gaps, bad.Load()
+}
+
+// closedLoop asks with a number of callers for a time and returns answers a
+// second.
+func (be *bench) closedLoop(base string, callers int, lasts time.Duration, stream bool) (float64, int64) {
+	var done, bad atomic.Int64
+	var wg sync.WaitGroup
+	began := time.Now()
+	for range callers {
+		wg.Go(func() {
+			for time.Since(began) < lasts {
+				if _, err := be.ask(base, stream, nil); err != nil {
+					bad.Add(1)
+					continue
+				}
+				done.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(done.Load()) / time.Since(began).Seconds(), bad.Load()
+}
+
+// usage is what a process has used since its start.
+type usage struct {
+	cpu      time.Duration
+	resident float64 // MB
+}
+
+// clockTick is the kernel's unit of processor time in /proc, 100 a second on
+// every platform that Go runs on under Linux.
+const clockTick = 10 * time.Millisecond
+
+func processUsage(pr *fleet.Process) (usage, error) {
+	var us usage
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pr.PID()))
+	if err != nil {
+		return us, err
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	for _, at := range []int{11, 12} {
+		ticks, err := strconv.ParseInt(fields[at], 10, 64)
+		if err != nil {
+			return us, err
+		}
+		us.cpu += time.Duration(ticks) * clockTick
+	}
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pr.PID()))
+	if err != nil {
+		return us, err
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(statm))[1], 10, 64)
+	us.resident = float64(pages*int64(os.Getpagesize())) / (1 << 20)
+	return us, err
+}
+
+// storeCounts reads how often the stand-in store was called.
+func storeCounts(fl *fleet.Fleet) (reads, writes int64, err error) {
+	rs, err := http.Get(fl.StoreURL + "/counts")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer rs.Body.Close()
+	var co struct{ Reads, Writes int64 }
+	err = json.NewDecoder(rs.Body).Decode(&co)
+	return co.Reads, co.Writes, err
+}
--- a/test/measure/path.go
+++ b/test/measure/path.go
@@ -1,3 +1,154 @@
 package main
 
-func measurePath() error { return nil }
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"skylarkstand/test/figure"
+)
+
+// measurePath compares the whole path with a direct call of the same engine,
+// in one run.
+func measurePath() error {
+	if err := measureFirstByte(); err != nil {
+		return err
+	}
+	if err := measureTokens(); err != nil {
+		return err
+	}
+	return measureIdle()
+}
+
+const (
+	pathRate = 1000
+	pathTime = 6 * time.Second
+)
+
+// measureFirstByte uses one-chunk answers, so that the path's own cost shows.
+func measureFirstByte() error {
+	be, cleanup, err := newBench("first-byte", "--first", "1ms", "--pace", "0s", "--words", "1")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	be.openLoop(be.entry.URL, pathRate, time.Second, false) // Warms connections.
+	be.openLoop(be.engine.URL, pathRate, time.Second, false)
+	direct, _, _ := be.openLoop(be.engine.URL, pathRate, pathTime, false)
+	through, _, failed := be.openLoop(be.entry.URL, pathRate, pathTime, false)
+	added := func(q float64) float64 { return millis(through, q) - millis(direct, q) }
+	figure.Plain("direct-first-byte-p50", millis(direct, 50), "ms")
+	figure.Plain("direct-first-byte-p99", millis(direct, 99), "ms")
+	figure.AtMost("added-first-byte-p50", added(50), "ms", 0.5)
+	figure.AtMost("added-first-byte-p99", added(99), "ms", 3)
+	figure.AtMost("first-byte-failed", float64(failed), "requests", 0)
+
+	rate, bad := be.closedLoop(be.entry.URL, 256, pathTime, false)
+	figure.AtLeast("requests-per-second", rate, "1/s", 5000)
+	figure.AtMost("requests-failed", float64(bad), "requests", 0)
+	return nil
+}
+
+// measureTokens uses long streams.
+func measureTokens() error {
+	be, cleanup, err := newBench("tokens", "--first", "1ms", "--pace", "10ms", "--words", "100")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	const streams = 100
+	_, direct, _ := be.openLoop(be.engine.URL, streams, 4*time.Second, true)
+	before, err := pathUsage(be)
+	if err != nil {
+		return err
+	}
+	_, through, failed := be.openLoop(be.entry.URL, streams, 4*time.Second, true)
+	after, err := pathUsage(be)
+	if err != nil {
+		return err
+	}
+	figure.Plain("direct-token-gap-p95", millis(direct, 95), "ms")
+	figure.AtMost("added-token-gap-p95", millis(through, 95)-millis(direct, 95), "ms", 1)
+	figure.AtMost("streams-failed", float64(failed), "streams", 0)
+	tokens := float64(4 * streams * 100)
+	figure.AtLeast("tokens-per-core-second-paced", tokens/(after-before).Seconds(), "1/s", 200_000)
+	return measureTokenBurst()
+}
+
+// measureTokenBurst lets the engine send as fast as it can: tokens then arrive
+// together and are relayed together, as in a prompt's speculative decoding.
+func measureTokenBurst() error {
+	be, cleanup, err := newBench("burst", "--first", "1ms", "--pace", "0s", "--words", "400")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	before, err := pathUsage(be)
+	if err != nil {
+		return err
+	}
+	const lasts = 4 * time.Second
+	rate, _ := be.closedLoop(be.entry.URL, 16, lasts, true)
+	after, err := pathUsage(be)
+	if err != nil {
+		return err
+	}
+	figure.AtLeast("tokens-per-core-second-burst", rate*400*lasts.Seconds()/(after-before).Seconds(), "1/s", 200_000)
+	return nil
+}
+
+// pathUsage is the processor time of entry and agent together.
+func pathUsage(be *bench) (time.Duration, error) {
+	en, err := processUsage(be.entry)
+	if err != nil {
+		return 0, err
+	}
+	ag, err := processUsage(be.agent)
+	return en.cpu + ag.cpu, err
+}
+
+// measureIdle looks at processes that have nothing to do.
+func measureIdle() error {
+	be, cleanup, err := newBench("idle")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	const idle = 10 * time.Second
+	time.Sleep(time.Second)
+	en, err := processUsage(be.entry)
+	if err != nil {
+		return err
+	}
+	ag, err := processUsage(be.agent)
+	if err != nil {
+		return err
+	}
+	reads, writes, err := storeCounts(be.fl)
+	if err != nil {
+		return err
+	}
+	time.Sleep(idle)
+	en2, err := processUsage(be.entry)
+	if err != nil {
+		return err
+	}
+	ag2, err := processUsage(be.agent)
+	if err != nil {
+		return err
+	}
+	reads2, writes2, err := storeCounts(be.fl)
+	if err != nil {
+		return err
+	}
+	figure.AtMost("idle-entry-resident", en2.resident, "MB", 64)
+	figure.AtMost("idle-agent-resident", ag2.resident, "MB", 64)
+	figure.AtMost("idle-entry-processor", 100*(en2.cpu-en.cpu).Seconds()/idle.Seconds(), "%core", 1.2)
+	figure.AtMost("idle-agent-processor", 100*(ag2.cpu-ag.cpu).Seconds()/idle.Seconds(), "%core", 1.2)
+	figure.Plain("idle-store-calls", float64(reads2+writes2-reads-writes)/idle.Seconds(), "1/s")
+	return nil
+}
+
+func millis(hi *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(hi.ValueAtQuantile(quantile)) / 1000
+}
