Hand configurations on between entries; keep poisonous requests from the pool

Cause: every entry waited on the store, which at 360 entries is a fifth of its reads, and an entry that started during an outage had nobody to ask. And a request that crashes engines was sent from one to the next.

Change: two preferred readers a zone watch the store (core/spread, rendezvous); the others hear it over links between entries (io/peer), with the age of the word, so that a version under roll-out gets no new sessions when the word is old. Requests in flight at an engine's crash run alone once more and are quarantined at a second crash (core/suspect); the agent tells a crash from a broken call by a probe; the loss of a host suspects nobody. An upstream that accepts no connections is reported down and gets no work.

Ruled out: all entries linked with all (360 x 360 idle links); counting crashes per fingerprint without running alone (an innocent neighbour is quarantined at the second crash beside the same poison).

--- a/app/entry.go
+++ b/app/entry.go
@@ -53,6 +53,7 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	en.pool.OnHosts(en.reader.Update)
 	sup := newSupervisor("entry", en.deps)
 	sup.Add(en.pool)
 	sup.Add(en.led)
--- a/app/providers.go
+++ b/app/providers.go
@@ -14,12 +14,14 @@
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/session"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
 	"skylarkstand/io/engine"
 	entrylink "skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/metrics"
+	"skylarkstand/io/peer"
 	"skylarkstand/io/rater"
 	"skylarkstand/io/service"
 	"skylarkstand/io/store"
@@ -79,7 +81,20 @@
 
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
-		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+}
+
+// entryHost returns the entry's own line of the host list.
+func entryHost(set settings.Entry) core.Host {
+	return core.Host{Role: core.RoleEntry, Addr: set.PeerListen, Zone: set.Zone, Region: set.Region}
+}
+
+func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry) *peer.Mesh {
+	return peer.New(deps, inf, reg, entryHost(set))
+}
+
+func newUpstreams(deps core.Deps, po *agent.Pool, reg *suspect.Registry, mesh *peer.Mesh) core.Upstreams {
+	return suspect.NewUpstreams(deps, po, reg, mesh.Tell)
 }
 
 // newUpstreamHost returns the agent's own line of the host list.
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -37,6 +37,9 @@
 	MaxBody int64 `json:"max-body,omitempty"`
 	// MaxInFlight bounds the requests in the process.
 	MaxInFlight int64 `json:"max-in-flight,omitempty"`
+	// Freshness is how old the last word of the newest configuration may be
+	// before versions under roll-out get no new sessions.
+	Freshness Duration `json:"freshness,omitempty"`
 	// LedgerPace is the time between two ledger segments.
 	LedgerPace Duration `json:"ledger-pace,omitempty"`
 	// DrainLimit bounds a planned stop. It must be above the longest answer.
@@ -84,7 +87,7 @@
 // DefaultEntry returns an entry's settings before the file is read.
 func DefaultEntry() Entry {
 	return Entry{
-		MaxBody: 4 << 20, MaxInFlight: 4096,
+		MaxBody: 4 << 20, MaxInFlight: 4096, Freshness: Duration(20 * time.Second),
 		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
 	}
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
@@ -22,10 +23,10 @@
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
 		declaration.NewInForce, agent.New, newLedger, dispatch.New, newKeyring, newCaller, newConfigReader,
+		suspect.New, newMesh, newUpstreams,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
-		wire.Bind(new(core.Upstreams), new(*agent.Pool)),
 		wire.Bind(new(dispatch.Biller), new(*ledger.Writer)),
 		wire.Struct(new(entryProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -10,6 +10,7 @@
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 )
 
@@ -23,10 +24,13 @@
 	pool := agent.New(deps, inForce, list)
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
-	appConfigReader := newConfigReader(deps, inForce, store)
+	registry := suspect.New()
+	mesh := newMesh(set, deps, inForce, registry)
+	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
 	appMetricsPage := appProcess.Page
+	upstreams := newUpstreams(deps, pool, registry, mesh)
 	rater := newRater(set)
-	dispatcher := dispatch.New(deps, inForce, pool, rater, writer)
+	dispatcher := dispatch.New(deps, inForce, upstreams, rater, writer)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
 	appEntryProcess := &entryProcess{
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -23,7 +23,10 @@
 	// Priority of the work; higher goes first.
 	Priority int
 	Stream   bool
-	Body     []byte
+	// Solo makes the upstream run nothing else meanwhile, for a request that
+	// is suspected to crash upstreams.
+	Solo bool
+	Body []byte
 }
 
 // Usage is what an answer consumed.
--- a/core/declaration/in_force.go
+++ b/core/declaration/in_force.go
@@ -67,8 +67,20 @@
 	}
 }
 
-// Heard returns when the generation in force was last confirmed.
-func (inf *InForce) Heard() time.Time { return time.Unix(0, inf.heard.Load()) }
+// Heard returns when the generation in force was last confirmed, or the zero
+// time if it never was.
+func (inf *InForce) Heard() time.Time {
+	if at := inf.heard.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
+// Fresh reports whether the generation in force was confirmed within a bound.
+func (inf *InForce) Fresh(now time.Time, bound time.Duration) bool {
+	heard := inf.Heard()
+	return !heard.IsZero() && now.Sub(heard) <= bound
+}
 
 // Changed returns a channel that is closed at the next adoption.
 func (inf *InForce) Changed() <-chan struct{} {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 	switch fl.Code {
 	case core.CodeOverloaded, core.CodeLeaving, core.CodeNoUpstream, core.CodeStaleConfig, core.CodeStoreDown:
 		return fl.Ran == core.NotRun
-	case core.CodeOutcomeLost, core.CodeUpstream:
+	case core.CodeOutcomeLost, core.CodeUpstream, core.CodeCrashed:
 		return fl.Ran == core.NotRun || repeatable
 	default:
 		return false
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -28,6 +28,13 @@
 		"The platform's host list cannot be read; the last one is kept.", "Look at the platform."}
 	ForeignFrame = &Event{205, "foreign-frame", slog.LevelWarn,
 		"A frame or event of another attempt arrived and was dropped.", "Report it when it repeats."}
+	PeerUp = &Event{206, "peer-up", slog.LevelInfo,
+		"A link to another entry was opened.", "Nothing."}
+	PeerDown = &Event{207, "peer-down", slog.LevelWarn,
+		"A link to another entry was lost.", "Look at that entry when it does not come back."}
+	UpstreamCrashed = &Event{208, "upstream-crashed", slog.LevelWarn,
+		"An upstream went down with a request in flight; the request runs alone once more, or not again when it was alone.",
+		"Look at the engine when it repeats; the fingerprint names the request."}
 	ConfigAdopted = &Event{300, "configuration-adopted", slog.LevelInfo,
 		"A newer configuration is in force in this process.", "Nothing."}
 	ConfigBroken = &Event{301, "configuration-broken", slog.LevelError,
@@ -51,7 +58,7 @@
 func Catalogue() []*Event {
 	return []*Event{
 		Started, Stopping, Stopped, DutyFailed, DrainCut,
-		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame,
+		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		StoreDown, SegmentWritten, SegmentLate,
 		RequestFailed, BillLost,
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -34,6 +34,7 @@
 	slots  chan struct{}
 	queue  int
 
+	gate    gate
 	leaving atomic.Bool
 	running atomic.Int64
 	queued  atomic.Int64
@@ -82,12 +83,36 @@
 	return core.Load{Running: int(ex.running.Load()), Queued: int(ex.queued.Load()), Slots: cap(ex.slots)}
 }
 
+// Probe reports whether the upstream accepts connections, if its runner can
+// tell.
+func (ex *Executor) Probe() error {
+	if pr, ok := ex.runner.(interface{ Probe() error }); ok {
+		return pr.Probe()
+	}
+	return nil
+}
+
 // Run takes an attempt to the upstream.
 func (ex *Executor) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	ex.awaitGeneration(ctx, at.Generation)
 	if fl := ex.check(at); fl != nil {
 		return nil, fl
 	}
+	if fl := ex.gate.enter(ctx, ex.host, at.Solo); fl != nil {
+		return nil, fl
+	}
+	exit := func() { ex.gate.exit(at.Solo) }
+	ans, err := ex.runBounded(ctx, at, exit)
+	if err != nil {
+		exit()
+		return nil, err
+	}
+	return ans, nil
+}
+
+// runBounded runs an attempt that has passed the gate; done is called when its
+// answer has ended.
+func (ex *Executor) runBounded(ctx context.Context, at *core.Attempt, done func()) (core.Answer, error) {
 	if err := ex.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -101,7 +126,10 @@
 		ex.exit()
 		return nil, err
 	}
-	return &held{Answer: ans, exit: ex.exit}, nil
+	return &held{Answer: ans, exit: func() {
+		ex.exit()
+		done()
+	}}, nil
 }
 
 func (ex *Executor) check(at *core.Attempt) *core.Failure {
--- a/core/failure.go
+++ b/core/failure.go
@@ -35,6 +35,8 @@
 	CodeNoUpstream    Code = "no-upstream"
 	CodeUpstream      Code = "upstream-failed"
 	CodeOutcomeLost   Code = "outcome-unknown"
+	CodeCrashed       Code = "upstream-crashed"
+	CodeSuspected     Code = "suspected"
 	CodeWithdrawn     Code = "withdrawn"
 	CodeLeaving       Code = "leaving"
 	CodeKeyReused     Code = "key-reused"
--- /dev/null
+++ b/core/rendezvous/rendezvous.go
@@ -0,0 +1,49 @@
+// Package rendezvous ranks members for a key by highest random weight: every
+// process that knows the same members comes to the same order without asking
+// anybody, and a member that goes changes only the places that it held.
+//
+// A preferred home is a hint. Processes that know different members rank
+// differently for a while, so nothing that must be right may depend on it.
+//
+// # Usage
+//
+//	first := rendezvous.Top("muc-a", entries, 2, func(ho core.Host) string { return ho.Addr })
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight returns a member's weight for a key. The highest is preferred.
+func Weight(key, member string) uint64 {
+	var dig xxhash.Digest
+	dig.Reset()
+	_, _ = dig.WriteString(key)
+	_, _ = dig.WriteString("\x00")
+	_, _ = dig.WriteString(member)
+	return dig.Sum64()
+}
+
+// Top returns the n preferred members for a key, the most preferred first.
+func Top[T any](key string, members []T, n int, name func(T) string) []T {
+	type ranked struct {
+		member T
+		weight uint64
+		name   string
+	}
+	all := make([]ranked, len(members))
+	for i, me := range members {
+		all[i] = ranked{me, Weight(key, name(me)), name(me)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+	})
+	top := make([]T, min(n, len(all)))
+	for i := range top {
+		top[i] = all[i].member
+	}
+	return top
+}
--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,75 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/spread"
+)
+
+// fleet returns entries spread evenly over zones, four zones a region.
+func fleet(zones, each int) []core.Host {
+	var out []core.Host
+	for zo := range zones {
+		for i := range each {
+			out = append(out, core.Host{
+				Role: core.RoleEntry, Addr: fmt.Sprintf("10.%d.0.%d:1", zo, i),
+				Zone: core.Zone(fmt.Sprintf("zone-%d", zo)), Region: core.Region(fmt.Sprintf("region-%d", zo/4)),
+			})
+		}
+	}
+	return out
+}
+
+// Were each of 360 entries to wait on the store, waiting alone would take a
+// fifth of its reads, and a mass restart far more.
+func TestFewEntriesReadTheStore(t *testing.T) {
+	hosts := fleet(16, 22)
+	readers := 0
+	for _, ho := range hosts {
+		if spread.Reads(hosts, ho, true) {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 32)
+}
+
+// A preferred reader that lost its way to the store says nothing. An entry
+// that went on listening to it would work by an old configuration for good.
+func TestSilenceSendsAnEntryToTheStore(t *testing.T) {
+	for _, ho := range fleet(2, 5) {
+		assert.Assert(t, spread.Reads(fleet(2, 5), ho, false))
+	}
+}
+
+// Every entry must hear of a change although few read the store: from each
+// reader a path over the links leads to every other entry, also when any one
+// entry is gone.
+func TestEveryEntryHearsOfAChange(t *testing.T) {
+	all := fleet(16, 5)
+	for gone := range all {
+		hosts := append(append([]core.Host{}, all[:gone]...), all[gone+1:]...)
+		links := map[string][]string{}
+		for _, ho := range hosts {
+			for _, pe := range spread.Peers(hosts, ho) {
+				assert.Assert(t, pe.Addr != ho.Addr)
+				links[ho.Addr] = append(links[ho.Addr], pe.Addr)
+				links[pe.Addr] = append(links[pe.Addr], ho.Addr)
+			}
+		}
+		start := spread.Readers(hosts, hosts[0].Zone)[0].Addr
+		seen := map[string]bool{start: true}
+		for queue := []string{start}; len(queue) > 0; queue = queue[1:] {
+			for _, next := range links[queue[0]] {
+				if !seen[next] {
+					seen[next] = true
+					queue = append(queue, next)
+				}
+			}
+		}
+		assert.Equal(t, len(seen), len(hosts))
+	}
+}
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/yamux"
 
 	"skylarkstand/core"
@@ -26,6 +24,7 @@
 	up            atomic.Bool
 	listedLeaving atomic.Bool
 	toldLeaving   atomic.Bool
+	down          atomic.Bool
 	own           atomic.Int64
 	load          atomic.Pointer[core.Load]
 	ses           atomic.Pointer[yamux.Session]
@@ -38,7 +37,7 @@
 
 func (ln *link) snapshot() core.Upstream {
 	up := core.Upstream{
-		Host: ln.host, Up: ln.up.Load(), Own: int(ln.own.Load()),
+		Host: ln.host, Up: ln.up.Load() && !ln.down.Load(), Own: int(ln.own.Load()),
 		Leaving: ln.listedLeaving.Load() || ln.toldLeaving.Load(),
 	}
 	if lo := ln.load.Load(); lo != nil {
@@ -47,46 +46,15 @@
 	return up
 }
 
-// dialLimit bounds one try to connect; maxRedial bounds the pause between two,
-// so that an agent that came back gets work within seconds.
-const (
-	dialLimit = 2 * time.Second
-	maxRedial = 3 * time.Second
-)
-
-func (ln *link) serve(ctx context.Context) {
-	bo := backoff.NewExponentialBackOff()
-	bo.InitialInterval, bo.MaxInterval = 50*time.Millisecond, maxRedial
-	for ctx.Err() == nil {
-		began := time.Now()
-		ln.connect(ctx)
-		if time.Since(began) > maxRedial {
-			bo.Reset()
-		}
-		select {
-		case <-time.After(bo.NextBackOff()):
-		case <-ctx.Done():
-		}
-	}
-}
+func (ln *link) serve(ctx context.Context) { protocol.Redial(ctx, ln.connect) }
 
 // connect holds one connection until it ends.
 func (ln *link) connect(ctx context.Context) {
-	dl := net.Dialer{Timeout: dialLimit}
-	conn, err := dl.DialContext(ctx, "tcp", ln.host.Addr)
+	ses, st, err := protocol.Dial(ctx, ln.host.Addr)
 	if err != nil {
 		return
 	}
-	ses, err := yamux.Client(conn, protocol.Config())
-	if err != nil {
-		conn.Close()
-		return
-	}
 	defer ses.Close()
-	st, err := ses.OpenStream()
-	if err != nil {
-		return
-	}
 	co := protocol.NewControl(ln.deps, ln.inf, st, protocol.Handlers{State: ln.state, Hello: func(he *frame.Hello) {
 		if he.Upstream != string(ln.host.ID) {
 			// The address was given to another upstream and the list lags.
@@ -114,6 +82,7 @@
 		return
 	}
 	ln.load.Store(&core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)})
+	ln.down.Store(st.Down)
 	if st.Leaving && !ln.toldLeaving.Swap(true) {
 		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
 	}
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -21,6 +21,8 @@
 	mu    sync.Mutex
 	links map[core.UpstreamID]*link
 	index atomic.Pointer[index]
+	// onHosts is called with each reading of the host list.
+	onHosts func([]core.Host)
 }
 
 // index is what dispatching reads; it is replaced as a whole.
@@ -32,11 +34,15 @@
 
 // New returns a pool without links; Serve makes them.
 func New(deps core.Deps, inf *declaration.InForce, ho core.Hosts) *Pool {
-	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}}
+	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}, onHosts: func([]core.Host) {}}
 	po.index.Store(newIndex(nil))
 	return po
 }
 
+// OnHosts sets what hears of each reading of the host list. It is called
+// before Serve.
+func (po *Pool) OnHosts(fn func([]core.Host)) { po.onHosts = fn }
+
 // refresh is how often the host list is read. The list lags by itself; agents
 // that leave say so on their links at once.
 const refresh = time.Second
@@ -66,6 +72,7 @@
 		}
 		return
 	}
+	po.onHosts(list)
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	listed := map[core.UpstreamID]bool{}
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -37,6 +37,7 @@
 	core.CodeKeyReused:     http.StatusUnprocessableEntity,
 	core.CodeKeyExpired:    http.StatusUnprocessableEntity,
 	core.CodeQuarantined:   http.StatusUnprocessableEntity,
+	core.CodeSuspected:     http.StatusServiceUnavailable,
 	core.CodeOverloaded:    http.StatusServiceUnavailable,
 	core.CodeDeadline:      http.StatusServiceUnavailable,
 	core.CodeNoUpstream:    http.StatusServiceUnavailable,
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -143,5 +143,5 @@
 	if pin.Session == "" {
 		pin.Session = core.SessionID(id)
 	}
-	return pin, routing.Session{Pins: pin.Versions, Draw: session.Draw(ws, pin.Session)}, nil
+	return pin, routing.Session{Pins: pin.Versions, Draw: session.Draw(ws, pin.Session), Stale: !srv.inf.Fresh(time.Now(), srv.fresh)}, nil
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -11,6 +11,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/emicklei/go-restful/v3"
 
@@ -33,6 +34,7 @@
 	leaving atomic.Bool
 	flying  atomic.Int64
 	limit   int64
+	fresh   time.Duration
 }
 
 // Option changes a Server at construction.
@@ -44,6 +46,9 @@
 // MaxInFlight bounds the requests in this entry.
 func MaxInFlight(n int64) Option { return func(srv *Server) { srv.limit = n } }
 
+// Freshness sets how old the last word of the newest configuration may be.
+func Freshness(d time.Duration) Option { return func(srv *Server) { srv.fresh = d } }
+
 // Metrics sets the page at /metrics.
 func Metrics(ha http.Handler) Option { return func(srv *Server) { srv.metrics = ha } }
 
@@ -53,11 +58,12 @@
 const (
 	defaultMaxBody = 4 << 20
 	defaultLimit   = 4096
+	defaultFresh   = 20 * time.Second
 )
 
 // New returns a server.
 func New(deps core.Deps, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, opts ...Option) *Server {
-	srv := &Server{deps: deps, inf: inf, dis: dis, keys: kr, maxBody: defaultMaxBody, limit: defaultLimit, metrics: http.NotFoundHandler()}
+	srv := &Server{deps: deps, inf: inf, dis: dis, keys: kr, maxBody: defaultMaxBody, limit: defaultLimit, fresh: defaultFresh, metrics: http.NotFoundHandler()}
 	for _, opt := range opts {
 		opt(srv)
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -18,8 +18,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"skylarkstand/core"
 )
 
@@ -27,6 +30,7 @@
 type Engine struct {
 	deps core.Deps
 	url  string
+	addr string
 	cli  *http.Client
 }
 
@@ -38,12 +42,20 @@
 )
 
 // New returns the engine at a base URL.
-func New(deps core.Deps, url string) *Engine {
+func New(deps core.Deps, base string) *Engine {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
 		MaxIdleConnsPerHost: idleConns, MaxIdleConns: idleConns, IdleConnTimeout: time.Minute,
 	}
-	return &Engine{deps: deps, url: url, cli: &http.Client{Transport: tr}}
+	return &Engine{deps: deps, url: base, addr: address(base), cli: &http.Client{Transport: tr}}
+}
+
+func address(base string) string {
+	ur, err := url.Parse(base)
+	if err != nil {
+		return base
+	}
+	return ur.Host
 }
 
 // Run implements [core.Runner].
@@ -56,7 +68,7 @@
 	rq.Header.Set("X-Request-Id", string(at.ID))
 	rs, err := eng.cli.Do(rq)
 	if err != nil {
-		return nil, doFailure(ctx, err)
+		return nil, eng.doFailure(ctx, err)
 	}
 	if rs.StatusCode != http.StatusOK {
 		defer rs.Body.Close()
@@ -65,13 +77,13 @@
 			Message: "the engine answered " + rs.Status + ": " + string(bytes.TrimSpace(msg))}
 	}
 	if at.Stream {
-		return newStream(eng.deps, rs, at.ID), nil
+		return newStream(eng, rs, at.ID), nil
 	}
-	return readWhole(rs, at.ID)
+	return eng.readWhole(rs, at.ID)
 }
 
 // doFailure tells a call that never reached the engine from one that may have.
-func doFailure(ctx context.Context, err error) *core.Failure {
+func (eng *Engine) doFailure(ctx context.Context, err error) *core.Failure {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return core.Refuse(core.CodeNoUpstream, time.Second, "the engine cannot be reached")
@@ -79,7 +91,28 @@
 	if ctx.Err() != nil {
 		return &core.Failure{Code: core.CodeCallerGone, Ran: core.RanUnknown, Message: "the caller gave up or its deadline passed"}
 	}
-	return core.Lost("the engine broke the call off")
+	return eng.broken("the engine broke the call off")
+}
+
+// probeLimit bounds a try to reach the engine. It is on this host.
+const probeLimit = 500 * time.Millisecond
+
+// Probe reports whether the engine accepts connections.
+func (eng *Engine) Probe() error {
+	conn, err := net.DialTimeout("tcp", eng.addr, probeLimit)
+	if err != nil {
+		return eris.Wrap(err, "engine")
+	}
+	return conn.Close()
+}
+
+// broken tells a crash of the engine from a call that it broke off alone. The
+// requests in flight at a crash are suspected to be its cause.
+func (eng *Engine) broken(message string) *core.Failure {
+	if eng.Probe() == nil {
+		return core.Lost("%s", message)
+	}
+	return &core.Failure{Code: core.CodeCrashed, Ran: core.RanFailed, RetryAfter: time.Second, Message: "the engine went down with this request in flight"}
 }
 
 // whole is an answer that is not streamed.
@@ -98,11 +131,11 @@
 	} `json:"usage"`
 }
 
-func readWhole(rs *http.Response, id core.AttemptID) (core.Answer, error) {
+func (eng *Engine) readWhole(rs *http.Response, id core.AttemptID) (core.Answer, error) {
 	defer rs.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer+1))
 	if err != nil {
-		return nil, core.Lost("the engine broke the answer off")
+		return nil, eng.broken("the engine broke the answer off")
 	}
 	if len(body) > maxAnswer {
 		return nil, &core.Failure{Code: core.CodeTooLarge, Ran: core.RanFailed, Message: "the engine's answer is too large"}
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -13,7 +13,7 @@
 
 // stream is an answer as server-sent events.
 type stream struct {
-	deps  core.Deps
+	eng   *Engine
 	rs    *http.Response
 	br    *bufio.Reader
 	id    []byte
@@ -27,9 +27,9 @@
 // readBuffer holds several events; what has arrived together goes on together.
 const readBuffer = 4 << 10
 
-func newStream(deps core.Deps, rs *http.Response, id core.AttemptID) *stream {
+func newStream(eng *Engine, rs *http.Response, id core.AttemptID) *stream {
 	return &stream{
-		deps: deps, rs: rs, br: bufio.NewReaderSize(rs.Body, readBuffer),
+		eng: eng, rs: rs, br: bufio.NewReaderSize(rs.Body, readBuffer),
 		id: []byte(`"id":"` + answerID(id) + `"`),
 	}
 }
@@ -58,7 +58,7 @@
 		if err != nil {
 			// The end of the connection before [DONE] is a cut, however
 			// orderly it looks.
-			return nil, core.Lost("the engine broke the stream off")
+			return nil, sm.eng.broken("the engine broke the stream off")
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if bytes.HasPrefix(line, dataPrefix) {
@@ -88,8 +88,8 @@
 		return
 	}
 	if !bytes.Contains(data, sm.id) {
-		event.Log(sm.deps.Log, event.ForeignFrame, "peer", "engine")
-		sm.deps.Metrics.Counter("foreign-events").Inc(1)
+		event.Log(sm.eng.deps.Log, event.ForeignFrame, "peer", "engine")
+		sm.eng.deps.Metrics.Counter("foreign-events").Inc(1)
 		return
 	}
 	sm.count(data)
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
@@ -22,7 +23,7 @@
 // piped returns a stream whose engine is the test.
 func piped() (*stream, *io.PipeWriter) {
 	rd, wr := io.Pipe()
-	return newStream(core.NewDeps(), &http.Response{Body: rd}, attempt), wr
+	return newStream(New(core.NewDeps(), "http://127.0.0.1:1"), &http.Response{Body: rd}, attempt), wr
 }
 
 // An engine sends one token and takes its time for the next. Were the first
@@ -63,7 +64,10 @@
 // closes in good order. Taken for the end, the half answer would look whole to
 // the caller and be billed as one.
 func TestStreamWithoutEndMarkIsCut(t *testing.T) {
+	hs := httptest.NewServer(http.NotFoundHandler()) // The engine is still there.
+	defer hs.Close()
 	sm, wr := piped()
+	sm.eng = New(core.NewDeps(), hs.URL)
 	go func() {
 		_, _ = wr.Write([]byte(sse("a1", "half")))
 		wr.Close()
@@ -75,3 +79,18 @@
 	assert.Assert(t, errors.As(err, &fl))
 	assert.Equal(t, fl.Ran, core.RanUnknown)
 }
+
+// The engine's process goes down in the middle of an answer. Reported as a
+// mere cut, the request would be sent to the next engine and take it down too.
+func TestCutByACrashIsToldApart(t *testing.T) {
+	hs := httptest.NewServer(http.NotFoundHandler())
+	base := hs.URL
+	hs.Close()
+	sm, wr := piped()
+	sm.eng = New(core.NewDeps(), base)
+	wr.Close()
+	_, err := sm.Next()
+	var fl *core.Failure
+	assert.Assert(t, errors.As(err, &fl))
+	assert.Equal(t, fl.Code, core.CodeCrashed)
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -17,6 +17,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -39,6 +40,8 @@
 	mu       sync.Mutex
 	controls map[*link.Control]bool
 	inFlight sync.WaitGroup
+	// down tells that the upstream accepts no connections.
+	down atomic.Bool
 	// bills are the usage that entries have settled and not yet made durable.
 	bills map[core.RequestID][]byte
 }
@@ -67,18 +70,11 @@
 
 // link serves one connection. Its first stream is the control stream.
 func (srv *Server) link(ctx context.Context, conn net.Conn) {
-	ses, err := yamux.Server(conn, link.Config())
-	if err != nil {
-		conn.Close()
-		return
-	}
-	defer ses.Close()
-	stop := context.AfterFunc(ctx, func() { ses.Close() })
-	defer stop()
-	st, err := ses.AcceptStream()
+	ses, st, cleanup, err := link.Accept(ctx, conn)
 	if err != nil {
 		return
 	}
+	defer cleanup()
 	co := link.NewControl(srv.deps, srv.inf, st, link.Handlers{Settled: srv.settled, Durable: srv.durable})
 	srv.enter(co)
 	defer srv.leave(co)
@@ -198,7 +194,7 @@
 	lo := srv.ex.Load()
 	return &frame.State{
 		Running: int32(lo.Running), Queued: int32(lo.Queued), Slots: int32(lo.Slots),
-		Leaving: srv.ex.Leaving(), Generation: uint64(srv.inf.Number()),
+		Leaving: srv.ex.Leaving(), Generation: uint64(srv.inf.Number()), Down: srv.down.Load(),
 	}
 }
 
@@ -232,13 +228,28 @@
 			return
 		case <-tick.C:
 		}
-		if now := srv.ex.Load(); now != last {
+		now, turned := srv.ex.Load(), srv.probe()
+		if now != last || turned {
 			last = now
 			srv.broadcast()
 		}
 	}
 }
 
+// probe asks whether the upstream accepts connections and reports a turn. An
+// upstream that went down would otherwise draw work: it fails fast, so it
+// always looks idle.
+func (srv *Server) probe() bool {
+	down := srv.ex.Probe() != nil
+	if srv.down.Swap(down) == down {
+		return false
+	}
+	if down {
+		event.Log(srv.deps.Log, event.UpstreamDown, "upstream", srv.host.ID)
+	}
+	return true
+}
+
 // Leave refuses all new work from now on and says so on all links, without
 // waiting for the platform's list, which lags.
 func (srv *Server) Leave() {
--- a/io/link/control.go
+++ b/io/link/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
@@ -15,11 +16,13 @@
 // must not block. A nil handler drops its message.
 type Handlers struct {
 	Hello   func(*frame.Hello)
+	Notice  func(*frame.Notice)
 	State   func(*frame.State)
 	Settled func(*frame.Settled)
 	Durable func(*frame.Durable)
 	Ask     func(*frame.Ask)
 	Told    func(*frame.Told)
+	Suspect func(*frame.Suspect)
 }
 
 // Control is one side of a control stream.
@@ -29,13 +32,32 @@
 	st   io.ReadWriteCloser
 	hd   Handlers
 
+	// every is the pace of notices without a change; zero is none.
+	every       time.Duration
+	withoutBody bool
+
 	mu sync.Mutex
 	wr *frame.Writer
 }
 
+// WithoutBody makes the control ask for no configuration, for a peer that only
+// wants to know which one the other side has.
+func WithoutBody() Option { return func(co *Control) { co.withoutBody = true } }
+
+// Option changes a Control at construction.
+type Option func(*Control)
+
+// Every makes the control repeat its notice, so that a peer which does not
+// read the store knows how old its configuration is.
+func Every(d time.Duration) Option { return func(co *Control) { co.every = d } }
+
 // NewControl returns the control of an opened stream.
-func NewControl(deps core.Deps, inf *declaration.InForce, st io.ReadWriteCloser, hd Handlers) *Control {
-	return &Control{deps: deps, inf: inf, st: st, hd: hd, wr: frame.NewWriter(st)}
+func NewControl(deps core.Deps, inf *declaration.InForce, st io.ReadWriteCloser, hd Handlers, opts ...Option) *Control {
+	co := &Control{deps: deps, inf: inf, st: st, hd: hd, wr: frame.NewWriter(st)}
+	for _, opt := range opts {
+		opt(co)
+	}
+	return co
 }
 
 // Send writes a frame. It is safe for concurrent use.
@@ -73,8 +95,15 @@
 	}
 }
 
-// announce sends a notice now and at each change of the configuration.
+// announce sends a notice now, at each change of the configuration and at the
+// control's pace.
 func (co *Control) announce(ctx context.Context) {
+	var tick <-chan time.Time
+	if co.every > 0 {
+		tk := time.NewTicker(co.every)
+		defer tk.Stop()
+		tick = tk.C
+	}
 	for {
 		changed := co.inf.Changed()
 		if co.notice() != nil {
@@ -82,6 +111,7 @@
 		}
 		select {
 		case <-changed:
+		case <-tick:
 		case <-ctx.Done():
 			return
 		}
@@ -89,7 +119,23 @@
 }
 
 func (co *Control) notice() error {
-	return co.Send(&frame.Frame{Body: &frame.Frame_Notice{Notice: &frame.Notice{Generation: uint64(co.inf.Number())}}})
+	no := &frame.Notice{Generation: uint64(co.inf.Number())}
+	if heard := co.inf.Heard(); !heard.IsZero() {
+		no.Fresh, no.AgeMicros = true, time.Since(heard).Microseconds()
+	}
+	return co.Send(&frame.Frame{Body: &frame.Frame_Notice{Notice: no}})
+}
+
+// noticed takes a peer's word. What the peer knew to be the newest was the
+// newest that long ago; if this process has it in force, the same holds here.
+// A notice that travelled slowly makes the word look younger than it is by the
+// time of its travel, which the keep-alive of the link bounds.
+func (co *Control) noticed(no *frame.Notice) error {
+	if no.Fresh && no.Generation <= uint64(co.inf.Number()) {
+		co.inf.Confirm(time.Now().Add(-time.Duration(no.AgeMicros) * time.Microsecond))
+	}
+	call(co.hd.Notice, no)
+	return co.behind(no.Generation)
 }
 
 func (co *Control) handle(fr *frame.Frame) error {
@@ -98,7 +144,7 @@
 		call(co.hd.Hello, body.Hello)
 		return co.behind(body.Hello.Generation)
 	case *frame.Frame_Notice:
-		return co.behind(body.Notice.Generation)
+		return co.noticed(body.Notice)
 	case *frame.Frame_Want:
 		return co.body()
 	case *frame.Frame_Config:
@@ -114,6 +160,8 @@
 		call(co.hd.Ask, body.Ask)
 	case *frame.Frame_Told:
 		call(co.hd.Told, body.Told)
+	case *frame.Frame_Suspect:
+		call(co.hd.Suspect, body.Suspect)
 	}
 	return nil
 }
@@ -126,7 +174,7 @@
 
 // behind asks for the peer's generation when it is newer than ours.
 func (co *Control) behind(theirs uint64) error {
-	if theirs <= uint64(co.inf.Number()) {
+	if co.withoutBody || theirs <= uint64(co.inf.Number()) {
 		return nil
 	}
 	return co.Send(&frame.Frame{Body: &frame.Frame_Want{Want: &frame.Want{Generation: theirs}}})
--- a/io/link/convert.go
+++ b/io/link/convert.go
@@ -13,7 +13,7 @@
 		Attempt: string(at.ID), Request: string(at.Request), Workspace: string(at.Workspace),
 		Generation: uint64(at.Generation), Model: string(at.Target.Model), Version: string(at.Target.Version),
 		Service: string(at.Service), Operation: string(at.Operation), IdempotencyKey: at.IdempotencyKey,
-		DeadlineMicros: at.Deadline.Microseconds(), Priority: int32(at.Priority), Stream: at.Stream, Body: at.Body,
+		DeadlineMicros: at.Deadline.Microseconds(), Priority: int32(at.Priority), Stream: at.Stream, Body: at.Body, Solo: at.Solo,
 	}}}
 }
 
@@ -24,7 +24,7 @@
 		Generation: core.Generation(di.Generation),
 		Target:     core.ModelVersion{Model: core.ModelID(di.Model), Version: core.VersionID(di.Version)},
 		Service:    core.ServiceID(di.Service), Operation: core.OperationID(di.Operation), IdempotencyKey: di.IdempotencyKey,
-		Deadline: time.Duration(di.DeadlineMicros) * time.Microsecond, Priority: int(di.Priority), Stream: di.Stream, Body: di.Body,
+		Deadline: time.Duration(di.DeadlineMicros) * time.Microsecond, Priority: int(di.Priority), Stream: di.Stream, Body: di.Body, Solo: di.Solo,
 	}
 }
 
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,195 @@
+// Package peer is the links between entries, over which a configuration goes
+// on to entries that do not wait on the platform's store, and to any entry
+// while the store is away.
+//
+// # Usage
+//
+//	mesh := peer.New(deps, inForce, suspects, self)
+//	go mesh.Serve(ctx, listener)
+//	mesh.Update(hosts)             // after each reading of the host list
+//	mesh.Tell(record)              // of a request that crashed an upstream
+package peer
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/event"
+	"skylarkstand/core/spread"
+	"skylarkstand/core/suspect"
+	"skylarkstand/io/frame"
+	"skylarkstand/io/link"
+)
+
+// NoticeEvery is the pace of notices between entries: twice within the time
+// after which a silent reader is doubted.
+const NoticeEvery = 2 * time.Second
+
+// Mesh is one entry's links to other entries. It is safe for concurrent use.
+type Mesh struct {
+	deps core.Deps
+	inf  *declaration.InForce
+	self core.Host
+
+	suspects *suspect.Registry
+
+	mu       sync.Mutex
+	peers    map[string]context.CancelFunc
+	controls map[*link.Control]bool
+	ctx      context.Context
+}
+
+// New returns a mesh for the entry at self.
+func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host) *Mesh {
+	return &Mesh{deps: deps, inf: inf, suspects: reg, self: self, peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{}}
+}
+
+// Serve accepts links until the context ends.
+func (me *Mesh) Serve(ctx context.Context, li net.Listener) error {
+	me.mu.Lock()
+	me.ctx = ctx
+	me.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { li.Close() })
+	defer stop()
+	for {
+		conn, err := li.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		go me.accept(ctx, conn)
+	}
+}
+
+func (me *Mesh) accept(ctx context.Context, conn net.Conn) {
+	_, st, cleanup, err := link.Accept(ctx, conn)
+	if err != nil {
+		return
+	}
+	defer cleanup()
+	_ = me.serve(ctx, st)
+}
+
+// serve runs the control stream of one link until it ends.
+func (me *Mesh) serve(ctx context.Context, st io.ReadWriteCloser) error {
+	co := link.NewControl(me.deps, me.inf, st, link.Handlers{Suspect: me.learn}, link.Every(NoticeEvery))
+	me.hold(co, true)
+	defer me.hold(co, false)
+	if err := co.Hello(""); err != nil {
+		return err
+	}
+	return co.Serve(ctx)
+}
+
+func (me *Mesh) hold(co *link.Control, held bool) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if held {
+		me.controls[co] = true
+	} else {
+		delete(me.controls, co)
+	}
+}
+
+// learn takes another entry's word of a suspect and passes news on. What was
+// known already goes no further, so that a word does not circle.
+func (me *Mesh) learn(su *frame.Suspect) {
+	now := time.Now()
+	re := suspect.Record{
+		Fingerprint: suspect.Fingerprint(su.Fingerprint), State: suspect.State(su.State),
+		Until: now.Add(time.Duration(su.LeftMicros) * time.Microsecond),
+	}
+	if me.suspects.Learn(re, now) {
+		go me.Tell(re)
+	}
+}
+
+// Tell sends a suspect's record to all linked entries.
+func (me *Mesh) Tell(re suspect.Record) {
+	me.mu.Lock()
+	cos := slices.Collect(maps.Keys(me.controls))
+	me.mu.Unlock()
+	fr := &frame.Frame{Body: &frame.Frame_Suspect{Suspect: &frame.Suspect{
+		Fingerprint: uint64(re.Fingerprint), State: int32(re.State), LeftMicros: time.Until(re.Until).Microseconds(),
+	}}}
+	for _, co := range cos {
+		_ = co.Send(fr)
+	}
+}
+
+// Update keeps links to the peers that the host list calls for.
+func (me *Mesh) Update(hosts []core.Host) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if me.ctx == nil {
+		return
+	}
+	wanted := map[string]bool{}
+	for _, ho := range spread.Peers(hosts, me.self) {
+		wanted[ho.Addr] = true
+		if me.peers[ho.Addr] == nil {
+			ctx, cancel := context.WithCancel(me.ctx)
+			me.peers[ho.Addr] = cancel
+			go link.Redial(ctx, func(ctx context.Context) { me.connect(ctx, ho.Addr) })
+		}
+	}
+	for addr, cancel := range me.peers {
+		if !wanted[addr] {
+			cancel()
+			delete(me.peers, addr)
+		}
+	}
+}
+
+func (me *Mesh) connect(ctx context.Context, addr string) {
+	ses, st, err := link.Dial(ctx, addr)
+	if err != nil {
+		return
+	}
+	defer ses.Close()
+	event.Log(me.deps.Log, event.PeerUp, "peer", addr)
+	err = me.serve(ctx, st)
+	if ctx.Err() == nil {
+		event.Log(me.deps.Log, event.PeerDown, "peer", addr, "error", err)
+	}
+}
+
+// Await asks the process at an address, an entry's or an agent's, until it has
+// a generation in force, and returns that generation.
+func Await(ctx context.Context, deps core.Deps, addr string, gen core.Generation) (core.Generation, error) {
+	ses, st, err := link.Dial(ctx, addr)
+	if err != nil {
+		return 0, err
+	}
+	defer ses.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var got core.Generation
+	note := func(theirs uint64) {
+		got = max(got, core.Generation(theirs))
+		if got >= gen {
+			cancel()
+		}
+	}
+	co := link.NewControl(deps, declaration.NewInForce(), st, link.Handlers{
+		Hello:  func(he *frame.Hello) { note(he.Generation) },
+		Notice: func(no *frame.Notice) { note(no.Generation) },
+	}, link.WithoutBody())
+	if err := co.Hello(""); err != nil {
+		return 0, err
+	}
+	err = co.Serve(ctx)
+	if got >= gen {
+		return got, nil
+	}
+	return got, err
+}
