Tell a crashed engine from a broken call by an answer, not by a connection

Cause: the fault matrix lost three engines to one poisonous request where two are the bound. While a process goes down its listener may accept for a moment longer, so the probe that only connected took the crash for a broken call and the request went on as harmless. Ruled out: entries that did not hear of the suspect (the same with one entry), different bodies (mended in the cells first).

Change: the probe asks for an HTTP answer.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -18,7 +18,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,7 +29,6 @@
 type Engine struct {
 	deps core.Deps
 	url  string
-	addr string
 	cli  *http.Client
 }
 
@@ -47,15 +45,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
 		MaxIdleConnsPerHost: idleConns, MaxIdleConns: idleConns, IdleConnTimeout: time.Minute,
 	}
-	return &Engine{deps: deps, url: base, addr: address(base), cli: &http.Client{Transport: tr}}
-}
-
-func address(base string) string {
-	ur, err := url.Parse(base)
-	if err != nil {
-		return base
-	}
-	return ur.Host
+	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr}}
 }
 
 // Run implements [core.Runner].
@@ -97,13 +87,24 @@
 // probeLimit bounds a try to reach the engine. It is on this host.
 const probeLimit = 500 * time.Millisecond
 
-// Probe reports whether the engine accepts connections.
+// Probe reports whether the engine answers HTTP at all.
+//
+// That it accepts a connection is not enough: while a process goes down, the
+// kernel closes its connections one by one, and the listener may be the last.
+// A crash was then taken for a broken call, and the request that caused it
+// cost one upstream more.
 func (eng *Engine) Probe() error {
-	conn, err := net.DialTimeout("tcp", eng.addr, probeLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, eng.url+"/health", http.NoBody)
+	if err != nil {
+		return eris.Wrap(err, "engine")
+	}
+	rs, err := eng.cli.Do(rq)
 	if err != nil {
 		return eris.Wrap(err, "engine")
 	}
-	return conn.Close()
+	return rs.Body.Close()
 }
 
 // broken tells a crash of the engine from a call that it broke off alone. The
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -94,3 +95,28 @@
 	assert.Assert(t, errors.As(err, &fl))
 	assert.Equal(t, fl.Code, core.CodeCrashed)
 }
+
+// A process that goes down closes its connections one by one, and for a moment
+// still accepts new ones without answering them. The caller's request crashed
+// the engine; taken for a broken call it would be sent on as harmless.
+func TestEngineThatAcceptsButIsGone(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer li.Close()
+	go func() {
+		for {
+			conn, err := li.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	sm, wr := piped()
+	sm.eng = New(core.NewDeps(), "http://"+li.Addr().String())
+	wr.Close()
+	_, err = sm.Next()
+	var fl *core.Failure
+	assert.Assert(t, errors.As(err, &fl))
+	assert.Equal(t, fl.Code, core.CodeCrashed)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -46,9 +46,11 @@
 	Fail bool `json:"fail"`
 }
 
-// Run is one line of the engine's journal.
+// Run is one line of the engine's journal, written when the run begins. Tag is
+// what a prompt says behind "#tag=".
 type Run struct {
 	Attempt string `json:"attempt"`
+	Tag     string `json:"tag,omitempty"`
 	Tokens  int    `json:"tokens"`
 	Whole   bool   `json:"whole"`
 }
@@ -113,10 +115,22 @@
 		return
 	}
 	an := &answer{en: en, fa: fa, id: rq.Header.Get("X-Request-Id"), words: en.words(cb), prompt: len(cb.Messages)/4 + 1}
+	en.mu.Lock()
+	line := len(en.journal)
+	en.journal = append(en.journal, Run{Attempt: an.id, Tag: tag(cb)})
+	en.mu.Unlock()
 	whole := an.run(w, rq, cb.Stream)
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	en.journal = append(en.journal, Run{Attempt: an.id, Tokens: an.sent, Whole: whole})
+	en.journal[line].Tokens, en.journal[line].Whole = an.sent, whole
+}
+
+func tag(cb chatBody) string {
+	_, rest, ok := strings.Cut(string(cb.Messages), "#tag=")
+	if !ok {
+		return ""
+	}
+	return rest[:max(strings.IndexAny(rest, " \""), 0)]
 }
 
 func (en *Engine) words(cb chatBody) int {
