Check a configuration and the step to it for honest mistakes

Operators make slips that the old check let through: names misspelt, a cascade from costly to cheap, a roll-out from nothing to everything, a plain key in place of its digest. Check and CheckChange report all of them at once with place, reason and remedy; dangerous but legal steps are refused unless the document accepts the risk by rule, place and reason. Ruled out: warnings that do not refuse, since nobody reads them in a hurry.

--- a/core/declaration/check.go
+++ b/core/declaration/check.go
@@ -2,72 +2,98 @@
 
 import (
 	"fmt"
-	"strings"
-
-	"skylarkstand/core"
+	"slices"
 )
 
-// Mistake is one fault of a document: where it is, what is wrong, and what to
-// do about it.
-type Mistake struct {
-	Place  string
-	Reason string
-	Remedy string
+// Check finds the mistakes of a document that can be seen without the
+// configuration in force. It returns nil or a [Mistakes].
+func (doc *Document) Check() error {
+	fi := doc.find()
+	return doc.settle(fi, false).err()
 }
 
-// String returns the mistake as one line for people.
-func (mi Mistake) String() string { return mi.Place + ": " + mi.Reason + "; " + mi.Remedy }
+// CheckChange finds the mistakes of a document and of the step to it from the
+// one in force. It returns nil or a [Mistakes]. The first document of all is
+// a step from an empty one: nobody is served yet, so no step is too large.
+func CheckChange(from, to *Document) error {
+	fi := to.find()
+	findChange(fi, from, to)
+	return to.settle(fi, true).err()
+}
 
-// Mistakes is the error that Check returns: all faults of a document at once.
-type Mistakes []Mistake
+// Accepted returns the entries of accept-risks that the step from one document
+// to another makes use of. The audit trail keeps them.
+func Accepted(from, to *Document) []AcceptRisk {
+	fi := to.find()
+	findChange(fi, from, to)
+	var out []AcceptRisk
+	for _, ar := range to.AcceptRisks {
+		if slices.ContainsFunc(fi.risks, ar.covers) {
+			out = append(out, ar)
+		}
+	}
+	return out
+}
 
-// Error implements error.
-func (mis Mistakes) Error() string {
-	lines := make([]string, len(mis))
-	for i, mi := range mis {
-		lines[i] = mi.String()
+func (doc *Document) find() *findings {
+	ch := &checker{findings: &findings{}, doc: doc, sn: NewSnapshot(&Generation{Document: *doc}, nil)}
+	if len(doc.Workspaces) == 0 {
+		ch.add(EmptyDocument, "workspaces", "no workspace is declared, so every caller would be turned away", "declare the workspaces; is this the right file?")
 	}
-	return strings.Join(lines, "\n")
+	ch.names()
+	ch.models()
+	ch.services()
+	ch.cascades()
+	ch.workspaces()
+	ch.keys()
+	ch.rollOuts()
+	ch.withdrawals()
+	return ch.findings
 }
 
-// Check finds the faults that would make the document unusable. It returns
-// nil or a [Mistakes].
-func (doc *Document) Check() error {
-	var mis Mistakes
-	add := func(place, reason, remedy string) { mis = append(mis, Mistake{place, reason, remedy}) }
-	sn := NewSnapshot(&Generation{Document: *doc}, nil)
-	for _, mo := range doc.Models {
-		place := fmt.Sprintf("models[%s]", mo.ID)
-		if sn.Version(core.ModelVersion{Model: mo.ID, Version: mo.Stable}) == nil {
-			add(place+".stable", fmt.Sprintf("version %q is not declared", mo.Stable), "name one of the model's versions")
+// checker looks at one document.
+type checker struct {
+	*findings
+	doc *Document
+	sn  *Snapshot
+}
+
+func (ar AcceptRisk) covers(mi Mistake) bool { return Rule(ar.Rule) == mi.Rule && ar.Place == mi.Place }
+
+// settle holds the risks that were found against those that the document
+// accepts.
+//
+// An accepted risk that is not there is refused too: left in the file, it
+// would wave the same risk through on a later day, when nobody thought of it.
+func (doc *Document) settle(fi *findings, change bool) Mistakes {
+	out := fi.mistakes
+	for _, mi := range fi.risks {
+		if slices.ContainsFunc(doc.AcceptRisks, func(ar AcceptRisk) bool { return ar.covers(mi) }) {
+			continue
 		}
+		mi.Remedy += fmt.Sprintf(`, or accept the risk: {"rule": %q, "place": %q, "reason": "…"}`, mi.Rule, mi.Place)
+		out = append(out, mi)
 	}
-	for _, ca := range doc.Cascades {
-		if len(ca.Stages) == 0 {
-			add(fmt.Sprintf("cascades[%s].stages", ca.ID), "no stage", "list the models from cheap to costly")
-		}
-		for _, st := range ca.Stages {
-			if sn.Model(st) == nil {
-				add(fmt.Sprintf("cascades[%s].stages", ca.ID), fmt.Sprintf("model %q is not declared", st), "declare it or correct its name")
-			}
-		}
+	for i, ar := range doc.AcceptRisks {
+		rest := &findings{}
+		rest.acceptRisk(i, ar, fi.risks, change)
+		out = append(out, rest.mistakes...)
 	}
-	for _, ws := range doc.Workspaces {
-		place := fmt.Sprintf("workspaces[%s]", ws.ID)
-		for _, al := range ws.Allow {
-			for _, ve := range al.Versions {
-				mv := core.ModelVersion{Model: al.Model, Version: ve}
-				if sn.Version(mv) == nil {
-					add(place+".allow", fmt.Sprintf("%s is not declared", mv), "declare it or correct its name")
-				}
-			}
-		}
-		if ws.Share <= 0 {
-			add(place+".share", "a share of nought gets no work under load", "give a share of at least 1")
-		}
+	return out
+}
+
+func (fi *findings) acceptRisk(i int, ar AcceptRisk, found Mistakes, change bool) {
+	place := fmt.Sprintf("accept-risks[%d]", i)
+	of, known := risks[Rule(ar.Rule)]
+	if !known {
+		fi.unknown(place+".rule", "risk", ar.Rule, names(Risks(), func(ru Rule) Rule { return ru }))
+		fi.mistakes[len(fi.mistakes)-1].Rule = UnknownRisk
+		return
+	}
+	if ar.Reason == "" {
+		fi.add(NoReason, place+".reason", "the risk is accepted without a reason", "say why; the audit trail keeps it")
 	}
-	if len(mis) == 0 {
-		return nil
+	if (change || of == ofDocument) && !slices.ContainsFunc(found, ar.covers) {
+		fi.add(IdleRisk, place, fmt.Sprintf("there is no risk %s at %s", ar.Rule, ar.Place), "remove the entry or correct its place")
 	}
-	return mis
 }
--- /dev/null
+++ b/core/declaration/check_workspaces.go
@@ -0,0 +1,168 @@
+package declaration
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"skylarkstand/core"
+)
+
+func (ch *checker) workspaces() {
+	for i := range ch.doc.Workspaces {
+		ws := &ch.doc.Workspaces[i]
+		place := fmt.Sprintf("workspaces[%s]", ws.ID)
+		ch.quality(place+".quality", ws.Quality)
+		ch.price(place+".latency-price", ws.LatencyPrice)
+		if ws.Share <= 0 {
+			ch.add(ShareRange, place+".share", fmt.Sprintf("a share of %d gets no work when there is too much of it", ws.Share), "give a share of at least 1")
+		}
+		if ws.Limit < 0 {
+			ch.add(LimitRange, place+".limit", fmt.Sprintf("the limit %d would turn every request away", ws.Limit), "give a limit of at least 1, or leave it out for none")
+		}
+		if len(ws.Allow) == 0 && len(ws.Services) == 0 {
+			ch.add(NothingAllowed, place+".allow", "the workspace may use no model and no service", "allow a version or a service")
+		}
+		for _, al := range ws.Allow {
+			ch.allow(ws, al)
+		}
+		for _, id := range ws.Services {
+			if ch.sn.service(id) == nil {
+				ch.unknown(place+".services", "service", string(id), names(ch.doc.Services, func(sv Service) core.ServiceID { return sv.ID }))
+			}
+		}
+		for _, id := range ws.Cascades {
+			ch.mayCascade(ws, id)
+		}
+	}
+}
+
+func (sn *Snapshot) service(id core.ServiceID) *Service {
+	for i := range sn.Doc.Services {
+		if sn.Doc.Services[i].ID == id {
+			return &sn.Doc.Services[i]
+		}
+	}
+	return nil
+}
+
+func (ch *checker) allow(ws *Workspace, al Allow) {
+	place := fmt.Sprintf("workspaces[%s].allow[%s]", ws.ID, al.Model)
+	if len(al.Versions) == 0 {
+		ch.add(NothingAllowed, place, "no version of the model is allowed", "list the versions or remove the entry")
+		return
+	}
+	declared := true
+	for _, id := range al.Versions {
+		declared = ch.known(place, core.ModelVersion{Model: al.Model, Version: id}) && declared
+	}
+	if !declared {
+		return
+	}
+	mo := ch.sn.Model(al.Model)
+	if !ch.sn.canServe(ws.ID, mo) && ch.sn.anyLeft(mo) {
+		ch.add(NoVersionLeft, place, fmt.Sprintf("every version of %s that the workspace may use is withdrawn, so its requests would be turned away", al.Model),
+			"allow a version that can serve")
+	}
+	// The part of new sessions that the roll-out leaves out has no version.
+	if ro := ch.sn.RollOut(al.Model); ro != nil && ro.Percent < everything && ro.Version != mo.Stable && len(al.Versions) == 1 && al.Versions[0] == ro.Version {
+		ch.add(RollOutOnly, place, fmt.Sprintf("only %s is allowed, which is under roll-out, so the other %d%% of new sessions have no version", ro.target(), everything-ro.Percent),
+			fmt.Sprintf("allow the stable version %s too", mo.Stable))
+	}
+}
+
+// canServe reports whether a workspace's work may run on some version.
+func (sn *Snapshot) canServe(ws core.WorkspaceID, mo *Model) bool {
+	for _, ve := range mo.Versions {
+		if sn.MayRun(ws, core.ModelVersion{Model: mo.ID, Version: ve.ID}) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyLeft reports whether a model has a version that is not withdrawn.
+func (sn *Snapshot) anyLeft(mo *Model) bool {
+	for _, ve := range mo.Versions {
+		if !sn.Withdrawn(core.ModelVersion{Model: mo.ID, Version: ve.ID}) {
+			return true
+		}
+	}
+	return false
+}
+
+func (ch *checker) mayCascade(ws *Workspace, id core.CascadeID) {
+	place := fmt.Sprintf("workspaces[%s].cascades[%s]", ws.ID, id)
+	ca := ch.sn.Cascade(id)
+	if ca == nil {
+		ch.unknown(place, "cascade", string(id), names(ch.doc.Cascades, func(ca Cascade) core.CascadeID { return ca.ID }))
+		return
+	}
+	best, broken := core.Quality(0), len(ca.Stages) == 0
+	for _, st := range ca.Stages {
+		mo := ch.sn.Model(st)
+		if mo == nil {
+			broken = true
+			continue
+		}
+		if !ws.allows(st) {
+			ch.add(StageNotAllowed, place, fmt.Sprintf("the workspace may use no version of the stage %s", st), fmt.Sprintf("allow a version of %s or take the cascade away", st))
+			broken = true
+		}
+		for _, ve := range mo.Versions {
+			if ch.sn.MayRun(ws.ID, core.ModelVersion{Model: st, Version: ve.ID}) {
+				best = max(best, ve.Quality)
+			}
+		}
+	}
+	if !broken && best < ws.Quality {
+		ch.add(QualityOutOfReach, place, fmt.Sprintf("no stage promises the quality %g (the best is %g), so requests would run through every stage and be paid for each", float64(ws.Quality), float64(best)),
+			"lower the target or add a better stage")
+	}
+}
+
+func (ws *Workspace) allows(id core.ModelID) bool {
+	for _, al := range ws.Allow {
+		if al.Model == id && len(al.Versions) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+const digestLen = 64
+
+// keys checks the key hashes. A plain key that was pasted in by mistake is
+// never printed: messages end up in logs and reviews.
+func (ch *checker) keys() {
+	owner := map[string]core.WorkspaceID{}
+	for _, ws := range ch.doc.Workspaces {
+		place := fmt.Sprintf("workspaces[%s].key-hashes", ws.ID)
+		if len(ws.KeyHashes) == 0 {
+			ch.add(NoKey, place, "no key opens the workspace", "add the SHA-256 digest of its key")
+		}
+		for i, kh := range ws.KeyHashes {
+			at := fmt.Sprintf("%s[%d]", place, i)
+			ch.digest(at, kh)
+			other, taken := owner[kh]
+			switch {
+			case taken && other == ws.ID:
+				ch.add(DuplicateName, at, "the same digest stands twice", "remove one")
+			case taken:
+				ch.add(KeyShared, at, fmt.Sprintf("the same key opens workspace %s too, so requests and bills would go to one of the two", other), "give each workspace a key of its own")
+			}
+			owner[kh] = ws.ID
+		}
+	}
+}
+
+func (ch *checker) digest(place, kh string) {
+	_, err := hex.DecodeString(kh)
+	switch {
+	case err != nil || len(kh) != digestLen:
+		ch.add(KeyNotDigest, place, fmt.Sprintf("this is no SHA-256 digest (%d characters, not %d of 0-9a-f); is it the key itself?", len(kh), digestLen),
+			"write the output of: printf %s \"$KEY\" | sha256sum; a key that stood in a file must be replaced")
+	case kh != strings.ToLower(kh):
+		ch.add(KeyNotDigest, place, "the digest has capital letters and would match no key", "write it in small letters")
+	}
+}
--- /dev/null
+++ b/core/declaration/effect.go
@@ -0,0 +1,151 @@
+package declaration
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"skylarkstand/core"
+)
+
+// Effects says what a change does to callers: which versions stop, who loses
+// or gains what, and which share of new sessions moves.
+func Effects(from, to *Document) []string {
+	ef := &effect{from: NewSnapshot(&Generation{Document: *from}, nil), to: NewSnapshot(&Generation{Document: *to}, nil)}
+	for i := range from.Models {
+		ef.stops(&from.Models[i])
+	}
+	for i := range to.Workspaces {
+		ef.workspace(&to.Workspaces[i])
+	}
+	for _, ws := range from.Workspaces {
+		if ef.to.Workspace(ws.ID) == nil {
+			ef.add("workspace %s: all its callers are turned away", ws.ID)
+		}
+	}
+	return ef.lines
+}
+
+type effect struct {
+	from, to *Snapshot
+	lines    []string
+}
+
+func (ef *effect) add(format string, args ...any) {
+	ef.lines = append(ef.lines, fmt.Sprintf(format, args...))
+}
+
+func (ef *effect) stops(mo *Model) {
+	for _, ve := range mo.Versions {
+		mv := core.ModelVersion{Model: mo.ID, Version: ve.ID}
+		was := !ef.from.Withdrawn(mv)
+		now := ef.to.Version(mv) != nil && !ef.to.Withdrawn(mv)
+		if was && !now {
+			ef.add("%s stops: it gets no new work, and all sessions on it move", mv)
+		}
+	}
+}
+
+func (ef *effect) workspace(ws *Workspace) {
+	old := ef.from.Workspace(ws.ID)
+	if old == nil {
+		ef.add("workspace %s: is new", ws.ID)
+		return
+	}
+	ef.access(ws.ID, "model", ef.from.usable(ws.ID), ef.to.usable(ws.ID))
+	ef.access(ws.ID, "cascade", names(old.Cascades, same), names(ws.Cascades, same))
+	ef.access(ws.ID, "service", names(old.Services, same), names(ws.Services, same))
+	for _, mo := range ef.to.Doc.Models {
+		was, now := ef.from.Split(ws.ID, mo.ID), ef.to.Split(ws.ID, mo.ID)
+		if len(was) == 0 || len(now) == 0 || slices.Equal(was, now) {
+			continue
+		}
+		ef.add("workspace %s: %d%% of new sessions of %s move (%s -> %s)", ws.ID, moved(was, now), mo.ID, shares(was), shares(now))
+	}
+}
+
+func same[S any](el S) S { return el }
+
+// usable lists the models of which a workspace can use some version.
+func (sn *Snapshot) usable(ws core.WorkspaceID) []string {
+	var out []string
+	for i := range sn.Doc.Models {
+		if sn.canServe(ws, &sn.Doc.Models[i]) {
+			out = append(out, string(sn.Doc.Models[i].ID))
+		}
+	}
+	return out
+}
+
+func (ef *effect) access(ws core.WorkspaceID, kind string, was, now []string) {
+	for _, name := range now {
+		if !slices.Contains(was, name) {
+			ef.add("workspace %s: gains %s %s", ws, kind, name)
+		}
+	}
+	for _, name := range was {
+		if !slices.Contains(now, name) {
+			ef.add("workspace %s: loses %s %s", ws, kind, name)
+		}
+	}
+}
+
+// VersionShare is the percent of new sessions that a version gets.
+type VersionShare struct {
+	Version core.VersionID
+	Percent int
+}
+
+// Split returns how a workspace's new sessions of a model are shared among
+// versions. It follows the choice of core/routing: the roll-out's share, then
+// the stable version, then the newest one that may run.
+func (sn *Snapshot) Split(ws core.WorkspaceID, id core.ModelID) []VersionShare {
+	mo := sn.Model(id)
+	if mo == nil || !sn.canServe(ws, mo) {
+		return nil
+	}
+	var out []VersionShare
+	rest := everything
+	ro := sn.RollOut(id)
+	if ro != nil && ro.Halted == "" && sn.MayRun(ws, ro.target()) {
+		out = append(out, VersionShare{ro.Version, ro.Percent})
+		rest -= ro.Percent
+	}
+	if ve, ok := sn.fallback(ws, mo, ro); ok && rest > 0 {
+		out = append(out, VersionShare{ve, rest})
+	}
+	return out
+}
+
+func (sn *Snapshot) fallback(ws core.WorkspaceID, mo *Model, ro *RollOut) (core.VersionID, bool) {
+	may := func(ve core.VersionID) bool { return sn.MayRun(ws, core.ModelVersion{Model: mo.ID, Version: ve}) }
+	if may(mo.Stable) {
+		return mo.Stable, true
+	}
+	for _, ve := range slices.Backward(mo.Versions) {
+		if (ro == nil || ro.Version != ve.ID) && may(ve.ID) {
+			return ve.ID, true
+		}
+	}
+	return "", false
+}
+
+// moved is the share of new sessions that get another version than before.
+func moved(was, now []VersionShare) int {
+	stay := 0
+	for _, vs := range now {
+		i := slices.IndexFunc(was, func(el VersionShare) bool { return el.Version == vs.Version })
+		if i >= 0 {
+			stay += min(vs.Percent, was[i].Percent)
+		}
+	}
+	return everything - stay
+}
+
+func shares(list []VersionShare) string {
+	out := make([]string, len(list))
+	for i, vs := range list {
+		out[i] = fmt.Sprintf("%s %d%%", vs.Version, vs.Percent)
+	}
+	return strings.Join(out, ", ")
+}
--- a/core/declaration/generation.go
+++ b/core/declaration/generation.go
@@ -25,6 +25,10 @@
 	Base core.Generation `json:"base"`
 	// Changed lists what the change touched, as people read it.
 	Changed []string `json:"changed,omitempty"`
+	// Effects lists what it did to callers.
+	Effects []string `json:"effects,omitempty"`
+	// Accepted lists the risks that the operator accepted.
+	Accepted []AcceptRisk `json:"accepted,omitempty"`
 }
 
 // Encode returns the form that is kept in the store and sent over links.
--- /dev/null
+++ b/core/declaration/rule.go
@@ -0,0 +1,85 @@
+package declaration
+
+import (
+	"slices"
+)
+
+// Rule names what a document or a change must keep to.
+type Rule string
+
+// Rules whose breach is always refused.
+const (
+	SchemaRule      Rule = "schema"
+	EmptyDocument   Rule = "empty-document"
+	BadName         Rule = "bad-name"
+	DuplicateName   Rule = "duplicate-name"
+	NameClash       Rule = "name-clash"
+	UnknownName     Rule = "unknown-name"
+	NoVersions      Rule = "no-versions"
+	NoOperations    Rule = "no-operations"
+	QualityRange    Rule = "quality-range"
+	NegativePrice   Rule = "negative-price"
+	NoStages        Rule = "no-stages"
+	CascadeOrder    Rule = "cascade-order"
+	StageNotAllowed Rule = "stage-not-allowed"
+	NothingAllowed  Rule = "nothing-allowed"
+	NoKey           Rule = "no-key"
+	KeyNotDigest    Rule = "key-not-digest"
+	KeyShared       Rule = "key-shared"
+	ShareRange      Rule = "share-range"
+	LimitRange      Rule = "limit-range"
+	PercentRange    Rule = "percent-range"
+	RollOutStable   Rule = "roll-out-of-stable"
+	RollOutGone     Rule = "roll-out-of-withdrawn"
+	RollOutUnseen   Rule = "roll-out-unseen"
+	RollOutOnly     Rule = "only-roll-out-allowed"
+	StableWithdrawn Rule = "stable-withdrawn"
+	NoReason        Rule = "no-reason"
+	UnknownRisk     Rule = "unknown-risk"
+	IdleRisk        Rule = "idle-accept-risk"
+)
+
+// Rules about what is legal and dangerous. A breach is refused unless the
+// document names it in accept-risks.
+const (
+	OnlyVersionWithdrawn Rule = "only-version-withdrawn"
+	NoVersionLeft        Rule = "no-version-left"
+	QualityOutOfReach    Rule = "quality-out-of-reach"
+	RollOutStep          Rule = "roll-out-step"
+	StableStep           Rule = "stable-step"
+	WithdrawalLifted     Rule = "withdrawal-lifted"
+	HaltLifted           Rule = "halt-lifted"
+	WorkspaceRemoved     Rule = "workspace-removed"
+	KeysReplaced         Rule = "keys-replaced"
+	KeyMoved             Rule = "key-moved"
+	LimitCut             Rule = "limit-cut"
+	PriceJump            Rule = "price-jump"
+	VersionDropped       Rule = "version-dropped"
+	RepeatAllowed        Rule = "at-most-once-dropped"
+)
+
+// scopeOfRule tells what a rule looks at.
+type scopeOfRule int
+
+const (
+	ofDocument scopeOfRule = iota + 1
+	ofChange
+)
+
+// risks are the rules that accept-risks may name.
+var risks = map[Rule]scopeOfRule{
+	OnlyVersionWithdrawn: ofDocument, NoVersionLeft: ofDocument, QualityOutOfReach: ofDocument,
+	RollOutStep: ofChange, StableStep: ofChange, WithdrawalLifted: ofChange, HaltLifted: ofChange,
+	WorkspaceRemoved: ofChange, KeysReplaced: ofChange, KeyMoved: ofChange, LimitCut: ofChange,
+	PriceJump: ofChange, VersionDropped: ofChange, RepeatAllowed: ofChange,
+}
+
+// Risks lists the rules that accept-risks may name, in order.
+func Risks() []Rule {
+	out := make([]Rule, 0, len(risks))
+	for ru := range risks {
+		out = append(out, ru)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/declaration/scope.go
@@ -0,0 +1,117 @@
+package declaration
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+)
+
+// Scope is the part of a document that one operator changes without regard to
+// the others: a workspace, a cascade, a service, or a model with its versions,
+// roll-out and withdrawals. Two changes of one scope must be reviewed
+// together; a roll-out and a withdrawal of one model are such a pair.
+type Scope struct {
+	Kind Kind
+	Name string
+}
+
+// Kind is what a scope is about.
+type Kind string
+
+// The kinds of scopes.
+const (
+	ModelScope     Kind = "model"
+	ServiceScope   Kind = "service"
+	CascadeScope   Kind = "cascade"
+	WorkspaceScope Kind = "workspace"
+)
+
+// String returns the form "workspace schools".
+func (sc Scope) String() string { return string(sc.Kind) + " " + sc.Name }
+
+// part is what a document holds in one scope, in a form that can be compared.
+type part struct {
+	Model       *Model       `json:"model,omitempty"`
+	Service     *Service     `json:"service,omitempty"`
+	Cascade     *Cascade     `json:"cascade,omitempty"`
+	Workspace   *Workspace   `json:"workspace,omitempty"`
+	RollOuts    []RollOut    `json:"roll-outs,omitempty"`
+	Withdrawals []Withdrawal `json:"withdrawals,omitempty"`
+}
+
+func (pa *part) equal(other *part) bool { return text(pa) == text(other) }
+
+func text(el any) string {
+	raw, err := json.Marshal(el)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// parts is a document cut by scope. Order keeps the scopes as they stand.
+type parts struct {
+	order []Scope
+	by    map[Scope]*part
+}
+
+func (ps *parts) at(sc Scope) *part {
+	if pa := ps.by[sc]; pa != nil {
+		return pa
+	}
+	pa := new(part)
+	ps.by[sc] = pa
+	ps.order = append(ps.order, sc)
+	return pa
+}
+
+// get returns the part of a scope, empty if the document has none.
+func (ps *parts) get(sc Scope) *part {
+	if pa := ps.by[sc]; pa != nil {
+		return pa
+	}
+	return new(part)
+}
+
+func (doc *Document) parts() *parts {
+	ps := &parts{by: map[Scope]*part{}}
+	for i := range doc.Models {
+		ps.at(Scope{ModelScope, string(doc.Models[i].ID)}).Model = &doc.Models[i]
+	}
+	for i := range doc.Services {
+		ps.at(Scope{ServiceScope, string(doc.Services[i].ID)}).Service = &doc.Services[i]
+	}
+	for i := range doc.Cascades {
+		ps.at(Scope{CascadeScope, string(doc.Cascades[i].ID)}).Cascade = &doc.Cascades[i]
+	}
+	for i := range doc.Workspaces {
+		ps.at(Scope{WorkspaceScope, string(doc.Workspaces[i].ID)}).Workspace = &doc.Workspaces[i]
+	}
+	for _, ro := range doc.RollOuts {
+		pa := ps.at(Scope{ModelScope, string(ro.Model)})
+		pa.RollOuts = append(pa.RollOuts, ro)
+	}
+	for _, wd := range doc.Withdrawals {
+		pa := ps.at(Scope{ModelScope, string(wd.Model)})
+		pa.Withdrawals = append(pa.Withdrawals, wd)
+	}
+	return ps
+}
+
+// Touched lists the scopes in which two documents differ, in order of name.
+func Touched(from, to *Document) []Scope {
+	old, now := from.parts(), to.parts()
+	var out []Scope
+	for _, sc := range now.order {
+		if !now.get(sc).equal(old.get(sc)) {
+			out = append(out, sc)
+		}
+	}
+	for _, sc := range old.order {
+		if now.by[sc] == nil {
+			out = append(out, sc)
+		}
+	}
+	slices.SortFunc(out, func(a, b Scope) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
+	return out
+}
