--- a/app/app.go
+++ b/app/app.go
@@ -39,6 +39,7 @@
 	Apply     *applyCmd     `arg:"subcommand:apply" help:"put a configuration in force"`
 	Status    *statusCmd    `arg:"subcommand:status" help:"show what is in force"`
 	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
+	RollBack  *rollBackCmd  `arg:"subcommand:roll-back" help:"put an old generation's content in force again"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
 	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
 }
--- /dev/null
+++ b/app/apply.go
@@ -0,0 +1,96 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/user"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core/declaration/publish"
+)
+
+// auditArgs is what commands that change the configuration share.
+type auditArgs struct {
+	Why string `arg:"--why,required" help:"the reason, for the audit trail"`
+	Who string `arg:"--who,env:SKYLARKSTAND_OPERATOR" help:"who applies; default is the user"`
+	// Wait bounds how long a lost reply is looked for. A store that was merely
+	// slow answers within it; a longer one only keeps the operator from
+	// hearing that the outcome is not known.
+	Wait time.Duration `arg:"--wait" default:"30s" help:"how long to look for a reply that was lost"`
+}
+
+type applyCmd struct {
+	storeArgs
+	auditArgs
+	File string  `arg:"positional,required" help:"configuration, JSON with comments; - reads standard input"`
+	Base *uint64 `arg:"--base" help:"the generation that was reviewed; default is the newest"`
+}
+
+func (cmd *applyCmd) run(ctx context.Context) error {
+	doc, err := readDocument(cmd.File)
+	if err != nil {
+		return err
+	}
+	pub := publish.New(cmd.open())
+	base, err := baseOf(ctx, pub, cmd.Base)
+	if err != nil {
+		return err
+	}
+	return cmd.apply(ctx, pub, cmd.File, publish.Proposal{Document: doc, Base: base})
+}
+
+// apply shows a change, puts it in force and says truthfully what became of
+// it: the exit code tells scripts the same.
+func (aa auditArgs) apply(ctx context.Context, pub *publish.Publisher, name string, pr publish.Proposal) error {
+	pr.Who, pr.Why = aa.operator(), aa.Why
+	res, err := pub.Prepare(ctx, pr)
+	if errors.Is(err, publish.ErrSame) {
+		fmt.Printf("nothing to change: generation %d says the same\n", res.Before.Number)
+		return nil
+	}
+	if err != nil {
+		return failed(name, err)
+	}
+	printChange(res)
+	ctx, cancel := context.WithTimeout(ctx, aa.Wait)
+	defer cancel()
+	shown := res.Before.Number
+	res, err = pub.Apply(ctx, pr)
+	if errors.Is(err, publish.ErrSame) {
+		fmt.Printf("nothing to change: generation %d says the same\n", res.Before.Number)
+		return nil
+	}
+	if err != nil {
+		return failed(name, err)
+	}
+	if res.Before.Number != shown {
+		fmt.Printf("meanwhile generation %d came; it changed other parts, and the change was carried over\n", res.Before.Number)
+	}
+	fmt.Printf("generation %d is accepted\n", res.After.Number)
+	return nil
+}
+
+// failed turns a publisher's error into one for people, with its exit code.
+func failed(name string, err error) error {
+	var un *publish.Uncertain
+	switch {
+	case errors.As(err, &un):
+		return &exitError{ExitUncertain, eris.Errorf("%s: the store's reply was lost; look at `skylarkstand history`, or apply the same file again, which is safe", un)}
+	case errors.Is(err, publish.ErrAway), errors.Is(err, publish.ErrBusy):
+		return err
+	}
+	return refused(name, err)
+}
+
+func (aa auditArgs) operator() string {
+	if aa.Who != "" {
+		return aa.Who
+	}
+	if us, err := user.Current(); err == nil {
+		return us.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/app/diff.go
@@ -0,0 +1,76 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/declaration/publish"
+)
+
+type diffCmd struct {
+	storeArgs
+	File string  `arg:"positional,required" help:"configuration, JSON with comments; - reads standard input"`
+	Base *uint64 `arg:"--base" help:"the generation that the file was written against; default is the newest"`
+}
+
+func (cmd *diffCmd) run(ctx context.Context) error {
+	doc, err := readDocument(cmd.File)
+	if err != nil {
+		return err
+	}
+	pub := publish.New(cmd.open())
+	base, err := baseOf(ctx, pub, cmd.Base)
+	if err != nil {
+		return err
+	}
+	res, err := pub.Prepare(ctx, publish.Proposal{Document: doc, Base: base})
+	if errors.Is(err, publish.ErrSame) {
+		fmt.Printf("nothing changes: generation %d says the same\n", res.Before.Number)
+		return nil
+	}
+	if err != nil {
+		return failed(cmd.File, err)
+	}
+	printChange(res)
+	fmt.Printf("to put it in force as reviewed: skylarkstand apply %s --base %d --why REASON\n", cmd.File, res.Before.Number)
+	return nil
+}
+
+// baseOf returns the generation that a file was written against.
+func baseOf(ctx context.Context, pub *publish.Publisher, given *uint64) (core.Generation, error) {
+	if given != nil {
+		return core.Generation(*given), nil
+	}
+	newest, err := pub.Newest(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return newest.Number, nil
+}
+
+// printChange shows a change as people read it, with its effect.
+func printChange(res publish.Result) {
+	fmt.Printf("against generation %d:\n", res.Before.Number)
+	if res.Rebased > 0 {
+		fmt.Printf("  (carried over %d generation(s) that changed other parts)\n", res.Rebased)
+	}
+	printAudit(res.After.Audit)
+}
+
+func printAudit(au declaration.Audit) {
+	for _, line := range au.Changed {
+		fmt.Println(" ", line)
+	}
+	if len(au.Effects) > 0 {
+		fmt.Println("  effect:")
+	}
+	for _, line := range au.Effects {
+		fmt.Println("   ", line)
+	}
+	for _, ar := range au.Accepted {
+		fmt.Printf("  accepted risk %s at %s: %s\n", ar.Rule, ar.Place, ar.Reason)
+	}
+}
--- /dev/null
+++ b/app/roll_back.go
@@ -0,0 +1,56 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/declaration/publish"
+)
+
+type rollBackCmd struct {
+	storeArgs
+	auditArgs
+	Generation uint64   `arg:"positional,required" help:"the generation whose content comes back"`
+	AcceptRisk []string `arg:"--accept-risk,separate" placeholder:"RULE@PLACE" help:"a risk that is meant, as check names it; may repeat"`
+}
+
+// run makes a new generation with an old content. The chain itself never goes
+// back: a process that knows a higher generation would not take a lower one.
+func (cmd *rollBackCmd) run(ctx context.Context) error {
+	accept, err := cmd.accepted()
+	if err != nil {
+		return err
+	}
+	pub := publish.New(cmd.open())
+	newest, err := pub.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("generation %d", cmd.Generation)
+	if cmd.Generation == 0 || core.Generation(cmd.Generation) >= newest.Number {
+		return &exitError{ExitUsage, eris.Errorf("%s cannot come back; the newest is generation %d, see `skylarkstand history`", name, newest.Number)}
+	}
+	old, err := pub.Read(ctx, core.Generation(cmd.Generation))
+	if err != nil {
+		return err
+	}
+	return cmd.apply(ctx, pub, name, publish.Proposal{Document: declaration.Again(old, accept), Base: newest.Number})
+}
+
+func (cmd *rollBackCmd) accepted() ([]declaration.AcceptRisk, error) {
+	var out []declaration.AcceptRisk
+	for _, text := range cmd.AcceptRisk {
+		// The place may hold an @ of its own, a rule does not.
+		rule, place, ok := strings.Cut(text, "@")
+		if !ok {
+			return nil, &exitError{ExitUsage, eris.Errorf("%q is not a risk; write RULE@PLACE, such as %q", text, "withdrawal-lifted@withdrawals[desk@v2]")}
+		}
+		out = append(out, declaration.AcceptRisk{Rule: rule, Place: place, Reason: cmd.Why})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/app/settings/load_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/app/settings"
+)
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.jsonc")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// A host is set up by hand, with several slips in one file. Its process does
+// not start; the operator sees all of them in one go and mends them at once.
+func TestAllFaultsOfAFileAreReportedAtOnce(t *testing.T) {
+	path := file(t, `{
+		// a comment
+		"listen": "10.0.0.1", "zone": "muc-a", "regoin": "muc", "store": "10.0.0.9:9200",
+		"hosts": "http://10.0.0.9", "max-body": "4MB", "drain-limit": "one minute", "pin-secret": "",
+	}`)
+	_, err := settings.LoadEntry(path)
+	assert.Error(t, err, "settings "+path+`, faults: 8
+drain-limit: "one minute" is no time; write a number with its unit, such as "1.5s"
+max-body: is string, not integer; write a whole number without quotes
+rater: is missing; set it
+region: is missing; set it
+regoin: there is no such field; did you mean "region"?
+listen: "10.0.0.1" is not an address; write IP:port
+store: "10.0.0.9:9200" is not a base URL; write http://IP:port
+pin-secret: is missing; set it`)
+}
+
+func TestDefaultsStandForWhatIsLeftOut(t *testing.T) {
+	set, err := settings.LoadAgent(file(t, `{
+		"listen": "10.0.0.1:7000", "zone": "muc-a", "region": "muc", "store": "http://10.0.0.9", "upstream": "desk-1",
+		"engine": "http://10.0.0.1:8000", "model": "desk", "version": "v1", "queue": 4, "drain-limit": "90s",
+	}`))
+	assert.NilError(t, err)
+	assert.Equal(t, set.Slots, settings.DefaultAgent().Slots)
+	assert.Equal(t, set.Queue, 4)
+	assert.Equal(t, time.Duration(set.DrainLimit), 90*time.Second)
+}
+
+// An agent that stands beside two upstreams, or none, would guard the wrong
+// one: callers' work would reach an upstream that nothing checks.
+func TestAnAgentHasOneUpstream(t *testing.T) {
+	_, err := settings.LoadAgent(file(t, `{
+		"listen": "10.0.0.1:7000", "zone": "muc-a", "region": "muc", "store": "http://10.0.0.9", "upstream": "desk-1", "slots": 0,
+	}`))
+	assert.ErrorContains(t, err, "engine, service-url: exactly one must be set")
+	assert.ErrorContains(t, err, "slots: 0 is too small")
+}
--- a/core/declaration/effect.go
+++ b/core/declaration/effect.go
@@ -149,3 +149,6 @@
 	}
 	return strings.Join(out, ", ")
 }
+
+// Reason returns why a version was withdrawn, or nothing.
+func (sn *Snapshot) Reason(mv core.ModelVersion) string { return sn.withdrawn[mv] }
--- a/core/declaration/rebase.go
+++ b/core/declaration/rebase.go
@@ -128,3 +128,12 @@
 	}
 	return out
 }
+
+// Again returns the content of an old generation as a document for a new one.
+// What was accepted about the step to the old one is spent; what is accepted
+// about the step back is given.
+func Again(old *Generation, accept []AcceptRisk) Document {
+	doc := old.Document
+	doc.AcceptRisks = acceptRisks(&old.Document, &Document{AcceptRisks: accept}, &doc)
+	return doc
+}
