Add a library with which operators write their configuration as a program

Names in hand-written JSON are misspelt and marks are forgotten. With declare, versions, cascades and services are typed handles, an operation says whether it may be repeated, and a key cannot stand in place of its digest; seven slips are shown not to compile. Two example programs print committed files that pass check, diff and apply in tests. Ruled out: a version as text with its model, which compiles with any spelling.

--- /dev/null
+++ b/declare/testdata/version_as_text/main.go
@@ -0,0 +1,9 @@
+package main
+
+import "skylarkstand/declare"
+
+func main() {
+	cf := declare.New()
+	cf.Model("desk", "v1", declare.Version{})
+	cf.Workspace("schools", declare.Terms{}, declare.DigestOf("")).Allow("v1")
+}
--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,64 @@
+// Package examples_test runs the example programs, compares what they print
+// with the committed files, and takes those through the operators' commands.
+package examples_test
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/declaration/publish"
+	"skylarkstand/io/store"
+	standin "skylarkstand/standin/store"
+)
+
+var names = []string{"landesamt", "association"}
+
+// The committed file is what people review. Should the program print something
+// else, the review was of a configuration that nobody applies.
+func TestProgramPrintsTheCommittedFile(t *testing.T) {
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			got, err := exec.Command("go", "run", "./"+name).Output()
+			assert.NilError(t, err)
+			want, err := os.ReadFile(filepath.Join(name, "configuration.json"))
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(got, want), "renew it: go run ./examples/%s >examples/%s/configuration.json", name, name)
+		})
+	}
+}
+
+func TestExamplePassesCheckDiffAndApply(t *testing.T) {
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(standin.New())
+			defer srv.Close()
+			raw, err := os.ReadFile(filepath.Join(name, "configuration.json"))
+			assert.NilError(t, err)
+			doc, err := declaration.Load(raw)
+			assert.NilError(t, err)
+			assert.Equal(t, len(doc.Workspaces), 10)
+
+			pub := publish.New(store.New(srv.URL))
+			pr := publish.Proposal{Document: doc, Who: "ana", Why: "first set-up"}
+			shown, err := pub.Prepare(t.Context(), pr)
+			assert.NilError(t, err)
+			res, err := pub.Apply(t.Context(), pr)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, res.After.Audit.Changed, shown.After.Audit.Changed)
+
+			// The next step of the roll-out, against what is in force now.
+			doc.RollOuts[0].Percent = 40
+			res, err = pub.Apply(t.Context(), publish.Proposal{Document: doc, Base: 1, Who: "mei", Why: "no complaints"})
+			assert.NilError(t, err)
+			assert.Equal(t, len(res.After.Audit.Changed), 1)
+			assert.Equal(t, len(res.After.Audit.Effects), 10)
+		})
+	}
+}
