Group the effects of a change by what workspaces have in common

A roll-out step printed one line a workspace, ten alike, and the one that differs was easy to miss. Ruled out: counting workspaces only, since a reviewer looks for names.

--- a/app/app.go
+++ b/app/app.go
@@ -53,8 +53,10 @@
 func (args) Epilogue() string {
 	return `Examples:
   skylarkstand entry --settings entry.jsonc
-  skylarkstand check routing.jsonc
-  skylarkstand apply routing.jsonc --store http://127.0.0.1:9200 --why "roll out desk v2"
+  skylarkstand check routing.json
+  skylarkstand diff routing.json --store http://127.0.0.1:9200
+  skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
+  skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known.`
 }
--- a/core/declaration/effect.go
+++ b/core/declaration/effect.go
@@ -20,21 +20,56 @@
 	}
 	for _, ws := range from.Workspaces {
 		if ef.to.Workspace(ws.ID) == nil {
-			ef.add("workspace %s: all its callers are turned away", ws.ID)
+			ef.on(ws.ID, "all callers are turned away")
 		}
 	}
-	return ef.lines
+	return ef.render()
 }
 
 type effect struct {
 	from, to *Snapshot
 	lines    []string
+	groups   []group
+}
+
+// group is one effect with the workspaces that it has in common. A roll-out
+// touches most workspaces alike; a line for each would bury the one that
+// differs.
+type group struct {
+	text       string
+	workspaces []core.WorkspaceID
 }
 
 func (ef *effect) add(format string, args ...any) {
 	ef.lines = append(ef.lines, fmt.Sprintf(format, args...))
 }
 
+// on notes an effect on one workspace.
+func (ef *effect) on(ws core.WorkspaceID, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	i := slices.IndexFunc(ef.groups, func(gr group) bool { return gr.text == text })
+	if i < 0 {
+		i = len(ef.groups)
+		ef.groups = append(ef.groups, group{text: text})
+	}
+	ef.groups[i].workspaces = append(ef.groups[i].workspaces, ws)
+}
+
+func (ef *effect) render() []string {
+	out := ef.lines
+	for _, gr := range ef.groups {
+		who := "workspace " + string(gr.workspaces[0])
+		switch n := len(gr.workspaces); {
+		case n > 1 && n == len(ef.to.Doc.Workspaces):
+			who = fmt.Sprintf("all %d workspaces", n)
+		case n > 1:
+			who = "workspaces " + join(gr.workspaces, ", ")
+		}
+		out = append(out, who+": "+gr.text)
+	}
+	return out
+}
+
 func (ef *effect) stops(mo *Model) {
 	for _, ve := range mo.Versions {
 		mv := core.ModelVersion{Model: mo.ID, Version: ve.ID}
@@ -49,7 +84,7 @@
 func (ef *effect) workspace(ws *Workspace) {
 	old := ef.from.Workspace(ws.ID)
 	if old == nil {
-		ef.add("workspace %s: is new", ws.ID)
+		ef.on(ws.ID, "is new")
 		return
 	}
 	ef.access(ws.ID, "model", ef.from.usable(ws.ID), ef.to.usable(ws.ID))
@@ -60,7 +95,7 @@
 		if len(was) == 0 || len(now) == 0 || slices.Equal(was, now) {
 			continue
 		}
-		ef.add("workspace %s: %d%% of new sessions of %s move (%s -> %s)", ws.ID, moved(was, now), mo.ID, shares(was), shares(now))
+		ef.on(ws.ID, "%d%% of new sessions of %s move (%s -> %s)", moved(was, now), mo.ID, shares(was), shares(now))
 	}
 }
 
@@ -80,12 +115,12 @@
 func (ef *effect) access(ws core.WorkspaceID, kind string, was, now []string) {
 	for _, name := range now {
 		if !slices.Contains(was, name) {
-			ef.add("workspace %s: gains %s %s", ws, kind, name)
+			ef.on(ws, "gains %s %s", kind, name)
 		}
 	}
 	for _, name := range was {
 		if !slices.Contains(now, name) {
-			ef.add("workspace %s: loses %s %s", ws, kind, name)
+			ef.on(ws, "loses %s %s", kind, name)
 		}
 	}
 }
