--- a/app/check.go
+++ b/app/check.go
@@ -52,7 +52,7 @@
 	case errors.As(err, &mis):
 		return &exitError{ExitRefused, fmt.Errorf("%s is refused, nothing was changed; mistakes: %d\n%w", path, len(mis), mis)}
 	case errors.As(err, &cls):
-		return &exitError{ExitRefused, fmt.Errorf("%s clashes with other changes, nothing was changed; review it again with: skylarkstand diff %s\n%w", path, path, cls)}
+		return &exitError{ExitRefused, fmt.Errorf("%s clashes with other changes, nothing was changed; take them into the file and review it again\n%w", path, cls)}
 	}
 	return &exitError{ExitRefused, eris.Wrapf(err, "%s is refused", path)}
 }
--- a/core/declaration/effect.go
+++ b/core/declaration/effect.go
@@ -75,8 +75,11 @@
 		mv := core.ModelVersion{Model: mo.ID, Version: ve.ID}
 		was := !ef.from.Withdrawn(mv)
 		now := ef.to.Version(mv) != nil && !ef.to.Withdrawn(mv)
-		if was && !now {
+		switch {
+		case was && !now:
 			ef.add("%s stops: it gets no new work, and all sessions on it move", mv)
+		case !was && now:
+			ef.add("%s may serve again", mv)
 		}
 	}
 }
