Add the load command, an open loop of real clients

Operators and maintainers had no way to see what callers get under a mix of requests. The command drives entries at a set rate, counts latency from the time a request was due, keeps sessions and honours Retry-After, and prints HDR percentiles, outcomes by kind and CSV. Ruled out: a closed loop, which hides the worst moments.

--- a/app/app.go
+++ b/app/app.go
@@ -41,6 +41,7 @@
 	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
 	RollBack  *rollBackCmd  `arg:"subcommand:roll-back" help:"put an old generation's content in force again"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
+	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
 	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
 }
 
--- /dev/null
+++ b/app/load.go
@@ -0,0 +1,59 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/load"
+)
+
+type loadCmd struct {
+	Mix   string `arg:"positional,required" help:"mix of requests, JSON with comments; see docs/CONFIG.md"`
+	CSV   string `arg:"--csv" help:"write a line a request to this file"`
+	Quiet bool   `arg:"--quiet" help:"show no progress"`
+}
+
+func (cmd *loadCmd) run(ctx context.Context) error {
+	raw, err := readFile(cmd.Mix)
+	if err != nil {
+		return eris.Wrap(err, "mix")
+	}
+	mix, err := load.ParseMix(raw)
+	if errors.Is(err, load.ErrMix) {
+		return &exitError{ExitUsage, err}
+	}
+	if err != nil {
+		return err
+	}
+	var opts []load.Option
+	if !cmd.Quiet && terminal(os.Stderr) {
+		opts = append(opts, load.WithProgress(os.Stderr))
+	}
+	rep := load.New(mix, opts...).Run(ctx)
+	rep.Print(os.Stdout)
+	if cmd.CSV == "" {
+		return nil
+	}
+	return writeFile(cmd.CSV, rep.WriteCSV)
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	fi, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "report")
+	}
+	if err := write(fi); err != nil {
+		_ = fi.Close()
+		return err
+	}
+	return eris.Wrap(fi.Close(), "report")
+}
+
+func terminal(fi *os.File) bool {
+	st, err := fi.Stat()
+	return err == nil && st.Mode()&os.ModeCharDevice != 0
+}
--- a/core/schema/page.go
+++ b/core/schema/page.go
@@ -49,7 +49,7 @@
 func Page() (string, error) {
 	var sb strings.Builder
 	sb.WriteString(intro)
-	for _, kd := range []Kind{Entry, Agent, Configuration} {
+	for _, kd := range []Kind{Entry, Agent, Configuration, Load} {
 		ck, err := compile(kd)
 		if err != nil {
 			return "", err
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -32,6 +32,7 @@
 	Entry         Kind = "entry"
 	Agent         Kind = "agent"
 	Configuration Kind = "configuration"
+	Load          Kind = "load"
 )
 
 // Fault is one breach of a schema.
@@ -129,6 +130,10 @@
 		out = append(out, Fault{at, fmt.Sprintf("is %s, not %s", ki.Got, strings.Join(ki.Want, " or ")), "write " + sample(ki.Want), true})
 	case *kind.Minimum:
 		out = append(out, Fault{at, ki.Got.RatString() + " is too small", "give at least " + ki.Want.RatString(), false})
+	case *kind.ExclusiveMinimum:
+		out = append(out, Fault{at, ki.Got.RatString() + " is too small", "give more than " + ki.Want.RatString(), false})
+	case *kind.MinItems:
+		out = append(out, Fault{at, "the list is too short", fmt.Sprintf("give at least %d", ki.Want), false})
 	case *kind.Maximum:
 		out = append(out, Fault{at, ki.Got.RatString() + " is too large", "give at most " + ki.Want.RatString(), false})
 	case *kind.Enum:
--- a/docs/schema/generate/main.go
+++ b/docs/schema/generate/main.go
@@ -16,6 +16,7 @@
 
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
+	"skylarkstand/load"
 )
 
 const module = "skylarkstand"
@@ -36,6 +37,7 @@
 		{"entry", "Settings of an entry", settings.DefaultEntry()},
 		{"agent", "Settings of an agent", settings.DefaultAgent()},
 		{"configuration", "Configuration", declaration.Document{}},
+		{"load", "Mix of the load command", load.DefaultMix()},
 	} {
 		sc, err := reflectSchema(page.value)
 		if err != nil {
@@ -55,7 +57,7 @@
 
 func reflectSchema(val any) (*jsonschema.Schema, error) {
 	rf := &jsonschema.Reflector{Anonymous: true, ExpandedStruct: true, Mapper: mapType}
-	for _, dir := range []string{"./core/declaration", "./app/settings"} {
+	for _, dir := range []string{"./core/declaration", "./app/settings", "./load"} {
 		if err := rf.AddGoComments(module, dir, jsonschema.WithFullComment()); err != nil {
 			return nil, err
 		}
--- a/docs/schema/schema.go
+++ b/docs/schema/schema.go
@@ -1,5 +1,5 @@
 // Package schema holds the generated JSON schemas of what operators write: the
-// settings of both roles and the configuration. They are generated from the Go
+// settings of both roles, the configuration and the mix of a load. They are generated from the Go
 // structs by docs/schema/generate and built into the program, so that a check
 // and the documentation cannot differ.
 //
@@ -10,7 +10,7 @@
 
 import "embed"
 
-// Files holds entry.json, agent.json and configuration.json.
+// Files holds entry.json, agent.json, configuration.json and load.json.
 //
 //go:embed *.json
 var Files embed.FS
--- /dev/null
+++ b/load/client.go
@@ -0,0 +1,172 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// client sends tries over HTTP.
+type client struct{ http *http.Client }
+
+const maxConns = 4096
+
+func newClient() *client {
+	return &client{&http.Client{Transport: &http.Transport{MaxIdleConns: maxConns, MaxIdleConnsPerHost: maxConns}}}
+}
+
+// call is one request with what stays the same over its tries.
+type call struct {
+	kind    *Request
+	entry   string
+	id      string
+	session string
+	pin     string
+	body    []byte
+}
+
+func newCall(rq *Request, entry, id string) *call {
+	ca := &call{kind: rq, entry: entry, id: id, body: []byte(`{}`)}
+	if rq.Model == "" {
+		return ca
+	}
+	words := strings.Repeat("light ", max(rq.PromptWords, 1))
+	raw, err := json.Marshal(chat{rq.Model, rq.Stream, []message{{"user", strings.TrimSpace(words)}}})
+	if err == nil {
+		ca.body = raw
+	}
+	return ca
+}
+
+type chat struct {
+	Model    string    `json:"model"`
+	Stream   bool      `json:"stream"`
+	Messages []message `json:"messages"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (ca *call) url() string {
+	if ca.kind.Model != "" {
+		return ca.entry + "/v1/chat/completions"
+	}
+	return ca.entry + "/v1/services/" + string(ca.kind.Service) + "/" + string(ca.kind.Operation)
+}
+
+// try sends a call once. The context carries what is left of its deadline.
+func (cl *client) try(ctx context.Context, ca *call, left time.Duration) Attempt {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, ca.url(), bytes.NewReader(ca.body))
+	if err != nil {
+		return Attempt{Outcome: Unsent}
+	}
+	rq.GetBody = nil // The transport's own silent retries would hide a fault.
+	hd := rq.Header
+	hd.Set("Authorization", "Bearer "+ca.kind.Key)
+	hd.Set("Content-Type", "application/json")
+	hd.Set("X-Request-Id", ca.id)
+	hd.Set("Skylarkstand-Deadline", left.Round(time.Millisecond).String())
+	if ca.kind.Service != "" {
+		hd.Set("Idempotency-Key", ca.id)
+	}
+	if ca.session != "" {
+		hd.Set("Skylarkstand-Session", ca.session)
+	}
+	if ca.pin != "" {
+		hd.Set("Skylarkstand-Pin", ca.pin)
+	}
+	began := time.Now()
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return Attempt{Outcome: unanswered(err)}
+	}
+	defer rs.Body.Close()
+	rd := bufio.NewReader(rs.Body)
+	_, _ = rd.Peek(1)
+	at := Attempt{First: time.Since(began), Version: rs.Header.Get("Skylarkstand-Version"), Pin: rs.Header.Get("Skylarkstand-Pin")}
+	if secs, err := strconv.Atoi(rs.Header.Get("Retry-After")); err == nil {
+		at.RetryAfter = time.Duration(secs) * time.Second
+	}
+	if strings.HasPrefix(rs.Header.Get("Content-Type"), "text/event-stream") {
+		at.readEvents(rd)
+	} else {
+		at.readWhole(rd, rs.StatusCode)
+	}
+	return at
+}
+
+// unanswered tells a request that never left from one whose answer broke off.
+func unanswered(err error) Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return Unsent
+	}
+	return Cut
+}
+
+// failure is the error body of the API.
+type failure struct {
+	Error *struct {
+		Code core.Code `json:"code"`
+		Ran  core.Ran  `json:"ran"`
+	} `json:"error"`
+}
+
+func (at *Attempt) readWhole(rd io.Reader, status int) {
+	raw, err := io.ReadAll(rd)
+	switch {
+	case err != nil:
+		at.Outcome = Cut
+	case status == http.StatusOK:
+		at.Outcome = Whole
+	default:
+		at.fail(raw)
+	}
+}
+
+// readEvents reads a stream. It is whole with its end mark only.
+func (at *Attempt) readEvents(rd io.Reader) {
+	at.Outcome = Cut
+	failing := false
+	sc := bufio.NewScanner(rd)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		switch {
+		case strings.HasPrefix(sc.Text(), "event: error"):
+			failing = true
+		case ok && failing:
+			at.fail([]byte(data))
+		case ok && data == "[DONE]":
+			at.Outcome = Whole
+		}
+	}
+}
+
+func (at *Attempt) fail(raw []byte) {
+	var fl failure
+	if json.Unmarshal(raw, &fl) != nil || fl.Error == nil {
+		at.Outcome = Cut
+		return
+	}
+	at.Code = fl.Error.Code
+	switch fl.Error.Ran {
+	case core.NotRun:
+		at.Outcome = NotRun
+	case core.RanFailed:
+		at.Outcome = Ran
+	default:
+		at.Outcome = Unknown
+	}
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+)
+
+func quickMix(rate float64, lasts time.Duration) Mix {
+	mix := DefaultMix()
+	mix.Entries, mix.Rate, mix.Duration = []string{"http://127.0.0.1:1"}, rate, settings.Duration(lasts)
+	mix.Requests = []Request{{Name: "quick", Weight: 1, Model: "quick", Deadline: settings.Duration(10 * time.Second), Sessions: 4}}
+	return mix
+}
+
+// fake answers by a function, in virtual time.
+type fake func(ctx context.Context, ca *call) Attempt
+
+func (fk fake) try(ctx context.Context, ca *call, _ time.Duration) Attempt { return fk(ctx, ca) }
+
+func TestRetryHonoursWhatTheAnswerSays(t *testing.T) {
+	for _, sc := range []struct {
+		testName string
+		at       Attempt
+		tries    int
+		left     time.Duration
+		wait     time.Duration
+		again    bool
+	}{
+		{"whole answer", Attempt{Outcome: Whole}, 1, time.Minute, 0, false},
+		{"refused for a while", Attempt{Outcome: NotRun, RetryAfter: 2 * time.Second}, 1, time.Minute, 2 * time.Second, true},
+		{"refused for good", Attempt{Outcome: NotRun}, 1, time.Minute, 0, false},
+		{"refused beyond the deadline", Attempt{Outcome: NotRun, RetryAfter: 2 * time.Second}, 1, time.Second, 2 * time.Second, false},
+		{"outcome unknown", Attempt{Outcome: Unknown}, 1, time.Minute, 0, false},
+		{"broken off twice", Attempt{Outcome: Cut}, 2, time.Minute, 200 * time.Millisecond, true},
+		{"tried often enough", Attempt{Outcome: Cut}, 4, time.Minute, 0, false},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			wait, again := Again(sc.at, sc.tries, 3, sc.left, 0)
+			assert.Equal(t, wait, sc.wait)
+			assert.Equal(t, again, sc.again)
+			late, _ := Again(sc.at, sc.tries, 3, sc.left, 1)
+			assert.Assert(t, late >= wait, "a client never comes back earlier than it was asked to")
+		})
+	}
+}
+
+// An entry stands still for three seconds and then answers at once. A driver
+// that waits for answers would send little in that time and report a fine
+// median; callers who came then waited for seconds.
+func TestLatencyCountsFromTheTimeARequestWasDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		ru := New(quickMix(100, 6*time.Second))
+		ru.snd = fake(func(context.Context, *call) Attempt {
+			time.Sleep(time.Until(began.Add(3 * time.Second)))
+			return Attempt{Outcome: Whole}
+		})
+		rep := ru.Run(t.Context())
+		assert.Equal(t, rep.Count(Whole), len(rep.Results))
+		assert.Assert(t, len(rep.Results) > 500 && len(rep.Results) < 700, "%d", len(rep.Results))
+		p40, p90 := rep.kinds[0].total.ValueAtQuantile(40), rep.kinds[0].total.ValueAtQuantile(90)
+		assert.Assert(t, p40 <= 1 && p90 > 2_000_000, "%d %d", p40, p90)
+	})
+}
+
+// The entry refuses everything for a while. Clients come back when they are
+// told to, under the same request id, and none earlier.
+func TestRefusedRequestsComeBackUnderTheirIDWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		var mu sync.Mutex
+		refused := map[string]time.Time{}
+		ru := New(quickMix(50, time.Second))
+		ru.snd = fake(func(_ context.Context, ca *call) Attempt {
+			mu.Lock()
+			defer mu.Unlock()
+			if time.Since(began) < time.Second {
+				refused[ca.id] = time.Now()
+				return Attempt{Outcome: NotRun, Code: core.CodeOverloaded, RetryAfter: 2 * time.Second}
+			}
+			assert.Check(t, time.Since(refused[ca.id]) >= 2*time.Second)
+			assert.Check(t, ca.session != "")
+			return Attempt{Outcome: Whole, Pin: "pin"}
+		})
+		rep := ru.Run(t.Context())
+		assert.Equal(t, rep.Count(Whole), len(refused))
+		assert.Equal(t, rep.kinds[0].attempts, 2*len(refused))
+	})
+}
+
+// A caller whose answer broke off in the middle has half a quote. Were it
+// counted as whole, a run would look clean that harmed people.
+func TestOutcomesAreReadTruthfully(t *testing.T) {
+	for _, sc := range []struct {
+		testName, contentType string
+		status                int
+		body                  string
+		want                  Outcome
+	}{
+		{"whole stream", "text/event-stream", 200, "data: {}\n\ndata: [DONE]\n\n", Whole},
+		{"stream without its end", "text/event-stream", 200, "data: {}\n\n", Cut},
+		{"stream that ends in an error", "text/event-stream", 200, "data: {}\n\nevent: error\ndata: {\"error\":{\"code\":\"outcome-unknown\",\"ran\":\"unknown\"}}\n\n", Unknown},
+		{"whole answer", "application/json", 200, "{}", Whole},
+		{"refused", "application/json", 503, `{"error":{"code":"overloaded","ran":"not-run"}}`, NotRun},
+		{"failed", "application/json", 502, `{"error":{"code":"upstream-failed","ran":"ran"}}`, Ran},
+		{"an answer of something else", "text/html", 502, "<html>", Cut},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", sc.contentType)
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(sc.status)
+				_, _ = w.Write([]byte(sc.body))
+			}))
+			defer srv.Close()
+			rq := quickMix(1, time.Second).Requests[0]
+			at := newClient().try(t.Context(), newCall(&rq, srv.URL, "id"), time.Second)
+			assert.Equal(t, at.Outcome, sc.want)
+			assert.Equal(t, at.RetryAfter, 3*time.Second)
+		})
+	}
+}
+
+func TestMixFaultsAreReportedAtOnce(t *testing.T) {
+	_, err := ParseMix([]byte(`{"entries": [], "rate": 0, "duration": "10s", "request": []}`))
+	assert.ErrorIs(t, err, ErrMix)
+	assert.Equal(t, strings.Join(strings.Split(err.Error(), "\n")[1:], "\n"), strings.TrimSpace(`
+entries: the list is too short; give at least 1
+rate: 0 is too small; give more than 0
+request: there is no such field; did you mean "requests"?
+requests: is missing; set it`))
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+)
+
+// Result is what became of one request.
+type Result struct {
+	Arrival
+	Outcome  Outcome
+	Code     core.Code
+	Attempts int
+	// First and Total count from the time at which the request was due.
+	First, Total time.Duration
+	Version      string
+}
+
+// Report is what became of a mix.
+type Report struct {
+	Results []Result
+	// Took is the time until the last request had ended.
+	Took time.Duration
+
+	kinds []kindReport
+}
+
+// kindReport sums up one kind of request. Latencies are of whole answers.
+type kindReport struct {
+	name         string
+	outcomes     map[Outcome]int
+	attempts     int
+	first, total *hdrhistogram.Histogram
+}
+
+const (
+	// slowest is the largest latency that is told apart.
+	slowest = time.Hour
+	// digits of a latency are kept.
+	digits = 3
+)
+
+func newReport(mix Mix) *Report {
+	rep := &Report{}
+	for _, rq := range mix.Requests {
+		rep.kinds = append(rep.kinds, kindReport{
+			name: rq.Name, outcomes: map[Outcome]int{},
+			first: hdrhistogram.New(1, slowest.Microseconds(), digits), total: hdrhistogram.New(1, slowest.Microseconds(), digits),
+		})
+	}
+	return rep
+}
+
+func (rep *Report) add(re Result) {
+	rep.Results = append(rep.Results, re)
+	kr := &rep.kinds[re.Kind]
+	kr.outcomes[re.Outcome]++
+	kr.attempts += re.Attempts
+	if re.Outcome == Whole {
+		// A value out of range would be the only error; it is bounded here.
+		_ = kr.first.RecordValue(bounded(re.First))
+		_ = kr.total.RecordValue(bounded(re.Total))
+	}
+}
+
+func bounded(d time.Duration) int64 {
+	return max(1, min(d, slowest).Microseconds())
+}
+
+// Count returns how many requests ended in a way.
+func (rep *Report) Count(oc Outcome) int {
+	n := 0
+	for _, kr := range rep.kinds {
+		n += kr.outcomes[oc]
+	}
+	return n
+}
+
+var percentiles = []float64{50, 90, 99, 99.9, 100}
+
+// Print writes the report for people.
+func (rep *Report) Print(wr io.Writer) {
+	fmt.Fprintf(wr, "%d requests in %s, %.1f whole answers a second\n", len(rep.Results), rep.Took.Round(time.Millisecond), float64(rep.Count(Whole))/rep.Took.Seconds())
+	fmt.Fprintf(wr, "\n%-16s", "outcome")
+	for _, oc := range Outcomes() {
+		fmt.Fprintf(wr, "%9s", oc)
+	}
+	fmt.Fprintf(wr, "%9s\n", "tries")
+	for _, kr := range rep.kinds {
+		fmt.Fprintf(wr, "%-16s", kr.name)
+		for _, oc := range Outcomes() {
+			fmt.Fprintf(wr, "%9d", kr.outcomes[oc])
+		}
+		fmt.Fprintf(wr, "%9d\n", kr.attempts)
+	}
+	fmt.Fprintf(wr, "\n%-24s", "whole answers, ms")
+	for _, pc := range percentiles {
+		fmt.Fprintf(wr, "%10s", "p"+strconv.FormatFloat(pc, 'f', -1, 64))
+	}
+	fmt.Fprintln(wr)
+	for _, kr := range rep.kinds {
+		kr.printLatency(wr, "first byte", kr.first)
+		kr.printLatency(wr, "total", kr.total)
+	}
+}
+
+func (kr *kindReport) printLatency(wr io.Writer, what string, hg *hdrhistogram.Histogram) {
+	if hg.TotalCount() == 0 {
+		return
+	}
+	fmt.Fprintf(wr, "%-24s", kr.name+" "+what)
+	for _, pc := range percentiles {
+		fmt.Fprintf(wr, "%10.2f", float64(hg.ValueAtQuantile(pc))/1000)
+	}
+	fmt.Fprintln(wr)
+}
+
+// WriteCSV writes a line a request, in the order in which they ended.
+func (rep *Report) WriteCSV(wr io.Writer) error {
+	cw := csv.NewWriter(wr)
+	_ = cw.Write([]string{"due-ms", "name", "session", "outcome", "code", "tries", "first-ms", "total-ms", "version"})
+	for _, re := range rep.Results {
+		_ = cw.Write([]string{
+			millis(re.At), rep.kinds[re.Kind].name, strconv.Itoa(re.Session), string(re.Outcome), string(re.Code),
+			strconv.Itoa(re.Attempts), millis(re.First), millis(re.Total), re.Version,
+		})
+	}
+	cw.Flush()
+	return eris.Wrap(cw.Error(), "write CSV")
+}
+
+func millis(d time.Duration) string {
+	return strconv.FormatFloat(float64(d.Microseconds())/1000, 'f', 3, 64)
+}
