Draw the outcome of a load run, from its CSV

A table of percentiles does not show when answers were slow. A small program of its own draws the median and the 99th percentile over time as SVG with gonum/plot.

--- a/app/load.go
+++ b/app/load.go
@@ -35,13 +35,14 @@
 	}
 	rep := load.New(mix, opts...).Run(ctx)
 	rep.Print(os.Stdout)
-	if cmd.CSV == "" {
-		return nil
-	}
 	return writeFile(cmd.CSV, rep.WriteCSV)
 }
 
+// writeFile writes a report to a file, if one was asked for.
 func writeFile(path string, write func(io.Writer) error) error {
+	if path == "" {
+		return nil
+	}
 	fi, err := os.Create(path)
 	if err != nil {
 		return eris.Wrap(err, "report")
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -16,6 +16,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/declaration/publish"
 	"skylarkstand/io/store"
+	"skylarkstand/load"
 	standin "skylarkstand/standin/store"
 )
 
@@ -35,6 +36,13 @@
 	}
 }
 
+func TestMixIsSound(t *testing.T) {
+	raw, err := os.ReadFile("mix.jsonc")
+	assert.NilError(t, err)
+	_, err = load.ParseMix(raw)
+	assert.NilError(t, err)
+}
+
 func TestExamplePassesCheckDiffAndApply(t *testing.T) {
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/load/chart/chart.go
@@ -0,0 +1,151 @@
+// Chart draws the CSV of `skylarkstand load` as an SVG: the median and the
+// 99th percentile of whole answers over the time at which their requests were
+// due. It is a program of its own because the drawing library loads its fonts
+// at start, which would cost each agent about four megabytes.
+//
+// # Usage
+//
+//	skylarkstand load mix.jsonc --csv run.csv
+//	go run ./load/chart <run.csv >run.svg
+package main
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"skylarkstand/load"
+)
+
+const (
+	// maxSlices of time are shown at most; more of them blur.
+	maxSlices = 120
+	// minSlice is in seconds; in less there are too few answers for a
+	// percentile.
+	minSlice = 1.0
+	// slowShare is the percentile that is drawn beside the median.
+	slowShare = 0.99
+
+	width  = 24 * vg.Centimeter
+	height = 12 * vg.Centimeter
+)
+
+func main() {
+	if err := draw(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
+
+// series is the whole answers of one kind of request.
+type series struct {
+	name    string
+	answers []plotter.XY
+}
+
+func draw(rd io.Reader, wr io.Writer) error {
+	list, err := read(rd)
+	if err != nil {
+		return err
+	}
+	pl := plot.New()
+	pl.Title.Text = "Whole answers, by the time at which their requests were due"
+	pl.X.Label.Text, pl.Y.Label.Text = "seconds", "ms"
+	pl.Y.Min = 0
+	pl.Legend.Top = true
+	slice := sliceWidth(list)
+	for i, se := range list {
+		median, slow := se.lines(slice)
+		for j, pts := range []plotter.XYs{median, slow} {
+			ln, err := plotter.NewLine(pts)
+			if err != nil {
+				return eris.Wrap(err, "draw chart")
+			}
+			ln.Color, ln.Dashes = plotutil.Color(i), plotutil.Dashes(j)
+			pl.Add(ln)
+			pl.Legend.Add(se.name+[]string{" p50", " p99"}[j], ln)
+		}
+	}
+	to, err := pl.WriterTo(width, height, "svg")
+	if err != nil {
+		return eris.Wrap(err, "draw chart")
+	}
+	_, err = to.WriteTo(wr)
+	return eris.Wrap(err, "write chart")
+}
+
+// read returns the whole answers of a CSV by kind, times in seconds and
+// latencies in milliseconds.
+func read(rd io.Reader) ([]series, error) {
+	rows, err := csv.NewReader(rd).ReadAll()
+	if err != nil {
+		return nil, eris.Wrap(err, "the input is not the CSV of skylarkstand load")
+	}
+	if len(rows) == 0 {
+		return nil, eris.New("the input is empty; give the CSV of skylarkstand load")
+	}
+	due, name := slices.Index(rows[0], load.ColumnDue), slices.Index(rows[0], load.ColumnName)
+	outcome, total := slices.Index(rows[0], load.ColumnOutcome), slices.Index(rows[0], load.ColumnTotal)
+	if min(due, name, outcome, total) < 0 {
+		return nil, eris.New("the input is not the CSV of skylarkstand load: columns are missing")
+	}
+	var out []series
+	for _, row := range rows[1:] {
+		if row[outcome] != string(load.Whole) {
+			continue
+		}
+		at, err := strconv.ParseFloat(row[due], 64)
+		if err != nil {
+			return nil, eris.Wrap(err, load.ColumnDue)
+		}
+		took, err := strconv.ParseFloat(row[total], 64)
+		if err != nil {
+			return nil, eris.Wrap(err, load.ColumnTotal)
+		}
+		i := slices.IndexFunc(out, func(se series) bool { return se.name == row[name] })
+		if i < 0 {
+			i = len(out)
+			out = append(out, series{name: row[name]})
+		}
+		out[i].answers = append(out[i].answers, plotter.XY{X: at / 1000, Y: took})
+	}
+	return out, nil
+}
+
+func sliceWidth(list []series) float64 {
+	var last float64
+	for _, se := range list {
+		for _, xy := range se.answers {
+			last = max(last, xy.X)
+		}
+	}
+	return max(minSlice, last/maxSlices)
+}
+
+// lines returns the median and the slow answers, a point a slice of time.
+func (se series) lines(slice float64) (median, slow plotter.XYs) {
+	cut := map[int][]float64{}
+	for _, xy := range se.answers {
+		cut[int(xy.X/slice)] = append(cut[int(xy.X/slice)], xy.Y)
+	}
+	for i := range maxSlices + 1 {
+		all := cut[i]
+		if len(all) == 0 {
+			continue
+		}
+		slices.Sort(all)
+		at := float64(i) * slice
+		median = append(median, plotter.XY{X: at, Y: all[len(all)/2]})
+		slow = append(slow, plotter.XY{X: at, Y: all[int(slowShare*float64(len(all)-1))]})
+	}
+	return median, slow
+}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -96,6 +96,9 @@
 		rep := ru.Run(t.Context())
 		assert.Equal(t, rep.Count(Whole), len(refused))
 		assert.Equal(t, rep.kinds[0].attempts, 2*len(refused))
+		var sheet strings.Builder
+		assert.NilError(t, rep.WriteCSV(&sheet))
+		assert.Equal(t, strings.Count(sheet.String(), "\n"), 1+len(refused))
 	})
 }
 
--- a/load/report.go
+++ b/load/report.go
@@ -123,10 +123,18 @@
 	fmt.Fprintln(wr)
 }
 
+// Columns of a report's CSV, which load/chart reads.
+const (
+	ColumnDue     = "due-ms"
+	ColumnName    = "name"
+	ColumnOutcome = "outcome"
+	ColumnTotal   = "total-ms"
+)
+
 // WriteCSV writes a line a request, in the order in which they ended.
 func (rep *Report) WriteCSV(wr io.Writer) error {
 	cw := csv.NewWriter(wr)
-	_ = cw.Write([]string{"due-ms", "name", "session", "outcome", "code", "tries", "first-ms", "total-ms", "version"})
+	_ = cw.Write([]string{ColumnDue, ColumnName, "session", ColumnOutcome, "code", "tries", "first-ms", ColumnTotal, "version"})
 	for _, re := range rep.Results {
 		_ = cw.Write([]string{
 			millis(re.At), rep.kinds[re.Kind].name, strconv.Itoa(re.Session), string(re.Outcome), string(re.Code),
