Refuse roll-outs that leave a share of sessions without a version

A workspace that may use the version under roll-out and a withdrawn one passed the check, and 99 of 100 of its new sessions were turned away. Fields that stand twice in one object are refused too, since JSON readers take the last without a word. An interrupted apply says that it was interrupted. Ruled out: leaving the gap to the router, which cannot tell a slip from an intent.

--- a/app/apply.go
+++ b/app/apply.go
@@ -47,6 +47,9 @@
 func (aa auditArgs) apply(ctx context.Context, pub *publish.Publisher, name string, pr publish.Proposal) error {
 	pr.Who, pr.Why = aa.operator(), aa.Why
 	res, err := pub.Prepare(ctx, pr)
+	if ctx.Err() != nil {
+		return publish.ErrInterrupted
+	}
 	if errors.Is(err, publish.ErrSame) {
 		fmt.Printf("nothing to change: generation %d says the same\n", res.Before.Number)
 		return nil
@@ -79,7 +82,7 @@
 	switch {
 	case errors.As(err, &un):
 		return &exitError{ExitUncertain, eris.Errorf("%s: the store's reply was lost; look at `skylarkstand history`, or apply the same file again, which is safe", un)}
-	case errors.Is(err, publish.ErrAway), errors.Is(err, publish.ErrBusy):
+	case errors.Is(err, publish.ErrAway), errors.Is(err, publish.ErrBusy), errors.Is(err, publish.ErrInterrupted):
 		return err
 	}
 	return refused(name, err)
--- a/core/declaration/check_test.go
+++ b/core/declaration/check_test.go
@@ -110,6 +110,8 @@
 func TestLoadReportsFormAndContentTogether(t *testing.T) {
 	_, err := declaration.Load([]byte(`{
 		// comments are fine
+		"withdrawals": [{"model": "desk", "version": "v1", "reason": "leaks"}],
+		"withdrawals": [],
 		"models": [{"id": "desk", "stable": "v2", "versions": [{"id": "v1", "qualty": 0.7, "prompt-price": 1, "token-price": 2}]}],
 		"workspaces": [{"id": "schools", "key-hashes": [], "share": 1, "quality": 0.5, "latency-price": 1, "limit": 0,
 			"allow": [{"model": "desk", "versions": ["v1"]}]}],
@@ -117,6 +119,7 @@
 	assert.Error(t, err, strings.TrimSpace(`
 models[0].versions[0].quality: is missing; set it [schema]
 models[0].versions[0].qualty: there is no such field; did you mean "quality"? [schema]
+withdrawals: stands twice, and only the last would count; merge the two [schema]
 workspaces[0].limit: 0 is too small; give at least 1 [schema]
 models[desk].stable: version of desk "v2" is not declared; did you mean "v1"? [unknown-name]
 workspaces[schools].key-hashes: no key opens the workspace; add the SHA-256 digest of its key [no-key]`))
--- a/core/declaration/check_workspaces.go
+++ b/core/declaration/check_workspaces.go
@@ -64,9 +64,23 @@
 		ch.add(NoVersionLeft, place, fmt.Sprintf("every version of %s that the workspace may use is withdrawn, so its requests would be turned away", al.Model),
 			"allow a version that can serve")
 	}
-	// The part of new sessions that the roll-out leaves out has no version.
-	if ro := ch.sn.RollOut(al.Model); ro != nil && ro.Percent < everything && ro.Version != mo.Stable && len(al.Versions) == 1 && al.Versions[0] == ro.Version {
-		ch.add(RollOutOnly, place, fmt.Sprintf("only %s is allowed, which is under roll-out, so the other %d%% of new sessions have no version", ro.target(), everything-ro.Percent),
+	ch.rest(place, ws, mo)
+}
+
+// rest looks for new sessions that a roll-out leaves without a version. They
+// are a share, so callers would be turned away now and then, and a trial by
+// hand may well miss it.
+func (ch *checker) rest(place string, ws *Workspace, mo *Model) {
+	ro := ch.sn.RollOut(mo.ID)
+	if ro == nil || ro.Version == mo.Stable || !ch.sn.canServe(ws.ID, mo) {
+		return
+	}
+	left := everything
+	for _, vs := range ch.sn.Split(ws.ID, mo.ID) {
+		left -= vs.Percent
+	}
+	if left > 0 {
+		ch.add(RollOutOnly, place, fmt.Sprintf("only %s can serve here, which is under roll-out, so the other %d%% of new sessions have no version", ro.target(), left),
 			fmt.Sprintf("allow the stable version %s too", mo.Stable))
 	}
 }
--- a/core/declaration/mistakes_test.go
+++ b/core/declaration/mistakes_test.go
@@ -127,7 +127,7 @@
 		doc.RollOuts = []declaration.RollOut{{Model: "desk", Version: "v2", Percent: 10}}
 		doc.Workspaces[1].Allow[0].Versions = []core.VersionID{"v2"}
 	}, `
-workspaces[districts].allow[desk]: only desk@v2 is allowed, which is under roll-out, so the other 90% of new sessions have no version; allow the stable version v1 too [only-roll-out-allowed]`},
+workspaces[districts].allow[desk]: only desk@v2 can serve here, which is under roll-out, so the other 90% of new sessions have no version; allow the stable version v1 too [only-roll-out-allowed]`},
 	{"new stable version without a roll-out", nil, func(doc *document) { doc.Models[0].Stable = "v2" }, `
 models[desk].stable: desk@v2 becomes stable with 0% of new sessions so far; roll it out to at least 50% first, or accept the risk: {"rule": "stable-step", "place": "models[desk].stable", "reason": "…"} [stable-step]`},
 	{"stable version withdrawn", nil, func(doc *document) {
--- a/core/declaration/publish/publish.go
+++ b/core/declaration/publish/publish.go
@@ -35,6 +35,8 @@
 var (
 	// ErrAway: the store cannot be reached; nothing was changed.
 	ErrAway = errors.New("publish: the store cannot be reached; nothing was changed")
+	// ErrInterrupted: the context ended before anything was written.
+	ErrInterrupted = errors.New("publish: interrupted before the change was written; nothing was changed")
 	// ErrNoGeneration: there is no such generation.
 	ErrNoGeneration = errors.New("publish: no such generation")
 	// ErrBusy: others were first too often; nothing was changed.
@@ -189,11 +191,14 @@
 }
 
 // Apply puts a proposal in force and returns what was accepted. Errors:
-// [declaration.Mistakes], [declaration.Clashes], ErrAway, ErrBusy, ErrSame,
-// *[Uncertain].
+// [declaration.Mistakes], [declaration.Clashes], ErrAway, ErrInterrupted,
+// ErrBusy, ErrSame, *[Uncertain].
 func (pub *Publisher) Apply(ctx context.Context, pr Proposal) (Result, error) {
 	for range attempts {
 		res, err := pub.Prepare(ctx, pr)
+		if ctx.Err() != nil {
+			return res, ErrInterrupted
+		}
 		if err != nil {
 			return res, err
 		}
--- a/core/schema/validate.go
+++ b/core/schema/validate.go
@@ -58,15 +58,15 @@
 	if err != nil {
 		return nil, err
 	}
+	out := duplicates(text)
 	err = ck.schema.Validate(val)
 	var ve *jsonschema.ValidationError
 	switch {
-	case err == nil:
-		return nil, nil
-	case !errors.As(err, &ve):
+	case errors.As(err, &ve):
+		out = ck.explain(out, ve)
+	case err != nil:
 		return nil, eris.Wrap(err, "validate")
 	}
-	out := ck.explain(nil, ve)
 	slices.SortFunc(out, func(a, b Fault) int { return strings.Compare(a.Place, b.Place) })
 	return out, nil
 }
--- /dev/null
+++ b/core/spelling/nearest_test.go
@@ -0,0 +1,27 @@
+package spelling_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core/spelling"
+)
+
+func TestNearest(t *testing.T) {
+	known := []string{"desk", "drafter", "v1", "kogane-lm", "kogane-lm-small"}
+	for _, sc := range []struct{ testName, name, want string }{
+		{"a letter is missing", "draftr", "drafter"},
+		{"letters are swapped", "deks", "desk"},
+		{"another digit", "v7", "v1"},
+		{"the nearer of two", "kogane-lm-smal", "kogane-lm-small"},
+		{"nothing is near", "subsidy", ""},
+		{"nothing is known of an empty name", "", ""},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			got, ok := spelling.Nearest(sc.name, known)
+			assert.Equal(t, got, sc.want)
+			assert.Equal(t, ok, sc.want != "")
+		})
+	}
+}
