Refuse settings whose values do harm, and read all behind a broken one

A limit of nought, a pause of none or a misspelt log level started a process that refused every request or logged at another level than asked. They are faults now, reported with all others. The test of all faults at once then showed that the decoder stops at a time that it cannot read, so that settings behind it counted as not given; values of the wrong type are left out before decoding. Ruled out: falling back to the default, which leaves the operator believing that the value holds; two decoders in a row, which differ in defaults.

--- a/app/settings/load.go
+++ b/app/settings/load.go
@@ -6,12 +6,15 @@
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
 
 	"skylarkstand/core/schema"
+	"skylarkstand/core/spelling"
 )
 
 // Faults is all that is wrong with a settings file.
@@ -34,6 +37,11 @@
 	fa.present("zone", string(set.Zone))
 	fa.present("region", string(set.Region))
 	fa.present("pin-secret", set.PinSecret)
+	fa.atLeast("max-body", set.MaxBody, 1, "every request would be refused")
+	fa.atLeast("max-in-flight", set.MaxInFlight, 1, "every request would be refused")
+	fa.some("ledger-pace", set.LedgerPace, "the ledger would be written without a pause")
+	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
+	fa.logLevel(set.LogLevel)
 	return set, fa.err(path)
 }
 
@@ -61,9 +69,10 @@
 		fa.url("service-url", set.ServiceURL)
 		fa.present("service", string(set.Service))
 	}
-	if set.Slots < 1 {
-		fa.add("slots", "%d is too small, the upstream would get no work; give at least 1", set.Slots)
-	}
+	fa.atLeast("slots", int64(set.Slots), 1, "the upstream would get no work")
+	fa.atLeast("queue", int64(set.Queue), 0, "a queue cannot be shorter than nothing")
+	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
+	fa.logLevel(set.LogLevel)
 	return set, fa.err(path)
 }
 
@@ -87,10 +96,32 @@
 	for _, el := range list {
 		fa = append(fa, el.String())
 	}
-	if err := json.Unmarshal(std, out); err != nil && len(fa) == 0 {
-		return nil, eris.Wrapf(err, "settings %s", path)
+	return fa, eris.Wrapf(decode(std, list, out), "settings %s", path)
+}
+
+// decode reads what is readable. Fields of another type than declared are left
+// out: the decoder stops at some of them, and what stands behind them would
+// count as not given.
+func decode(std []byte, list []schema.Fault, out any) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(std, &fields); err != nil {
+		if len(list) > 0 {
+			return nil // No object at all, which is a fault already.
+		}
+		return err
+	}
+	for _, el := range list {
+		if el.Shape {
+			name, _, _ := strings.Cut(el.Place, ".")
+			name, _, _ = strings.Cut(name, "[")
+			delete(fields, name)
+		}
+	}
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		return err
 	}
-	return fa, nil
+	return json.Unmarshal(raw, out)
 }
 
 // has reports whether a field has a fault already; a second line about it
@@ -129,6 +160,32 @@
 	}
 }
 
+func (fa *Faults) atLeast(name string, val, least int64, harm string) {
+	if val < least {
+		fa.add(name, "%d is too small, %s; give at least %d", val, harm, least)
+	}
+}
+
+func (fa *Faults) some(name string, du Duration, harm string) {
+	if du <= 0 {
+		fa.add(name, "%s is too short, %s; give more, such as \"2s\"", time.Duration(du), harm)
+	}
+}
+
+// logLevel refuses unknown levels: an operator who asks for "verbose" and gets
+// the default looks for lines that are never written.
+func (fa *Faults) logLevel(val string) {
+	levels := []string{"debug", "info", "warn", "error"}
+	if slices.Contains(levels, val) {
+		return
+	}
+	remedy := "choose one of " + strings.Join(levels, ", ")
+	if near, ok := spelling.Nearest(val, levels); ok {
+		remedy = fmt.Sprintf("did you mean %q?", near)
+	}
+	fa.add("log-level", "there is no level %q; %s", val, remedy)
+}
+
 func (fa *Faults) err(path string) error {
 	if len(*fa) == 0 {
 		return nil
--- a/app/settings/load_test.go
+++ b/app/settings/load_test.go
@@ -25,9 +25,10 @@
 		// a comment
 		"listen": "10.0.0.1", "zone": "muc-a", "regoin": "muc", "store": "10.0.0.9:9200",
 		"hosts": "http://10.0.0.9", "max-body": "4MB", "drain-limit": "one minute", "pin-secret": "",
+		"ledger-pace": "0s", "max-in-flight": 0, "log-level": "warning",
 	}`)
 	_, err := settings.LoadEntry(path)
-	assert.Error(t, err, "settings "+path+`, faults: 8
+	assert.Error(t, err, "settings "+path+`, faults: 11
 drain-limit: "one minute" is no time; write a number with its unit, such as "1.5s"
 max-body: is string, not integer; write a whole number without quotes
 rater: is missing; set it
@@ -35,7 +36,15 @@
 regoin: there is no such field; did you mean "region"?
 listen: "10.0.0.1" is not an address; write IP:port
 store: "10.0.0.9:9200" is not a base URL; write http://IP:port
-pin-secret: is missing; set it`)
+pin-secret: is missing; set it
+max-in-flight: 0 is too small, every request would be refused; give at least 1
+ledger-pace: 0s is too short, the ledger would be written without a pause; give more, such as "2s"
+log-level: there is no level "warning"; choose one of debug, info, warn, error`)
+}
+
+func TestAFileOfAnotherKindIsAFault(t *testing.T) {
+	_, err := settings.LoadEntry(file(t, `["listen"]`))
+	assert.ErrorContains(t, err, "the file: is array, not object; write an object in { }")
 }
 
 func TestDefaultsStandForWhatIsLeftOut(t *testing.T) {
