Take several files as one configuration and name what two of them declare

Teams that keep a file each had to put them together by hand, where a doubled workspace shows only as one that stands twice. check, diff and apply take several files, and a thing that two of them declare is refused naming both. Ruled out: letting the later file win, which hides the first one's change.

--- a/app/apply.go
+++ b/app/apply.go
@@ -25,12 +25,12 @@
 type applyCmd struct {
 	storeArgs
 	auditArgs
-	File string  `arg:"positional,required" help:"configuration, JSON with comments; - reads standard input"`
+	fileArgs
 	Base *uint64 `arg:"--base" help:"the generation that was reviewed; default is the newest"`
 }
 
 func (cmd *applyCmd) run(ctx context.Context) error {
-	doc, err := readDocument(cmd.File)
+	doc, err := cmd.read()
 	if err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	return cmd.apply(ctx, pub, cmd.File, publish.Proposal{Document: doc, Base: base})
+	return cmd.apply(ctx, pub, cmd.name(), publish.Proposal{Document: doc, Base: base})
 }
 
 // apply shows a change, puts it in force and says truthfully what became of
--- a/app/check.go
+++ b/app/check.go
@@ -5,34 +5,59 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core/declaration"
 )
 
-type checkCmd struct {
-	File string `arg:"positional,required" help:"configuration, JSON with comments; - reads standard input"`
+// fileArgs names a configuration: one file, or several that make one together.
+type fileArgs struct {
+	Files []string `arg:"positional,required" placeholder:"FILE" help:"configuration, JSON with comments; several files make one; - reads standard input"`
 }
 
+func (fa fileArgs) name() string { return strings.Join(fa.Files, " ") }
+
+type checkCmd struct{ fileArgs }
+
 func (cmd *checkCmd) run(context.Context) error {
-	doc, err := readDocument(cmd.File)
+	doc, err := cmd.read()
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: no mistakes; %d workspaces, %d models, %d cascades\n", cmd.File, len(doc.Workspaces), len(doc.Models), len(doc.Cascades))
+	fmt.Printf("%s: no mistakes; %d workspaces, %d models, %d cascades\n", cmd.name(), len(doc.Workspaces), len(doc.Models), len(doc.Cascades))
 	return nil
 }
 
-// readDocument reads and checks a configuration. Mistakes of its form and
-// mistakes of its content are reported together.
-func readDocument(path string) (declaration.Document, error) {
-	raw, err := readFile(path)
-	if err != nil {
-		return declaration.Document{}, eris.Wrap(err, "configuration")
+// read reads and checks a configuration. Mistakes of its form and mistakes of
+// its content are reported together.
+func (fa fileArgs) read() (declaration.Document, error) {
+	if len(fa.Files) == 1 {
+		raw, err := readFile(fa.Files[0])
+		if err != nil {
+			return declaration.Document{}, eris.Wrap(err, "configuration")
+		}
+		doc, err := declaration.Load(raw)
+		return doc, refused(fa.name(), err)
+	}
+	var list []declaration.Source
+	for _, path := range fa.Files {
+		raw, err := readFile(path)
+		if err != nil {
+			return declaration.Document{}, eris.Wrap(err, "configuration")
+		}
+		doc, err := declaration.Parse(raw)
+		if err != nil {
+			return doc, refused(path, err)
+		}
+		list = append(list, declaration.Source{Name: path, Document: doc})
+	}
+	doc, err := declaration.Join(list)
+	if err == nil {
+		err = doc.Check()
 	}
-	doc, err := declaration.Load(raw)
-	return doc, refused(path, err)
+	return doc, refused(fa.name(), err)
 }
 
 func readFile(path string) ([]byte, error) {
--- a/app/diff.go
+++ b/app/diff.go
@@ -12,12 +12,12 @@
 
 type diffCmd struct {
 	storeArgs
-	File string  `arg:"positional,required" help:"configuration, JSON with comments; - reads standard input"`
+	fileArgs
 	Base *uint64 `arg:"--base" help:"the generation that the file was written against; default is the newest"`
 }
 
 func (cmd *diffCmd) run(ctx context.Context) error {
-	doc, err := readDocument(cmd.File)
+	doc, err := cmd.read()
 	if err != nil {
 		return err
 	}
@@ -32,10 +32,10 @@
 		return nil
 	}
 	if err != nil {
-		return failed(cmd.File, err)
+		return failed(cmd.name(), err)
 	}
 	printChange(res)
-	fmt.Printf("to put it in force as reviewed: skylarkstand apply %s --base %d --why REASON\n", cmd.File, res.Before.Number)
+	fmt.Printf("to put it in force as reviewed: skylarkstand apply %s --base %d --why REASON\n", cmd.name(), res.Before.Number)
 	return nil
 }
 
--- a/core/declaration/check_test.go
+++ b/core/declaration/check_test.go
@@ -84,6 +84,20 @@
 	assert.Equal(t, len(strings.Split(err.Error(), "\n")), 4, err.Error())
 }
 
+// Two teams keep a file each, and both declare a workspace. Whichever entry
+// won, one of the teams would see its change without effect.
+func TestJoinNamesBothFilesOfADoubledThing(t *testing.T) {
+	shared, own := sound(), &declaration.Document{Workspaces: sound().Workspaces[:1]}
+	_, err := declaration.Join([]declaration.Source{{Name: "shared.json", Document: *shared}, {Name: "schools.json", Document: *own}})
+	assert.Error(t, err, "workspace schools: it is declared in shared.json and in schools.json; keep it in one of the two [duplicate-name]")
+
+	own.Workspaces[0].ID, own.Workspaces[0].KeyHashes = "museums", []string{otherKey}
+	doc, err := declaration.Join([]declaration.Source{{Name: "shared.json", Document: *shared}, {Name: "museums.json", Document: *own}})
+	assert.NilError(t, err)
+	assert.NilError(t, doc.Check())
+	assert.Equal(t, len(doc.Workspaces), 3)
+}
+
 // A risk that is named with a reason passes, and the audit trail can tell it.
 func TestAcceptedRiskPassesAndIsKept(t *testing.T) {
 	to := sound()
