Report a change zone by zone; show operators what an entry sees

Cause: apply said "accepted" and left the operator to guess when the change is in force; status showed the configuration alone, not upstreams, queues or quarantined requests.

--- a/app/agent.go
+++ b/app/agent.go
@@ -47,11 +47,7 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	if ag.set.Admin != "" {
-		hs := &http.Server{Addr: ag.set.Admin, Handler: ag.admin, ReadHeaderTimeout: headerLimit}
-		go func() { _ = hs.ListenAndServe() }()
-		defer hs.Close()
-	}
+	defer serveAdmin(ag.set.Admin, ag.admin)()
 	served := make(chan error, 1)
 	go func() { served <- ag.srv.Serve(duties, li) }()
 	event.Log(ag.deps.Log, event.Started, "role", "agent", "listen", li.Addr().String(), "upstream", ag.set.Upstream)
--- a/app/app.go
+++ b/app/app.go
@@ -29,6 +29,8 @@
 	ExitRefused = 3
 	// ExitUncertain: it is not known whether the change was accepted.
 	ExitUncertain = 4
+	// ExitSpreading: accepted, but not in force everywhere when the time was up.
+	ExitSpreading = 5
 )
 
 type args struct {
@@ -59,7 +61,8 @@
   skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
   skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
-Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known.`
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known,
+5 accepted but not yet in force everywhere.`
 }
 
 // command is what each subcommand implements.
--- a/app/apply.go
+++ b/app/apply.go
@@ -19,7 +19,9 @@
 	// Wait bounds how long a lost reply is looked for. A store that was merely
 	// slow answers within it; a longer one only keeps the operator from
 	// hearing that the outcome is not known.
-	Wait time.Duration `arg:"--wait" default:"30s" help:"how long to look for a reply that was lost"`
+	Wait time.Duration `arg:"--wait" default:"30s" help:"how long to look for a reply that was lost, and for the change to be in force"`
+	// Hosts makes the command wait until the change is in force everywhere.
+	Hosts string `arg:"--hosts,env:SKYLARKSTAND_HOSTS" help:"base URL of the platform's host list; waits and reports zone by zone"`
 }
 
 type applyCmd struct {
@@ -73,7 +75,10 @@
 		fmt.Printf("meanwhile generation %d came; it changed other parts, and the change was carried over\n", res.Before.Number)
 	}
 	fmt.Printf("generation %d is accepted\n", res.After.Number)
-	return nil
+	if aa.Hosts == "" {
+		return nil
+	}
+	return reportInForce(ctx, aa.Hosts, res.After.Number)
 }
 
 // failed turns a publisher's error into one for people, with its exit code.
--- a/app/entry.go
+++ b/app/entry.go
@@ -42,6 +42,7 @@
 	led    *ledger.Writer
 	reader *configReader
 	srv    *caller.Server
+	admin  http.Handler
 }
 
 // run serves until the context ends and then stops as planned: readyz fails,
@@ -60,6 +61,7 @@
 	sup.Add(en.reader)
 	done := sup.ServeBackground(duties)
 
+	defer serveAdmin(en.set.Admin, en.admin)()
 	hs := &http.Server{Handler: en.srv, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
 	served := make(chan error, 1)
 	go func() { served <- hs.Serve(li) }()
@@ -79,6 +81,17 @@
 	return nil
 }
 
+// serveAdmin serves the page of operators and collectors, if there is an
+// address for it, and returns the clean-up.
+func serveAdmin(addr string, ha http.Handler) func() {
+	if addr == "" {
+		return func() {}
+	}
+	hs := &http.Server{Addr: addr, Handler: ha, ReadHeaderTimeout: headerLimit}
+	go func() { _ = hs.ListenAndServe() }()
+	return func() { _ = hs.Close() }
+}
+
 const (
 	// headerLimit stops a caller that never ends its header from holding a
 	// connection; idleLimit closes kept connections nobody uses.
--- /dev/null
+++ b/app/in_force.go
@@ -0,0 +1,41 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+	"skylarkstand/core/inforce"
+	"skylarkstand/io/hosts"
+	"skylarkstand/io/peer"
+)
+
+// reportInForce prints, zone by zone, when an accepted generation is in force.
+func reportInForce(ctx context.Context, list string, gen core.Generation) error {
+	hos, err := hosts.New(list).List(ctx)
+	if err != nil {
+		return &exitError{ExitSpreading, eris.Wrap(err, "the change is accepted; who has it in force cannot be told")}
+	}
+	deps := core.NewDeps()
+	ask := func(ctx context.Context, addr string, gen core.Generation) error {
+		_, err := peer.Await(ctx, deps, addr, gen)
+		return err
+	}
+	rep := inforce.Follow(ctx, hos, gen, ask, printZone)
+	if len(rep.Missing) > 0 {
+		return &exitError{ExitSpreading, eris.Errorf("generation %d is accepted, and %d processes do not have it in force yet; those that are up will adopt it", gen, len(rep.Missing))}
+	}
+	fmt.Printf("generation %d is in force everywhere\n", gen)
+	return nil
+}
+
+func printZone(zo inforce.Zone) {
+	if len(zo.Missing) > 0 {
+		fmt.Printf("  %s (%s): not in force at %v\n", zo.Zone, zo.Region, zo.Missing)
+		return
+	}
+	fmt.Printf("  %s (%s): in force at %d entries and %d agents after %s\n", zo.Zone, zo.Region, zo.Entries, zo.Agents, zo.Took.Round(time.Millisecond))
+}
--- a/app/providers.go
+++ b/app/providers.go
@@ -122,7 +122,15 @@
 	return entrylink.New(deps, ho, inf, ex)
 }
 
-func newAdmin(page metricsPage) http.Handler {
+func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
+
+func newEntryAdmin(page metricsPage, sp *statusPage) http.Handler {
+	mux := newAdmin(page)
+	mux.Handle("GET /status", sp)
+	return mux
+}
+
+func newAdmin(page metricsPage) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -18,6 +18,9 @@
 type Entry struct {
 	// Listen is the address for callers, as IP:port.
 	Listen string `json:"listen"`
+	// Admin is the address of healthz, metrics and the status page for
+	// operators, as IP:port. Callers should not reach it.
+	Admin string `json:"admin,omitempty"`
 	// PeerListen is the address for other entries, as IP:port.
 	PeerListen string `json:"peer-listen,omitempty"`
 	// Zone is the availability zone that the process stands in.
--- a/app/status.go
+++ b/app/status.go
@@ -10,7 +10,10 @@
 	"skylarkstand/core/declaration/publish"
 )
 
-type statusCmd struct{ storeArgs }
+type statusCmd struct {
+	storeArgs
+	Entry string `arg:"--entry,env:SKYLARKSTAND_ENTRY" help:"admin URL of an entry, to show what it sees: upstreams, queues, quarantines"`
+}
 
 func (cmd *statusCmd) run(ctx context.Context) error {
 	cur, err := publish.New(cmd.open()).Newest(ctx)
@@ -32,7 +35,10 @@
 	for i := range cur.Document.Workspaces {
 		printWorkspace(sn, &cur.Document.Workspaces[i])
 	}
-	return nil
+	if cmd.Entry == "" {
+		return nil
+	}
+	return printEntry(ctx, cmd.Entry)
 }
 
 func printModel(sn *declaration.Snapshot, mo *declaration.Model) {
--- a/app/wire.go
+++ b/app/wire.go
@@ -23,7 +23,7 @@
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
 		declaration.NewInForce, agent.New, newLedger, dispatch.New, newKeyring, newCaller, newConfigReader,
-		suspect.New, newMesh, newUpstreams,
+		suspect.New, newMesh, newUpstreams, newEntryAdmin, wire.Struct(new(statusPage), "*"),
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
@@ -36,7 +36,7 @@
 func wireAgent(set settings.Agent) (*agentProcess, func(), error) {
 	wire.Build(
 		newAgentProcess, wire.FieldsOf(new(process), "Deps", "Page"), newAgentStore, newUpstreamHost, newRunner,
-		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAdmin,
+		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAgentAdmin,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Struct(new(agentProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -33,6 +33,13 @@
 	dispatcher := dispatch.New(deps, inForce, upstreams, rater, writer)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
+	appStatusPage := &statusPage{
+		deps: deps,
+		inf:  inForce,
+		pool: pool,
+		reg:  registry,
+	}
+	handler := newEntryAdmin(appMetricsPage, appStatusPage)
 	appEntryProcess := &entryProcess{
 		set:    set,
 		deps:   deps,
@@ -40,6 +47,7 @@
 		led:    writer,
 		reader: appConfigReader,
 		srv:    server,
+		admin:  handler,
 	}
 	return appEntryProcess, func() {
 		cleanup()
@@ -57,7 +65,7 @@
 	executor := newExecutor(set, deps, host, inForce, runner, table)
 	server := newLinkServer(deps, host, inForce, executor)
 	appMetricsPage := appProcess.Page
-	handler := newAdmin(appMetricsPage)
+	handler := newAgentAdmin(appMetricsPage)
 	appAgentProcess := &agentProcess{
 		set:   set,
 		deps:  deps,
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -17,6 +17,8 @@
 package suspect
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +105,20 @@
 	return re
 }
 
+// List returns the records that hold at a time.
+func (reg *Registry) List(now time.Time) []Record {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	var out []Record
+	for _, re := range reg.records {
+		if now.Before(re.Until) {
+			out = append(out, re)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
 // Begin asks to run a request now. It returns the record, and false when the
 // request is a suspect that already runs alone somewhere: two copies of a
 // poisonous request at once would cost two upstreams in place of one.
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,6 +129,13 @@
 	}
 }
 
+// All lists every upstream that the entry knows, by id.
+func (po *Pool) All() []core.Upstream {
+	ups := snapshots(slices.Collect(maps.Values(po.index.Load().byID)))
+	slices.SortFunc(ups, func(a, b core.Upstream) int { return strings.Compare(string(a.Host.ID), string(b.Host.ID)) })
+	return ups
+}
+
 // Serving implements [core.Upstreams].
 func (po *Pool) Serving(mv core.ModelVersion) []core.Upstream {
 	return snapshots(po.index.Load().versions[mv])
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -29,7 +29,6 @@
 	keys    *session.Keyring
 	maxBody int64
 	metrics http.Handler
-	status  func() any
 	cont    *restful.Container
 	leaving atomic.Bool
 	flying  atomic.Int64
@@ -52,9 +51,6 @@
 // Metrics sets the page at /metrics.
 func Metrics(ha http.Handler) Option { return func(srv *Server) { srv.metrics = ha } }
 
-// Status sets what GET /status shows to operators.
-func Status(fn func() any) Option { return func(srv *Server) { srv.status = fn } }
-
 const (
 	defaultMaxBody = 4 << 20
 	defaultLimit   = 4096
@@ -78,7 +74,6 @@
 	ws.Route(ws.GET("/metrics").To(func(rq *restful.Request, rs *restful.Response) {
 		srv.metrics.ServeHTTP(rs.ResponseWriter, rq.Request)
 	}))
-	ws.Route(ws.GET("/status").To(srv.showStatus))
 	srv.cont.Add(ws)
 	return srv
 }
@@ -98,11 +93,3 @@
 	}
 	rs.WriteHeader(http.StatusOK)
 }
-
-func (srv *Server) showStatus(_ *restful.Request, rs *restful.Response) {
-	if srv.status == nil {
-		rs.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_ = rs.WriteAsJson(srv.status())
-}
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	out, err := fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", fl.StoreURL, "--why", "first set-up", "--who", "demo")
+	out, err := fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", fl.StoreURL, "--why", "first set-up", "--who", "demo", "--hosts", fl.PlatformURL)
 	fmt.Print("  $ skylarkstand apply landesamt.jsonc --why 'first set-up'\n  ", out)
 	if err != nil {
 		return err
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -183,9 +183,7 @@
 	if err != nil {
 		return err
 	}
-	return fl.startAgent(id, pl, core.Host{Model: mv.Model, Version: mv.Version}, map[string]any{
-		"engine": eng.URL, "model": mv.Model, "version": mv.Version,
-	})
+	return fl.StartAgent(id, mv, pl, eng.URL)
 }
 
 // StartService runs a plain service with its agent and lists it.
@@ -201,6 +199,17 @@
 	return fl.startAgent(id, pl, core.Host{Service: sv}, map[string]any{"service-url": svc.URL, "service": sv})
 }
 
+// StartAgent runs an agent beside an upstream that runs already, or that no
+// request will reach, and lists it.
+func (fl *Fleet) StartAgent(id string, mv core.ModelVersion, pl Place, engineURL string) error {
+	return fl.startAgent(id, pl, core.Host{Model: mv.Model, Version: mv.Version}, map[string]any{
+		"engine": engineURL, "model": mv.Model, "version": mv.Version,
+	})
+}
+
+// Hosts returns the list as it was last published.
+func (fl *Fleet) Hosts() []core.Host { return fl.hosts }
+
 func (fl *Fleet) startAgent(id string, pl Place, ho core.Host, set map[string]any) error {
 	listen, err := Addr()
 	if err != nil {
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -24,6 +24,7 @@
 func main() {
 	sections := []section{
 		{"path", measurePath},
+		{"apply", measureApply},
 	}
 	for _, se := range sections {
 		if len(os.Args) > 1 && os.Args[1] != se.name {
