Hold the versions of sessions whose callers send only an id

Cause: a session without a token was placed by its draw alone, so it changed its version as soon as the stable version or the roll-out's share changed.

The token stays the way that needs no shared state and the only one that holds across regions.

Ruled out: a key in the store for each session (19,000 requests a second against several hundred writes); asking on every request (the asking entry keeps what it learned).

Not proved: sessions that move between regions without token.

--- a/app/providers.go
+++ b/app/providers.go
@@ -79,9 +79,9 @@
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
 }
 
-func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
-		caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
 // entryHost returns the entry's own line of the host list.
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -32,7 +32,7 @@
 	rater := newRater(set)
 	dispatcher := dispatch.New(deps, inForce, upstreams, rater, writer)
 	keyring := newKeyring(set)
-	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
+	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
 	appStatusPage := &statusPage{
 		deps: deps,
 		inf:  inForce,
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -2,13 +2,16 @@
 //
 // The versions that a session runs on travel in a token that the caller sends
 // back, signed so that a caller cannot choose versions for itself. Any entry
-// can honour it without shared state.
+// can honour it without shared state. For callers that send only the id of
+// their session, two preferred entries of the region hold its versions.
 //
 // # Usage
 //
 //	kr := session.NewKeyring(secret)
 //	tok := kr.Sign(session.Pin{Workspace: ws, Session: id, Versions: …})
 //	pin, err := kr.Open(tok, ws)
+//	ho := session.NewHolder()
+//	ho.Keep(session.Key{Workspace: ws, Session: id}, versions, now)
 package session
 
 import (
@@ -27,9 +30,9 @@
 
 // Pin is what a token says.
 type Pin struct {
-	Workspace core.WorkspaceID                `json:"workspace"`
-	Session   core.SessionID                  `json:"session"`
-	Versions  map[core.ModelID]core.VersionID `json:"versions"`
+	Workspace core.WorkspaceID `json:"workspace"`
+	Session   core.SessionID   `json:"session"`
+	Versions  Versions         `json:"versions"`
 }
 
 // ErrForged tells that a token is not ours, or another workspace's.
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -56,7 +57,7 @@
 		return err
 	}
 	defer out.Close()
-	srv.tellVersion(w.Header(), pin, out)
+	srv.tellVersion(w.Header(), pin, rq.Header.Get(HeaderSession) != "", out)
 	return srv.relay(w, id, out, dr.Stream)
 }
 
@@ -67,14 +68,18 @@
 	return context.WithTimeout(ctx, limit)
 }
 
-// tellVersion sets the headers that keep the session on its version.
-func (srv *Server) tellVersion(hd http.Header, pin session.Pin, out *dispatch.Outcome) {
-	versions := map[core.ModelID]core.VersionID{}
-	for mo, ve := range pin.Versions {
-		versions[mo] = ve
-	}
-	versions[out.Target.Model] = out.Target.Version
-	pin.Versions = versions
+// tellVersion sets the headers that keep the session on its version, and has a
+// session that the caller named held for its next request.
+func (srv *Server) tellVersion(hd http.Header, pin session.Pin, named bool, out *dispatch.Outcome) {
+	held := pin.Versions[out.Target.Model] == out.Target.Version
+	pin.Versions = maps.Clone(pin.Versions)
+	if pin.Versions == nil {
+		pin.Versions = session.Versions{}
+	}
+	pin.Versions[out.Target.Model] = out.Target.Version
+	if named && !held {
+		srv.sessions.Keep(session.Key{Workspace: pin.Workspace, Session: pin.Session}, pin.Versions)
+	}
 	hd.Set(HeaderVersion, out.Target.String())
 	hd.Set(HeaderPin, srv.keys.Sign(pin))
 	if out.Repinned {
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -140,8 +140,11 @@
 		}
 		pin = opened
 	}
-	if pin.Session == "" {
+	switch {
+	case pin.Session == "":
 		pin.Session = core.SessionID(id)
+	case pin.Versions == nil:
+		pin.Versions = srv.sessions.Find(rq.Context(), session.Key{Workspace: ws, Session: pin.Session})
 	}
 	return pin, routing.Session{Pins: pin.Versions, Draw: session.Draw(ws, pin.Session), Stale: !srv.inf.Fresh(time.Now(), srv.fresh)}, nil
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -9,6 +9,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,17 +24,18 @@
 
 // Server answers callers. It is safe for concurrent use.
 type Server struct {
-	deps    core.Deps
-	inf     *declaration.InForce
-	dis     *dispatch.Dispatcher
-	keys    *session.Keyring
-	maxBody int64
-	metrics http.Handler
-	cont    *restful.Container
-	leaving atomic.Bool
-	flying  atomic.Int64
-	limit   int64
-	fresh   time.Duration
+	deps     core.Deps
+	inf      *declaration.InForce
+	dis      *dispatch.Dispatcher
+	keys     *session.Keyring
+	maxBody  int64
+	metrics  http.Handler
+	cont     *restful.Container
+	sessions Sessions
+	leaving  atomic.Bool
+	flying   atomic.Int64
+	limit    int64
+	fresh    time.Duration
 }
 
 // Option changes a Server at construction.
@@ -45,6 +47,16 @@
 // MaxInFlight bounds the requests in this entry.
 func MaxInFlight(n int64) Option { return func(srv *Server) { srv.limit = n } }
 
+// Sessions keeps the versions of sessions whose callers send an id and no
+// token. Errors do not exist for it: what cannot be found begins anew.
+type Sessions interface {
+	Find(ctx context.Context, key session.Key) session.Versions
+	Keep(key session.Key, vs session.Versions)
+}
+
+// WithSessions sets where the versions of sessions are held.
+func WithSessions(se Sessions) Option { return func(srv *Server) { srv.sessions = se } }
+
 // Freshness sets how old the last word of the newest configuration may be.
 func Freshness(d time.Duration) Option { return func(srv *Server) { srv.fresh = d } }
 
@@ -60,6 +72,7 @@
 // New returns a server.
 func New(deps core.Deps, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, opts ...Option) *Server {
 	srv := &Server{deps: deps, inf: inf, dis: dis, keys: kr, maxBody: defaultMaxBody, limit: defaultLimit, fresh: defaultFresh, metrics: http.NotFoundHandler()}
+	srv.sessions = noSessions{}
 	for _, opt := range opts {
 		opt(srv)
 	}
@@ -93,3 +106,9 @@
 	}
 	rs.WriteHeader(http.StatusOK)
 }
+
+// noSessions holds nothing.
+type noSessions struct{}
+
+func (noSessions) Find(context.Context, session.Key) session.Versions { return nil }
+func (noSessions) Keep(session.Key, session.Versions)                 {}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -22,6 +22,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/session"
 	"skylarkstand/core/spread"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/frame"
@@ -39,16 +40,19 @@
 	self core.Host
 
 	suspects *suspect.Registry
+	holder   *session.Holder
+	asks     sessions
 
 	mu       sync.Mutex
 	peers    map[string]context.CancelFunc
 	controls map[*link.Control]bool
 	ctx      context.Context
+	hosts    []core.Host
 }
 
 // New returns a mesh for the entry at self.
 func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host) *Mesh {
-	return &Mesh{deps: deps, inf: inf, suspects: reg, self: self, peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{}}
+	return &Mesh{deps: deps, inf: inf, suspects: reg, holder: session.NewHolder(), self: self, peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{}}
 }
 
 // Serve accepts links until the context ends.
@@ -71,11 +75,12 @@
 }
 
 func (me *Mesh) accept(ctx context.Context, conn net.Conn) {
-	_, st, cleanup, err := link.Accept(ctx, conn)
+	ses, st, cleanup, err := link.Accept(ctx, conn)
 	if err != nil {
 		return
 	}
 	defer cleanup()
+	go me.answer(ses)
 	_ = me.serve(ctx, st)
 }
 
@@ -130,6 +135,7 @@
 func (me *Mesh) Update(hosts []core.Host) {
 	me.mu.Lock()
 	defer me.mu.Unlock()
+	me.hosts = hosts
 	if me.ctx == nil {
 		return
 	}
