--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -93,7 +93,10 @@
 func TestSuspectsSpread(t *testing.T) {
 	all := newMembers(t, 4)
 	adopt(t, all[0], 1)
-	eventually(t, func() bool { update(all); return all[3].inf.Number() == 1 && all[2].inf.Number() == 1 && all[1].inf.Number() == 1 })
+	eventually(t, func() bool {
+		update(all)
+		return all[3].inf.Number() == 1 && all[2].inf.Number() == 1 && all[1].inf.Number() == 1
+	})
 	re := all[2].reg.Crashed(42, true, time.Now())
 	all[2].mesh.Tell(re)
 	for _, me := range all {
