--- /dev/null
+++ b/io/caller/server_test.go
@@ -0,0 +1,178 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/dispatch"
+	"skylarkstand/core/ledger"
+	"skylarkstand/core/session"
+	"skylarkstand/io/caller"
+)
+
+// upstream is a fake pool of one upstream that gives a scripted answer.
+type upstream struct {
+	pieces []string
+	end    error
+	asked  int
+}
+
+func (us *upstream) Serving(mv core.ModelVersion) []core.Upstream {
+	return []core.Upstream{{Host: core.Host{ID: "desk-1", Model: mv.Model, Version: mv.Version}, Up: true}}
+}
+func (us *upstream) Offering(core.ServiceID) []core.Upstream                        { return nil }
+func (us *upstream) Settle(core.UpstreamID, core.RequestID, core.AttemptID, []byte) {}
+func (us *upstream) Dispatch(context.Context, core.UpstreamID, *core.Attempt) (core.Answer, error) {
+	us.asked++
+	return &scripted{us: us}, nil
+}
+
+type scripted struct {
+	us *upstream
+	at int
+}
+
+func (sc *scripted) Next() ([]byte, error) {
+	if sc.at == len(sc.us.pieces) {
+		return nil, sc.us.end
+	}
+	sc.at++
+	return []byte(sc.us.pieces[sc.at-1]), nil
+}
+func (sc *scripted) Usage() core.Usage   { return core.Usage{Generated: 2} }
+func (sc *scripted) Status() int         { return http.StatusOK }
+func (sc *scripted) ContentType() string { return "text/event-stream" }
+func (sc *scripted) Close()              {}
+
+// bills counts what was billed, and what the caller had read by then.
+type bills struct {
+	rec    *httptest.ResponseRecorder
+	filed  []ledger.Bill
+	before string
+}
+
+func (bi *bills) Add(el ledger.Bill) {
+	bi.filed = append(bi.filed, el)
+	if bi.rec != nil {
+		bi.before = bi.rec.Body.String()
+	}
+}
+
+type noRater struct{}
+
+func (noRater) Rate(context.Context, core.ModelVersion, []byte, []byte) (core.Quality, error) {
+	return 0, io.ErrUnexpectedEOF
+}
+
+func newServer(t *testing.T, us *upstream, bi *bills) *caller.Server {
+	t.Helper()
+	inf := declaration.NewInForce()
+	gen := declaration.Generation{Number: 1, Document: declaration.Document{
+		Models:     []declaration.Model{{ID: "desk", Stable: "v1", Versions: []declaration.Version{{ID: "v1"}}}},
+		Workspaces: []declaration.Workspace{{ID: "schools", KeyHashes: []string{declaration.HashKey("key")}, Share: 1, Allow: []declaration.Allow{{Model: "desk", Versions: []core.VersionID{"v1"}}}}},
+		Services:   []declaration.Service{{ID: "subsidy", Operations: []declaration.Operation{{ID: "claim", AtMostOnce: true}}}},
+	}}
+	raw, err := gen.Encode()
+	assert.NilError(t, err)
+	_, err = inf.Adopt(raw)
+	assert.NilError(t, err)
+	deps := core.NewDeps()
+	dis := dispatch.New(deps, inf, us, noRater{}, bi)
+	return caller.New(deps, inf, dis, session.NewKeyring("secret"), caller.MaxBody(1000))
+}
+
+const goodBody = `{"model":"desk","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+func post(body string, header map[string]string) *http.Request {
+	rq := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	rq.Header.Set("Authorization", "Bearer key")
+	for name, val := range header {
+		rq.Header.Set(name, val)
+	}
+	return rq
+}
+
+// Callers send what they should not. Each must be told what is wrong in a form
+// that programs can read, nothing may run, and nothing may be billed.
+func TestBadInput(t *testing.T) {
+	type scenario struct {
+		testName string
+		request  *http.Request
+		status   int
+		code     core.Code
+	}
+	token := session.NewKeyring("secret").Sign(session.Pin{Workspace: "districts"})
+	for _, sc := range []scenario{
+		{"no key", post(goodBody, map[string]string{"Authorization": ""}), 401, core.CodeUnauthorized},
+		{"foreign key", post(goodBody, map[string]string{"Authorization": "Bearer other"}), 401, core.CodeUnauthorized},
+		{"key of another scheme", post(goodBody, map[string]string{"Authorization": "Basic key"}), 401, core.CodeUnauthorized},
+		{"broken JSON", post(`{"model":`, nil), 400, core.CodeBadRequest},
+		{"empty body", post(``, nil), 400, core.CodeBadRequest},
+		{"a list for an object", post(`[]`, nil), 400, core.CodeBadRequest},
+		{"a number for the model", post(`{"model":7,"messages":[]}`, nil), 400, core.CodeBadRequest},
+		{"no model", post(`{"messages":[]}`, nil), 400, core.CodeBadRequest},
+		{"no messages", post(`{"model":"desk"}`, nil), 400, core.CodeBadRequest},
+		{"messages are no list", post(`{"model":"desk","messages":"hi"}`, nil), 400, core.CodeBadRequest},
+		{"oversized", post(`{"model":"desk","messages":["`+strings.Repeat("x", 2000)+`"]}`, nil), 413, core.CodeTooLarge},
+		{"unknown model", post(`{"model":"dsek","messages":[]}`, nil), 404, core.CodeUnknownModel},
+		{"wrong deadline", post(goodBody, map[string]string{caller.HeaderDeadline: "soon"}), 400, core.CodeBadRequest},
+		{"negative deadline", post(goodBody, map[string]string{caller.HeaderDeadline: "-1s"}), 400, core.CodeBadRequest},
+		{"forged pin", post(goodBody, map[string]string{caller.HeaderPin: "x.y"}), 400, core.CodeBadRequest},
+		{"pin of another workspace", post(goodBody, map[string]string{caller.HeaderPin: token}), 400, core.CodeBadRequest},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			us, bi := &upstream{end: io.EOF}, new(bills)
+			rec := httptest.NewRecorder()
+			newServer(t, us, bi).ServeHTTP(rec, sc.request)
+			assert.Equal(t, rec.Code, sc.status, rec.Body.String())
+			var body struct {
+				Error struct {
+					Code      core.Code
+					Ran       core.Ran
+					Message   string
+					RequestID string `json:"request-id"`
+				}
+			}
+			assert.NilError(t, json.Unmarshal(rec.Body.Bytes(), &body))
+			assert.Equal(t, body.Error.Code, sc.code)
+			assert.Equal(t, body.Error.Ran, core.NotRun)
+			assert.Assert(t, body.Error.Message != "" && body.Error.RequestID != "")
+			assert.Equal(t, us.asked, 0)
+			assert.Equal(t, len(bi.filed), 0)
+		})
+	}
+}
+
+// The entry dies after the caller has read the end of its answer and before the
+// bill was filed: the work was given away. The bill must come first.
+func TestBillComesBeforeTheEndMark(t *testing.T) {
+	us := &upstream{pieces: []string{"data: one\n\n", "data: two\n\n", "data: [DONE]\n\n"}, end: io.EOF}
+	rec := httptest.NewRecorder()
+	bi := &bills{rec: rec}
+	newServer(t, us, bi).ServeHTTP(rec, post(goodBody, nil))
+	assert.Equal(t, rec.Code, 200)
+	assert.Equal(t, len(bi.filed), 1)
+	assert.Equal(t, bi.before, "data: one\n\ndata: two\n\n")
+	assert.Equal(t, rec.Body.String(), "data: one\n\ndata: two\n\ndata: [DONE]\n\n")
+}
+
+// The link to an agent is lost in the middle of an answer. The caller must see
+// that it was cut, and what is known of it, and must not pay.
+func TestCutStreamEndsWithAnError(t *testing.T) {
+	us := &upstream{pieces: []string{"data: one\n\n"}, end: core.Lost("the link was lost")}
+	rec, bi := httptest.NewRecorder(), new(bills)
+	newServer(t, us, bi).ServeHTTP(rec, post(goodBody, nil))
+	assert.Assert(t, strings.Contains(rec.Body.String(), "event: error"))
+	assert.Assert(t, strings.Contains(rec.Body.String(), `"ran":"unknown"`))
+	assert.Assert(t, !strings.Contains(rec.Body.String(), "[DONE]"))
+	assert.Equal(t, len(bi.filed), 0)
+}
