Give engines orders through their agents, with fencing numbers

Cause: some engines refuse an order that carries an old fencing number, others ignore it; a late order of a paused program would undo a newer one there.

Change: numbers are counted in the store, one key an upstream; the agent passes on only the newest, one at a time, and reads the store for it each time, because it forgets at a restart. `skylarkstand order UPSTREAM JSON` gives one. Store away: refused, an order can wait.

Ruled out: a lease for whoever orders (it lapses while its holder is paused, and the paused one does not know).

--- a/app/providers.go
+++ b/app/providers.go
@@ -13,12 +13,12 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/order"
 	"skylarkstand/core/session"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
 	"skylarkstand/io/engine"
-	entrylink "skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/metrics"
 	"skylarkstand/io/peer"
@@ -118,9 +118,7 @@
 	return execute.New(deps, ho, inf, ru, tbl, execute.Slots(set.Slots), execute.Queue(set.Queue))
 }
 
-func newLinkServer(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor) *entrylink.Server {
-	return entrylink.New(deps, ho, inf, ex)
-}
+func newGate(ho core.Host, st core.Store) *order.Gate { return order.NewGate(st, ho.ID) }
 
 func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
 
--- a/app/wire.go
+++ b/app/wire.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
 	"skylarkstand/io/store"
@@ -36,7 +37,7 @@
 func wireAgent(set settings.Agent) (*agentProcess, func(), error) {
 	wire.Build(
 		newAgentProcess, wire.FieldsOf(new(process), "Deps", "Page"), newAgentStore, newUpstreamHost, newRunner,
-		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAgentAdmin,
+		declaration.NewInForce, newClaims, newExecutor, newGate, entry.New, newAgentAdmin,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Struct(new(agentProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/entry"
 )
 
 // Injectors from wire.go:
@@ -63,7 +64,8 @@
 	store := newAgentStore(set)
 	table := newClaims(deps, store)
 	executor := newExecutor(set, deps, host, inForce, runner, table)
-	server := newLinkServer(deps, host, inForce, executor)
+	gate := newGate(host, store)
+	server := entry.New(deps, host, inForce, executor, gate)
 	appMetricsPage := appProcess.Page
 	handler := newAgentAdmin(appMetricsPage)
 	appAgentProcess := &agentProcess{
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -35,6 +35,10 @@
 	UpstreamCrashed = &Event{208, "upstream-crashed", slog.LevelWarn,
 		"An upstream went down with a request in flight; the request runs alone once more, or not again when it was alone.",
 		"Look at the engine when it repeats; the fingerprint names the request."}
+	OrderPassed = &Event{209, "order-passed", slog.LevelInfo,
+		"An order was passed on to the engine.", "Nothing."}
+	OrderRefused = &Event{210, "order-refused", slog.LevelWarn,
+		"An order was not passed on, or the engine refused it.", "Give it again if it is still meant; a newer order may have replaced it."}
 	ConfigAdopted = &Event{300, "configuration-adopted", slog.LevelInfo,
 		"A newer configuration is in force in this process.", "Nothing."}
 	ConfigBroken = &Event{301, "configuration-broken", slog.LevelError,
@@ -58,7 +62,7 @@
 func Catalogue() []*Event {
 	return []*Event{
 		Started, Stopping, Stopped, DutyFailed, DrainCut,
-		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed,
+		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		StoreDown, SegmentWritten, SegmentLate,
 		RequestFailed, BillLost,
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -92,6 +92,19 @@
 	return nil
 }
 
+// ErrNoOrders tells that the upstream takes no orders.
+var ErrNoOrders = errors.New("execute: this upstream takes no orders")
+
+// Order passes an order on to the upstream, if its runner takes any.
+func (ex *Executor) Order(ctx context.Context, fence uint64, body []byte) error {
+	if or, ok := ex.runner.(interface {
+		Order(ctx context.Context, fence uint64, body []byte) error
+	}); ok {
+		return or.Order(ctx, fence, body)
+	}
+	return ErrNoOrders
+}
+
 // Run takes an attempt to the upstream.
 func (ex *Executor) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	ex.awaitGeneration(ctx, at.Generation)
--- /dev/null
+++ b/io/entry/orders.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"context"
+
+	"skylarkstand/core/event"
+	"skylarkstand/core/order"
+	"skylarkstand/io/frame"
+)
+
+// order passes an order on to the engine if its number is the newest. Engines
+// that ignore fencing numbers are so guarded as well.
+func (srv *Server) order(ctx context.Context, wr *frame.Writer, or *frame.Order) {
+	done := &frame.OrderDone{}
+	err := srv.gate.Pass(ctx, order.Fence(or.Fence), func(ctx context.Context) error {
+		return srv.ex.Order(ctx, or.Fence, or.Body)
+	})
+	if err != nil {
+		done.Error = err.Error()
+		event.Log(srv.deps.Log, event.OrderRefused, "fence", or.Fence, "error", err)
+	} else {
+		event.Log(srv.deps.Log, event.OrderPassed, "fence", or.Fence)
+	}
+	_ = wr.Write(&frame.Frame{Body: &frame.Frame_OrderDone{OrderDone: done}})
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	srv := entry.New(deps, host, inForce, executor)
+//	srv := entry.New(deps, host, inForce, executor, gate)
 //	go srv.Serve(ctx, listener)
 //	srv.Leave()              // refuse new work and say so on all links
 //	srv.Drain(ctx)           // wait for the work in flight
@@ -26,6 +26,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
 	"skylarkstand/core/execute"
+	"skylarkstand/core/order"
 	"skylarkstand/io/frame"
 	"skylarkstand/io/link"
 )
@@ -36,6 +37,7 @@
 	host core.Host
 	inf  *declaration.InForce
 	ex   *execute.Executor
+	gate *order.Gate
 
 	mu       sync.Mutex
 	controls map[*link.Control]bool
@@ -47,8 +49,8 @@
 }
 
 // New returns a server for the upstream beside the agent.
-func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor) *Server {
-	return &Server{deps: deps, host: ho, inf: inf, ex: ex, controls: map[*link.Control]bool{}, bills: map[core.RequestID][]byte{}}
+func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor, ga *order.Gate) *Server {
+	return &Server{deps: deps, host: ho, inf: inf, ex: ex, gate: ga, controls: map[*link.Control]bool{}, bills: map[core.RequestID][]byte{}}
 }
 
 // Serve accepts links until the listener closes or the context ends.
@@ -115,7 +117,14 @@
 	defer st.Close()
 	rd, wr := frame.NewReader(st), frame.NewWriter(st)
 	fr, err := rd.Read()
-	if err != nil || fr.GetDispatch() == nil {
+	if err != nil {
+		return
+	}
+	if or := fr.GetOrder(); or != nil {
+		srv.order(ctx, wr, or)
+		return
+	}
+	if fr.GetDispatch() == nil {
 		return
 	}
 	at := link.Attempt(fr.GetDispatch())
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -57,7 +57,7 @@
 	if err := de.start(); err != nil {
 		return err
 	}
-	steps := []func() error{de.chat, de.cascade, de.atMostOnce, de.refusals, de.killAgent, de.stop, de.bill}
+	steps := []func() error{de.chat, de.cascade, de.atMostOnce, de.refusals, de.order, de.killAgent, de.stop, de.bill}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -213,6 +213,13 @@
 	return nil
 }
 
+func (de *demo) order() error {
+	fmt.Println("\nAn order to an engine that ignores fencing numbers, through its agent:")
+	out, err := de.fl.Command("order", "desk-2", `{"load":"desk@v2"}`, "--store", de.fl.StoreURL, "--hosts", de.fl.PlatformURL)
+	de.expect(err == nil, "%s", strings.TrimSpace(out))
+	return nil
+}
+
 func (de *demo) killAgent() error {
 	fmt.Println("\nForty questions while the agent desk-1 is killed in the middle:")
 	var mu sync.Mutex
