--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -50,6 +50,9 @@
 		"Bills of a gone process could not be filed yet; agents keep them and offer them again.", "Look at the store."}
 	CopyDropped = &Event{443, "copy-dropped", slog.LevelWarn,
 		"An agent has no room for a copy of a bill; the entry alone has it until it is durable.", "Look at the store."}
+	CopiesLeft = &Event{444, "copies-left", slog.LevelError,
+		"An agent stopped with copies of bills whose entries are gone and that no other entry could file.",
+		"Look at the store; bills of the entry that was lost last may be missing."}
 	RequestFailed = &Event{500, "request-failed", slog.LevelDebug,
 		"A request ended without an answer.", "Nothing; the code tells the caller."}
 	BillLost = &Event{501, "bill-lost", slog.LevelError,
@@ -64,7 +67,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		StoreDown, SegmentWritten, SegmentLate,
-		LedgerSealed, EstateFiled, EstateLate, CopyDropped,
+		LedgerSealed, EstateFiled, EstateLate, CopyDropped, CopiesLeft,
 		RequestFailed, BillLost,
 	}
 }
--- a/core/ledger/copies/copies.go
+++ b/core/ledger/copies/copies.go
@@ -56,6 +56,7 @@
 	limit, size int
 	owners      map[core.ProcessID]*owner
 	by          map[core.AttemptID]core.ProcessID
+	leaving     bool
 }
 
 // owner is the copies of one entry process, oldest first.
@@ -145,6 +146,23 @@
 	}
 }
 
+// Leave makes an offer due at once when no link of its process stands. An agent
+// that stops takes its copies along, so it cannot wait until the process is
+// gone for sure.
+func (se *Set) Leave() { se.leaving = true }
+
+// Stranded returns how many copies are of processes that are not linked. The
+// others have their bills themselves.
+func (se *Set) Stranded(linked []core.ProcessID) int {
+	count := 0
+	for id, ow := range se.owners {
+		if !slices.Contains(linked, id) {
+			count += len(ow.copies)
+		}
+	}
+	return count
+}
+
 // Due returns the offers to make now. It is called about once a second.
 func (se *Set) Due(now time.Time, linked []core.ProcessID) []Handover {
 	var out []Handover
@@ -154,7 +172,7 @@
 		if slices.Contains(linked, id) {
 			ow.goneSince = time.Time{}
 			ripe = now.Add(-remindAfter)
-		} else if !ow.gone(now) {
+		} else if !ow.gone(now) && !se.leaving {
 			continue
 		}
 		if !ow.ready(now) {
--- a/core/ledger/copies/copies_test.go
+++ b/core/ledger/copies/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,21 +28,27 @@
 		linked   []core.ProcessID
 		forget   time.Duration
 		last     time.Duration
+		leaving  bool
 		expected []ask
 	}{
-		{"a linked entry is reminded of old copies only", []core.ProcessID{"gone", "a"}, 0, 80 * time.Second,
+		{"a linked entry is reminded of old copies only", []core.ProcessID{"gone", "a"}, 0, 80 * time.Second, false,
 			[]ask{{60 * time.Second, "gone", 2}, {75 * time.Second, "gone", 2}}},
-		{"one heir is asked, and another when it stays silent", []core.ProcessID{"a", "b"}, 0, 30 * time.Second,
+		{"one heir is asked, and another when it stays silent", []core.ProcessID{"a", "b"}, 0, 30 * time.Second, false,
 			[]ask{{10 * time.Second, "b", 2}, {25 * time.Second, "a", 2}}},
-		{"no one is asked again once the bills are durable", []core.ProcessID{"a", "b"}, 12 * time.Second, 60 * time.Second,
+		{"no one is asked again once the bills are durable", []core.ProcessID{"a", "b"}, 12 * time.Second, 60 * time.Second, false,
 			[]ask{{10 * time.Second, "b", 2}}},
-		{"without a link the copies wait", nil, 0, 60 * time.Second, nil},
+		{"an agent that stops asks at once", []core.ProcessID{"a", "b"}, 1 * time.Second, 60 * time.Second, true,
+			[]ask{{0, "b", 2}}},
+		{"without a link the copies wait", nil, 0, 60 * time.Second, false, nil},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			set := copies.New(copies.Limit(10))
 			assert.Assert(t, set.Hold("gone", "at-1", []byte("one"), start))
 			assert.Assert(t, set.Hold("gone", "at-2", []byte("two"), start))
+			if sc.leaving {
+				set.Leave()
+			}
 			assert.Assert(t, !set.Hold("gone", "at-3", []byte("too long"), start))
 			var got []ask
 			for d := time.Duration(0); d <= sc.last; d += time.Second {
@@ -55,6 +62,7 @@
 			}
 			assert.Equal(t, fmt.Sprint(got), fmt.Sprint(sc.expected))
 			assert.Assert(t, (set.Len() == 0) == (sc.forget > 0))
+			assert.Assert(t, (set.Stranded(sc.linked) == 0) == (sc.forget > 0 || slices.Contains(sc.linked, "gone")))
 		})
 	}
 }
--- a/core/ledger/writer_test.go
+++ b/core/ledger/writer_test.go
@@ -1,7 +1,10 @@
 package ledger_test
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +65,45 @@
 		assert.Equal(t, len(acc.Doubled), 0)
 	})
 }
+
+// The store stays down while an entry is asked to stop, after an outage in
+// which more bills came than it may hold. It must not hang, and the bills that
+// nobody wrote must be in its log in full, so that they are not lost with it.
+func TestStopWithoutStoreLogsEachBill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		deps := core.NewDeps()
+		deps.Log = slog.New(slog.NewJSONHandler(&log, nil))
+		led := ledger.New(deps, &silent{memory: newMemory(), lost: true}, ledger.Memory(400))
+		for _, id := range []string{"a1", "a2", "a3"} {
+			led.Add(newBill(id))
+		}
+		assert.Equal(t, strings.Count(log.String(), "bill-lost"), 1)
+		began := time.Now()
+		assert.ErrorIs(t, led.Close(10*time.Second), ledger.ErrLate)
+		assert.Assert(t, time.Since(began) <= 10*time.Second)
+		led.Add(newBill("a4"))
+		for _, id := range []string{"a1", "a2", "a3", "a4"} {
+			assert.Equal(t, strings.Count(log.String(), `rq-`+id), 1)
+		}
+	})
+}
+
+func TestIntervalKeepsTheBudget(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		budget   float64
+		live     int
+		expected time.Duration
+	}{
+		{"a small fleet writes at the shortest interval", 100, 6, 2 * time.Second},
+		{"360 entries share 100 writes a second", 100, 360, 7200 * time.Millisecond},
+		{"an empty host list counts for one entry", 1, 0, 2 * time.Second},
+		{"no budget is no bound", 0, 360, 2 * time.Second},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			assert.Equal(t, ledger.Interval(sc.budget, sc.live, 2*time.Second), sc.expected)
+		})
+	}
+}
--- a/io/entry/bills.go
+++ b/io/entry/bills.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -87,6 +88,38 @@
 	}
 }
 
+// strandedLimit bounds how long a planned stop waits for an heir.
+const strandedLimit = 5 * time.Second
+
+// drain hands the copies of entries that are not linked to an heir and waits
+// until they are durable. An agent that stopped shortly after an entry died
+// would otherwise take the last trace of its bills along.
+func (bl *bills) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, strandedLimit)
+	defer cancel()
+	bl.mu.Lock()
+	bl.copies.Leave()
+	bl.mu.Unlock()
+	for count := bl.stranded(); count > 0; count = bl.stranded() {
+		select {
+		case <-ctx.Done():
+			event.Log(bl.deps.Log, event.CopiesLeft, "copies", count)
+			return
+		case <-time.After(offerEvery / 10):
+		}
+	}
+}
+
+func (bl *bills) stranded() int {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	return bl.copies.Stranded(bl.linkedIDs())
+}
+
+func (bl *bills) linkedIDs() []core.ProcessID {
+	return slices.Sorted(maps.Keys(bl.entries))
+}
+
 // delivery is a message for one entry.
 type delivery struct {
 	to   *link.Control
@@ -96,13 +129,8 @@
 func (bl *bills) due(now time.Time) []delivery {
 	bl.mu.Lock()
 	defer bl.mu.Unlock()
-	linked := make([]core.ProcessID, 0, len(bl.entries))
-	for id := range bl.entries {
-		linked = append(linked, id)
-	}
-	slices.Sort(linked)
 	var out []delivery
-	for _, ho := range bl.copies.Due(now, linked) {
+	for _, ho := range bl.copies.Due(now, bl.linkedIDs()) {
 		out = append(out, delivery{bl.entries[ho.To], &frame.Told{Process: string(ho.Process), Bills: ho.Bills}})
 	}
 	return out
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -239,7 +239,8 @@
 	srv.broadcast()
 }
 
-// Drain waits until no attempt is in flight, or the context ends.
+// Drain waits until no attempt is in flight and the bills of lost entries are
+// handed over, or the context ends.
 func (srv *Server) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
@@ -248,6 +249,7 @@
 	}()
 	select {
 	case <-done:
+		srv.bills.drain(ctx)
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
