Charge an operation once over its run and its stored answers

A stored answer cost nothing, so an at-most-once operation whose first caller gave up before its answer was settled was never billed, although the caller got the answer by asking again under its key. The end frame now names the attempt that ran the operation, the bill carries it, and the sum charges one of the bills for one attempt: its own if it stands, else one replay. Clocks do not matter for it. The digest for requests sent again also covers operation and idempotency key, so two holds with one body and one request id are two. Ruled out: price zero for every stored answer.

--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -103,16 +103,16 @@
 //
 // The bill waits at the ledger before the agent has the copy: an heir that
 // files the copy in an entry which the ledger has read already would bill the
-// request twice. The stored answer of an operation that ran before costs
-// nothing; the request that ran it was billed.
+// request twice. The bill of an operation's stored answer names the attempt that
+// ran it, and the ledger charges for one of the two: the first may never have
+// been billed, because its caller went away or its entry died.
 func (out *Outcome) Settle() ledger.Bill {
 	if out.bill.Request != "" {
 		return out.bill
 	}
-	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now(), Body: ledger.Digest(out.rq.Body)}
-	if re, ok := out.ans.(replayer); ok && re.Replayed() {
-		bi.Replayed = true
-		out.lines[len(out.lines)-1].Cost = 0
+	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now(), Content: out.rq.digest()}
+	if re, ok := out.ans.(replayer); ok {
+		bi.ReplayOf = re.ReplayOf()
 	}
 	for _, li := range out.lines {
 		bi.Lines = append(bi.Lines, li.Line)
@@ -133,7 +133,12 @@
 }
 
 // replayer is an answer that may be the stored one of an earlier attempt.
-type replayer interface{ Replayed() bool }
+type replayer interface{ ReplayOf() core.AttemptID }
+
+// digest tells a request that is sent again from another one under its id.
+func (rq *Request) digest() string {
+	return ledger.Digest(rq.Body, string(rq.Service), string(rq.Operation), rq.IdempotencyKey)
+}
 
 // floorer is a biller that knows where the next bill can stand.
 type floorer interface{ Floor() ledger.Floor }
--- a/core/execute/answer.go
+++ b/core/execute/answer.go
@@ -22,23 +22,27 @@
 	he.once.Do(he.exit)
 }
 
-// Replayed reports whether the answer is that of an earlier attempt.
-func (he *held) Replayed() bool {
-	st, ok := he.Answer.(*stored)
-	return ok && st.replayed
+// ReplayOf names the attempt that ran the operation, when the answer is its
+// stored one.
+func (he *held) ReplayOf() core.AttemptID {
+	if st, ok := he.Answer.(*stored); ok {
+		return st.replayOf
+	}
+	return ""
 }
 
 // stored is an answer that is whole in memory.
 type stored struct {
 	ans  claim.Answer
 	read bool
-	// replayed tells that another attempt ran the operation. The caller gets
-	// its answer and is not billed again.
-	replayed bool
+	// replayOf is set when another attempt ran the operation. The caller gets
+	// its answer, and the operation is charged once for both.
+	replayOf core.AttemptID
 }
 
 func newStored(ans claim.Answer) *stored { return &stored{ans: ans} }
-func newReplay(ans claim.Answer) *stored { return &stored{ans: ans, replayed: true} }
+
+func newReplay(out claim.Outcome) *stored { return &stored{ans: out.Answer, replayOf: out.Attempt} }
 
 func (st *stored) Next() ([]byte, error) {
 	if st.read || len(st.ans.Body) == 0 {
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -179,7 +179,7 @@
 	case claim.Owned:
 		return ex.runOwned(ctx, at, req)
 	case claim.Done:
-		return newReplay(out.Answer), nil
+		return newReplay(out), nil
 	default:
 		return nil, core.Lost("the operation was handed to attempt %s, whose outcome is not known", out.Attempt)
 	}
--- a/core/ledger/bill.go
+++ b/core/ledger/bill.go
@@ -44,12 +44,12 @@
 	When      time.Time        `json:"when"`
 	Total     core.Millicents  `json:"total"`
 	Lines     []Line           `json:"lines"`
-	// Body is the digest of what the caller sent. With the request id it tells
-	// a request that was sent again from another one under the same id.
-	Body string `json:"body,omitempty"`
-	// Replayed marks the stored answer of an operation that ran before. It
-	// costs nothing: the request that ran it was billed.
-	Replayed bool `json:"replayed,omitempty"`
+	// Content is the digest of what the caller sent. With the request id it
+	// tells a request that was sent again from another one under the same id.
+	Content string `json:"content,omitempty"`
+	// ReplayOf is set for the stored answer of an operation and names the
+	// attempt that ran it. Of all bills for one such attempt one is charged.
+	ReplayOf core.AttemptID `json:"replay-of,omitempty"`
 }
 
 // ID is the attempt that gave the whole answer. No two bills share one.
@@ -69,8 +69,16 @@
 	Cost    core.Millicents `json:"cost"`
 }
 
-// Digest returns the digest of a caller's body for [Bill.Body].
-func Digest(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
+// Digest returns the digest of a caller's body and of what else tells its
+// request from others, for [Bill.Content].
+func Digest(body []byte, others ...string) string {
+	di := xxhash.New()
+	_, _ = di.Write(body)
+	for _, other := range others {
+		_, _ = di.WriteString("\x00" + other)
+	}
+	return fmt.Sprintf("%016x", di.Sum64())
+}
 
 // Segment is what one entry of a ledger chain holds.
 type Segment struct {
--- a/core/ledger/figures_test.go
+++ b/core/ledger/figures_test.go
@@ -38,7 +38,7 @@
 // usual is a bill as a chat request to one model leaves it.
 func usual() ledger.Bill {
 	return ledger.Bill{
-		Request: core.RequestID(core.NewID()), Workspace: "landesamt-schools", When: time.Now(), Total: 1234, Body: ledger.Digest(nil),
+		Request: core.RequestID(core.NewID()), Workspace: "landesamt-schools", When: time.Now(), Total: 1234, Content: ledger.Digest(nil),
 		Lines: []ledger.Line{{Target: "desk@v1", Attempt: core.AttemptID(core.NewID()), Usage: core.Usage{Prompt: 812, Generated: 164}, Cost: 1234}},
 	}
 }
--- a/core/ledger/sum.go
+++ b/core/ledger/sum.go
@@ -147,14 +147,21 @@
 type sent struct {
 	workspace core.WorkspaceID
 	request   core.RequestID
-	body      string
+	content   string
 }
 
-// charge sorts the bills by time and sums them, each request once.
+// charge sorts the bills by time and sums them, each request once, and of the
+// bills for one run of an operation one.
 func (acc *Account) charge(all []Bill) {
 	slices.SortStableFunc(all, func(a, b Bill) int { return a.When.Compare(b.When) })
 	seen := idSet{}
 	first := map[sent]time.Time{}
+	ran := idSet{}
+	for i := range all {
+		if all[i].ReplayOf == "" {
+			ran[all[i].ID()] = true
+		}
+	}
 	for i := range all {
 		bi := &all[i]
 		if seen[bi.ID()] {
@@ -163,19 +170,19 @@
 		}
 		seen[bi.ID()] = true
 		ba := acc.balance(bi.Workspace)
-		if bi.Replayed {
-			// It costs nothing, and must not pass for the first answer when the
-			// clocks of two entries differ.
-			ba.Requests++
-			acc.Bills = append(acc.Bills, *bi)
-			continue
-		}
-		ke := sent{bi.Workspace, bi.Request, bi.Body}
-		if at, ok := first[ke]; ok && bi.When.Sub(at) <= ResendWindow {
-			ba.Resent++
-			continue
+		if bi.ReplayOf != "" {
+			if ran[bi.ReplayOf] {
+				bi.Total = 0 // The attempt that ran it is charged, or a replay was.
+			}
+			ran[bi.ReplayOf] = true
+		} else {
+			ke := sent{bi.Workspace, bi.Request, bi.Content}
+			if at, ok := first[ke]; ok && bi.When.Sub(at) <= ResendWindow {
+				ba.Resent++
+				continue
+			}
+			first[ke] = bi.When
 		}
-		first[ke] = bi.When
 		ba.Requests++
 		ba.Total += bi.Total
 		acc.Bills = append(acc.Bills, *bi)
--- a/core/ledger/sum_test.go
+++ b/core/ledger/sum_test.go
@@ -23,18 +23,19 @@
 // bill returns a bill of 700 millicents with an attempt of its own.
 func bill(request, attempt, body string, after time.Duration) ledger.Bill {
 	bi := newBill(attempt)
-	bi.Request, bi.Body, bi.When = core.RequestID(request), body, time.Unix(0, 0).Add(after)
+	bi.Request, bi.Content, bi.When = core.RequestID(request), body, time.Unix(0, 0).Add(after)
 	return bi
 }
 
-// A caller sends a request again because the answer came late, and each entry
+// A caller sends a request again because the answer came late or the entry died
+// before it filed the bill of an operation that ran; each entry
 // that served it has filed a bill; or entries of the ledger are lost or doubled
 // by a fault of the store or of this product. The customer's account must show
 // each request once, and the operator must be told what is wrong by name.
 func TestAccountChargesOnceAndNamesFaults(t *testing.T) {
 	first := bill("r1", "a1", "x", 0)
-	replay := bill("r2", "a2", "x", time.Second)
-	replay.Replayed, replay.Total = true, 0
+	replay, again := bill("r2", "a2", "x", -time.Second), bill("r2", "a3", "x", time.Second)
+	replay.ReplayOf, again.ReplayOf = "a1", "a1"
 	scenarios := []struct {
 		testName string
 		entries  []entry
@@ -46,6 +47,7 @@
 		{"same id for another body", []entry{{"p", 1, []ledger.Bill{first, bill("r1", "a2", "y", 0)}}}, "2 requests 1400, 0 resent, doubled [], faults []"},
 		{"same id on the next day", []entry{{"p", 1, []ledger.Bill{first, bill("r1", "a2", "x", 24*time.Hour)}}}, "2 requests 1400, 0 resent, doubled [], faults []"},
 		{"stored answer", []entry{{"p", 1, []ledger.Bill{first, replay}}}, "2 requests 700, 0 resent, doubled [], faults []"},
+		{"stored answers whose first bill was lost", []entry{{"p", 1, []ledger.Bill{again, replay}}}, "2 requests 700, 0 resent, doubled [], faults []"},
 		{"bill in two entries", []entry{{"p", 1, []ledger.Bill{first}}, {"p", 2, nil}, {"p/estate", 1, []ledger.Bill{first}}},
 			"1 requests 700, 0 resent, doubled [r1], faults []"},
 		{"entry missing", []entry{{"p", 1, []ledger.Bill{first}}, {"p", 3, []ledger.Bill{bill("r2", "a2", "x", 0)}}},
--- a/io/agent/answer.go
+++ b/io/agent/answer.go
@@ -27,7 +27,7 @@
 	usage    core.Usage
 	status   int
 	ctype    string
-	replayed bool
+	replayOf core.AttemptID
 }
 
 func newAnswer(ctx context.Context, ln *link, st *yamux.Stream, id core.AttemptID) *answer {
@@ -108,7 +108,7 @@
 		return body.Chunk.Data, nil
 	case *frame.Frame_End:
 		an.usage = core.Usage{Prompt: core.Tokens(body.End.PromptTokens), Generated: core.Tokens(body.End.GeneratedTokens)}
-		an.replayed = body.End.Replayed
+		an.replayOf = core.AttemptID(body.End.ReplayOf)
 		an.ln.state(body.End.State)
 		an.Close()
 		return nil, io.EOF
@@ -123,9 +123,9 @@
 // Usage implements [core.Answer].
 func (an *answer) Usage() core.Usage { return an.usage }
 
-// Replayed reports, once Next has returned io.EOF, whether the answer is the
-// stored one of an earlier attempt.
-func (an *answer) Replayed() bool { return an.replayed }
+// ReplayOf names, once Next has returned io.EOF, the earlier attempt whose
+// stored answer this is, if it is one.
+func (an *answer) ReplayOf() core.AttemptID { return an.replayOf }
 
 // Status implements [core.Answer].
 func (an *answer) Status() int { return an.status }
--- a/io/entry/bills.go
+++ b/io/entry/bills.go
@@ -136,8 +136,10 @@
 	return out
 }
 
-// replayed reports whether an answer is the stored one of an earlier attempt.
-func replayed(ans core.Answer) bool {
-	re, ok := ans.(interface{ Replayed() bool })
-	return ok && re.Replayed()
+// replayOf names the attempt whose stored answer this is, if it is one.
+func replayOf(ans core.Answer) core.AttemptID {
+	if re, ok := ans.(interface{ ReplayOf() core.AttemptID }); ok {
+		return re.ReplayOf()
+	}
+	return ""
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -156,7 +156,7 @@
 			us := ans.Usage()
 			_ = wr.Write(&frame.Frame{Body: &frame.Frame_End{End: &frame.End{
 				Attempt: string(at.ID), PromptTokens: int64(us.Prompt), GeneratedTokens: int64(us.Generated), State: srv.state(),
-				Replayed: replayed(ans),
+				ReplayOf: string(replayOf(ans)),
 			}}})
 			return
 		}
