Write one segment an interval also after an outage

When the store came back, an entry wrote all its waiting segments in a row, past the budget, and so would every entry at once, while callers of at-most-once operations wait for claims. Serve now writes one segment an interval; the final write at a stop still writes all within its bound. A gauge shows what waits.

--- a/core/ledger/queue.go
+++ b/core/ledger/queue.go
@@ -78,6 +78,13 @@
 	return qu.items
 }
 
+// size returns the bytes of what waits.
+func (qu *queue) size() int {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	return qu.bytes
+}
+
 // ids returns what waits.
 func (qu *queue) ids() idSet {
 	qu.mu.Lock()
--- a/core/ledger/writer.go
+++ b/core/ledger/writer.go
@@ -116,7 +116,12 @@
 	event.Log(wr.deps.Log, event.BillLost, "bill", string(raw))
 }
 
-// Serve writes segments until the context ends. Close must follow.
+// Serve writes segments until the context ends, one in each interval. Close
+// must follow.
+//
+// One is enough: it takes thousands of bills. After an outage all entries have
+// segments waiting, and writing them at once would take the store from the
+// claims that callers wait for; so the budget holds then as well.
 func (wr *Writer) Serve(ctx context.Context) error {
 	wait := phase(wr.deps.Self, wr.interval())
 	for {
@@ -126,10 +131,11 @@
 		case <-time.After(wait):
 		}
 		wctx, cancel := context.WithTimeout(ctx, writeLimit)
-		if err := wr.Flush(wctx); err != nil && ctx.Err() == nil {
+		if _, err := wr.step(wctx); err != nil && ctx.Err() == nil {
 			event.Log(wr.deps.Log, event.SegmentLate, "error", err)
 		}
 		cancel()
+		wr.deps.Metrics.Gauge("ledger-waiting-bytes").Update(float64(wr.queue.size()))
 		wait = wr.interval()
 	}
 }
@@ -161,20 +167,25 @@
 
 // Flush writes all bills that wait. Those that could not be written stay.
 func (wr *Writer) Flush(ctx context.Context) error {
-	if err := wr.take(ctx); err != nil {
-		return err
-	}
-	defer wr.release()
 	for {
-		if wr.open == nil && !wr.begin() {
-			return nil
-		}
-		if err := wr.write(ctx); err != nil {
+		if more, err := wr.step(ctx); err != nil || !more {
 			return err
 		}
 	}
 }
 
+// step tries to write one segment and reports whether there was one.
+func (wr *Writer) step(ctx context.Context) (bool, error) {
+	if err := wr.take(ctx); err != nil {
+		return false, err
+	}
+	defer wr.release()
+	if wr.open == nil && !wr.begin() {
+		return false, nil
+	}
+	return true, wr.write(ctx)
+}
+
 // begin opens the next segment and reports whether any bill waits.
 func (wr *Writer) begin() bool {
 	batch := wr.queue.head()
--- a/core/ledger/writer_test.go
+++ b/core/ledger/writer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -89,6 +90,29 @@
 	})
 }
 
+// The store comes back after an outage in which an entry gathered several
+// segments. Writing them in a burst, as all entries would, leaves callers of
+// at-most-once operations without claims: they are told "not run" although the
+// store is up.
+func TestBacklogKeepsThePace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newMemory()
+		led := ledger.New(core.NewDeps(), st, ledger.Pace(time.Second))
+		long := strings.Repeat("x", 100_000)
+		for i := range 40 {
+			bi := newBill(strconv.Itoa(i))
+			bi.Workspace = core.WorkspaceID(long)
+			led.Add(bi)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second+time.Millisecond)
+		defer cancel()
+		assert.ErrorIs(t, led.Serve(ctx), context.DeadlineExceeded)
+		acc, err := ledger.Sum(t.Context(), st)
+		assert.NilError(t, err)
+		assert.Assert(t, acc.Segments >= 3 && acc.Segments <= 4, "%d segments in 3 s", acc.Segments)
+	})
+}
+
 func TestIntervalKeepsTheBudget(t *testing.T) {
 	scenarios := []struct {
 		testName string
--- /dev/null
+++ b/io/entry/bills_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/io/frame"
+	"skylarkstand/io/link"
+)
+
+// connect links an entry with the agent's bills over a pipe and returns the
+// entry's side, whose Told is called with what the agent hands over.
+func connect(ctx context.Context, bl *bills, id core.ProcessID, told func(*link.Control, *frame.Told)) *link.Control {
+	here, there := net.Pipe()
+	deps, inf := core.NewDeps(), declaration.NewInForce()
+	var agent, entry *link.Control
+	agent = link.NewControl(deps, inf, here, link.Handlers{
+		Settled: bl.settled, Durable: bl.durable,
+		Hello: func(he *frame.Hello) { bl.linked(core.ProcessID(he.Process), agent) },
+	})
+	deps.Self = id
+	entry = link.NewControl(deps, inf, there, link.Handlers{Told: func(to *frame.Told) { go told(entry, to) }})
+	go func() { _ = entry.Serve(ctx) }()
+	go func() {
+		_ = agent.Serve(ctx)
+		bl.unlinked(agent)
+	}()
+	_ = entry.Hello("")
+	return entry
+}
+
+// An entry dies with bills that it has not written, while another one is
+// linked; or the agent itself is stopped shortly after. If the copies do not
+// reach the other entry, the callers' answers are never billed.
+func TestCopiesOfALostEntryReachAnother(t *testing.T) {
+	for _, stops := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			bl := newBills(core.NewDeps())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go bl.serve(ctx)
+			handed := 0
+			connect(ctx, &bl, "heir", func(co *link.Control, to *frame.Told) {
+				assert.Equal(t, to.Process, "gone")
+				handed += len(to.Bills)
+				_ = co.Send(&frame.Frame{Body: &frame.Frame_Durable{Durable: &frame.Durable{Attempts: []string{"a1", "a2"}}}})
+			})
+			gone, die := context.WithCancel(ctx)
+			first := connect(gone, &bl, "gone", nil)
+			for _, at := range []string{"a1", "a2"} {
+				_ = first.Send(&frame.Frame{Body: &frame.Frame_Settled{Settled: &frame.Settled{Attempt: at, Bill: []byte(at), Process: "gone"}}})
+			}
+			die()
+			synctest.Wait()
+			assert.Equal(t, bl.stranded(), 2)
+			if stops {
+				began := time.Now()
+				bl.drain(ctx)
+				assert.Assert(t, time.Since(began) < strandedLimit)
+			} else {
+				time.Sleep(15 * time.Second)
+			}
+			assert.Equal(t, bl.stranded(), 0)
+			assert.Equal(t, handed, 2)
+		})
+	}
+}
