Model lost writes and bills that are taken back

The model had no write that is lost on its way, so the branch that sends a record again was never reached, and it left out the entry that takes back a bill it had no room for.

--- a/spec/billing.pml
+++ b/spec/billing.pml
@@ -9,10 +9,12 @@
  *
  * The model takes the worst case throughout. Each process may stand still
  * between any two steps, P may be taken for gone at any time and wake at any
- * time, P and one heir may end at any step. A write is sent, and the store
- * applies it at any later time, also after its author ended; the reply of
- * every write is lost, so that an author always settles it by reading the key
- * and, while that is absent, sends the same record again.
+ * time, P and one heir may end at any step (an heir that stands still for ever
+ * has ended for the others). A write is sent, and the store applies it at any
+ * later time, also after its author ended, or never. The reply of every write
+ * is lost, so that an author always settles it by reading the key and, while
+ * that is absent, sends the same record again. P may have no room for a bill;
+ * it takes back what the agent holds and no entry has, at any time.
  *
  * Properties (assertions): no bill stands in two entries; an agent forgets
  * only what stands in the store; once P is gone and one heir has ended its
@@ -20,7 +22,8 @@
  * waits for ever (no invalid end state).
  *
  * Bounds: 2 bills, one owner with a thread that settles and one that writes,
- * 2 heirs, one agent. Not modelled: an agent that restarts loses its copies.
+ * 2 heirs, one agent. Not modelled: an agent that restarts loses its copies;
+ * the floor from which chains are read is taken as their beginning.
  */
 // mutation: HEIR_BLIND      an heir files without reading the estate
 // mutation: NO_SEAL         an heir files without sealing the owner's chain
@@ -29,6 +32,7 @@
 // mutation: FORGET_EARLY    an agent forgets a bill when it is settled
 // mutation: FORGET_SENT     an agent is told durable when the write was sent
 // mutation: TELL_FIRST      the agent is told before the bill waits at the owner
+// mutation: BLIND_RECLAIM   the owner takes a bill back without reading the chains
 // mutation: FRESH_NONCE     the owner takes its own unsettled write for another's
 
 #define ALL   3            /* a bit for each bill */
@@ -79,7 +83,8 @@
 			own[number[a]] = content[a]; ownBy[number[a]] = a;
 			assert((billed & content[a] & ALL) == 0);
 			billed = billed | (content[a] & ALL)
-		:: else  /* the key exists: the write has no effect */
+		:: else                 /* the key exists: the write has no effect */
+		:: true                 /* the write is lost on its way */
 		fi;
 		a = 0
 	}
@@ -97,7 +102,10 @@
 		atomic { held = held | b; settled = settled | b };
 		pending = pending | b;
 #else
-		pending = pending | b;
+		if
+		:: pending = pending | b
+		:: skip                 /* there is no room for it */
+		fi;
 		atomic {
 			settled = settled | b;
 #ifndef FORGET_EARLY
@@ -110,18 +118,45 @@
 	atomic { b = 0; ended++ }
 }
 
+/* The owner takes back what the agent holds. It is the writer's thread: the
+ * writer does not move meanwhile, others do. Entries never change, so reading a
+ * chain to its first absent entry equals reading all of it at once then. */
+inline reclaim() {
+	atomic { (held & ~pending) != 0 -> want = held & ~pending; seen = 0 };
+#ifndef BLIND_RECLAIM
+	atomic {
+		k = 0;
+		do
+		:: own[k] != 0 && own[k] != SEAL -> seen = seen | own[k]; k++
+		:: else -> break
+		od;
+		sealed = (own[k] == SEAL); k = 0
+	};
+	atomic {
+		do
+		:: sealed && estate[k] != 0 -> seen = seen | estate[k]; k++
+		:: else -> break
+		od;
+		sealed = false; k = 0
+	};
+#endif
+	atomic { pending = pending | (want & ~seen); forget(want & seen); want = 0; seen = 0 }
+}
+
 /* The owner's writer. */
 proctype Write() {
-	byte n, batch;
-	bool over;                  /* it writes to the estate */
+	byte n, batch, want, seen, k;
+	bool over, sealed;          /* over: it writes to the estate */
 	do
 	:: true -> break            /* the owner ends here */
+	:: reclaim()
 	:: atomic { pending != 0 -> batch = pending; send(OWNER, over, n, batch) };
 #ifdef FORGET_SENT
 		atomic { held = held & ~batch };
 #endif
 		do
 		:: true -> goto gone
+		:: reclaim()            /* while a write is not settled */
 		:: atomic { !over && own[n] == 0 && !sent[OWNER] -> send(OWNER, over, n, batch) }
 		:: atomic { over && estate[n] == 0 && !sent[OWNER] -> send(OWNER, over, n, batch) }
 #ifdef FRESH_NONCE
@@ -150,12 +185,15 @@
 proctype Heir(byte me) {
 	byte n, want, seen;
 	do
-	:: me == 1 -> break         /* the second heir may end at any round … */
+	:: me == 1 -> break         /* … or it stands still for ever somewhere below */
 	:: atomic { me == 0 && ended == 2 && held == 0 -> assert((settled & ~billed) == 0); break }
 	:: atomic { held != 0 -> want = held; seen = 0; n = 0 };
 		do
-		:: me == 1 -> goto gone /* … and at any step */
-		:: atomic { own[n] != 0 && own[n] != SEAL -> seen = seen | own[n]; n++ }
+		:: atomic { own[n] != 0 && own[n] != SEAL ->
+			do
+			:: own[n] != 0 && own[n] != SEAL -> seen = seen | own[n]; n++
+			:: else -> break
+			od }
 #ifdef NO_SEAL
 		:: atomic { own[n] == 0 -> n = 0; break }
 #else
@@ -164,20 +202,21 @@
 #endif
 		od;
 		do
-		:: me == 1 -> goto gone
 #ifdef HEIR_BLIND
 		:: atomic { estate[n] != 0 && estateBy[n] != me -> n++ }
 		:: atomic { estate[n] != 0 && estateBy[n] == me -> seen = seen | estate[n]; n++ }
 #else
-		:: atomic { estate[n] != 0 -> seen = seen | estate[n]; n++ }
+		:: atomic { estate[n] != 0 ->
+			do
+			:: estate[n] != 0 -> seen = seen | estate[n]; n++
+			:: else -> break
+			od }
 #endif
 		:: atomic { estate[n] == 0 && (want & ~seen) != 0 && !sent[me] -> send(me, true, n, (want & ~seen)) }
 		:: atomic { estate[n] == 0 && (want & ~seen) == 0 -> break }
 		od;
 		atomic { forget(want); want = 0; seen = 0; n = 0 }
-	od;
-gone:
-	atomic { n = 0; want = 0; seen = 0 }
+	od
 }
 
 init {
