--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -43,7 +43,10 @@
 	// Freshness is how old the last word of the newest configuration may be
 	// before versions under roll-out get no new sessions.
 	Freshness Duration `json:"freshness,omitempty"`
-	// LedgerPace is the time between two ledger segments.
+	// LedgerWrites is how many writes a second the ledgers of all entries
+	// together may take of the store. 0 sets no bound.
+	LedgerWrites float64 `json:"ledger-writes,omitempty"`
+	// LedgerPace is the shortest time between two ledger segments.
 	LedgerPace Duration `json:"ledger-pace,omitempty"`
 	// DrainLimit bounds a planned stop. It must be above the longest answer.
 	DrainLimit Duration `json:"drain-limit,omitempty"`
@@ -91,7 +94,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		MaxBody: 4 << 20, MaxInFlight: 4096, Freshness: Duration(20 * time.Second),
-		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
+		LedgerWrites: 100, LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
 	}
 }
 
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -97,28 +97,52 @@
 	}
 }
 
-// Settle files the request's one bill and tells the agents. It is called when
-// the whole answer was read and before the caller gets its end: an entry that
-// dies before it leaves the request unbilled, never billed for nothing.
+// Settle files the request's one bill and gives the agent a copy. It is called
+// when the whole answer was read and before the caller gets its end: an entry
+// that dies before it leaves the request unbilled, never billed for nothing.
+//
+// The bill waits at the ledger before the agent has the copy: an heir that
+// files the copy in an entry which the ledger has read already would bill the
+// request twice. The bill of an operation's stored answer names the attempt that
+// ran it, and the ledger charges for one of the two: the first may never have
+// been billed, because its caller went away or its entry died.
 func (out *Outcome) Settle() ledger.Bill {
 	if out.bill.Request != "" {
 		return out.bill
 	}
-	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now()}
+	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now(), Content: out.rq.digest()}
+	if re, ok := out.ans.(replayer); ok {
+		bi.ReplayOf = re.ReplayOf()
+	}
 	for _, li := range out.lines {
 		bi.Lines = append(bi.Lines, li.Line)
 		bi.Total += li.Cost
 	}
 	out.bill = bi
-	raw, err := json.Marshal(bi)
+	var floor ledger.Floor
+	if fl, ok := out.dis.biller.(floorer); ok {
+		floor = fl.Floor()
+	}
+	out.dis.biller.Add(bi)
+	raw, err := json.Marshal(ledger.Copy{Floor: floor, Bill: bi})
 	if err == nil {
 		last := out.lines[len(out.lines)-1]
 		out.dis.ups.Settle(last.upstream, bi.Request, last.Attempt, raw)
 	}
-	out.dis.biller.Add(bi)
 	return bi
 }
 
+// replayer is an answer that may be the stored one of an earlier attempt.
+type replayer interface{ ReplayOf() core.AttemptID }
+
+// digest tells a request that is sent again from another one under its id.
+func (rq *Request) digest() string {
+	return ledger.Digest(rq.Body, string(rq.Service), string(rq.Operation), rq.IdempotencyKey)
+}
+
+// floorer is a biller that knows where the next bill can stand.
+type floorer interface{ Floor() ledger.Floor }
+
 // Close gives the answer up.
 func (out *Outcome) Close() {
 	if out.ans != nil {
