Let a stored answer show through the watch for crashes

Cause: the guard that watches answers for crashes wrapped them without passing on that an answer is a replay, so each repetition of a booking was charged.

Change: the watch passes it on.

--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -43,6 +43,19 @@
 func (whole) ContentType() string   { return "" }
 func (whole) Close()                {}
 
+func (whole) ReplayOf() core.AttemptID { return "a1" }
+
+// A caller asks again for a booking that ran, and gets the stored answer. If
+// the watch on the answer hid that it is stored, the caller would pay twice.
+func TestReplayShowsThroughTheWatch(t *testing.T) {
+	ups := suspect.NewUpstreams(core.NewDeps(), new(pool), suspect.New(), func(suspect.Record) {})
+	ans, err := ups.Dispatch(t.Context(), "orders-1", attempt("booking"))
+	assert.NilError(t, err)
+	re, ok := ans.(interface{ ReplayOf() core.AttemptID })
+	assert.Assert(t, ok)
+	assert.Equal(t, re.ReplayOf(), core.AttemptID("a1"))
+}
+
 func attempt(body string) *core.Attempt {
 	return &core.Attempt{Workspace: "schools", Target: core.ModelVersion{Model: "desk", Version: "v1"}, Body: []byte(body)}
 }
--- a/core/suspect/upstreams.go
+++ b/core/suspect/upstreams.go
@@ -101,6 +101,14 @@
 	return data, err
 }
 
+// ReplayOf passes on which earlier attempt a stored answer belongs to.
+func (an *answer) ReplayOf() core.AttemptID {
+	if re, ok := an.Answer.(interface{ ReplayOf() core.AttemptID }); ok {
+		return re.ReplayOf()
+	}
+	return ""
+}
+
 // Close implements [core.Answer].
 func (an *answer) Close() {
 	an.Answer.Close()
