Run cascades by the learner and halt roll-outs by the guard

Chat ran every stage in order and failed with the first one that could not run. It now walks the plan: the learner says where to begin and whether to go on, a full or broken stage is replaced by another, and an answer that was rated too low is kept for the caller in case the better stage fails. Ratings that come late still teach; while the rating service is away one request a second waits for it and the others run the stage that is declared good enough. Answers of versions under roll-out, and a share of the stable version's, are rated in the background in bounded places.

The guard's halt stops new sessions in its entry at once and becomes the next generation of the configuration by create-if-absent; a clash with another writer is made good on the newer generation. A configuration that nobody has confirmed for 15 s gives versions under roll-out no new sessions.

Ruled out: rating stages in the caller's goroutine alone, which loses every rating that is later than 300 ms; halting in the store first, which leaves callers exposed for as long as the store is away.

--- a/app/entry.go
+++ b/app/entry.go
@@ -41,6 +41,7 @@
 	pool   *agent.Pool
 	led    *ledger.Writer
 	reader *configReader
+	guard  *guardDuty
 	srv    *caller.Server
 }
 
@@ -57,6 +58,7 @@
 	sup.Add(en.pool)
 	sup.Add(en.led)
 	sup.Add(en.reader)
+	sup.Add(en.guard)
 	done := sup.ServeBackground(duties)
 
 	hs := &http.Server{Handler: en.srv, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
--- /dev/null
+++ b/app/guard_duty.go
@@ -0,0 +1,99 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/chain"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/dispatch"
+	"skylarkstand/core/event"
+	"skylarkstand/core/rollout"
+)
+
+// guardDuty keeps the guard of roll-outs in step with the configuration and
+// writes its halts into it.
+type guardDuty struct {
+	deps core.Deps
+	inf  *declaration.InForce
+	gu   *rollout.Guard
+	dis  *dispatch.Dispatcher
+	rec  *rollout.Recorder
+
+	stale, pending bool
+	told           map[core.ModelVersion]bool
+}
+
+func newGuardDuty(deps core.Deps, inf *declaration.InForce, gu *rollout.Guard, dis *dispatch.Dispatcher, st core.Store) *guardDuty {
+	rec := rollout.NewRecorder(chain.New(st, configurationChain), inf)
+	return &guardDuty{deps: deps, inf: inf, gu: gu, dis: dis, rec: rec, told: map[core.ModelVersion]bool{}}
+}
+
+const (
+	// guardPace is how often a halt that could not be recorded is tried again
+	// and the age of the configuration is looked at.
+	guardPace = time.Second
+	// recordLimit bounds one try, so that a store that hangs does not keep
+	// the guard from newer configurations.
+	recordLimit = 3 * time.Second
+)
+
+// Serve implements suture's service.
+func (gd *guardDuty) Serve(ctx context.Context) error {
+	tick := time.NewTicker(guardPace)
+	defer tick.Stop()
+	for {
+		changed := gd.inf.Changed()
+		if sn := gd.inf.Current(); sn != nil {
+			gd.gu.Follow(sn)
+		}
+		gd.tellStale()
+		gd.record(ctx)
+		select {
+		case <-changed:
+		case <-gd.gu.New():
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// tellStale logs when the configuration becomes outdated.
+func (gd *guardDuty) tellStale() {
+	stale := gd.inf.Current() != nil && gd.dis.Stale(time.Now())
+	if stale && !gd.stale {
+		event.Log(gd.deps.Log, event.ConfigStale, "generation", gd.inf.Number(), "heard", gd.inf.Heard())
+	}
+	gd.stale = stale
+}
+
+func (gd *guardDuty) record(ctx context.Context) {
+	halts := gd.gu.Halts()
+	if len(halts) == 0 {
+		gd.pending = false
+		clear(gd.told)
+	}
+	for _, ha := range halts {
+		if !gd.told[ha.Version] {
+			gd.told[ha.Version] = true
+			event.Log(gd.deps.Log, event.RollOutHalted, "version", ha.Version.String(), "why", ha.Why, "reached", ha.Reached)
+			gd.deps.Metrics.Counter("roll-outs-halted").Inc(1)
+		}
+		gd.recordOne(ctx, ha)
+	}
+}
+
+func (gd *guardDuty) recordOne(ctx context.Context, ha rollout.Halt) {
+	rctx, cancel := context.WithTimeout(ctx, recordLimit)
+	defer cancel()
+	wrote, err := gd.rec.Record(rctx, ha, time.Now().UTC())
+	switch {
+	case err != nil && !gd.pending:
+		gd.pending = true
+		event.Log(gd.deps.Log, event.HaltPending, "version", ha.Version.String())
+	case err == nil && wrote:
+		event.Log(gd.deps.Log, event.HaltRecorded, "version", ha.Version.String(), "generation", gd.inf.Number())
+	}
+}
--- a/app/providers.go
+++ b/app/providers.go
@@ -13,6 +13,7 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/session"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
@@ -77,6 +78,10 @@
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
 }
 
+func newDispatcher(set settings.Entry, deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi dispatch.Biller, gu *rollout.Guard) *dispatch.Dispatcher {
+	return dispatch.New(deps, inf, ups, ra, bi, dispatch.Guard(gu), dispatch.Freshness(time.Duration(set.Freshness)))
+}
+
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
 		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -39,6 +39,10 @@
 	MaxInFlight int64 `json:"max-in-flight,omitempty"`
 	// LedgerPace is the time between two ledger segments.
 	LedgerPace Duration `json:"ledger-pace,omitempty"`
+	// Freshness is how old the last word of the newest configuration may be
+	// for new sessions to be given versions under roll-out. The store confirms
+	// it every ten seconds; below that, roll-outs would pause for no reason.
+	Freshness Duration `json:"freshness,omitempty"`
 	// DrainLimit bounds a planned stop. It must be above the longest answer.
 	DrainLimit Duration `json:"drain-limit,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
@@ -85,7 +89,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		MaxBody: 4 << 20, MaxInFlight: 4096,
-		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
+		LedgerPace: Duration(2 * time.Second), Freshness: Duration(15 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
 	}
 }
 
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/rollout"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
@@ -21,7 +22,7 @@
 func wireEntry(set settings.Entry) (*entryProcess, func(), error) {
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
-		declaration.NewInForce, agent.New, newLedger, dispatch.New, newKeyring, newCaller, newConfigReader,
+		declaration.NewInForce, agent.New, newLedger, rollout.New, newDispatcher, newKeyring, newCaller, newConfigReader, newGuardDuty,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,7 +9,7 @@
 import (
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
-	"skylarkstand/core/dispatch"
+	"skylarkstand/core/rollout"
 	"skylarkstand/io/agent"
 )
 
@@ -24,9 +24,11 @@
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
 	appConfigReader := newConfigReader(deps, inForce, store)
-	appMetricsPage := appProcess.Page
+	guard := rollout.New()
 	rater := newRater(set)
-	dispatcher := dispatch.New(deps, inForce, pool, rater, writer)
+	dispatcher := newDispatcher(set, deps, inForce, pool, rater, writer, guard)
+	appGuardDuty := newGuardDuty(deps, inForce, guard, dispatcher, store)
+	appMetricsPage := appProcess.Page
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
 	appEntryProcess := &entryProcess{
@@ -35,6 +37,7 @@
 		pool:   pool,
 		led:    writer,
 		reader: appConfigReader,
+		guard:  appGuardDuty,
 		srv:    server,
 	}
 	return appEntryProcess, func() {
--- a/core/cascade/cascade_test.go
+++ b/core/cascade/cascade_test.go
@@ -118,5 +118,7 @@
 	}
 	assert.Equal(t, waited, 10)
 	he.Note(now, true)
-	assert.Assert(t, he.Ask(now) && he.Ask(now))
+	for range 2 {
+		assert.Assert(t, he.Ask(now))
+	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/routing"
 )
 
@@ -35,13 +36,17 @@
 	deps   core.Deps
 	inf    *declaration.InForce
 	ups    core.Upstreams
-	rater  core.Rater
 	biller Biller
+	judge  *judge
 }
 
 // New returns a dispatcher.
-func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller) *Dispatcher {
-	return &Dispatcher{deps: deps, inf: inf, ups: ups, rater: ra, biller: bi}
+func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...Option) *Dispatcher {
+	jd := newJudge(deps, ra)
+	for _, opt := range opts {
+		opt(jd)
+	}
+	return &Dispatcher{deps: deps, inf: inf, ups: rollout.Watch(ups, jd.guard), biller: bi, judge: jd}
 }
 
 // Request is a caller's request after its workspace is known.
@@ -66,51 +71,6 @@
 // load it with refusals.
 const maxTries = 3
 
-// Chat runs a request for a model or cascade.
-func (dis *Dispatcher) Chat(ctx context.Context, rq *Request) (*Outcome, error) {
-	sn := dis.inf.Current()
-	if sn == nil {
-		return nil, core.Refuse(core.CodeNoConfig, time.Second, "no configuration is known yet")
-	}
-	plan, err := routing.Resolve(sn, rq.Workspace, rq.Model, rq.Session)
-	if err != nil {
-		return nil, err
-	}
-	out := &Outcome{dis: dis, rq: rq, Cascade: plan.Cascade}
-	for i, st := range plan.Stages {
-		out.Target, out.Repinned = st.Target, st.Repinned
-		err = dis.stage(ctx, sn, rq, st, out)
-		if err != nil {
-			return nil, out.fail(err)
-		}
-		if i == len(plan.Stages)-1 {
-			return out, nil
-		}
-		good, err := dis.goodEnough(ctx, sn, rq, out)
-		if err != nil {
-			return nil, out.fail(err)
-		}
-		if good {
-			return out, nil
-		}
-	}
-	return out, nil
-}
-
-// stage runs one stage on some upstream.
-func (dis *Dispatcher) stage(ctx context.Context, sn *declaration.Snapshot, rq *Request, st routing.Stage, out *Outcome) error {
-	cands := func() []core.Upstream { return dis.ups.Serving(st.Target) }
-	at := core.Attempt{Target: st.Target, Stream: rq.Stream}
-	ans, line, err := dis.try(ctx, sn, rq, at, cands, true)
-	if err != nil {
-		return err
-	}
-	line.price = func(us core.Usage) core.Millicents { return cost(st.Version, us) }
-	line.Target = st.Target.String()
-	out.take(ans, line)
-	return nil
-}
-
 // Call runs a request for a plain service.
 func (dis *Dispatcher) Call(ctx context.Context, rq *Request) (*Outcome, error) {
 	sn := dis.inf.Current()
@@ -200,30 +160,6 @@
 	return core.Millicents((total + 999) / 1000)
 }
 
-// maxHeld bounds the answer of a cascade's stage that is held until it is
-// rated, so that one long answer cannot take the process's memory.
-const maxHeld = 4 << 20
-
-// rateLimit bounds the wait for a rating. Beyond it the declared quality
-// counts.
-const rateLimit = 300 * time.Millisecond
-
-// goodEnough reads a stage's whole answer, has it rated and reports whether
-// it meets the workspace's target. A good answer stands in out for the caller.
-func (dis *Dispatcher) goodEnough(ctx context.Context, sn *declaration.Snapshot, rq *Request, out *Outcome) (bool, error) {
-	if err := out.hold(maxHeld); err != nil {
-		return false, err
-	}
-	target := sn.Workspace(rq.Workspace).Quality
-	rctx, cancel := context.WithTimeout(ctx, rateLimit)
-	defer cancel()
-	got, err := dis.rater.Rate(rctx, out.Target, rq.Prompt, out.held.Bytes())
-	if err != nil {
-		got = sn.Version(out.Target).Quality
-	}
-	return got >= target, nil
-}
-
 var errHeldTooLarge = core.Failure{Code: core.CodeTooLarge, Ran: core.RanFailed, Message: "a cascade's answer is too large to be rated"}
 
 // isEnd reports the regular end of an answer.
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -35,6 +35,14 @@
 	ConfigStale = &Event{302, "configuration-stale", slog.LevelWarn,
 		"No word of the newest configuration for longer than the freshness bound; versions under roll-out get no new sessions.",
 		"Look at the store and the links."}
+	RollOutHalted = &Event{340, "roll-out-halted", slog.LevelWarn,
+		"The guard has halted a roll-out: its version gets no new sessions from this process from now on.",
+		"Look at the version and withdraw it, or clear `halted` to go on."}
+	HaltRecorded = &Event{341, "halt-recorded", slog.LevelInfo,
+		"A halt of the guard stands in the configuration and spreads to all processes.", "Nothing."}
+	HaltPending = &Event{342, "halt-pending", slog.LevelWarn,
+		"A halt could not be written into the configuration yet; it holds in this process and is tried again.",
+		"Look at the store."}
 	StoreDown = &Event{400, "store-down", slog.LevelWarn,
 		"The store cannot be reached.", "Look at the platform."}
 	SegmentWritten = &Event{401, "segment-written", slog.LevelDebug,
@@ -45,6 +53,9 @@
 		"A request ended without an answer.", "Nothing; the code tells the caller."}
 	BillLost = &Event{501, "bill-lost", slog.LevelError,
 		"A bill could not be written before the process ended.", "Keep the line: it is the bill."}
+	RatingsAway = &Event{540, "ratings-away", slog.LevelWarn,
+		"The rating service does not answer in time; cascades run the stage that is declared good enough.",
+		"Look at the rating service."}
 )
 
 // Catalogue lists all events by number.
@@ -53,7 +64,8 @@
 		Started, Stopping, Stopped, DutyFailed, DrainCut,
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame,
 		ConfigAdopted, ConfigBroken, ConfigStale,
+		RollOutHalted, HaltRecorded, HaltPending,
 		StoreDown, SegmentWritten, SegmentLate,
-		RequestFailed, BillLost,
+		RequestFailed, BillLost, RatingsAway,
 	}
 }
--- /dev/null
+++ b/core/rollout/recorder_test.go
@@ -0,0 +1,146 @@
+package rollout_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/chain"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/rollout"
+)
+
+// memory is a store that can be away.
+type memory struct {
+	core.Store
+	mu    sync.Mutex
+	items map[string][]byte
+	away  bool
+	// onCreate runs before a write, as another writer's would.
+	onCreate func(key string)
+}
+
+func (me *memory) Get(_ context.Context, key string) (core.Item, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	val, ok := me.items[key]
+	switch {
+	case me.away:
+		return core.Item{}, core.ErrUnavailable
+	case !ok:
+		return core.Item{}, core.ErrNotFound
+	}
+	return core.Item{Key: key, Value: val, Revision: 1}, nil
+}
+
+func (me *memory) Create(_ context.Context, key string, val []byte, _ core.LeaseID) (core.Revision, error) {
+	if fn := me.onCreate; fn != nil {
+		me.onCreate = nil
+		fn(key)
+	}
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if me.away {
+		return 0, core.ErrUnavailable
+	}
+	if me.items[key] != nil {
+		return 0, core.ErrConflict
+	}
+	me.items[key] = val
+	return 1, nil
+}
+
+func (me *memory) Swap(_ context.Context, key string, _ core.Revision, val []byte) (core.Revision, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	me.items[key] = val
+	return 2, nil
+}
+
+// applied returns a store in which an operator has applied a roll-out.
+func applied(t *testing.T) (*memory, *chain.Chain) {
+	t.Helper()
+	me := &memory{items: map[string][]byte{}}
+	ch := chain.New(me, "configuration")
+	assert.NilError(t, ch.Create(context.Background(), 1, configuration(t, 1, 20, "").Raw))
+	return me, ch
+}
+
+func newest(t *testing.T, ch *chain.Chain) *declaration.Generation {
+	t.Helper()
+	last, err := ch.Last(context.Background())
+	assert.NilError(t, err)
+	gen, err := declaration.Decode(last.Payload)
+	assert.NilError(t, err)
+	return gen
+}
+
+var badVersion = rollout.Halt{Version: desk2, Why: "17 of 20 answers were rated badly"}
+
+// Two entries halt a version in the same moment. Operators see one halt in the
+// history, not two, and both entries work by it.
+func TestTwoEntriesHaltAtOnce(t *testing.T) {
+	_, ch := applied(t)
+	var wg sync.WaitGroup
+	wrote, infs := make([]bool, 4), make([]*declaration.InForce, 4)
+	for i := range wrote {
+		infs[i] = declaration.NewInForce()
+		wg.Go(func() {
+			var err error
+			wrote[i], err = rollout.NewRecorder(ch, infs[i]).Record(context.Background(), badVersion, time.Unix(0, 0))
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	writers := 0
+	for i, inf := range infs {
+		if wrote[i] {
+			writers++
+		}
+		assert.Equal(t, inf.Current().RollOut("desk").Halted, badVersion.Why)
+	}
+	assert.Equal(t, writers, 1)
+	gen := newest(t, ch)
+	assert.Equal(t, gen.Number, core.Generation(2))
+	assert.Equal(t, gen.Audit.Who, declaration.GuardName)
+	assert.DeepEqual(t, gen.Audit.Changed, []string{"~ roll-out desk@v2"})
+}
+
+// An operator applies a change between the guard's read and its write. Were
+// the halt written over what was read, the change would be lost, and the
+// operator would see an accepted configuration come undone.
+func TestHaltKeepsAnOperatorsChange(t *testing.T) {
+	me, ch := applied(t)
+	me.onCreate = func(string) {
+		assert.NilError(t, ch.Create(context.Background(), 2, configuration(t, 2, 35, "").Raw))
+	}
+	wrote, err := rollout.NewRecorder(ch, declaration.NewInForce()).Record(context.Background(), badVersion, time.Unix(0, 0))
+	assert.NilError(t, err)
+	assert.Assert(t, wrote)
+	gen := newest(t, ch)
+	assert.Equal(t, gen.Number, core.Generation(3))
+	assert.Equal(t, gen.Document.RollOuts[0].Percent, 35)
+	assert.Equal(t, gen.Document.RollOuts[0].Halted, badVersion.Why)
+}
+
+// The store is away when the guard halts a version. The halt is told to be
+// pending, so that the entry goes on trying; when the store is back it is
+// recorded, and later tries find it there.
+func TestHaltIsRecordedWhenTheStoreIsBack(t *testing.T) {
+	me, ch := applied(t)
+	rec := rollout.NewRecorder(ch, declaration.NewInForce())
+	me.away = true
+	_, err := rec.Record(context.Background(), badVersion, time.Unix(0, 0))
+	assert.ErrorIs(t, err, rollout.ErrPending)
+	me.away = false
+	for _, first := range []bool{true, false} {
+		wrote, err := rec.Record(context.Background(), badVersion, time.Unix(0, 0))
+		assert.NilError(t, err)
+		assert.Equal(t, wrote, first)
+	}
+	assert.Equal(t, newest(t, ch).Number, core.Generation(2))
+}
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -105,7 +105,7 @@
 			if !good {
 				seen[side][1]++
 			}
-			over := false
+			var over bool
 			if tr.decide != nil {
 				over = tr.decide(seen)
 			} else {
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -28,6 +28,21 @@
 	// Stale says that the configuration may be outdated. A version under
 	// roll-out then gets no new sessions: the halt may not have arrived.
 	Stale bool
+	// Halted reports the versions whose roll-out this entry has halted before
+	// the configuration says so. Nil is none.
+	Halted func(core.ModelVersion) bool
+}
+
+// mayJoin reports whether a new session may be given a version that is rolled
+// out to a share of sessions.
+//
+// A configuration that may be outdated must not give it more sessions: the
+// halt or the withdrawal may be on its way. Callers of an entry that was cut
+// off would meet a bad version for as long as the cut lasts. Stable versions
+// and sessions that are on the new one go on as they are.
+func (se Session) mayJoin(mv core.ModelVersion, ro *declaration.RollOut) bool {
+	halted := ro.Halted != "" || (se.Halted != nil && se.Halted(mv))
+	return !halted && !se.Stale && se.Draw*100 < float64(ro.Percent)
 }
 
 // Plan is what a request runs on: one stage for a model, several for a
@@ -44,6 +59,8 @@
 	// Repinned tells that the session's pin could not be kept, because its
 	// version is withdrawn or no longer allowed. The caller is told.
 	Repinned bool
+	// Joined tells that a new session was given a version under roll-out.
+	Joined bool
 }
 
 // Resolve works out the plan for a name, which is a cascade's or a model's.
@@ -107,8 +124,9 @@
 // chooseNew picks the version of a session that has none.
 func chooseNew(sn *declaration.Snapshot, mo *declaration.Model, se Session, stage func(core.VersionID) (Stage, bool)) (Stage, bool) {
 	ro := sn.RollOut(mo.ID)
-	if ro != nil && ro.Halted == "" && !se.Stale && se.Draw*100 < float64(ro.Percent) {
+	if ro != nil && se.mayJoin(core.ModelVersion{Model: mo.ID, Version: ro.Version}, ro) {
 		if st, ok := stage(ro.Version); ok {
+			st.Joined = ro.Version != mo.Stable
 			return st, true
 		}
 	}
--- /dev/null
+++ b/test/demo/rollout.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/test/fleet"
+)
+
+const (
+	// rollOutShare is the share of new sessions that get the new version.
+	rollOutShare = 20
+	// rollOutCallers bounds the callers of the step. About 25 of the bad
+	// version's answers settle it, so this is several times what is needed.
+	rollOutCallers = 1500
+	// exposedAtMost is how many callers the bad version may reach.
+	exposedAtMost = 100
+)
+
+// rollOut rolls a version out that answers much worse than the stable one, and
+// asks until the guard has halted it.
+func (de *demo) rollOut() error {
+	fmt.Printf("\ndesk@v2 is rolled out to %d %% of new sessions, and answers badly:\n", rollOutShare)
+	if err := de.startRollOut(); err != nil {
+		return err
+	}
+	first, last, reached := 0, 0, 0
+	for i := 1; i <= rollOutCallers && !de.halted(); i++ {
+		version, err := de.newSession(de.one, i)
+		if err != nil {
+			return err
+		}
+		if version == "desk@v2" {
+			reached++
+			last = i
+			if first == 0 {
+				first = i
+			}
+		}
+	}
+	de.expect(de.halted(), "the guard has halted desk@v2")
+	de.expect(reached > 0 && reached <= exposedAtMost, "it reached %d callers, the first was caller %d, the last caller %d", reached, first, last)
+	if err := de.awaitHalt(de.two, last); err != nil {
+		return err
+	}
+	after := 0
+	for i := range 60 {
+		pr := de.one
+		if i%2 == 1 {
+			pr = de.two
+		}
+		version, err := de.newSession(pr, rollOutCallers+i)
+		if err != nil {
+			return err
+		}
+		if version == "desk@v2" {
+			after++
+		}
+	}
+	de.expect(after == 0, "of 60 more callers at both entries, %d were given desk@v2", after)
+	return de.showHalt()
+}
+
+// startRollOut starts the new version's engine and applies the roll-out.
+func (de *demo) startRollOut() error {
+	err := putJSON(de.fl.PlatformURL+"/v1/quality", map[string]float64{"desk@v1": 0.7, "desk@v2": 0.25, "drafter@v1": 0.95})
+	if err != nil {
+		return err
+	}
+	mv := core.ModelVersion{Model: "desk", Version: "v2"}
+	if err := de.fl.StartEngine("desk-v2", mv, fleet.Place{Zone: "muc-a", Region: "muc"}); err != nil {
+		return err
+	}
+	raw, err := os.ReadFile(filepath.Join("test", "demo", "landesamt.jsonc"))
+	if err != nil {
+		return err
+	}
+	doc, err := declaration.Parse(raw)
+	if err != nil {
+		return err
+	}
+	doc.RollOuts = []declaration.RollOut{{Model: "desk", Version: "v2", Percent: rollOutShare}}
+	if raw, err = json.MarshalIndent(doc, "", "  "); err != nil {
+		return err
+	}
+	path := filepath.Join("out", "demo", "roll-out.jsonc")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return err
+	}
+	out, err := de.fl.Command("apply", path, "--store", de.fl.StoreURL, "--why", "roll out desk v2", "--who", "demo")
+	fmt.Print("  $ skylarkstand apply roll-out.jsonc --why 'roll out desk v2'\n  ", out)
+	if err != nil {
+		return err
+	}
+	return de.awaitRollOut()
+}
+
+// awaitRollOut asks until a caller is given the new version: its engine is
+// linked and the configuration in force.
+func (de *demo) awaitRollOut() error {
+	deadline := time.Now().Add(10 * time.Second)
+	for i := 0; ; i++ {
+		version, err := de.newSession(de.one, -i)
+		if err != nil || version == "desk@v2" {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("no caller was given desk@v2 within 10 s")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// awaitHalt asks in a session that was given the new version, without its pin,
+// until the entry gives it the stable one: the halt has come to it.
+func (de *demo) awaitHalt(pr *fleet.Process, i int) error {
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		version, err := de.newSession(pr, i)
+		if err != nil || version == "desk@v1" {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("the halt has not come to %s within 5 s", pr.Name)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// newSession asks one question in a session of its own and returns the version
+// that answered.
+func (de *demo) newSession(pr *fleet.Process, i int) (string, error) {
+	re, err := fleet.Chat(pr.URL, "schools-key", "desk", fmt.Sprintf("roll-out question %d #words=2 ", i), false,
+		map[string]string{"Skylarkstand-Session": fmt.Sprintf("roll-out-%d", i)})
+	if err != nil {
+		return "", err
+	}
+	if re.Whole {
+		de.whole++
+	}
+	return re.Header.Get("Skylarkstand-Version"), nil
+}
+
+// halted reports whether the configuration in the store has the halt.
+func (de *demo) halted() bool {
+	out, err := de.fl.Command("status", "--store", de.fl.StoreURL)
+	return err == nil && strings.Contains(out, "were rated badly")
+}
+
+func (de *demo) showHalt() error {
+	out, err := de.fl.Command("history", "--store", de.fl.StoreURL)
+	if err != nil {
+		return err
+	}
+	for _, line := range strings.Split(out, "\n") {
+		if strings.Contains(line, declaration.GuardName) {
+			fmt.Println("  ", line)
+		}
+	}
+	err = de.fl.Process("desk-v2").Stop()
+	de.expect(err == nil, "desk-v2 ended with %v", errText(err))
+	return nil
+}
+
+func putJSON(url string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	rq, err := http.NewRequest(http.MethodPut, url, strings.NewReader(string(raw)))
+	if err != nil {
+		return err
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	return rs.Body.Close()
+}
