Merge the hand-on of configurations between entries

Freshness is judged where the session is read, and only there; the guard's duty logs when the configuration becomes outdated.

--- a/app/guard_duty.go
+++ b/app/guard_duty.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"skylarkstand/app/settings"
 	"skylarkstand/core"
 	"skylarkstand/core/chain"
 	"skylarkstand/core/declaration"
-	"skylarkstand/core/dispatch"
 	"skylarkstand/core/event"
 	"skylarkstand/core/rollout"
 )
@@ -18,16 +18,19 @@
 	deps core.Deps
 	inf  *declaration.InForce
 	gu   *rollout.Guard
-	dis  *dispatch.Dispatcher
 	rec  *rollout.Recorder
+	// fresh is how old the last word of the newest configuration may be.
+	fresh time.Duration
 
 	stale, pending bool
 	told           map[core.ModelVersion]bool
 }
 
-func newGuardDuty(deps core.Deps, inf *declaration.InForce, gu *rollout.Guard, dis *dispatch.Dispatcher, st core.Store) *guardDuty {
-	rec := rollout.NewRecorder(chain.New(st, configurationChain), inf)
-	return &guardDuty{deps: deps, inf: inf, gu: gu, dis: dis, rec: rec, told: map[core.ModelVersion]bool{}}
+func newGuardDuty(set settings.Entry, deps core.Deps, inf *declaration.InForce, gu *rollout.Guard, st core.Store) *guardDuty {
+	return &guardDuty{
+		deps: deps, inf: inf, gu: gu, rec: rollout.NewRecorder(chain.New(st, configurationChain), inf),
+		fresh: time.Duration(set.Freshness), told: map[core.ModelVersion]bool{},
+	}
 }
 
 const (
@@ -62,7 +65,7 @@
 
 // tellStale logs when the configuration becomes outdated.
 func (gd *guardDuty) tellStale() {
-	stale := gd.inf.Current() != nil && gd.dis.Stale(time.Now())
+	stale := gd.inf.Current() != nil && !gd.inf.Fresh(time.Now(), gd.fresh)
 	if stale && !gd.stale {
 		event.Log(gd.deps.Log, event.ConfigStale, "generation", gd.inf.Number(), "heard", gd.inf.Heard())
 	}
--- a/app/wire.go
+++ b/app/wire.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/rollout"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
@@ -23,10 +24,10 @@
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
 		declaration.NewInForce, agent.New, newLedger, rollout.New, newDispatcher, newKeyring, newCaller, newConfigReader, newGuardDuty,
+		suspect.New, newMesh, newUpstreams,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
-		wire.Bind(new(core.Upstreams), new(*agent.Pool)),
 		wire.Bind(new(dispatch.Biller), new(*ledger.Writer)),
 		wire.Struct(new(entryProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -10,6 +10,7 @@
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/rollout"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 )
 
@@ -23,12 +24,15 @@
 	pool := agent.New(deps, inForce, list)
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
-	appConfigReader := newConfigReader(deps, inForce, store)
+	registry := suspect.New()
+	mesh := newMesh(set, deps, inForce, registry)
+	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
 	guard := rollout.New()
-	rater := newRater(set)
-	dispatcher := newDispatcher(set, deps, inForce, pool, rater, writer, guard)
-	appGuardDuty := newGuardDuty(deps, inForce, guard, dispatcher, store)
+	appGuardDuty := newGuardDuty(set, deps, inForce, guard, store)
 	appMetricsPage := appProcess.Page
+	upstreams := newUpstreams(deps, pool, registry, mesh)
+	rater := newRater(set)
+	dispatcher := newDispatcher(deps, inForce, upstreams, rater, writer, guard)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
 	appEntryProcess := &entryProcess{
--- a/core/dispatch/chat.go
+++ b/core/dispatch/chat.go
@@ -20,7 +20,6 @@
 		return nil, core.Refuse(core.CodeNoConfig, time.Second, "no configuration is known yet")
 	}
 	se := rq.Session
-	se.Stale = se.Stale || dis.Stale(time.Now())
 	se.Halted = dis.judge.guard.Halted
 	plan, err := routing.Resolve(sn, rq.Workspace, rq.Model, se)
 	if err != nil {
@@ -37,12 +36,6 @@
 	return out, nil
 }
 
-// Stale reports whether the configuration may be outdated: nobody has said for
-// longer than the freshness bound that it is the newest.
-func (dis *Dispatcher) Stale(now time.Time) bool {
-	return now.Sub(dis.inf.Heard()) > dis.judge.fresh
-}
-
 // assumedTokens is the length of an answer before any was seen, for the order
 // of the stages' prices only.
 const assumedTokens = 256
--- a/core/dispatch/chat_test.go
+++ b/core/dispatch/chat_test.go
@@ -100,7 +100,6 @@
 	inf := declaration.NewInForce()
 	_, err = inf.Adopt(raw)
 	assert.NilError(t, err)
-	inf.Confirm(time.Now())
 	return inf
 }
 
@@ -200,15 +199,15 @@
 // Sessions that are on the new version keep it.
 func TestNewSessionsLeaveARollOut(t *testing.T) {
 	ro := declaration.RollOut{Model: "desk", Version: "v2", Percent: 50}
-	pinned := routing.Session{Draw: 0.1, Pins: map[core.ModelID]core.VersionID{"desk": "v2"}}
+	pinned := routing.Session{Draw: 0.1, Stale: true, Pins: map[core.ModelID]core.VersionID{"desk": "v2"}}
 	for _, sc := range []struct {
 		testName string
-		age      time.Duration
+		stale    bool
 		halt     bool
 		want     string
 	}{
 		{testName: "fresh", want: "desk@v2"},
-		{testName: "stale", age: time.Minute, want: "desk@v1"},
+		{testName: "stale", stale: true, want: "desk@v1"},
 		{testName: "halted here", halt: true, want: "desk@v1"},
 	} {
 		t.Run(sc.testName, func(t *testing.T) {
@@ -216,12 +215,11 @@
 				inf, gu := inForce(t, ro), rollout.New()
 				gu.Follow(inf.Current())
 				dis := dispatch.New(core.NewDeps(), inf, &upstreams{}, &rater{rates: map[core.ModelID]core.Quality{"desk": 1}}, &bills{}, dispatch.Guard(gu))
-				time.Sleep(sc.age)
 				for i := 0; sc.halt && i < 200; i++ {
 					gu.Observe(rollout.Outcome{Version: core.ModelVersion{Model: "desk", Version: "v1"}, Kind: rollout.Rating})
 					gu.Observe(rollout.Outcome{Version: core.ModelVersion{Model: "desk", Version: "v2"}, Kind: rollout.Rating, Bad: true})
 				}
-				got, err := ask(t, dis, "desk", routing.Session{Draw: 0.1})
+				got, err := ask(t, dis, "desk", routing.Session{Draw: 0.1, Stale: sc.stale})
 				assert.NilError(t, err)
 				assert.Equal(t, got, sc.want)
 				got, err = ask(t, dis, "desk", pinned)
@@ -251,7 +249,6 @@
 				reached++
 			}
 			time.Sleep(time.Second)
-			inf.Confirm(time.Now())
 		}
 		assert.Assert(t, gu.Halted(core.ModelVersion{Model: "desk", Version: "v2"}))
 		assert.Assert(t, reached < 40, "%d callers", reached)
--- a/core/dispatch/judge.go
+++ b/core/dispatch/judge.go
@@ -18,7 +18,6 @@
 	learner *cascade.Learner
 	health  *cascade.Health
 	guard   *rollout.Guard
-	fresh   time.Duration
 	// waited and aside bound the ratings under way, of answers that a caller
 	// waits for and of others. Each has its own places: ratings that nobody
 	// waits for must not take those that somebody does.
@@ -31,10 +30,6 @@
 // Guard sets the guard of roll-outs.
 func Guard(gu *rollout.Guard) Option { return func(jd *judge) { jd.guard = gu } }
 
-// Freshness sets how old the last word of the newest configuration may be for
-// new sessions to be given versions under roll-out.
-func Freshness(d time.Duration) Option { return func(jd *judge) { jd.fresh = d } }
-
 const (
 	// rateLimit bounds the wait of a caller for a rating. Beyond it the
 	// declared quality counts. Raters answer in some tens of milliseconds; a
@@ -50,14 +45,12 @@
 	maxWaited = 1024
 	maxAside  = 64
 	maxCopied = 256 << 10
-	// defaultFresh is the freshness of a dispatcher that is given none.
-	defaultFresh = 15 * time.Second
 )
 
 func newJudge(deps core.Deps, ra core.Rater) *judge {
 	return &judge{
 		deps: deps, rater: ra, learner: cascade.NewLearner(), health: &cascade.Health{}, guard: rollout.New(),
-		fresh: defaultFresh, waited: make(chan struct{}, maxWaited), aside: make(chan struct{}, maxAside),
+		waited: make(chan struct{}, maxWaited), aside: make(chan struct{}, maxAside),
 	}
 }
 
--- a/core/rollout/watch.go
+++ b/core/rollout/watch.go
@@ -45,7 +45,7 @@
 			if fl.Ran == core.NotRun {
 				return
 			}
-			failed, lost = fl.Code == core.CodeUpstream, fl.Code == core.CodeOutcomeLost
+			failed, lost = fl.Code == core.CodeUpstream, fl.Code == core.CodeOutcomeLost || fl.Code == core.CodeCrashed
 		} else {
 			lost = true
 		}
