Pool the evidence of roll-outs at one home

Entries now keep batches of their outcomes for the home that rendezvous hashing prefers; an entry that cannot reach it decides by its own evidence. A halt can be told to the others by link.

--- a/core/rollout/guard.go
+++ b/core/rollout/guard.go
@@ -34,11 +34,14 @@
 // Guard decides on the roll-outs that are under way. It is safe for concurrent
 // use.
 type Guard struct {
-	mu     sync.Mutex
-	tests  map[core.ModelID]*test
-	halts  map[core.ModelVersion]*halt
-	lost   map[core.UpstreamID]time.Time
-	halted chan struct{}
+	mu sync.Mutex
+	// tests are on this entry's own evidence, pools on all entries'.
+	tests, pools map[core.ModelID]*test
+	halts        map[core.ModelVersion]*halt
+	// own and pooled are the losses that were counted in either.
+	own, pooled losses
+	generation  core.Generation
+	halted      chan struct{}
 }
 
 // test is one roll-out under way.
@@ -47,6 +50,10 @@
 	percent           int
 	trials            [kinds]*trial
 	reached           int
+	// sending is what goes to the home with the next batch; pooled says that
+	// the home decides.
+	sending Batch
+	pooled  bool
 }
 
 // halt is a decision of this guard. It holds until the configuration has
@@ -59,8 +66,8 @@
 // New returns a guard of no roll-outs.
 func New() *Guard {
 	return &Guard{
-		tests: map[core.ModelID]*test{}, halts: map[core.ModelVersion]*halt{},
-		lost: map[core.UpstreamID]time.Time{}, halted: make(chan struct{}, 1),
+		tests: map[core.ModelID]*test{}, pools: map[core.ModelID]*test{}, halts: map[core.ModelVersion]*halt{},
+		own: losses{}, pooled: losses{}, halted: make(chan struct{}, 1),
 	}
 }
 
@@ -73,7 +80,8 @@
 func (gu *Guard) Follow(sn *declaration.Snapshot) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	tests := map[core.ModelID]*test{}
+	gu.generation = sn.Number
+	tests, pools := map[core.ModelID]*test{}, map[core.ModelID]*test{}
 	listed := map[core.ModelVersion]bool{}
 	for _, ro := range sn.Doc.RollOuts {
 		mv := core.ModelVersion{Model: ro.Model, Version: ro.Version}
@@ -81,8 +89,9 @@
 		if gu.holds(mv, ro.Halted != "") || ro.Halted != "" {
 			continue
 		}
-		if te := gu.test(sn, mv, ro.Percent); te != nil {
-			tests[ro.Model] = te
+		if te := newTest(sn, mv, ro.Percent); te != nil {
+			tests[ro.Model] = gu.tests[ro.Model].follow(te)
+			pools[ro.Model] = gu.pools[ro.Model].follow(newTest(sn, mv, ro.Percent))
 		}
 	}
 	for mv := range gu.halts {
@@ -90,7 +99,7 @@
 			delete(gu.halts, mv)
 		}
 	}
-	gu.tests = tests
+	gu.tests, gu.pools = tests, pools
 }
 
 // holds reports whether a halt of this guard stands against a configuration.
@@ -108,9 +117,8 @@
 	return true
 }
 
-// test returns the running test of a roll-out, or a new one. A change of the
-// share goes on with the evidence so far.
-func (gu *Guard) test(sn *declaration.Snapshot, mv core.ModelVersion, percent int) *test {
+// newTest returns the test of a roll-out, or nil when it is none.
+func newTest(sn *declaration.Snapshot, mv core.ModelVersion, percent int) *test {
 	mo := sn.Model(mv.Model)
 	if mo == nil || mo.Stable == mv.Version {
 		return nil
@@ -120,25 +128,30 @@
 	if sv == nil || cv == nil {
 		return nil
 	}
-	old := gu.tests[mv.Model]
-	if old != nil && old.candidate == mv && old.stable == stable {
-		old.percent = percent
-		for _, tr := range old.trials {
-			if tr.need > 0 {
-				tr.need = needFor(percent)
-			}
-		}
-		return old
-	}
 	return &test{stable: stable, candidate: mv, percent: percent, trials: newTrials(sv.Quality, cv.Quality, percent)}
 }
 
+// follow returns the test to go on with under a newer configuration: the
+// running one if it is of the same two versions. A change of the share goes on
+// with the evidence so far.
+func (te *test) follow(next *test) *test {
+	if te == nil || te.candidate != next.candidate || te.stable != next.stable {
+		return next
+	}
+	te.percent = next.percent
+	for ki, tr := range te.trials {
+		tr.need = next.trials[ki].need
+	}
+	return te
+}
+
 // Reach notes that a new caller was given a version.
 func (gu *Guard) Reach(mv core.ModelVersion) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	if te := gu.tests[mv.Model]; te != nil && te.candidate == mv {
 		te.reached++
+		te.sending.Reached++
 	}
 }
 
@@ -161,19 +174,33 @@
 	return 0
 }
 
-// Observe takes in an outcome.
+// Observe takes in an outcome of this entry.
 func (gu *Guard) Observe(ou Outcome) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	te := gu.tests[ou.Version.Model]
-	if te == nil || (te.candidate != ou.Version && te.stable != ou.Version) || gu.sameLoss(ou) {
+	if te == nil || (te.candidate != ou.Version && te.stable != ou.Version) || gu.own.same(ou) {
 		return
 	}
-	if !te.trials[ou.Kind].observe(te.candidate == ou.Version, ou.Bad) || te.evidence() < 1/FalseHalts {
-		return
+	if len(te.sending.Outcomes) < maxBatch {
+		te.sending.Outcomes = append(te.sending.Outcomes, ou)
+	}
+	moved := te.trials[ou.Kind].observe(te.candidate == ou.Version, ou.Bad)
+	if moved && !te.pooled && te.evidence() >= 1/FalseHalts {
+		gu.halt(te)
 	}
+}
+
+// halt decides against the candidate of a test.
+func (gu *Guard) halt(te *test) {
 	gu.halts[te.candidate] = &halt{Halt: Halt{Version: te.candidate, Why: te.why(), Reached: te.reached}}
-	delete(gu.tests, te.candidate.Model)
+	gu.drop(te.candidate.Model)
+}
+
+// drop ends the tests of a model and wakes whoever records its halt.
+func (gu *Guard) drop(mo core.ModelID) {
+	delete(gu.tests, mo)
+	delete(gu.pools, mo)
 	select {
 	case gu.halted <- struct{}{}:
 	default:
@@ -190,18 +217,21 @@
 	maxLosses = 1024
 )
 
-// sameLoss reports whether a lost attempt belongs to a loss that was counted.
-func (gu *Guard) sameLoss(ou Outcome) bool {
+// losses are the times of the last losses that were counted.
+type losses map[core.UpstreamID]time.Time
+
+// same reports whether a lost attempt belongs to a loss that was counted.
+func (lo losses) same(ou Outcome) bool {
 	if ou.Kind != Crash || !ou.Bad {
 		return false
 	}
-	if last, ok := gu.lost[ou.Upstream]; ok && ou.At.Sub(last) < lossPause {
+	if last, ok := lo[ou.Upstream]; ok && ou.At.Sub(last) < lossPause {
 		return true
 	}
-	if len(gu.lost) >= maxLosses {
-		clear(gu.lost)
+	if len(lo) >= maxLosses {
+		clear(lo)
 	}
-	gu.lost[ou.Upstream] = ou.At
+	lo[ou.Upstream] = ou.At
 	return false
 }
 
--- a/core/rollout/guard_test.go
+++ b/core/rollout/guard_test.go
@@ -22,6 +22,8 @@
 		atMost   int
 	}{
 		{"clearly worse at a small share", trialRun{stable: 0.9, candidate: 0.7, percent: 5, callers: 2000}, 200},
+		{"three entries with one home", trialRun{stable: 0.9, candidate: 0.7, percent: 5, entries: 3, callers: 2000}, 250},
+		{"three entries without a home", trialRun{stable: 0.9, candidate: 0.7, percent: 5, entries: 3, alone: true, callers: 2000}, 350},
 		{"broken at half", trialRun{stable: 0.9, candidate: 0.2, percent: 50, callers: 2000}, 150},
 		{"clearly worse for all new callers, against what was declared", trialRun{stable: 0.9, candidate: 0.6, percent: 100, callers: 2000}, 400},
 		{"a weak model that gets weaker", trialRun{stable: 0.7, candidate: 0.4, percent: 20, callers: 2000}, 250},
@@ -43,6 +45,8 @@
 		{stable: 0.9, candidate: 0.9, percent: 5, callers: 500},
 		{stable: 0.9, candidate: 0.89, percent: 20, callers: 500},
 		{stable: 0.6, candidate: 0.6, percent: 20, callers: 500},
+		{stable: 0.6, candidate: 0.6, percent: 50, callers: 500, entries: 3},
+		{stable: 0.7, candidate: 0.7, percent: 90, callers: 1000, entries: 3},
 		{stable: 0.8, candidate: 0.95, percent: 50, callers: 500},
 	} {
 		t.Run(run.String(), func(t *testing.T) {
@@ -95,6 +99,33 @@
 	assert.Equal(t, gu.RateShare(desk2), 1.0)
 }
 
+// The store is away, and another entry has halted a version. Callers of this
+// entry must not be given it either. A word that is older than the
+// configuration may be of a halt that an operator has lifted, and is not
+// heeded.
+func TestHaltOfAnotherEntry(t *testing.T) {
+	for _, sc := range []struct {
+		testName string
+		halted   core.ModelVersion
+		decided  core.Generation
+		heeded   bool
+	}{
+		{"by the same configuration", desk2, 3, true},
+		{"by a newer one", desk2, 4, true},
+		{"by an older one", desk2, 2, false},
+		{"of a version that is not rolled out", desk1, 3, false},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			gu := rollout.New()
+			gu.Follow(configuration(t, 3, 20, ""))
+			ha := rollout.Halt{Version: sc.halted, Why: "elsewhere"}
+			assert.Equal(t, gu.Heed(ha, sc.decided), sc.heeded)
+			assert.Equal(t, gu.Halted(sc.halted), sc.heeded)
+			assert.Assert(t, !gu.Heed(ha, sc.decided), "a word that circles is no news")
+		})
+	}
+}
+
 // attempts is a fake of the upstreams whose attempts end as told.
 type attempts struct {
 	core.Upstreams
