Carry evidence to the home and halts to all entries by link

The pool of a roll-out had no way between processes. Batches go twice a second over the entries' links to the home that the host list names, which opens a link where the mesh keeps none; halts go to all linked entries and on from there, so that a halt holds everywhere while the store is away. A word of a halt that is older than the receiver's configuration is dropped: an operator may have lifted that halt since.

Ruled out: evidence through the store, one write an entry, roll-out and second, which grows with the fleet while the store's rate does not.

--- a/app/entry.go
+++ b/app/entry.go
@@ -54,7 +54,10 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	en.pool.OnHosts(en.reader.Update)
+	en.pool.OnHosts(func(hosts []core.Host) {
+		en.reader.Update(hosts)
+		en.guard.Update(hosts)
+	})
 	sup := newSupervisor("entry", en.deps)
 	sup.Add(en.pool)
 	sup.Add(en.led)
--- a/app/guard_duty.go
+++ b/app/guard_duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"skylarkstand/app/settings"
@@ -10,6 +11,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
 	"skylarkstand/core/rollout"
+	"skylarkstand/io/peer"
 )
 
 // guardDuty keeps the guard of roll-outs in step with the configuration and
@@ -19,6 +21,10 @@
 	inf  *declaration.InForce
 	gu   *rollout.Guard
 	rec  *rollout.Recorder
+	mesh *peer.Mesh
+	self core.Host
+	// hosts is the last reading of the host list.
+	hosts atomic.Pointer[[]core.Host]
 	// fresh is how old the last word of the newest configuration may be.
 	fresh time.Duration
 
@@ -26,17 +32,20 @@
 	told           map[core.ModelVersion]bool
 }
 
-func newGuardDuty(set settings.Entry, deps core.Deps, inf *declaration.InForce, gu *rollout.Guard, st core.Store) *guardDuty {
-	return &guardDuty{
-		deps: deps, inf: inf, gu: gu, rec: rollout.NewRecorder(chain.New(st, configurationChain), inf),
+func newGuardDuty(set settings.Entry, deps core.Deps, inf *declaration.InForce, gu *rollout.Guard, st core.Store, mesh *peer.Mesh) *guardDuty {
+	gd := &guardDuty{
+		deps: deps, inf: inf, gu: gu, mesh: mesh, self: entryHost(set), rec: rollout.NewRecorder(chain.New(st, configurationChain), inf),
 		fresh: time.Duration(set.Freshness), told: map[core.ModelVersion]bool{},
 	}
+	gd.hosts.Store(new([]core.Host))
+	return gd
 }
 
 const (
-	// guardPace is how often a halt that could not be recorded is tried again
-	// and the age of the configuration is looked at.
-	guardPace = time.Second
+	// guardPace is how often evidence goes to the home of a roll-out and a
+	// halt that could not be recorded is tried again. Each pace exposes the
+	// callers of half of it on average; each batch is a frame a roll-out.
+	guardPace = 500 * time.Millisecond
 	// recordLimit bounds one try, so that a store that hangs does not keep
 	// the guard from newer configurations.
 	recordLimit = 3 * time.Second
@@ -52,6 +61,7 @@
 			gd.gu.Follow(sn)
 		}
 		gd.tellStale()
+		gd.sendEvidence()
 		gd.record(ctx)
 		select {
 		case <-changed:
@@ -63,6 +73,26 @@
 	}
 }
 
+// Update takes a new reading of the host list.
+func (gd *guardDuty) Update(hosts []core.Host) { gd.hosts.Store(&hosts) }
+
+// sendEvidence gives what was seen to the homes of the roll-outs. An entry
+// that cannot reach a home, or that the list does not name yet, decides alone.
+func (gd *guardDuty) sendEvidence() {
+	for _, ba := range gd.gu.Batches() {
+		home, ok := rollout.Home(ba.Model, *gd.hosts.Load())
+		switch {
+		case !ok || gd.self.Addr == "":
+			gd.gu.Alone(ba.Model, true)
+		case home.Addr == gd.self.Addr:
+			gd.gu.Alone(ba.Model, false)
+			gd.gu.Pool(ba)
+		default:
+			gd.gu.Alone(ba.Model, gd.mesh.SendEvidence(home, ba) != nil)
+		}
+	}
+}
+
 // tellStale logs when the configuration becomes outdated.
 func (gd *guardDuty) tellStale() {
 	stale := gd.inf.Current() != nil && !gd.inf.Fresh(time.Now(), gd.fresh)
@@ -83,6 +113,7 @@
 			gd.told[ha.Version] = true
 			event.Log(gd.deps.Log, event.RollOutHalted, "version", ha.Version.String(), "why", ha.Why, "reached", ha.Reached)
 			gd.deps.Metrics.Counter("roll-outs-halted").Inc(1)
+			gd.mesh.TellHalt(ha, gd.inf.Number())
 		}
 		gd.recordOne(ctx, ha)
 	}
--- a/app/providers.go
+++ b/app/providers.go
@@ -94,8 +94,8 @@
 	return core.Host{Role: core.RoleEntry, Addr: set.PeerListen, Zone: set.Zone, Region: set.Region}
 }
 
-func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry) *peer.Mesh {
-	return peer.New(deps, inf, reg, entryHost(set))
+func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, gu *rollout.Guard) *peer.Mesh {
+	return peer.New(deps, inf, reg, gu, entryHost(set))
 }
 
 func newUpstreams(deps core.Deps, po *agent.Pool, reg *suspect.Registry, mesh *peer.Mesh) core.Upstreams {
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -25,10 +25,10 @@
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
 	registry := suspect.New()
-	mesh := newMesh(set, deps, inForce, registry)
-	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
 	guard := rollout.New()
-	appGuardDuty := newGuardDuty(set, deps, inForce, guard, store)
+	mesh := newMesh(set, deps, inForce, registry, guard)
+	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
+	appGuardDuty := newGuardDuty(set, deps, inForce, guard, store, mesh)
 	appMetricsPage := appProcess.Page
 	upstreams := newUpstreams(deps, pool, registry, mesh)
 	rater := newRater(set)
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -24,6 +24,10 @@
 	kinds
 )
 
+// Known reports whether a kind is one of these: a peer of another release may
+// send others.
+func (ki Kind) Known() bool { return ki >= Rating && ki < kinds }
+
 // String names a kind in the evidence that operators read.
 func (ki Kind) String() string { return [...]string{"rated badly", "failed", "lost"}[ki] }
 
--- a/io/link/control.go
+++ b/io/link/control.go
@@ -23,6 +23,9 @@
 	Ask     func(*frame.Ask)
 	Told    func(*frame.Told)
 	Suspect func(*frame.Suspect)
+	// Evidence and Halt concern roll-outs.
+	Evidence func(*frame.Evidence)
+	Halt     func(*frame.Halt)
 }
 
 // Control is one side of a control stream.
@@ -162,6 +165,10 @@
 		call(co.hd.Told, body.Told)
 	case *frame.Frame_Suspect:
 		call(co.hd.Suspect, body.Suspect)
+	case *frame.Frame_Evidence:
+		call(co.hd.Evidence, body.Evidence)
+	case *frame.Frame_Halt:
+		call(co.hd.Halt, body.Halt)
 	}
 	return nil
 }
--- /dev/null
+++ b/io/peer/evidence.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/rollout"
+	"skylarkstand/io/frame"
+	"skylarkstand/io/link"
+)
+
+// ErrNoLink tells that there is no link to an entry yet, or any more.
+var ErrNoLink = errors.New("peer: no link to that entry")
+
+// homeKept is how long a link to a home is kept after the last evidence. A
+// roll-out sends some twice a second, so the link outlives a restart of its
+// home, and goes soon after the roll-out.
+const homeKept = time.Minute
+
+// SendEvidence sends a batch to the home of its roll-out. Without a link it
+// opens one for the batches to come and returns ErrNoLink; this batch is lost
+// to the pool then.
+func (me *Mesh) SendEvidence(home core.Host, ba rollout.Batch) error {
+	co := me.linked(home.Addr)
+	if co == nil {
+		return ErrNoLink
+	}
+	if co.Send(&frame.Frame{Body: &frame.Frame_Evidence{Evidence: evidenceFrame(ba)}}) != nil {
+		return ErrNoLink
+	}
+	return nil
+}
+
+func (me *Mesh) linked(addr string) *link.Control {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if me.ctx == nil {
+		return nil
+	}
+	me.homes[addr] = time.Now()
+	me.dial(addr)
+	return me.dialled[addr]
+}
+
+func (me *Mesh) opened(addr string, co *link.Control) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if co == nil {
+		delete(me.dialled, addr)
+	} else {
+		me.dialled[addr] = co
+	}
+}
+
+// TellHalt tells all linked entries of a halt that was decided by a generation.
+func (me *Mesh) TellHalt(ha rollout.Halt, decided core.Generation) {
+	me.broadcast(&frame.Frame{Body: &frame.Frame_Halt{Halt: &frame.Halt{
+		Model: string(ha.Version.Model), Version: string(ha.Version.Version), Why: ha.Why,
+		Reached: int64(ha.Reached), Generation: uint64(decided),
+	}}})
+}
+
+// heed takes another entry's halt and passes news on, as learn does.
+func (me *Mesh) heed(fr *frame.Halt) {
+	ha := rollout.Halt{
+		Version: core.ModelVersion{Model: core.ModelID(fr.Model), Version: core.VersionID(fr.Version)},
+		Why:     fr.Why, Reached: int(fr.Reached),
+	}
+	if decided := core.Generation(fr.Generation); me.guard.Heed(ha, decided) {
+		go me.TellHalt(ha, decided)
+	}
+}
+
+func (me *Mesh) pool(ev *frame.Evidence) { me.guard.Pool(batch(ev, time.Now())) }
+
+// evidenceFrame groups a batch by version and kind, each in its order: one
+// byte an outcome, since with roll-outs to many callers every answer is one.
+func evidenceFrame(ba rollout.Batch) *frame.Evidence {
+	type group struct {
+		version core.VersionID
+		kind    rollout.Kind
+	}
+	ev := &frame.Evidence{Model: string(ba.Model), Reached: int64(ba.Reached)}
+	groups := map[group]*frame.Observations{}
+	for _, ou := range ba.Outcomes {
+		gr := group{ou.Version.Version, ou.Kind}
+		obs := groups[gr]
+		if obs == nil {
+			obs = &frame.Observations{Version: string(ou.Version.Version), Kind: int32(ou.Kind)}
+			groups[gr] = obs
+			ev.Observations = append(ev.Observations, obs)
+		}
+		bad := byte(0)
+		if ou.Bad {
+			bad = 1
+			if ou.Kind == rollout.Crash {
+				obs.Upstreams = append(obs.Upstreams, string(ou.Upstream))
+			}
+		}
+		obs.Bad = append(obs.Bad, bad)
+	}
+	return ev
+}
+
+// batch reads what evidenceFrame wrote. Kinds that this side does not know are
+// passed over.
+func batch(ev *frame.Evidence, now time.Time) rollout.Batch {
+	ba := rollout.Batch{Model: core.ModelID(ev.Model), Reached: int(ev.Reached)}
+	for _, obs := range ev.Observations {
+		kind := rollout.Kind(obs.Kind)
+		if !kind.Known() {
+			continue
+		}
+		mv := core.ModelVersion{Model: ba.Model, Version: core.VersionID(obs.Version)}
+		lost := obs.Upstreams
+		for _, bad := range obs.Bad {
+			ou := rollout.Outcome{Version: mv, Kind: kind, Bad: bad == 1, At: now}
+			if ou.Bad && kind == rollout.Crash && len(lost) > 0 {
+				ou.Upstream, lost = core.UpstreamID(lost[0]), lost[1:]
+			}
+			ba.Outcomes = append(ba.Outcomes, ou)
+		}
+	}
+	return ba
+}
--- /dev/null
+++ b/io/peer/evidence_test.go
@@ -0,0 +1,31 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"skylarkstand/core"
+	"skylarkstand/core/rollout"
+)
+
+// A batch reaches the home with every outcome, in the order of its version and
+// kind. Were the bad ones moved to the front, the guard would look at the
+// evidence when it is worst by its order alone.
+func TestEvidenceOnTheWire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.SampledFrom([]rollout.Kind{rollout.Rating, rollout.Error, rollout.Crash}).Draw(rt, "kind")
+		sent := rollout.Batch{Model: "desk", Reached: rapid.IntRange(0, 9).Draw(rt, "reached")}
+		for range rapid.IntRange(0, 30).Draw(rt, "outcomes") {
+			ou := rollout.Outcome{Version: core.ModelVersion{Model: "desk", Version: "v2"}, Kind: kind, Bad: rapid.Bool().Draw(rt, "bad"), At: now}
+			if ou.Bad && kind == rollout.Crash {
+				ou.Upstream = core.UpstreamID(rapid.SampledFrom([]string{"one", "two"}).Draw(rt, "upstream"))
+			}
+			sent.Outcomes = append(sent.Outcomes, ou)
+		}
+		assert.DeepEqual(rt, batch(evidenceFrame(sent), now), sent)
+	})
+}
--- /dev/null
+++ b/io/peer/halt_test.go
@@ -0,0 +1,95 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/rollout"
+	"skylarkstand/core/suspect"
+	"skylarkstand/io/peer"
+)
+
+// entry is an entry's mesh with its guard.
+type entry struct {
+	host core.Host
+	gu   *rollout.Guard
+	mesh *peer.Mesh
+}
+
+func startEntry(ctx context.Context, t *testing.T, zone core.Zone) *entry {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	gen := &declaration.Generation{Number: 1, Document: declaration.Document{
+		Models:   []declaration.Model{{ID: "desk", Stable: "v1", Versions: []declaration.Version{{ID: "v1", Quality: 0.9}, {ID: "v2", Quality: 0.9}}}},
+		RollOuts: []declaration.RollOut{{Model: "desk", Version: "v2", Percent: 20}},
+	}}
+	raw, err := gen.Encode()
+	assert.NilError(t, err)
+	inf := declaration.NewInForce()
+	_, err = inf.Adopt(raw)
+	assert.NilError(t, err)
+	en := &entry{host: core.Host{Role: core.RoleEntry, Addr: li.Addr().String(), Zone: zone, Region: "muc"}, gu: rollout.New()}
+	en.gu.Follow(inf.Current())
+	en.mesh = peer.New(core.NewDeps(), inf, suspect.New(), en.gu, en.host)
+	go func() { _ = en.mesh.Serve(ctx, li) }()
+	return en
+}
+
+// The store is away, and callers come to two entries. Neither has seen enough
+// of a bad version to halt it, both together have. The one that pools halts it
+// and the other hears of that by the link alone, so that no caller of either
+// is given the version any more.
+func TestPooledHaltWithoutAStore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	one, two := startEntry(ctx, t, "muc-a"), startEntry(ctx, t, "muc-b")
+	hosts := []core.Host{one.host, two.host}
+	home, ok := rollout.Home("desk", hosts)
+	assert.Assert(t, ok)
+	if home.Addr != one.host.Addr {
+		one, two = two, one
+	}
+	bad := core.ModelVersion{Model: "desk", Version: "v2"}
+	for _, en := range []*entry{one, two} {
+		for i := range 40 { // 8 answers of v2, of which 3 are bad.
+			mv := core.ModelVersion{Model: "desk", Version: "v1"}
+			if i%5 == 4 {
+				mv = bad
+			}
+			en.gu.Observe(rollout.Outcome{Version: mv, Kind: rollout.Rating, Bad: mv == bad && i < 15})
+		}
+		assert.Assert(t, !en.gu.Halted(bad))
+	}
+	sent := two.gu.Batches()[0]
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		two.mesh.Update(hosts)
+		if err := two.mesh.SendEvidence(home, sent); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, ba := range one.gu.Batches() {
+			one.gu.Pool(ba)
+		}
+		if !one.gu.Halted(bad) {
+			return poll.Continue("the evidence has not come")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	one.mesh.TellHalt(one.gu.Halts()[0], 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !two.gu.Halted(bad) {
+			return poll.Continue("the halt has not come")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -22,6 +22,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/spread"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/frame"
@@ -39,16 +40,25 @@
 	self core.Host
 
 	suspects *suspect.Registry
+	guard    *rollout.Guard
 
 	mu       sync.Mutex
 	peers    map[string]context.CancelFunc
 	controls map[*link.Control]bool
-	ctx      context.Context
+	// dialled are the controls of the links that this entry has opened, by
+	// address, and homes the addresses that evidence went to, with the time.
+	dialled map[string]*link.Control
+	homes   map[string]time.Time
+	ctx     context.Context
 }
 
 // New returns a mesh for the entry at self.
-func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host) *Mesh {
-	return &Mesh{deps: deps, inf: inf, suspects: reg, self: self, peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{}}
+func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, gu *rollout.Guard, self core.Host) *Mesh {
+	return &Mesh{
+		deps: deps, inf: inf, suspects: reg, guard: gu, self: self,
+		peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{},
+		dialled: map[string]*link.Control{}, homes: map[string]time.Time{},
+	}
 }
 
 // Serve accepts links until the context ends.
@@ -76,12 +86,16 @@
 		return
 	}
 	defer cleanup()
-	_ = me.serve(ctx, st)
+	_ = me.serve(ctx, me.control(st))
+}
+
+func (me *Mesh) control(st io.ReadWriteCloser) *link.Control {
+	hd := link.Handlers{Suspect: me.learn, Evidence: me.pool, Halt: me.heed}
+	return link.NewControl(me.deps, me.inf, st, hd, link.Every(NoticeEvery))
 }
 
 // serve runs the control stream of one link until it ends.
-func (me *Mesh) serve(ctx context.Context, st io.ReadWriteCloser) error {
-	co := link.NewControl(me.deps, me.inf, st, link.Handlers{Suspect: me.learn}, link.Every(NoticeEvery))
+func (me *Mesh) serve(ctx context.Context, co *link.Control) error {
 	me.hold(co, true)
 	defer me.hold(co, false)
 	if err := co.Hello(""); err != nil {
@@ -115,12 +129,15 @@
 
 // Tell sends a suspect's record to all linked entries.
 func (me *Mesh) Tell(re suspect.Record) {
+	me.broadcast(&frame.Frame{Body: &frame.Frame_Suspect{Suspect: &frame.Suspect{
+		Fingerprint: uint64(re.Fingerprint), State: int32(re.State), LeftMicros: time.Until(re.Until).Microseconds(),
+	}}})
+}
+
+func (me *Mesh) broadcast(fr *frame.Frame) {
 	me.mu.Lock()
 	cos := slices.Collect(maps.Keys(me.controls))
 	me.mu.Unlock()
-	fr := &frame.Frame{Body: &frame.Frame_Suspect{Suspect: &frame.Suspect{
-		Fingerprint: uint64(re.Fingerprint), State: int32(re.State), LeftMicros: time.Until(re.Until).Microseconds(),
-	}}}
 	for _, co := range cos {
 		_ = co.Send(fr)
 	}
@@ -136,10 +153,13 @@
 	wanted := map[string]bool{}
 	for _, ho := range spread.Peers(hosts, me.self) {
 		wanted[ho.Addr] = true
-		if me.peers[ho.Addr] == nil {
-			ctx, cancel := context.WithCancel(me.ctx)
-			me.peers[ho.Addr] = cancel
-			go link.Redial(ctx, func(ctx context.Context) { me.connect(ctx, ho.Addr) })
+		me.dial(ho.Addr)
+	}
+	for addr, used := range me.homes {
+		if time.Since(used) < homeKept {
+			wanted[addr] = true
+		} else {
+			delete(me.homes, addr)
 		}
 	}
 	for addr, cancel := range me.peers {
@@ -150,6 +170,16 @@
 	}
 }
 
+// dial keeps a link to an address from now on. The caller holds the lock.
+func (me *Mesh) dial(addr string) {
+	if me.peers[addr] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(me.ctx)
+	me.peers[addr] = cancel
+	go link.Redial(ctx, func(ctx context.Context) { me.connect(ctx, addr) })
+}
+
 func (me *Mesh) connect(ctx context.Context, addr string) {
 	ses, st, err := link.Dial(ctx, addr)
 	if err != nil {
@@ -157,7 +187,10 @@
 	}
 	defer ses.Close()
 	event.Log(me.deps.Log, event.PeerUp, "peer", addr)
-	err = me.serve(ctx, st)
+	co := me.control(st)
+	me.opened(addr, co)
+	err = me.serve(ctx, co)
+	me.opened(addr, nil)
 	if ctx.Err() == nil {
 		event.Log(me.deps.Log, event.PeerDown, "peer", addr, "error", err)
 	}
