--- a/app/guard_duty.go
+++ b/app/guard_duty.go
@@ -46,6 +46,8 @@
 	// halt that could not be recorded is tried again. Each pace exposes the
 	// callers of half of it on average; each batch is a frame a roll-out.
 	guardPace = 500 * time.Millisecond
+	// sendLimit bounds the wait for a home that is frozen or far.
+	sendLimit = 400 * time.Millisecond
 	// recordLimit bounds one try, so that a store that hangs does not keep
 	// the guard from newer configurations.
 	recordLimit = 3 * time.Second
@@ -61,7 +63,7 @@
 			gd.gu.Follow(sn)
 		}
 		gd.tellStale()
-		gd.sendEvidence()
+		gd.sendEvidence(ctx)
 		gd.record(ctx)
 		select {
 		case <-changed:
@@ -78,7 +80,7 @@
 
 // sendEvidence gives what was seen to the homes of the roll-outs. An entry
 // that cannot reach a home, or that the list does not name yet, decides alone.
-func (gd *guardDuty) sendEvidence() {
+func (gd *guardDuty) sendEvidence(ctx context.Context) {
 	for _, ba := range gd.gu.Batches() {
 		home, ok := rollout.Home(ba.Model, *gd.hosts.Load())
 		switch {
@@ -88,11 +90,17 @@
 			gd.gu.Alone(ba.Model, false)
 			gd.gu.Pool(ba)
 		default:
-			gd.gu.Alone(ba.Model, gd.mesh.SendEvidence(home, ba) != nil)
+			gd.gu.Alone(ba.Model, !gd.send(ctx, home, ba))
 		}
 	}
 }
 
+func (gd *guardDuty) send(ctx context.Context, home core.Host, ba rollout.Batch) bool {
+	sctx, cancel := context.WithTimeout(ctx, sendLimit)
+	defer cancel()
+	return gd.mesh.SendEvidence(sctx, home, ba) == nil
+}
+
 // tellStale logs when the configuration becomes outdated.
 func (gd *guardDuty) tellStale() {
 	stale := gd.inf.Current() != nil && !gd.inf.Fresh(time.Now(), gd.fresh)
--- a/app/providers.go
+++ b/app/providers.go
@@ -84,9 +84,9 @@
 	return dispatch.New(deps, inf, ups, ra, bi, dispatch.Guard(gu))
 }
 
-func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
-		caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
 // entryHost returns the entry's own line of the host list.
@@ -95,7 +95,7 @@
 }
 
 func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, gu *rollout.Guard) *peer.Mesh {
-	return peer.New(deps, inf, reg, gu, entryHost(set))
+	return peer.New(deps, inf, reg, entryHost(set), peer.Guard(gu))
 }
 
 func newUpstreams(deps core.Deps, po *agent.Pool, reg *suspect.Registry, mesh *peer.Mesh) core.Upstreams {
@@ -127,7 +127,15 @@
 	return entrylink.New(deps, ho, inf, ex)
 }
 
-func newAdmin(page metricsPage) http.Handler {
+func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
+
+func newEntryAdmin(page metricsPage, sp *statusPage) http.Handler {
+	mux := newAdmin(page)
+	mux.Handle("GET /status", sp)
+	return mux
+}
+
+func newAdmin(page metricsPage) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
--- a/app/wire.go
+++ b/app/wire.go
@@ -25,6 +25,7 @@
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
 		declaration.NewInForce, agent.New, newLedger, rollout.New, newDispatcher, newKeyring, newCaller, newConfigReader, newGuardDuty,
 		suspect.New, newMesh, newUpstreams,
+		newEntryAdmin, wire.Struct(new(statusPage), "*"),
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
@@ -37,7 +38,7 @@
 func wireAgent(set settings.Agent) (*agentProcess, func(), error) {
 	wire.Build(
 		newAgentProcess, wire.FieldsOf(new(process), "Deps", "Page"), newAgentStore, newUpstreamHost, newRunner,
-		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAdmin,
+		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAgentAdmin,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Struct(new(agentProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -34,7 +34,14 @@
 	rater := newRater(set)
 	dispatcher := newDispatcher(deps, inForce, upstreams, rater, writer, guard)
 	keyring := newKeyring(set)
-	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
+	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
+	appStatusPage := &statusPage{
+		deps: deps,
+		inf:  inForce,
+		pool: pool,
+		reg:  registry,
+	}
+	handler := newEntryAdmin(appMetricsPage, appStatusPage)
 	appEntryProcess := &entryProcess{
 		set:    set,
 		deps:   deps,
@@ -43,6 +50,7 @@
 		reader: appConfigReader,
 		guard:  appGuardDuty,
 		srv:    server,
+		admin:  handler,
 	}
 	return appEntryProcess, func() {
 		cleanup()
@@ -60,7 +68,7 @@
 	executor := newExecutor(set, deps, host, inForce, runner, table)
 	server := newLinkServer(deps, host, inForce, executor)
 	appMetricsPage := appProcess.Page
-	handler := newAdmin(appMetricsPage)
+	handler := newAgentAdmin(appMetricsPage)
 	appAgentProcess := &agentProcess{
 		set:   set,
 		deps:  deps,
--- a/core/rollout/pool.go
+++ b/core/rollout/pool.go
@@ -56,13 +56,15 @@
 
 // Pool takes in a batch at the home of a roll-out. The stable version's
 // outcomes go first, so that the new version's find others to stand beside.
-// The evidence is looked at once a batch.
-func (gu *Guard) Pool(ba Batch) {
+// The evidence is looked at once a batch. Pool reports false when there is no
+// such roll-out here: this entry may not know the configuration yet, or the
+// roll-out has been halted.
+func (gu *Guard) Pool(ba Batch) bool {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	te := gu.pools[ba.Model]
 	if te == nil {
-		return
+		return false
 	}
 	te.reached += ba.Reached
 	for _, mv := range []core.ModelVersion{te.stable, te.candidate} {
@@ -75,6 +77,7 @@
 	if te.evidence() >= 1/FalseHalts {
 		gu.halt(te)
 	}
+	return true
 }
 
 // Alone says whether this entry must decide on a model's roll-out by its own
--- a/core/rollout/recorder_test.go
+++ b/core/rollout/recorder_test.go
@@ -107,7 +107,7 @@
 	gen := newest(t, ch)
 	assert.Equal(t, gen.Number, core.Generation(2))
 	assert.Equal(t, gen.Audit.Who, declaration.GuardName)
-	assert.DeepEqual(t, gen.Audit.Changed, []string{"~ roll-out desk@v2"})
+	assert.DeepEqual(t, gen.Audit.Changed, []string{"~ model desk: roll-out of v2 halted: " + badVersion.Why})
 }
 
 // An operator applies a change between the guard's read and its write. Were
--- a/io/peer/evidence.go
+++ b/io/peer/evidence.go
@@ -1,56 +1,38 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"skylarkstand/core"
 	"skylarkstand/core/rollout"
 	"skylarkstand/io/frame"
-	"skylarkstand/io/link"
 )
 
-// ErrNoLink tells that there is no link to an entry yet, or any more.
-var ErrNoLink = errors.New("peer: no link to that entry")
+// ErrNoHome tells that an entry does not pool the evidence that it was sent.
+var ErrNoHome = errors.New("peer: that entry does not pool this roll-out")
 
-// homeKept is how long a link to a home is kept after the last evidence. A
-// roll-out sends some twice a second, so the link outlives a restart of its
-// home, and goes soon after the roll-out.
-const homeKept = time.Minute
-
-// SendEvidence sends a batch to the home of its roll-out. Without a link it
-// opens one for the batches to come and returns ErrNoLink; this batch is lost
-// to the pool then.
-func (me *Mesh) SendEvidence(home core.Host, ba rollout.Batch) error {
-	co := me.linked(home.Addr)
-	if co == nil {
-		return ErrNoLink
+// SendEvidence sends a batch to the home of its roll-out and returns nil once
+// the home has taken it. A batch that fails is lost to the pool.
+func (me *Mesh) SendEvidence(ctx context.Context, home core.Host, ba rollout.Batch) error {
+	fr, err := me.exchange(ctx, home.Addr, &frame.Frame{Body: &frame.Frame_Evidence{Evidence: evidenceFrame(ba)}})
+	if err != nil {
+		return err
 	}
-	if co.Send(&frame.Frame{Body: &frame.Frame_Evidence{Evidence: evidenceFrame(ba)}}) != nil {
-		return ErrNoLink
+	if fr.GetEvidence().GetModel() != string(ba.Model) {
+		return ErrNoHome
 	}
 	return nil
 }
 
-func (me *Mesh) linked(addr string) *link.Control {
-	me.mu.Lock()
-	defer me.mu.Unlock()
-	if me.ctx == nil {
-		return nil
-	}
-	me.homes[addr] = time.Now()
-	me.dial(addr)
-	return me.dialled[addr]
-}
-
-func (me *Mesh) opened(addr string, co *link.Control) {
-	me.mu.Lock()
-	defer me.mu.Unlock()
-	if co == nil {
-		delete(me.dialled, addr)
-	} else {
-		me.dialled[addr] = co
+// pool takes another entry's batch and returns the answer to it.
+func (me *Mesh) pool(ev *frame.Evidence) *frame.Frame {
+	taken := &frame.Evidence{}
+	if me.guard.Pool(batch(ev, time.Now())) {
+		taken.Model = ev.Model
 	}
+	return &frame.Frame{Body: &frame.Frame_Evidence{Evidence: taken}}
 }
 
 // TellHalt tells all linked entries of a halt that was decided by a generation.
@@ -72,8 +54,6 @@
 	}
 }
 
-func (me *Mesh) pool(ev *frame.Evidence) { me.guard.Pool(batch(ev, time.Now())) }
-
 // evidenceFrame groups a batch by version and kind, each in its order: one
 // byte an outcome, since with roll-outs to many callers every answer is one.
 func evidenceFrame(ba rollout.Batch) *frame.Evidence {
--- a/io/peer/halt_test.go
+++ b/io/peer/halt_test.go
@@ -38,7 +38,7 @@
 	assert.NilError(t, err)
 	en := &entry{host: core.Host{Role: core.RoleEntry, Addr: li.Addr().String(), Zone: zone, Region: "muc"}, gu: rollout.New()}
 	en.gu.Follow(inf.Current())
-	en.mesh = peer.New(core.NewDeps(), inf, suspect.New(), en.gu, en.host)
+	en.mesh = peer.New(core.NewDeps(), inf, suspect.New(), en.host, peer.Guard(en.gu))
 	go func() { _ = en.mesh.Serve(ctx, li) }()
 	return en
 }
@@ -51,8 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	one, two := startEntry(ctx, t, "muc-a"), startEntry(ctx, t, "muc-b")
-	hosts := []core.Host{one.host, two.host}
-	home, ok := rollout.Home("desk", hosts)
+	home, ok := rollout.Home("desk", []core.Host{one.host, two.host})
 	assert.Assert(t, ok)
 	if home.Addr != one.host.Addr {
 		one, two = two, one
@@ -68,23 +67,16 @@
 		}
 		assert.Assert(t, !en.gu.Halted(bad))
 	}
+	one.gu.Pool(one.gu.Batches()[0])
+	assert.Assert(t, !one.gu.Halted(bad))
 	sent := two.gu.Batches()[0]
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		two.mesh.Update(hosts)
-		if err := two.mesh.SendEvidence(home, sent); err != nil {
+		if err := two.mesh.SendEvidence(ctx, home, sent); err != nil {
 			return poll.Continue("%v", err)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, ba := range one.gu.Batches() {
-			one.gu.Pool(ba)
-		}
-		if !one.gu.Halted(bad) {
-			return poll.Continue("the evidence has not come")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(10*time.Second))
+	assert.Assert(t, one.gu.Halted(bad))
 	one.mesh.TellHalt(one.gu.Halts()[0], 1)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if !two.gu.Halted(bad) {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -23,6 +23,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
 	"skylarkstand/core/rollout"
+	"skylarkstand/core/session"
 	"skylarkstand/core/spread"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/frame"
@@ -40,25 +41,33 @@
 	self core.Host
 
 	suspects *suspect.Registry
+	holder   *session.Holder
+	asks     sessions
 	guard    *rollout.Guard
 
 	mu       sync.Mutex
 	peers    map[string]context.CancelFunc
 	controls map[*link.Control]bool
-	// dialled are the controls of the links that this entry has opened, by
-	// address, and homes the addresses that evidence went to, with the time.
-	dialled map[string]*link.Control
-	homes   map[string]time.Time
-	ctx     context.Context
+	ctx      context.Context
+	hosts    []core.Host
 }
 
+// Option changes a Mesh at construction.
+type Option func(*Mesh)
+
+// Guard sets the guard of roll-outs that gets the other entries' evidence.
+func Guard(gu *rollout.Guard) Option { return func(me *Mesh) { me.guard = gu } }
+
 // New returns a mesh for the entry at self.
-func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, gu *rollout.Guard, self core.Host) *Mesh {
-	return &Mesh{
-		deps: deps, inf: inf, suspects: reg, guard: gu, self: self,
+func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host, opts ...Option) *Mesh {
+	me := &Mesh{
+		deps: deps, inf: inf, suspects: reg, holder: session.NewHolder(), guard: rollout.New(), self: self,
 		peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{},
-		dialled: map[string]*link.Control{}, homes: map[string]time.Time{},
 	}
+	for _, opt := range opts {
+		opt(me)
+	}
+	return me
 }
 
 // Serve accepts links until the context ends.
@@ -81,21 +90,19 @@
 }
 
 func (me *Mesh) accept(ctx context.Context, conn net.Conn) {
-	_, st, cleanup, err := link.Accept(ctx, conn)
+	ses, st, cleanup, err := link.Accept(ctx, conn)
 	if err != nil {
 		return
 	}
 	defer cleanup()
-	_ = me.serve(ctx, me.control(st))
-}
-
-func (me *Mesh) control(st io.ReadWriteCloser) *link.Control {
-	hd := link.Handlers{Suspect: me.learn, Evidence: me.pool, Halt: me.heed}
-	return link.NewControl(me.deps, me.inf, st, hd, link.Every(NoticeEvery))
+	go me.answer(ses)
+	_ = me.serve(ctx, st)
 }
 
 // serve runs the control stream of one link until it ends.
-func (me *Mesh) serve(ctx context.Context, co *link.Control) error {
+func (me *Mesh) serve(ctx context.Context, st io.ReadWriteCloser) error {
+	hd := link.Handlers{Suspect: me.learn, Halt: me.heed}
+	co := link.NewControl(me.deps, me.inf, st, hd, link.Every(NoticeEvery))
 	me.hold(co, true)
 	defer me.hold(co, false)
 	if err := co.Hello(""); err != nil {
@@ -134,6 +141,7 @@
 	}}})
 }
 
+// broadcast sends a frame to all linked entries.
 func (me *Mesh) broadcast(fr *frame.Frame) {
 	me.mu.Lock()
 	cos := slices.Collect(maps.Keys(me.controls))
@@ -147,19 +155,17 @@
 func (me *Mesh) Update(hosts []core.Host) {
 	me.mu.Lock()
 	defer me.mu.Unlock()
+	me.hosts = hosts
 	if me.ctx == nil {
 		return
 	}
 	wanted := map[string]bool{}
 	for _, ho := range spread.Peers(hosts, me.self) {
 		wanted[ho.Addr] = true
-		me.dial(ho.Addr)
-	}
-	for addr, used := range me.homes {
-		if time.Since(used) < homeKept {
-			wanted[addr] = true
-		} else {
-			delete(me.homes, addr)
+		if me.peers[ho.Addr] == nil {
+			ctx, cancel := context.WithCancel(me.ctx)
+			me.peers[ho.Addr] = cancel
+			go link.Redial(ctx, func(ctx context.Context) { me.connect(ctx, ho.Addr) })
 		}
 	}
 	for addr, cancel := range me.peers {
@@ -170,16 +176,6 @@
 	}
 }
 
-// dial keeps a link to an address from now on. The caller holds the lock.
-func (me *Mesh) dial(addr string) {
-	if me.peers[addr] != nil {
-		return
-	}
-	ctx, cancel := context.WithCancel(me.ctx)
-	me.peers[addr] = cancel
-	go link.Redial(ctx, func(ctx context.Context) { me.connect(ctx, addr) })
-}
-
 func (me *Mesh) connect(ctx context.Context, addr string) {
 	ses, st, err := link.Dial(ctx, addr)
 	if err != nil {
@@ -187,10 +183,7 @@
 	}
 	defer ses.Close()
 	event.Log(me.deps.Log, event.PeerUp, "peer", addr)
-	co := me.control(st)
-	me.opened(addr, co)
-	err = me.serve(ctx, co)
-	me.opened(addr, nil)
+	err = me.serve(ctx, st)
 	if ctx.Err() == nil {
 		event.Log(me.deps.Log, event.PeerDown, "peer", addr, "error", err)
 	}
