Test what the guard hears, and versions that are meant to be worse

Two mutants survived: an attempt that was refused before it ran counted as a good outcome unnoticed, and old ratings could outvote new ones. Both have a test now that fails under the mutant. An answer that is given because the better stage failed is accounted to the mix with its rating.

--- a/core/cascade/cascade_test.go
+++ b/core/cascade/cascade_test.go
@@ -47,6 +47,22 @@
 	assert.Assert(t, got.mean() > 0.88, "quality %.4f", got.mean())
 }
 
+// Thousands of good ratings came within minutes, and then the version turns
+// bad. Were each of them to count as much as a new one, callers would be given
+// its answers for as long again before the learner believed the new ones.
+func TestOldRatingsDoNotOutvoteNewOnes(t *testing.T) {
+	le, qu, now := cascade.NewLearner(), question(0, 0.9, 5), time.Unix(1_000_000, 0)
+	for i := range 6000 {
+		got := core.Quality(1)
+		if i >= 5000 {
+			got = 0
+		}
+		now = now.Add(10 * time.Millisecond)
+		le.Rated(now, qu, 0, cascade.First, got)
+	}
+	assert.Assert(t, le.Expected(now, qu, 0, cascade.First) < 0.1)
+}
+
 // A cheap version was bad and so is not the first choice any more; then it is
 // mended. Unless a few requests go on trying it, nobody notices, and callers
 // pay for the costly one for good. More than a few would be worse than either.
--- a/core/dispatch/chat.go
+++ b/core/dispatch/chat.go
@@ -81,6 +81,7 @@
 	lines    int
 	target   core.ModelVersion
 	repinned bool
+	quality  core.Quality
 }
 
 func (wk *walk) run(ctx context.Context) error {
@@ -239,7 +240,7 @@
 		jd.learner.Done(wk.qu, got, now.Sub(wk.began))
 		return false, de, nil
 	}
-	wk.kept = &kept{out.ans, out.held, len(out.lines), out.Target, out.Repinned}
+	wk.kept = &kept{out.ans, out.held, len(out.lines), out.Target, out.Repinned, got}
 	return true, next, nil
 }
 
@@ -264,6 +265,7 @@
 	out.ans, out.held, out.ended = ke.ans, ke.held, true
 	out.lines = out.lines[:ke.lines]
 	out.Target, out.Repinned = ke.target, ke.repinned
+	wk.dis.judge.learner.Done(wk.qu, ke.quality, time.Since(wk.began))
 	return true
 }
 
--- a/core/rollout/guard_test.go
+++ b/core/rollout/guard_test.go
@@ -24,6 +24,7 @@
 		{"clearly worse at a small share", trialRun{stable: 0.9, candidate: 0.7, percent: 5, callers: 2000}, 200},
 		{"three entries with one home", trialRun{stable: 0.9, candidate: 0.7, percent: 5, entries: 3, callers: 2000}, 250},
 		{"three entries without a home", trialRun{stable: 0.9, candidate: 0.7, percent: 5, entries: 3, alone: true, callers: 2000}, 350},
+		{"worse than was declared of it", trialRun{stable: 0.9, candidate: 0.55, percent: 20, cheaper: true, callers: 2000}, 300},
 		{"broken at half", trialRun{stable: 0.9, candidate: 0.2, percent: 50, callers: 2000}, 150},
 		{"clearly worse for all new callers, against what was declared", trialRun{stable: 0.9, candidate: 0.6, percent: 100, callers: 2000}, 400},
 		{"a weak model that gets weaker", trialRun{stable: 0.7, candidate: 0.4, percent: 20, callers: 2000}, 250},
@@ -45,6 +46,7 @@
 		{stable: 0.9, candidate: 0.9, percent: 5, callers: 500},
 		{stable: 0.9, candidate: 0.89, percent: 20, callers: 500},
 		{stable: 0.6, candidate: 0.6, percent: 20, callers: 500},
+		{stable: 0.9, candidate: 0.8, percent: 20, cheaper: true, callers: 500},
 		{stable: 0.6, candidate: 0.6, percent: 50, callers: 500, entries: 3},
 		{stable: 0.7, candidate: 0.7, percent: 90, callers: 1000, entries: 3},
 		{stable: 0.8, candidate: 0.95, percent: 50, callers: 500},
@@ -165,11 +167,12 @@
 		err, next error
 		gone      bool
 		halts     bool
+		tells     bool
 	}{
-		{testName: "answers", next: io.EOF},
-		{testName: "fails at once", err: failed, halts: true},
-		{testName: "fails in the middle", next: failed, halts: true},
-		{testName: "one host is lost", err: core.Lost("host")},
+		{testName: "answers", next: io.EOF, tells: true},
+		{testName: "fails at once", err: failed, halts: true, tells: true},
+		{testName: "fails in the middle", next: failed, halts: true, tells: true},
+		{testName: "one host is lost", err: core.Lost("host"), tells: true},
 		{testName: "refused", err: core.Refuse(core.CodeOverloaded, 0, "full")},
 		{testName: "caller gone", next: failed, gone: true},
 	} {
@@ -181,6 +184,8 @@
 			if sc.gone {
 				cancel()
 			}
+			try(ctx, gu, desk2, &attempts{err: sc.err, next: sc.next})
+			assert.Equal(t, len(gu.Batches()[0].Outcomes) > 0, sc.tells)
 			for range 40 {
 				try(ctx, gu, desk1, &attempts{next: io.EOF})
 				try(ctx, gu, desk2, &attempts{err: sc.err, next: sc.next})
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -21,10 +21,16 @@
 
 // configuration returns a generation with a roll-out of desk@v2.
 func configuration(t testing.TB, number core.Generation, percent int, halted string) *declaration.Snapshot {
+	t.Helper()
+	return declared(t, number, percent, halted, 0.9)
+}
+
+// declared is configuration with the quality that is declared of desk@v2.
+func declared(t testing.TB, number core.Generation, percent int, halted string, quality core.Quality) *declaration.Snapshot {
 	t.Helper()
 	gen := &declaration.Generation{Number: number, Document: declaration.Document{
 		Models: []declaration.Model{{ID: "desk", Stable: "v1", Versions: []declaration.Version{
-			{ID: "v1", Quality: 0.9}, {ID: "v2", Quality: 0.9},
+			{ID: "v1", Quality: 0.9}, {ID: "v2", Quality: quality},
 		}}},
 		RollOuts: []declaration.RollOut{{Model: "desk", Version: "v2", Percent: percent, Halted: halted}},
 	}}
@@ -39,6 +45,9 @@
 	// stable and candidate are the shares of good answers.
 	stable, candidate float64
 	percent           int
+	// cheaper says that the candidate is declared at 0.8, the stable one at
+	// 0.9: it is meant to be worse.
+	cheaper bool
 	// entries see the callers that come to them, and send what they see to
 	// the first, but for those that are alone.
 	entries int
@@ -95,7 +104,11 @@
 	guards := make([]*rollout.Guard, max(tr.entries, 1))
 	for i := range guards {
 		guards[i] = rollout.New()
-		guards[i].Follow(configuration(t, 1, tr.percent, ""))
+		quality := core.Quality(0.9)
+		if tr.cheaper {
+			quality = 0.8
+		}
+		guards[i].Follow(declared(t, 1, tr.percent, "", quality))
 		guards[i].Alone("desk", tr.alone)
 	}
 	var evs events
