--- a/core/cascade/figures_test.go
+++ b/core/cascade/figures_test.go
@@ -155,6 +155,7 @@
 	figure.AtMost("cascade-p95-association-over-landesamt", five[2].tailRatio(), "ratio", 0.8)
 	figure.Plain("cascade-p95-association-over-landesamt-worst-of-five-seeds", five[4].tailRatio(), "ratio")
 	figure.Plain("cascade-p95-ratio-at-a-third-of-the-weight", both(asks, associationPrice/3, 1).tailRatio(), "ratio")
+	figure.Plain("cascade-p95-ratio-at-a-weight-of-80", both(asks, 80, 1).tailRatio(), "ratio")
 	figure.Plain("cascade-p95-ratio-with-one-draft-in-ten", both(draw(figureAsks, 1, withDrafts[:]), associationPrice, 1).tailRatio(), "ratio")
 	worst := 1.0
 	for _, ou := range five {
