--- a/app/providers.go
+++ b/app/providers.go
@@ -14,6 +14,7 @@
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/order"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/session"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
@@ -79,6 +80,10 @@
 	return he
 }
 
+func newDispatcher(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi dispatch.Biller, gu *rollout.Guard) *dispatch.Dispatcher {
+	return dispatch.New(deps, inf, ups, ra, bi, dispatch.Guard(gu))
+}
+
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
 		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
@@ -89,8 +94,8 @@
 	return core.Host{Role: core.RoleEntry, Addr: set.PeerListen, Zone: set.Zone, Region: set.Region}
 }
 
-func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry) *peer.Mesh {
-	return peer.New(deps, inf, reg, entryHost(set))
+func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, gu *rollout.Guard) *peer.Mesh {
+	return peer.New(deps, inf, reg, entryHost(set), peer.Guard(gu))
 }
 
 func newUpstreams(deps core.Deps, po *agent.Pool, reg *suspect.Registry, mesh *peer.Mesh) core.Upstreams {
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/entry"
@@ -23,8 +24,8 @@
 func wireEntry(set settings.Entry) (*entryProcess, func(), error) {
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
-		declaration.NewInForce, agent.New, newLedger, newHeir, dispatch.New, newKeyring, newCaller, newConfigReader,
-		suspect.New, newMesh, newUpstreams, newEntryAdmin, wire.Struct(new(statusPage), "*"),
+		declaration.NewInForce, agent.New, newLedger, newHeir, rollout.New, newDispatcher, newKeyring, newCaller,
+		newConfigReader, newGuardDuty, suspect.New, newMesh, newUpstreams, newEntryAdmin, wire.Struct(new(statusPage), "*"),
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
--- a/io/link/control.go
+++ b/io/link/control.go
@@ -23,6 +23,7 @@
 	Ask     func(*frame.Ask)
 	Told    func(*frame.Told)
 	Suspect func(*frame.Suspect)
+	Halt    func(*frame.Halt)
 }
 
 // Control is one side of a control stream.
@@ -162,6 +163,8 @@
 		call(co.hd.Told, body.Told)
 	case *frame.Frame_Suspect:
 		call(co.hd.Suspect, body.Suspect)
+	case *frame.Frame_Halt:
+		call(co.hd.Halt, body.Halt)
 	}
 	return nil
 }
--- a/io/peer/pins.go
+++ b/io/peer/pins.go
@@ -134,6 +134,8 @@
 		key := session.Key{Workspace: core.WorkspaceID(body.Pins.Workspace), Session: core.SessionID(body.Pins.Session)}
 		me.holder.Keep(key, versionsOf(body.Pins), now)
 		_ = wr.Write(pinsFrame(key, nil))
+	case *frame.Frame_Evidence:
+		_ = wr.Write(me.pool(body.Evidence))
 	}
 }
 
