--- a/test/fleet/client.go
+++ b/test/fleet/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 )
 
 // Reply is what a caller got.
@@ -28,20 +27,23 @@
 		Message    string  `json:"message"`
 		RetryAfter float64 `json:"retry-after"`
 	}
-	First, Took time.Duration
 }
 
 // Chat asks for a completion.
 func Chat(url, key, model, prompt string, stream bool, header map[string]string) (*Reply, error) {
-	body, err := json.Marshal(map[string]any{
-		"model": model, "stream": stream, "messages": []map[string]string{{"role": "user", "content": prompt}},
-	})
+	body, err := chatBody(model, prompt, stream)
 	if err != nil {
 		return nil, err
 	}
 	return Post(url+"/v1/chat/completions", key, body, header)
 }
 
+func chatBody(model, prompt string, stream bool) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"model": model, "stream": stream, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+}
+
 // Call calls an operation of a plain service.
 func Call(url, key, path, idempotency string, body []byte) (*Reply, error) {
 	return Post(url+"/v1/services/"+path, key, body, map[string]string{"Idempotency-Key": idempotency})
@@ -49,32 +51,64 @@
 
 // Post sends a request and reads the whole reply.
 func Post(url, key string, body []byte, header map[string]string) (*Reply, error) {
-	rq, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	rq, err := newPost(url, key, body, header)
 	if err != nil {
 		return nil, err
 	}
-	rq.Header.Set("Authorization", "Bearer "+key)
-	rq.Header.Set("Content-Type", "application/json")
-	for name, val := range header {
-		if val != "" {
-			rq.Header.Set(name, val)
-		}
-	}
-	rq.GetBody = nil // The client's own silent retries would hide a fault.
-	began := time.Now()
 	rs, err := http.DefaultClient.Do(rq)
 	if err != nil {
 		return nil, err
 	}
 	defer rs.Body.Close()
-	re := &Reply{Status: rs.StatusCode, Header: rs.Header, First: time.Since(began)}
+	return ReadReply(rs), nil
+}
+
+// ReadReply reads a response to its end.
+func ReadReply(rs *http.Response) *Reply { return readWatched(rs, func(int) {}) }
+
+func readWatched(rs *http.Response, token func(int)) *Reply {
+	re := &Reply{Status: rs.StatusCode, Header: rs.Header}
 	if strings.HasPrefix(rs.Header.Get("Content-Type"), "text/event-stream") {
-		re.readEvents(rs.Body)
+		re.readEvents(rs.Body, token)
 	} else {
 		re.readWhole(rs.Body)
 	}
-	re.Took = time.Since(began)
-	return re, nil
+	return re
+}
+
+// ChatWatched streams a completion and calls token with the number of each
+// token as it arrives.
+func ChatWatched(url, key, model, prompt, id string, token func(int)) (*Reply, error) {
+	body, err := chatBody(model, prompt, true)
+	if err != nil {
+		return nil, err
+	}
+	rq, err := newPost(url+"/v1/chat/completions", key, body, map[string]string{"X-Request-Id": id})
+	if err != nil {
+		return nil, err
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer rs.Body.Close()
+	return readWatched(rs, token), nil
+}
+
+func newPost(url, key string, body []byte, header map[string]string) (*http.Request, error) {
+	rq, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	rq.Header.Set("Authorization", "Bearer "+key)
+	rq.Header.Set("Content-Type", "application/json")
+	for name, val := range header {
+		if val != "" {
+			rq.Header.Set(name, val)
+		}
+	}
+	rq.GetBody = nil // The client's own silent retries would hide a fault.
+	return rq, nil
 }
 
 func (re *Reply) readWhole(rd io.Reader) {
@@ -95,7 +129,8 @@
 	_ = json.Unmarshal(body.Error, &re.Error)
 }
 
-func (re *Reply) readEvents(rd io.Reader) {
+func (re *Reply) readEvents(rd io.Reader, token func(int)) {
+	tokens := 0
 	sc := bufio.NewScanner(rd)
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
@@ -116,6 +151,8 @@
 		}
 		if len(ev.Choices) > 0 {
 			re.Text += ev.Choices[0].Delta.Content
+			tokens++
+			token(tokens)
 		}
 		if ev.Error != nil {
 			_ = json.Unmarshal(ev.Error, &re.Error)
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -47,6 +47,10 @@
 	StoreURL, PlatformURL string
 	// AgentSettings are added to the settings of agents started from now on.
 	AgentSettings map[string]any
+	// Relayed puts a relay before each agent and each entry's platform.
+	Relayed bool
+	relays  map[string]*Relay
+	cleanup []func()
 }
 
 // Process is one running program.
@@ -66,7 +70,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, nil, eris.Wrap(err, "fleet")
 	}
-	fl := &Fleet{bin: bin, dir: dir, procs: map[string]*Process{}}
+	fl := &Fleet{bin: bin, dir: dir, procs: map[string]*Process{}, relays: map[string]*Relay{}}
 	return fl, fl.killAll, nil
 }
 
@@ -222,6 +226,9 @@
 		return err
 	}
 	pr.Addr = listen
+	if listen, err = fl.relayed(id, listen); err != nil {
+		return err
+	}
 	ho.Role, ho.ID, ho.Addr, ho.Zone, ho.Region = core.RoleAgent, core.UpstreamID(id), listen, pl.Zone, pl.Region
 	fl.hosts = append(fl.hosts, ho)
 	return fl.PublishHosts()
@@ -242,6 +249,13 @@
 		"store": fl.StoreURL, "hosts": fl.PlatformURL, "rater": fl.PlatformURL,
 		"pin-secret": "fleet", "ledger-pace": "200ms",
 	}
+	for _, to := range []string{"store", "hosts"} {
+		addr, err := fl.relayed(name+"-"+to, strings.TrimPrefix(set[to].(string), "http://"))
+		if err != nil {
+			return nil, err
+		}
+		set[to] = "http://" + addr
+	}
 	maps.Copy(set, extra)
 	path, err := fl.writeSettings(name, set)
 	if err != nil {
@@ -256,6 +270,24 @@
 	return pr, fl.PublishHosts()
 }
 
+// relayed returns the address of a relay to an address, or the address itself.
+func (fl *Fleet) relayed(name, addr string) (string, error) {
+	if !fl.Relayed {
+		return addr, nil
+	}
+	re, cleanup, err := NewRelay(addr)
+	if err != nil {
+		return "", err
+	}
+	fl.relays[name] = re
+	fl.cleanup = append(fl.cleanup, cleanup)
+	return re.Addr, nil
+}
+
+// Relay returns the relay before an agent, by its id, or before an entry's
+// store or host list, as in "entry-1-store".
+func (fl *Fleet) Relay(name string) *Relay { return fl.relays[name] }
+
 func (fl *Fleet) writeSettings(name string, set map[string]any) (string, error) {
 	raw, err := json.MarshalIndent(set, "", "  ")
 	if err != nil {
@@ -312,6 +344,16 @@
 	_ = pr.cmd.Process.Signal(sig)
 }
 
+// Ended reports whether the process has ended.
+func (pr *Process) Ended() bool {
+	select {
+	case <-pr.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process's id.
 func (pr *Process) PID() int { return pr.cmd.Process.Pid }
 
@@ -340,4 +382,7 @@
 			pr.Kill()
 		}
 	}
+	for _, cleanup := range fl.cleanup {
+		cleanup()
+	}
 }
