--- a/app/providers.go
+++ b/app/providers.go
@@ -79,9 +79,9 @@
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
 }
 
-func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
-		caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
 // entryHost returns the entry's own line of the host list.
@@ -122,7 +122,15 @@
 	return entrylink.New(deps, ho, inf, ex)
 }
 
-func newAdmin(page metricsPage) http.Handler {
+func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
+
+func newEntryAdmin(page metricsPage, sp *statusPage) http.Handler {
+	mux := newAdmin(page)
+	mux.Handle("GET /status", sp)
+	return mux
+}
+
+func newAdmin(page metricsPage) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
