Admit by fair shares, place by discounted load, retry by a budget

An entry took every request until a fixed count and drew two upstreams by reports of unknown age; a full pool meant late refusals and a hog took all slots. core/admission now queues per workspace over estimated work and refuses on arrival what cannot be in time; core/placement discounts reports by age, avoids a slow upstream, and crosses regions under a byte budget; core/retry bounds retries by recent successes; the agent's queue refuses early by its drain rate. Refusing by an age-less count alone was ruled out: it cannot tell a caller when to come back.

--- a/app/providers.go
+++ b/app/providers.go
@@ -8,11 +8,13 @@
 
 	"skylarkstand/app/settings"
 	"skylarkstand/core"
+	"skylarkstand/core/admission"
 	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/placement"
 	"skylarkstand/core/session"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
@@ -78,10 +80,16 @@
 }
 
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
-	return caller.New(deps, inf, dis, kr,
+	room := func(po admission.Pool) int { return dis.Room(po.Target, po.Service) }
+	gt := admission.NewGate(room, admission.MaxWait(time.Duration(set.MaxWait)), admission.MaxQueue(set.MaxQueue))
+	return caller.New(deps, inf, dis, kr, caller.Gate(gt),
 		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
+func newDispatcher(set settings.Entry, deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi dispatch.Biller) *dispatch.Dispatcher {
+	return dispatch.New(deps, inf, ups, ra, bi, placement.CrossingBudget(set.CrossingBudget))
+}
+
 // newUpstreamHost returns the agent's own line of the host list.
 func newUpstreamHost(set settings.Agent) core.Host {
 	return core.Host{
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/placement"
 )
 
 // Entry is the settings of an entry process.
@@ -37,6 +38,15 @@
 	MaxBody int64 `json:"max-body,omitempty"`
 	// MaxInFlight bounds the requests in the process.
 	MaxInFlight int64 `json:"max-in-flight,omitempty"`
+	// MaxWait bounds the wait for a full pool of a request without a deadline.
+	MaxWait Duration `json:"max-wait,omitempty"`
+	// MaxQueue bounds the requests that wait for one pool of upstreams. A
+	// workspace may take a sixteenth of it.
+	MaxQueue int `json:"max-queue,omitempty"`
+	// CrossingBudget is the bytes per second that this process may send and
+	// receive for attempts over the link between regions. All entries share
+	// the link with the store's traffic.
+	CrossingBudget int64 `json:"crossing-budget,omitempty"`
 	// LedgerPace is the time between two ledger segments.
 	LedgerPace Duration `json:"ledger-pace,omitempty"`
 	// DrainLimit bounds a planned stop. It must be above the longest answer.
@@ -85,6 +95,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		MaxBody: 4 << 20, MaxInFlight: 4096,
+		MaxWait: Duration(30 * time.Second), MaxQueue: 4096, CrossingBudget: placement.DefaultCrossing,
 		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
 	}
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -21,7 +21,7 @@
 func wireEntry(set settings.Entry) (*entryProcess, func(), error) {
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
-		declaration.NewInForce, agent.New, newLedger, dispatch.New, newKeyring, newCaller, newConfigReader,
+		declaration.NewInForce, agent.New, newLedger, newDispatcher, newKeyring, newCaller, newConfigReader,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
-	"skylarkstand/core/dispatch"
 	"skylarkstand/io/agent"
 )
 
@@ -26,7 +25,7 @@
 	appConfigReader := newConfigReader(deps, inForce, store)
 	appMetricsPage := appProcess.Page
 	rater := newRater(set)
-	dispatcher := dispatch.New(deps, inForce, pool, rater, writer)
+	dispatcher := newDispatcher(set, deps, inForce, pool, rater, writer)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
 	appEntryProcess := &entryProcess{
--- /dev/null
+++ b/core/admission/controller.go
@@ -0,0 +1,217 @@
+package admission
+
+import (
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Work is what is known of a request on arrival.
+type Work struct {
+	Workspace core.WorkspaceID
+	// Share is the workspace's weight, at least 1.
+	Share int
+	// Limit bounds the workspace's requests in a gate, over all its pools; 0 is
+	// none.
+	Limit    int
+	Prompt   core.Tokens
+	Priority Priority
+	// Deadline is the time left to the caller; 0 is none.
+	Deadline time.Duration
+	// Draw is a random number from 0 to 1. It spreads Retry-After.
+	Draw float64
+}
+
+// Controller decides for one pool. It belongs to one goroutine at a time.
+type Controller struct {
+	lim    Limits
+	window int
+	flying int
+	queued int
+	// backlog is the units that wait, weights the shares of the workspaces
+	// with work here, clock the virtual time of the fair queue.
+	backlog, weights, clock float64
+	waiting                 spaces
+	spaces                  map[core.WorkspaceID]*space
+	// seconds and units are smoothed sums over answers; their quotient is the
+	// time that a unit takes.
+	seconds, units float64
+	hopeless       int
+	free           *Ticket
+}
+
+// New returns a controller of a pool that takes window requests at once.
+func New(window int, opts ...Option) *Controller {
+	return &Controller{
+		lim: newLimits(opts), window: max(window, 1), spaces: map[core.WorkspaceID]*space{},
+		seconds: firstPace * firstOutput, units: firstOutput,
+	}
+}
+
+// Resize sets how many requests the pool takes at once.
+func (con *Controller) Resize(window int) { con.window = max(window, 1) }
+
+// Offer decides on a request that has arrived. It returns the request's ticket
+// and whether it starts now; or the refusal, at once. A ticket that has not
+// started is returned by Next later.
+//
+// It is made for a pool at several times its capacity. A request that would
+// miss its deadline in the queue is refused here: to let it wait would cost
+// its caller the time to go elsewhere, and to run it too late would cost the
+// pool the answers that could still be in time.
+func (con *Controller) Offer(now time.Time, wo Work) (*Ticket, bool, *core.Failure) {
+	sp := con.space(wo)
+	prompt := float64(wo.Prompt) / promptPerUnit
+	la := lane(wo.Priority)
+	if fl := con.refuse(sp, la, prompt, wo); fl != nil {
+		return nil, false, fl
+	}
+	ti := con.ticket()
+	*ti = Ticket{space: sp, lane: la, prompt: prompt, units: prompt + sp.output, arrived: now}
+	if wo.Deadline > 0 {
+		ti.deadline = now.Add(wo.Deadline)
+	}
+	if con.startsNow(sp) {
+		con.start(now, ti)
+		return ti, true, nil
+	}
+	con.enqueue(ti)
+	return ti, false, nil
+}
+
+// startsNow reports whether a workspace's new request finds room. No other
+// workspace is passed over by it: one that waits has no room to start.
+func (con *Controller) startsNow(sp *space) bool { return sp.count == 0 && con.mayStart(sp) }
+
+// refuse returns the refusal of a request that cannot be served in time.
+func (con *Controller) refuse(sp *space, la int, prompt float64, wo Work) *core.Failure {
+	service := con.service(prompt + sp.output)
+	if con.startsNow(sp) {
+		return con.refuseHopeless(service, wo)
+	}
+	wait := con.wait(sp, la)
+	if con.queued >= con.lim.MaxQueue || sp.count >= con.lim.MaxOwn {
+		return core.Refuse(core.CodeOverloaded, retryAfter(wait/2, wo.Draw), "the queue of the workspace or the pool is full")
+	}
+	limit, need := con.lim.MaxWait.Seconds(), wait
+	if wo.Deadline > 0 {
+		limit = wo.Deadline.Seconds()
+		need = wait*margin + service + con.service(sp.spread)
+	}
+	if need <= limit {
+		return nil
+	}
+	return core.Refuse(core.CodeOverloaded, retryAfter(need-limit, wo.Draw), "the request would wait %.1fs, which its deadline does not allow", wait)
+}
+
+// refuseHopeless refuses work that would not meet its deadline even alone: by
+// more than half, since the estimate is a mean.
+func (con *Controller) refuseHopeless(service float64, wo Work) *core.Failure {
+	if wo.Deadline == 0 || service <= 2*wo.Deadline.Seconds() {
+		return nil
+	}
+	con.hopeless++
+	if con.hopeless%hopelessPart == 0 {
+		return nil
+	}
+	return core.Refuse(core.CodeDeadline, 0, "answers take %.1fs here, more than the deadline allows", service)
+}
+
+// Next takes a waiting request that starts now, or returns nil. It is called
+// after Leave and Resize until it returns nil. A request that can no longer
+// meet its deadline, because the pool became slower after its arrival, comes
+// back with start false: it is given up, and answered and left at once.
+func (con *Controller) Next(now time.Time) (ti *Ticket, start bool) {
+	sp := con.choose()
+	if sp == nil {
+		return nil, false
+	}
+	ti = sp.head()
+	con.dequeue(ti)
+	if !ti.deadline.IsZero() && con.service(ti.units) > 2*ti.deadline.Sub(now).Seconds() {
+		return ti, false
+	}
+	con.start(now, ti)
+	return ti, true
+}
+
+// choose returns the workspace that is served next. When only the reserve is
+// left, a workspace beyond its share is passed over.
+func (con *Controller) choose() *space {
+	for _, sp := range con.waiting[:min(len(con.waiting), scan)] {
+		if con.mayStart(sp) {
+			return sp
+		}
+	}
+	return nil
+}
+
+func (con *Controller) mayStart(sp *space) bool {
+	room := con.window - con.flying
+	if room <= 0 {
+		return false
+	}
+	weights := con.weightsWith(sp)
+	return room > con.window/reservePart || float64(sp.flying)*weights < sp.weight*float64(con.window)
+}
+
+// Leave ends a started request. Used is the answer's usage, or nil when there
+// was none to learn from. The ticket is not used afterwards.
+func (con *Controller) Leave(now time.Time, ti *Ticket, used *core.Usage) {
+	sp := ti.space
+	con.flying--
+	sp.flying--
+	if used != nil {
+		con.learn(sp, ti, now.Sub(ti.started), used)
+	}
+	con.weigh(sp)
+	con.release(ti)
+}
+
+// learn takes an answer into the estimates and charges the workspace for what
+// it really used: guessing low must not gain it a larger share.
+func (con *Controller) learn(sp *space, ti *Ticket, took time.Duration, used *core.Usage) {
+	out := max(float64(used.Generated), 1)
+	total := out + max(ti.prompt, float64(used.Prompt)/promptPerUnit)
+	con.seconds += smooth * (took.Seconds() - con.seconds)
+	con.units += smooth * (total - con.units)
+	sp.learn(out)
+	sp.tag += (total - ti.units) / sp.weight
+	if sp.place >= 0 {
+		con.waiting.fix(sp.place)
+	}
+}
+
+// Cancel takes a waiting request out, because its caller is gone. The ticket
+// is not used afterwards.
+func (con *Controller) Cancel(ti *Ticket) {
+	con.dequeue(ti)
+	con.release(ti)
+}
+
+// Queued returns how many requests wait, Flying how many run.
+func (con *Controller) Queued() int { return con.queued }
+
+// Flying returns how many requests run.
+func (con *Controller) Flying() int { return con.flying }
+
+// pace is the seconds that a unit takes in one place.
+func (con *Controller) pace() float64 { return con.seconds / max(con.units, 1) }
+
+func (con *Controller) service(units float64) float64 { return units * con.pace() }
+
+// wait estimates the seconds that a request would wait: virtual time passes at
+// the pool's rate over the shares that have work. It cannot be longer than all
+// the waiting work takes, since a pool never idles while work waits.
+func (con *Controller) wait(sp *space, la int) float64 {
+	weights := con.weightsWith(sp)
+	rate := float64(con.window) / con.pace()
+	own := max(sp.tag-con.clock, 0)*weights + sp.ahead(la)*weights/sp.weight
+	return (min(own, con.backlog) + con.units) / rate
+}
+
+func retryAfter(seconds, draw float64) time.Duration {
+	d := time.Duration(seconds * float64(time.Second))
+	d = min(max(d, minRetry), maxRetry)
+	return d + time.Duration(draw*retrySpread*float64(d))
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -17,13 +17,13 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
+	"skylarkstand/core/retry"
 	"skylarkstand/core/routing"
 )
 
@@ -37,11 +37,16 @@
 	ups    core.Upstreams
 	rater  core.Rater
 	biller Biller
+	pl     *placer
+	budget *retry.Budget
 }
 
-// New returns a dispatcher.
-func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller) *Dispatcher {
-	return &Dispatcher{deps: deps, inf: inf, ups: ups, rater: ra, biller: bi}
+// New returns a dispatcher. The options concern the choice of upstreams.
+func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...placement.Option) *Dispatcher {
+	return &Dispatcher{
+		deps: deps, inf: inf, ups: ups, rater: ra, biller: bi,
+		pl: newPlacer(deps, opts), budget: retry.NewBudget(),
+	}
 }
 
 // Request is a caller's request after its workspace is known.
@@ -56,16 +61,12 @@
 	Operation      core.OperationID
 	IdempotencyKey string
 	Deadline       time.Duration
+	Priority       int
 	Stream         bool
 	Prompt         []byte
 	Body           []byte
 }
 
-// maxTries bounds the upstreams that one attempt of work is offered to. A
-// refusal is cheap, but a pool that refuses twice is full, and going on would
-// load it with refusals.
-const maxTries = 3
-
 // Chat runs a request for a model or cascade.
 func (dis *Dispatcher) Chat(ctx context.Context, rq *Request) (*Outcome, error) {
 	sn := dis.inf.Current()
@@ -99,9 +100,8 @@
 
 // stage runs one stage on some upstream.
 func (dis *Dispatcher) stage(ctx context.Context, sn *declaration.Snapshot, rq *Request, st routing.Stage, out *Outcome) error {
-	cands := func() []core.Upstream { return dis.ups.Serving(st.Target) }
 	at := core.Attempt{Target: st.Target, Stream: rq.Stream}
-	ans, line, err := dis.try(ctx, sn, rq, at, cands, true)
+	ans, line, err := dis.try(ctx, sn, rq, at, true)
 	if err != nil {
 		return err
 	}
@@ -127,9 +127,8 @@
 	if op.AtMostOnce && rq.IdempotencyKey == "" {
 		return nil, core.Refuse(core.CodeBadRequest, 0, "operation %s runs at most once and needs an Idempotency-Key header", rq.Operation)
 	}
-	cands := func() []core.Upstream { return dis.ups.Offering(rq.Service) }
 	at := core.Attempt{Service: rq.Service, Operation: rq.Operation, IdempotencyKey: rq.IdempotencyKey}
-	ans, line, err := dis.try(ctx, sn, rq, at, cands, !op.AtMostOnce)
+	ans, line, err := dis.try(ctx, sn, rq, at, !op.AtMostOnce)
 	if err != nil {
 		return nil, err
 	}
@@ -140,61 +139,6 @@
 	return out, nil
 }
 
-// try offers one piece of work to upstreams until one takes it. After an
-// unknown outcome it goes on only with repeatable work.
-func (dis *Dispatcher) try(ctx context.Context, sn *declaration.Snapshot, rq *Request, at core.Attempt, cands func() []core.Upstream, repeatable bool) (core.Answer, *line, error) {
-	at.Request, at.Workspace, at.Generation, at.Deadline, at.Body = rq.ID, rq.Workspace, sn.Number, rq.Deadline, rq.Body
-	var tried []core.UpstreamID
-	var last *core.Failure
-	ran := false
-	for range maxTries {
-		id, ok := placement.Pick(cands(), dis.deps.Zone, dis.deps.Region, rand.IntN, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, id)
-		at.ID = core.AttemptID(core.NewID())
-		ans, err := dis.ups.Dispatch(ctx, id, &at)
-		if err == nil {
-			return ans, &line{upstream: id, Line: ledger.Line{Attempt: at.ID}}, nil
-		}
-		last = asFailure(err)
-		ran = ran || last.Ran != core.NotRun
-		if ctx.Err() != nil || !again(last, repeatable) {
-			break
-		}
-	}
-	if last == nil {
-		last = core.Refuse(core.CodeNoUpstream, time.Second, "no upstream takes this work now")
-	}
-	if ran && last.Ran == core.NotRun {
-		// An earlier try reached an upstream, so the request as a whole may
-		// have run although the last try did not.
-		last = &core.Failure{Code: last.Code, Ran: core.RanUnknown, Message: last.Message, RetryAfter: last.RetryAfter}
-	}
-	return nil, nil, last
-}
-
-// again reports whether another upstream may be tried after a failure.
-func again(fl *core.Failure, repeatable bool) bool {
-	switch fl.Code {
-	case core.CodeOverloaded, core.CodeLeaving, core.CodeNoUpstream, core.CodeStaleConfig, core.CodeStoreDown:
-		return fl.Ran == core.NotRun
-	case core.CodeOutcomeLost, core.CodeUpstream:
-		return fl.Ran == core.NotRun || repeatable
-	default:
-		return false
-	}
-}
-
-func asFailure(err error) *core.Failure {
-	var fl *core.Failure
-	if errors.As(err, &fl) {
-		return fl
-	}
-	return core.Lost("%v", err)
-}
-
 func cost(ve *declaration.Version, us core.Usage) core.Millicents {
 	total := int64(ve.PromptPrice)*int64(us.Prompt) + int64(ve.TokenPrice)*int64(us.Generated)
 	return core.Millicents((total + 999) / 1000)
--- a/core/execute/answer.go
+++ b/core/execute/answer.go
@@ -3,23 +3,21 @@
 import (
 	"errors"
 	"io"
-	"sync"
 
 	"skylarkstand/core"
 	"skylarkstand/core/claim"
 )
 
-// held is an answer that gives its slot back once.
+// held is an answer that gives its slot back.
 type held struct {
 	core.Answer
-	once sync.Once
 	exit func()
 }
 
 // Close gives the attempt up and frees the slot.
 func (he *held) Close() {
 	he.Answer.Close()
-	he.once.Do(he.exit)
+	he.exit()
 }
 
 // stored is an answer that is whole in memory.
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -31,25 +31,20 @@
 	inf    *declaration.InForce
 	runner core.Runner
 	claims *claim.Table
-	slots  chan struct{}
-	queue  int
+	bound  bound
 
 	leaving atomic.Bool
-	running atomic.Int64
-	queued  atomic.Int64
 }
 
 // Option changes an Executor at construction.
 type Option func(*Executor)
 
-// Slots sets how many attempts the upstream runs at once, and Queue how many
-// may wait for a slot.
-func Slots(n int) Option { return func(ex *Executor) { ex.slots = make(chan struct{}, n) } }
+// Slots sets how many attempts the upstream runs at once.
+func Slots(n int) Option { return func(ex *Executor) { ex.bound.bo.slots = max(n, 1) } }
 
-// Queue bounds the waiting attempts. The load it is made for is a burst of
-// entries that all saw the same old report; beyond it the agent refuses at
-// once, so that the entry can still try elsewhere in time.
-func Queue(n int) Option { return func(ex *Executor) { ex.queue = n } }
+// Queue sets how many attempts may wait for a slot. Beyond it the agent
+// refuses at once, so that the entry can still try elsewhere in time.
+func Queue(n int) Option { return func(ex *Executor) { ex.bound.bo.limit = n } }
 
 const (
 	defaultSlots = 16
@@ -57,14 +52,12 @@
 	// adoptLimit bounds the wait for the configuration that an entry decided
 	// by; it comes over the same link within milliseconds.
 	adoptLimit = 2 * time.Second
-	// retryFull is told with a refusal for want of room.
-	retryFull = time.Second
 )
 
 // New returns an executor for the upstream beside the agent.
 func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ru core.Runner, tbl *claim.Table, opts ...Option) *Executor {
-	ex := &Executor{deps: deps, host: ho, inf: inf, runner: ru, claims: tbl, queue: defaultQueue}
-	Slots(defaultSlots)(ex)
+	ex := &Executor{deps: deps, host: ho, inf: inf, runner: ru, claims: tbl}
+	ex.bound.bo = NewBound(defaultSlots, defaultQueue)
 	for _, opt := range opts {
 		opt(ex)
 	}
@@ -78,9 +71,7 @@
 func (ex *Executor) Leaving() bool { return ex.leaving.Load() }
 
 // Load returns what the upstream is doing now.
-func (ex *Executor) Load() core.Load {
-	return core.Load{Running: int(ex.running.Load()), Queued: int(ex.queued.Load()), Slots: cap(ex.slots)}
-}
+func (ex *Executor) Load() core.Load { return ex.bound.load() }
 
 // Run takes an attempt to the upstream.
 func (ex *Executor) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
@@ -88,20 +79,21 @@
 	if fl := ex.check(at); fl != nil {
 		return nil, fl
 	}
-	if err := ex.enter(ctx); err != nil {
+	exit, err := ex.bound.enter(ctx, at)
+	if err != nil {
 		return nil, err
 	}
 	// The configuration may have changed while the attempt waited.
 	if fl := ex.check(at); fl != nil {
-		ex.exit()
+		exit()
 		return nil, fl
 	}
 	ans, err := ex.runClaimed(ctx, at)
 	if err != nil {
-		ex.exit()
+		exit()
 		return nil, err
 	}
-	return &held{Answer: ans, exit: ex.exit}, nil
+	return &held{Answer: ans, exit: exit}, nil
 }
 
 func (ex *Executor) check(at *core.Attempt) *core.Failure {
@@ -131,33 +123,6 @@
 	}
 }
 
-// enter takes a slot, waiting in the bounded queue.
-func (ex *Executor) enter(ctx context.Context) error {
-	select {
-	case ex.slots <- struct{}{}:
-		ex.running.Add(1)
-		return nil
-	default:
-	}
-	if ex.queued.Add(1) > int64(ex.queue) {
-		ex.queued.Add(-1)
-		return core.Refuse(core.CodeOverloaded, retryFull, "the queue of upstream %s is full", ex.host.ID)
-	}
-	defer ex.queued.Add(-1)
-	select {
-	case ex.slots <- struct{}{}:
-		ex.running.Add(1)
-		return nil
-	case <-ctx.Done():
-		return core.Refuse(core.CodeCallerGone, 0, "the caller gave up while the request waited")
-	}
-}
-
-func (ex *Executor) exit() {
-	ex.running.Add(-1)
-	<-ex.slots
-}
-
 // runClaimed runs the attempt, under a claim when it may run at most once.
 func (ex *Executor) runClaimed(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	if at.IdempotencyKey == "" || at.Service == "" {
--- /dev/null
+++ b/core/placement/slow.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"time"
+
+	"skylarkstand/core"
+)
+
+// pool is what is known of a pool's usual time to the first piece.
+type pool struct {
+	usual   float64 // seconds; 0 is unknown
+	picks   int
+	probed  int
+	probeAt time.Time
+}
+
+// peer is what was seen of one upstream. Its times are multiples of its
+// pool's usual one, so that streamed and whole answers count together.
+type peer struct {
+	ratio   float64
+	marked  bool
+	waiting int
+	// since is when a first piece last came, or when the oldest attempt began
+	// to wait for one.
+	since time.Time
+}
+
+const (
+	// slowAt is the multiple of the usual time above which an upstream is
+	// avoided, and soundAt the one below which it is used again. Between lies
+	// the ordinary difference of long and short prompts; the gap keeps an
+	// upstream from changing sides with each answer.
+	slowAt  = 3.0
+	soundAt = 1.5
+	// oddest bounds what one answer can say, so that a single long one does
+	// not mark an upstream; two in a row do.
+	oddest = 8.0
+	// smoothUp and smoothDown weigh the newest answer. A marked upstream gets
+	// few attempts, so that each has to count more.
+	smoothUp   = 0.25
+	smoothDown = 0.5
+	smoothPool = 1.0 / 32
+	// silentAt is the multiple of the usual time that an upstream may leave
+	// all its attempts without a first piece. It finds the slow one before its
+	// first slow answer has ended.
+	silentAt = 2 * slowAt
+	// A slow upstream gets one attempt in probePart, or one in probePause when
+	// there are few, to see whether it has recovered. A probe may cost its
+	// caller the slow time, so probes stay well below one in a hundred.
+	probePart  = 400
+	probePause = 30 * time.Second
+)
+
+func (pk *Picker) pool(po Pool) *pool {
+	pl := pk.pools[po]
+	if pl == nil {
+		pl = new(pool)
+		pk.pools[po] = pl
+	}
+	return pl
+}
+
+func (pk *Picker) peer(id core.UpstreamID) *peer {
+	pe := pk.peers[id]
+	if pe == nil {
+		pk.forget()
+		pe = &peer{ratio: 1}
+		pk.peers[id] = pe
+	}
+	return pe
+}
+
+// maxPeers bounds what is remembered. Hosts are replaced at any time, and each
+// comes back under a new id; without a bound the table would grow for as long
+// as the process lives.
+const maxPeers = 4096
+
+// forget makes room by dropping upstreams of which nothing is awaited. What
+// was known of one that is still in use is learned again within seconds.
+func (pk *Picker) forget() {
+	if len(pk.peers) < maxPeers {
+		return
+	}
+	for id, pe := range pk.peers {
+		if pe.waiting == 0 {
+			delete(pk.peers, id)
+		}
+	}
+}
+
+// Sent notes that an attempt was handed to an upstream.
+func (pk *Picker) Sent(now time.Time, id core.UpstreamID) {
+	pe := pk.peer(id)
+	if pe.waiting == 0 {
+		pe.since = now
+	}
+	pe.waiting++
+}
+
+// Heard notes the first piece of an answer to an attempt that was sent.
+func (pk *Picker) Heard(now time.Time, po Pool, id core.UpstreamID, sent time.Time) {
+	pl, pe := pk.pool(po), pk.peer(id)
+	pe.waiting = max(pe.waiting-1, 0)
+	pe.since = now
+	took := max(now.Sub(sent).Seconds(), 1e-6)
+	if pl.usual == 0 {
+		pl.usual = took
+	}
+	ratio := min(took/pl.usual, oddest)
+	weight := smoothUp
+	if pe.marked && ratio < pe.ratio {
+		weight = smoothDown
+	}
+	pe.ratio += weight * (ratio - pe.ratio)
+	// A slow upstream does not change what is usual; otherwise a pool with one
+	// would soon find it usual.
+	if !pe.marked {
+		pl.usual += smoothPool * (min(took, oddest*pl.usual) - pl.usual)
+	}
+	switch {
+	case pe.ratio > slowAt:
+		pe.marked = true
+	case pe.ratio < soundAt:
+		pe.marked = false
+	}
+}
+
+// Failed notes that an attempt that was sent brought no answer. It says
+// nothing about speed: refusals come fast.
+func (pk *Picker) Failed(now time.Time, id core.UpstreamID) {
+	pe := pk.peer(id)
+	pe.waiting = max(pe.waiting-1, 0)
+	pe.since = now
+}
+
+// slow reports whether an upstream is to be avoided.
+//
+// One slow upstream looks idle to its load report as soon as it is avoided,
+// and before that holds each attempt many times as long as the others do. Its
+// callers notice, the report does not; so it is judged by the answers.
+func (pe *peer) slow(now time.Time, pl *pool) bool {
+	if pe.marked {
+		return true
+	}
+	return pe.waiting > 0 && pl.usual > 0 && now.Sub(pe.since).Seconds() > silentAt*pl.usual
+}
+
+// mayProbe takes the pool's turn to probe, if it is due.
+func (pe *peer) mayProbe(now time.Time, pl *pool) bool {
+	if pe.waiting > 0 || pl.picks-pl.probed < probePart && now.Sub(pl.probeAt) < probePause {
+		return false
+	}
+	pl.probed, pl.probeAt = pl.picks, now
+	return true
+}
--- a/core/upstreams.go
+++ b/core/upstreams.go
@@ -1,6 +1,9 @@
 package core
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Upstream is one upstream as an entry sees it: from the host list, and from
 // its agent's last report.
@@ -14,6 +17,10 @@
 	// that are running there now.
 	Load Load
 	Own  int
+	// Reported is when the report came, and OwnThen what Own was then. Both
+	// are zero before the first report.
+	Reported time.Time
+	OwnThen  int
 }
 
 // Upstreams is the entry's way to all upstreams. It is safe for concurrent
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -27,11 +27,19 @@
 	listedLeaving atomic.Bool
 	toldLeaving   atomic.Bool
 	own           atomic.Int64
-	load          atomic.Pointer[core.Load]
+	load          atomic.Pointer[report]
 	ses           atomic.Pointer[yamux.Session]
 	control       atomic.Pointer[protocol.Control]
 }
 
+// report is an agent's last word on its load, with when it came and how many
+// attempts of this entry were there then: it lags, and counts them too.
+type report struct {
+	core.Load
+	at  time.Time
+	own int
+}
+
 func newLink(deps core.Deps, inf *declaration.InForce, ho core.Host) *link {
 	return &link{deps: deps, inf: inf, host: ho}
 }
@@ -41,8 +49,8 @@
 		Host: ln.host, Up: ln.up.Load(), Own: int(ln.own.Load()),
 		Leaving: ln.listedLeaving.Load() || ln.toldLeaving.Load(),
 	}
-	if lo := ln.load.Load(); lo != nil {
-		up.Load = *lo
+	if re := ln.load.Load(); re != nil {
+		up.Load, up.Reported, up.OwnThen = re.Load, re.at, re.own
 	}
 	return up
 }
@@ -113,7 +121,10 @@
 	if st == nil {
 		return
 	}
-	ln.load.Store(&core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)})
+	ln.load.Store(&report{
+		Load: core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)},
+		at:   time.Now(), own: int(ln.own.Load()),
+	})
 	if st.Leaving && !ln.toldLeaving.Swap(true) {
 		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
 	}
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -9,6 +9,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/placement"
 	"skylarkstand/io/frame"
 )
 
@@ -21,6 +22,8 @@
 	mu    sync.Mutex
 	links map[core.UpstreamID]*link
 	index atomic.Pointer[index]
+	// entries counts the region's entries that are listed and not leaving.
+	entries atomic.Int64
 }
 
 // index is what dispatching reads; it is replaced as a whole.
@@ -33,7 +36,7 @@
 // New returns a pool without links; Serve makes them.
 func New(deps core.Deps, inf *declaration.InForce, ho core.Hosts) *Pool {
 	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}}
-	po.index.Store(newIndex(nil))
+	po.index.Store(po.newIndex(nil))
 	return po
 }
 
@@ -69,7 +72,11 @@
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	listed := map[core.UpstreamID]bool{}
+	entries := 0
 	for _, ho := range list {
+		if ho.Role == core.RoleEntry && ho.Region == po.deps.Region && !ho.Leaving {
+			entries++
+		}
 		if ho.Role != core.RoleAgent {
 			continue
 		}
@@ -95,10 +102,13 @@
 			delete(po.links, id)
 		}
 	}
-	po.index.Store(newIndex(po.links))
+	po.entries.Store(int64(entries))
+	po.index.Store(po.newIndex(po.links))
 }
 
-func newIndex(links map[core.UpstreamID]*link) *index {
+// newIndex sorts the links by what they serve, and keeps of each version the
+// entry's subset.
+func (po *Pool) newIndex(links map[core.UpstreamID]*link) *index {
 	ix := &index{byID: map[core.UpstreamID]*link{}, versions: map[core.ModelVersion][]*link{}, services: map[core.ServiceID][]*link{}}
 	for id, ln := range links {
 		ix.byID[id] = ln
@@ -108,9 +118,34 @@
 			ix.versions[ln.host.Serves()] = append(ix.versions[ln.host.Serves()], ln)
 		}
 	}
+	for mv, all := range ix.versions {
+		ix.versions[mv] = po.subset(ix, all)
+	}
+	for sv, all := range ix.services {
+		ix.services[sv] = po.subset(ix, all)
+	}
 	return ix
 }
 
+func (po *Pool) subset(ix *index, all []*link) []*link {
+	if len(all) <= placement.MaxSubset {
+		return all
+	}
+	hosts := make([]core.Host, len(all))
+	for i, ln := range all {
+		hosts[i] = ln.host
+	}
+	var kept []*link
+	for _, ho := range placement.Subset(po.deps.Self, po.deps.Zone, po.deps.Region, hosts) {
+		kept = append(kept, ix.byID[ho.ID])
+	}
+	return kept
+}
+
+// Entries returns how many entries of the region share its upstreams, this one
+// included.
+func (po *Pool) Entries() int { return max(int(po.entries.Load()), 1) }
+
 func (po *Pool) closeAll() {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -120,21 +155,27 @@
 }
 
 // Serving implements [core.Upstreams].
-func (po *Pool) Serving(mv core.ModelVersion) []core.Upstream {
-	return snapshots(po.index.Load().versions[mv])
-}
+func (po *Pool) Serving(mv core.ModelVersion) []core.Upstream { return po.AppendServing(nil, mv) }
 
 // Offering implements [core.Upstreams].
-func (po *Pool) Offering(sv core.ServiceID) []core.Upstream {
-	return snapshots(po.index.Load().services[sv])
+func (po *Pool) Offering(sv core.ServiceID) []core.Upstream { return po.AppendOffering(nil, sv) }
+
+// AppendServing is Serving into a buffer that is used again, for the decision
+// that each attempt needs.
+func (po *Pool) AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream {
+	return appendTo(buf, po.index.Load().versions[mv])
+}
+
+// AppendOffering is Offering into a buffer that is used again.
+func (po *Pool) AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream {
+	return appendTo(buf, po.index.Load().services[sv])
 }
 
-func snapshots(links []*link) []core.Upstream {
-	ups := make([]core.Upstream, len(links))
-	for i, ln := range links {
-		ups[i] = ln.snapshot()
+func appendTo(buf []core.Upstream, links []*link) []core.Upstream {
+	for _, ln := range links {
+		buf = append(buf, ln.snapshot())
 	}
-	return ups
+	return buf
 }
 
 // Dispatch implements [core.Upstreams].
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -15,15 +15,6 @@
 	"skylarkstand/core/session"
 )
 
-// admit takes a place among the requests in flight.
-func (srv *Server) admit() error {
-	if srv.flying.Add(1) > srv.limit {
-		srv.flying.Add(-1)
-		return core.Refuse(core.CodeOverloaded, time.Second, "too many requests are in this entry")
-	}
-	return nil
-}
-
 func (srv *Server) chat(rq *restful.Request, rs *restful.Response) {
 	id := requestID(rq.Request)
 	rs.Header().Set(HeaderRequest, string(id))
@@ -45,19 +36,24 @@
 		return err
 	}
 	dr.Session = se
-	if err := srv.admit(); err != nil {
+	po, err := srv.chatPool(ws.ID, dr)
+	if err != nil {
 		return err
 	}
-	defer srv.flying.Add(-1)
 	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
 	defer cancel()
+	ad, err := srv.admit(ctx, po, ws, dr)
+	if err != nil {
+		return err
+	}
+	defer ad.leave()
 	out, err := srv.dis.Chat(ctx, dr)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
 	srv.tellVersion(w.Header(), pin, out)
-	return srv.relay(w, id, out, dr.Stream)
+	return srv.relay(w, id, out, dr.Stream, ad)
 }
 
 func withDeadline(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
@@ -92,7 +88,7 @@
 }
 
 func (srv *Server) serveCall(w http.ResponseWriter, rq *http.Request, id core.RequestID, sv core.ServiceID, op core.OperationID) error {
-	_, dr, err := srv.common(w, rq, id)
+	ws, dr, err := srv.common(w, rq, id)
 	if err != nil {
 		return err
 	}
@@ -100,18 +96,23 @@
 	if len(dr.IdempotencyKey) > maxKey {
 		return core.Refuse(core.CodeBadRequest, 0, "the header %s is longer than %d bytes", headerIdempotency, maxKey)
 	}
-	if err := srv.admit(); err != nil {
+	po, err := srv.servicePool(ws.ID, dr)
+	if err != nil {
 		return err
 	}
-	defer srv.flying.Add(-1)
 	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
 	defer cancel()
+	ad, err := srv.admit(ctx, po, ws, dr)
+	if err != nil {
+		return err
+	}
+	defer ad.leave()
 	out, err := srv.dis.Call(ctx, dr)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	return srv.relay(w, id, out, dr.Stream)
+	return srv.relay(w, id, out, dr.Stream, ad)
 }
 
 // doneMark ends a whole stream; a caller that has it takes the answer for whole.
@@ -122,7 +123,7 @@
 //
 // Of a stream only the end mark is held. Holding each piece until the next one
 // came would delay every token by one.
-func (srv *Server) relay(w http.ResponseWriter, id core.RequestID, out *dispatch.Outcome, stream bool) error {
+func (srv *Server) relay(w http.ResponseWriter, id core.RequestID, out *dispatch.Outcome, stream bool, ad *admitted) error {
 	piece, err := out.Next()
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
@@ -151,7 +152,7 @@
 		srv.breakOff(w, id, err)
 		return nil
 	}
-	out.Settle()
+	ad.settled(out.Settle())
 	_, _ = w.Write(held)
 	return nil
 }
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -86,11 +86,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	pr, err := priority(rq)
+	if err != nil {
+		return nil, nil, err
+	}
 	body, err := srv.readBody(w, rq)
 	if err != nil {
 		return nil, nil, err
 	}
-	return ws, &dispatch.Request{ID: id, Workspace: ws.ID, Deadline: limit, Body: body}, nil
+	return ws, &dispatch.Request{ID: id, Workspace: ws.ID, Deadline: limit, Priority: int(pr), Body: body}, nil
 }
 
 func deadline(rq *http.Request) (time.Duration, error) {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"skylarkstand/core"
+	"skylarkstand/core/admission"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/session"
@@ -33,6 +34,7 @@
 	leaving atomic.Bool
 	flying  atomic.Int64
 	limit   int64
+	gate    *admission.Gate
 }
 
 // Option changes a Server at construction.
@@ -44,6 +46,10 @@
 // MaxInFlight bounds the requests in this entry.
 func MaxInFlight(n int64) Option { return func(srv *Server) { srv.limit = n } }
 
+// Gate sets what admits requests before they are dispatched. Without one only
+// MaxInFlight bounds them.
+func Gate(gt *admission.Gate) Option { return func(srv *Server) { srv.gate = gt } }
+
 // Metrics sets the page at /metrics.
 func Metrics(ha http.Handler) Option { return func(srv *Server) { srv.metrics = ha } }
 
