Trial loop over the pure logic of entries and agents in virtual time

Answers from an upstream that had no free slot no longer count, and at most a fifth of a pool is avoided. Ruled out: comparing against the pool's mean alone, which a full pool raises too late.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -146,13 +146,18 @@
 	return nil
 }
 
+// mayStart reports whether a workspace's next request finds room. The further
+// a workspace is above its share of the places, the more of the reserve has to
+// stay free: one that sends ten times its share leaves all of it, one that is
+// a little above for a moment hardly any.
 func (con *Controller) mayStart(sp *space) bool {
 	room := con.window - con.flying
 	if room <= 0 {
 		return false
 	}
-	weights := con.weightsWith(sp)
-	return room > con.window/reservePart || float64(sp.flying)*weights < sp.weight*float64(con.window)
+	share := sp.weight * float64(con.window) / con.weightsWith(sp)
+	over := min(max(float64(sp.flying+1)/share-1, 0), 1)
+	return float64(room) > over*reserve*float64(con.window)
 }
 
 // Leave ends a started request. Used is the answer's usage, or nil when there
@@ -163,6 +168,8 @@
 	sp.flying--
 	if used != nil {
 		con.learn(sp, ti, now.Sub(ti.started), used)
+	} else {
+		con.learnCut(sp, ti, now.Sub(ti.started))
 	}
 	con.weigh(sp)
 	con.release(ti)
@@ -182,6 +189,17 @@
 	}
 }
 
+// learnCut takes an answer into the estimates that was cut by its deadline or
+// its caller. How long it would have become is not known, only that it was at
+// least as long as its time allowed. Without it only the short answers of a
+// full pool would be learned from, and the queue would take ever more work
+// that then does not end in time.
+func (con *Controller) learnCut(sp *space, ti *Ticket, took time.Duration) {
+	if out := took.Seconds()/con.pace() - ti.prompt; out > sp.output {
+		sp.learn(out)
+	}
+}
+
 // Cancel takes a waiting request out, because its caller is gone. The ticket
 // is not used afterwards.
 func (con *Controller) Cancel(ti *Ticket) {
--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -56,12 +56,11 @@
 	// follows a change within some twenty answers, and one odd answer moves
 	// the estimate little.
 	smooth = 1.0 / 8
-	// reservePart of a pool's places is kept from workspaces that already have
-	// their share of them. It is made for one workspace that takes all that is
-	// free: without it, each request of the others would first wait for one of
-	// the hog's to end. A tenth costs at most a tenth of the throughput, and
-	// only while the others leave it unused.
-	reservePart = 10
+	// reserve is the part of a pool's places that is kept from workspaces far
+	// above their share of them. It is made for one workspace that takes all
+	// that is free: without it, each request of the others would first wait
+	// for one of the hog's to end.
+	reserve = 0.1
 	// margin stretches the estimated wait when it is held against a deadline.
 	// Work that is admitted and then misses its deadline has cost the pool its
 	// time and the caller an early answer; refusing slightly more costs
--- /dev/null
+++ b/core/admission/outcome_test.go
@@ -0,0 +1,89 @@
+package admission_test
+
+import (
+	"slices"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// outcome is what the callers of a simulation got.
+type outcome struct {
+	length   time.Duration
+	requests []*request
+	crossed  int
+}
+
+func newOutcome(si *sim) *outcome {
+	return &outcome{length: si.sit.length, requests: si.requests, crossed: si.crossed}
+}
+
+// goodput is the answers in time a second.
+func (ou *outcome) goodput() float64 { return float64(ou.count(answered)) / ou.length.Seconds() }
+
+// goodUnits is the tokens a second of answers in time.
+func (ou *outcome) goodUnits() float64 {
+	sum := 0.0
+	for _, rq := range ou.requests {
+		if rq.end == answered {
+			sum += rq.output
+		}
+	}
+	return sum / ou.length.Seconds()
+}
+
+func (ou *outcome) count(en ending) int {
+	sum := 0
+	for _, rq := range ou.requests {
+		if rq.end == en {
+			sum++
+		}
+	}
+	return sum
+}
+
+// late counts the refusals that came later than a limit after arrival.
+func (ou *outcome) late(limit time.Duration) int {
+	sum := 0
+	for _, rq := range ou.requests {
+		if rq.end == refused && rq.ended-rq.arrived > limit {
+			sum++
+		}
+	}
+	return sum
+}
+
+// amplified is the attempts handed to agents over the requests that were.
+func (ou *outcome) amplified() float64 {
+	handed, attempts := 0, 0
+	for _, rq := range ou.requests {
+		if rq.dispatch > 0 {
+			handed++
+			attempts += rq.dispatch
+		}
+	}
+	return float64(attempts) / float64(max(handed, 1))
+}
+
+// percentile is over the requests of all tenants but one. What was not
+// answered counts as its deadline, so that refusing does not look fast.
+func (ou *outcome) percentile(part float64, but core.WorkspaceID, of func(*request) time.Duration) float64 {
+	var all []time.Duration
+	for _, rq := range ou.requests {
+		switch {
+		case rq.ten.id == but:
+		case rq.end == answered:
+			all = append(all, of(rq))
+		default:
+			all = append(all, rq.ten.deadline)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(int(part*float64(len(all))), len(all)-1)].Seconds()
+}
+
+func first(rq *request) time.Duration { return rq.first }
+func whole(rq *request) time.Duration { return rq.whole }
--- /dev/null
+++ b/core/admission/sim_job_test.go
@@ -0,0 +1,198 @@
+package admission_test
+
+import (
+	"slices"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/placement"
+)
+
+// attempt places a request's next attempt and hands it over.
+func (jo *job) attempt() {
+	si, en := jo.si, jo.en
+	ch, ok := jo.place()
+	if !ok {
+		jo.finish(refused, nil)
+		return
+	}
+	ix := slices.IndexFunc(si.ups, func(up *upstream) bool { return up.host.ID == ch.ID })
+	jo.up, jo.sent, jo.over, jo.heard, jo.choice = si.ups[ix], si.now, false, false, ch
+	jo.tried = append(jo.tried, ch.ID)
+	jo.rq.dispatch++
+	if jo.rq.dispatch == 1 {
+		jo.rq.entryWait = si.now - jo.rq.arrived
+	}
+	en.views[ix].Own++
+	en.pk.Sent(si.clock(), ch.ID)
+	si.after(jo.delay(), func() { jo.reach(jo.up) })
+}
+
+func (jo *job) place() (placement.Choice, bool) {
+	si, en := jo.si, jo.en
+	if si.pol.place == "" {
+		rq := placement.Request{Pool: pool, Body: 4 * jo.rq.ten.prompt, Tried: jo.tried}
+		return en.pk.Pick(si.clock(), rq, en.views, si.rnd.IntN)
+	}
+	var able []int
+	for ix, up := range en.views {
+		if up.Up && up.Host.Region == en.site.region && !slices.Contains(jo.tried, up.Host.ID) {
+			able = append(able, ix)
+		}
+	}
+	if len(able) == 0 {
+		return placement.Choice{}, false
+	}
+	at := able[si.rnd.IntN(len(able))]
+	switch si.pol.place {
+	case "round-robin":
+		at = able[en.turn%len(able)]
+		en.turn++
+	case "least-loaded":
+		at = slices.MinFunc(able, func(aa, bb int) int {
+			return en.views[aa].Load.Running + en.views[aa].Load.Queued - en.views[bb].Load.Running - en.views[bb].Load.Queued
+		})
+	}
+	return placement.Choice{ID: en.views[at].Host.ID}, true
+}
+
+func (jo *job) delay() time.Duration {
+	if jo.up.host.Region != jo.en.site.region {
+		return farDelay
+	}
+	return nearDelay
+}
+
+// reach is the arrival at the agent.
+func (jo *job) reach(up *upstream) {
+	if jo.over {
+		return
+	}
+	if up.dead {
+		jo.fail(core.Refuse(core.CodeNoUpstream, time.Second, "the link is lost"))
+		return
+	}
+	left := jo.rq.ten.deadline - (jo.si.now - jo.rq.arrived)
+	if jo.si.pol.fifo {
+		left = 0
+	}
+	pl, started, fl := up.bo.Enter(jo.si.clock(), 0, left)
+	if fl != nil {
+		jo.si.after(jo.delay(), func() { jo.fail(fl) })
+		return
+	}
+	jo.pl = pl
+	up.jobs[jo] = true
+	if started {
+		jo.run()
+	}
+}
+
+// run is the engine's part.
+func (jo *job) run() {
+	si, up, rq := jo.si, jo.up, jo.rq
+	factor := 1.0
+	if si.sit.slow > 0 && up == si.ups[0] && si.now > si.sit.length/3 {
+		factor = si.sit.slow
+	}
+	whole := seconds(rq.service().Seconds() * factor)
+	first := seconds((float64(rq.ten.prompt)*secondsPerPrompt + secondsPerToken) * factor)
+	sent, ch := jo.sent, jo.choice
+	valid := func() bool { return !jo.over && jo.up == up && jo.sent == sent }
+	if si.rnd.Float64() < si.sit.failing {
+		si.after(whole/2, func() {
+			if valid() {
+				jo.fail(&core.Failure{Code: core.CodeUpstream, Ran: core.RanFailed})
+			}
+		})
+		return
+	}
+	si.after(first+jo.delay(), func() {
+		if !valid() {
+			return
+		}
+		rq.first, jo.heard = si.now-rq.arrived, true
+		jo.en.pk.Heard(si.clock(), pool, ch, time.Unix(0, 0).Add(sent))
+	})
+	si.after(whole+jo.delay(), func() {
+		if valid() {
+			jo.en.budget.Succeeded()
+			jo.finish(answered, &core.Usage{Prompt: core.Tokens(rq.ten.prompt), Generated: core.Tokens(rq.output)})
+		}
+	})
+}
+
+// fail ends an attempt without an answer, and tries another upstream when the
+// retry logic allows it.
+func (jo *job) fail(fl *core.Failure) {
+	if jo.over || jo.rq.end != unended {
+		return
+	}
+	jo.en.pk.Failed(jo.si.clock(), jo.up.host.ID)
+	jo.free()
+	again := jo.tries.Again(fl, true)
+	if jo.si.pol.retries {
+		again = jo.rq.dispatch < 3
+	}
+	if again {
+		jo.attempt()
+		return
+	}
+	jo.over = true
+	jo.si.end(jo.rq, refused)
+	jo.leave(nil)
+}
+
+func (jo *job) finish(en ending, us *core.Usage) {
+	jo.over = true
+	jo.rq.whole = jo.si.now - jo.rq.arrived
+	if us != nil && jo.choice.Crossing {
+		bytes := int(us.Generated) * bytesPerToken
+		jo.si.crossed += bytes + 4*jo.rq.ten.prompt
+		jo.en.pk.Crossed(jo.si.clock(), bytes)
+	}
+	jo.si.end(jo.rq, en)
+	jo.free()
+	jo.leave(us)
+}
+
+// free gives the place at the agent back.
+func (jo *job) free() {
+	if jo.up == nil {
+		return
+	}
+	up := jo.up
+	jo.up = nil
+	ix := slices.Index(jo.si.ups, up)
+	if !jo.si.sit.stale {
+		jo.en.see(jo.si.clock(), ix, up)
+	}
+	jo.en.views[ix].Own--
+	if !up.jobs[jo] {
+		return
+	}
+	delete(up.jobs, jo)
+	if up.bo.Cancel(jo.pl) {
+		return
+	}
+	next := up.bo.Exit(jo.si.clock(), jo.pl)
+	if next == nil || up.dead {
+		return
+	}
+	for other := range up.jobs {
+		if other.pl == next {
+			other.run()
+		}
+	}
+}
+
+// leave gives the place at the entry back.
+func (jo *job) leave(us *core.Usage) {
+	if jo.ti == nil {
+		return
+	}
+	ti := jo.ti
+	jo.ti = nil
+	jo.en.con.Leave(jo.si.clock(), ti, us)
+	jo.si.pump(jo.en)
+}
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -70,7 +70,7 @@
 		pl.pk.Failed(time.Now(), ch.ID)
 		return nil, err
 	}
-	pl.pk.Heard(time.Now(), poolOf(at), ch.ID, sent)
+	pl.pk.Heard(time.Now(), poolOf(at), ch, sent)
 	if ch.Crossing {
 		return &crossing{Answer: ans, pl: pl}, nil
 	}
--- a/core/placement/crossing.go
+++ b/core/placement/crossing.go
@@ -54,10 +54,10 @@
 	if fi.fars == 0 || !pk.MayCross(fi.now, rq.Body) {
 		return Choice{}, false
 	}
-	ix, load := pk.twoChoices(fi, fi.far[:fi.fars], draw, max(enough, regionFull))
+	ix, load := pk.twoChoices(fi, fi.far[:fi.fars], draw, max(enough, slotFree))
 	if enough > 0 && load > enough {
 		return Choice{}, false
 	}
 	pk.Crossed(fi.now, rq.Body)
-	return Choice{ID: fi.cands[ix].Host.ID, Crossing: true}, true
+	return Choice{ID: fi.cands[ix].Host.ID, Crossing: true, Full: load > slotFree}, true
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -50,6 +50,9 @@
 	// Crossing says that the attempt goes over the link between regions. Its
 	// bytes are charged with Crossed.
 	Crossing bool
+	// Full says that no slot seemed free. How soon the answer begins then says
+	// nothing about the upstream's speed.
+	Full bool
 }
 
 // Picker chooses. It belongs to one goroutine at a time.
@@ -92,9 +95,13 @@
 	// preferred. Zones of a region are close together, so the preference is
 	// worth little, and a full zone beside an idle one costs a whole wait.
 	zoneFull = 0.75
-	// regionFull is the load of the region above which the link between
-	// regions is considered: no slot is free.
-	regionFull = 1.0
+	// slotFree is the load up to which an upstream has a slot for the attempt.
+	slotFree = 1.0
+	// regionFull is the load of the region from which on the link between
+	// regions is considered, when the drawn upstreams have no slot either. The
+	// last free slots of a region are hard to find by old reports, and waiting
+	// for them costs more than the crossing.
+	regionFull = 0.9
 	// farFree is the load below which an upstream of another region is worth
 	// the crossing. Above it the other region is about to fill up by itself.
 	farFree = 0.75
@@ -130,6 +137,7 @@
 	fi := field{cands: cands[:min(len(cands), MaxSubset)], pl: pk.pool(rq.Pool), now: now}
 	pk.sort(&fi, rq.Tried)
 	fi.pl.picks++
+	fi.pl.size = fi.nears + fi.fars
 	if fi.nears == 0 {
 		return pk.cross(&fi, rq, draw, 0)
 	}
@@ -140,17 +148,17 @@
 	}
 	best, load := pk.twoChoices(&fi, fi.near[:fi.zones], draw, zoneFull)
 	if load > zoneFull && fi.zones < fi.nears {
-		other, lo := pk.twoChoices(&fi, fi.near[:fi.nears], draw, regionFull)
+		other, lo := pk.twoChoices(&fi, fi.near[:fi.nears], draw, slotFree)
 		if lo < load {
 			best, load = other, lo
 		}
 	}
-	if load > regionFull && fi.filled >= regionFull && fi.fars > 0 && rq.Body <= maxCrossing {
+	if load > slotFree && fi.filled >= regionFull && fi.fars > 0 && rq.Body <= maxCrossing {
 		if ch, ok := pk.cross(&fi, rq, draw, farFree); ok {
 			return ch, true
 		}
 	}
-	return Choice{ID: cands[best].Host.ID}, true
+	return Choice{ID: cands[best].Host.ID, Full: load > slotFree}, true
 }
 
 // sort keeps the candidates that take work: their link stands, and neither
--- a/core/placement/slow.go
+++ b/core/placement/slow.go
@@ -10,6 +10,8 @@
 type pool struct {
 	usual   float64 // seconds; 0 is unknown
 	picks   int
+	size    int // candidates at the last decision
+	marked  int // upstreams that are marked slow
 	probed  int
 	probeAt time.Time
 }
@@ -40,6 +42,8 @@
 	smoothUp   = 0.25
 	smoothDown = 0.5
 	smoothPool = 1.0 / 32
+	// slowPart bounds the upstreams of a pool that are avoided as slow.
+	slowPart = 5
 	// silentAt is the multiple of the usual time that an upstream may leave
 	// all its attempts without a first piece. It finds the slow one before its
 	// first slow answer has ended.
@@ -75,14 +79,14 @@
 // as the process lives.
 const maxPeers = 4096
 
-// forget makes room by dropping upstreams of which nothing is awaited. What
-// was known of one that is still in use is learned again within seconds.
+// forget makes room by dropping upstreams of which nothing is awaited and
+// nothing bad is known. What it knew of one in use is soon learned again.
 func (pk *Picker) forget() {
 	if len(pk.peers) < maxPeers {
 		return
 	}
 	for id, pe := range pk.peers {
-		if pe.waiting == 0 {
+		if pe.waiting == 0 && !pe.marked {
 			delete(pk.peers, id)
 		}
 	}
@@ -98,10 +102,13 @@
 }
 
 // Heard notes the first piece of an answer to an attempt that was sent.
-func (pk *Picker) Heard(now time.Time, po Pool, id core.UpstreamID, sent time.Time) {
-	pl, pe := pk.pool(po), pk.peer(id)
+func (pk *Picker) Heard(now time.Time, po Pool, ch Choice, sent time.Time) {
+	pl, pe := pk.pool(po), pk.peer(ch.ID)
 	pe.waiting = max(pe.waiting-1, 0)
 	pe.since = now
+	if ch.Full {
+		return
+	}
 	took := max(now.Sub(sent).Seconds(), 1e-6)
 	if pl.usual == 0 {
 		pl.usual = took
@@ -118,10 +125,12 @@
 		pl.usual += smoothPool * (min(took, oddest*pl.usual) - pl.usual)
 	}
 	switch {
-	case pe.ratio > slowAt:
+	case pe.ratio > slowAt && !pe.marked:
 		pe.marked = true
-	case pe.ratio < soundAt:
+		pl.marked++
+	case pe.ratio < soundAt && pe.marked:
 		pe.marked = false
+		pl.marked--
 	}
 }
 
@@ -138,7 +147,13 @@
 // One slow upstream looks idle to its load report as soon as it is avoided,
 // and before that holds each attempt many times as long as the others do. Its
 // callers notice, the report does not; so it is judged by the answers.
+//
+// When many are slow, it is the load and not the upstreams: avoiding them
+// would put all of it on the rest, which would then be slow as well.
 func (pe *peer) slow(now time.Time, pl *pool) bool {
+	if pl.marked > max(pl.size/slowPart, 1) {
+		return false
+	}
 	if pe.marked {
 		return true
 	}
