Cross regions by admission, judge slowness by pace

The room of the other region stood in the own window, so a full region was filled beyond its slots before anything crossed. Admission now starts a request elsewhere only when the waiting it saves is worth its bytes. A slow upstream is judged by the pace of pieces: the time to the first one is mostly its queue. Ruled out: counting only answers of upstreams that seemed free; reports lag.

--- a/app/providers.go
+++ b/app/providers.go
@@ -80,7 +80,7 @@
 }
 
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
-	room := func(po admission.Pool) int { return dis.Room(po.Target, po.Service) }
+	room := func(po admission.Pool) admission.Room { return admission.Room(dis.Room(po.Target, po.Service, po.Far)) }
 	gt := admission.NewGate(room, admission.MaxWait(time.Duration(set.MaxWait)), admission.MaxQueue(set.MaxQueue))
 	return caller.New(deps, inf, dis, kr, caller.Gate(gt),
 		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"skylarkstand/core"
@@ -13,19 +14,34 @@
 	Share int
 	// Limit bounds the workspace's requests in a gate, over all its pools; 0 is
 	// none.
-	Limit    int
-	Prompt   core.Tokens
+	Limit  int
+	Prompt core.Tokens
+	// Body is the size of the request in bytes.
+	Body     int
 	Priority Priority
 	// Deadline is the time left to the caller; 0 is none.
 	Deadline time.Duration
+	// NoWait refuses the request unless it starts at once.
+	NoWait bool
+	// MayCross lets a request that the own region would refuse go to another
+	// one, if that takes it at once.
+	MayCross bool
 	// Draw is a random number from 0 to 1. It spreads Retry-After.
 	Draw float64
 }
 
+// Room is what a pool takes.
+type Room struct {
+	// Places is how many requests of this controller the pool takes at once.
+	Places int
+	// Slots is how many of all entries. The reserve is a part of these.
+	Slots int
+}
+
 // Controller decides for one pool. It belongs to one goroutine at a time.
 type Controller struct {
 	lim    Limits
-	window int
+	room   Room
 	flying int
 	queued int
 	// backlog is the units that wait, weights the shares of the workspaces
@@ -40,16 +56,16 @@
 	free           *Ticket
 }
 
-// New returns a controller of a pool that takes window requests at once.
-func New(window int, opts ...Option) *Controller {
+// New returns a controller of a pool.
+func New(ro Room, opts ...Option) *Controller {
 	return &Controller{
-		lim: newLimits(opts), window: max(window, 1), spaces: map[core.WorkspaceID]*space{},
+		lim: newLimits(opts), room: ro, spaces: map[core.WorkspaceID]*space{},
 		seconds: firstPace * firstOutput, units: firstOutput,
 	}
 }
 
-// Resize sets how many requests the pool takes at once.
-func (con *Controller) Resize(window int) { con.window = max(window, 1) }
+// Resize sets what the pool takes. Without places it starts nothing.
+func (con *Controller) Resize(ro Room) { con.room = ro }
 
 // Offer decides on a request that has arrived. It returns the request's ticket
 // and whether it starts now; or the refusal, at once. A ticket that has not
@@ -75,10 +91,19 @@
 		con.start(now, ti)
 		return ti, true, nil
 	}
+	ti.expected = con.wait(sp, la)
 	con.enqueue(ti)
 	return ti, false, nil
 }
 
+// WorthCrossing reports whether a request that waits here should start in
+// another region instead: when the bytes that it would send over the paid link
+// are few for the waiting that it would save.
+func (con *Controller) WorthCrossing(ti *Ticket, body int) bool {
+	bytes := float64(body) + ti.space.output*bytesPerToken
+	return bytes <= crossingRate*ti.expected
+}
+
 // startsNow reports whether a workspace's new request finds room. No other
 // workspace is passed over by it: one that waits has no room to start.
 func (con *Controller) startsNow(sp *space) bool { return sp.count == 0 && con.mayStart(sp) }
@@ -90,6 +115,9 @@
 		return con.refuseHopeless(service, wo)
 	}
 	wait := con.wait(sp, la)
+	if wo.NoWait {
+		return core.Refuse(core.CodeOverloaded, retryAfter(wait, wo.Draw), "the pool has no room")
+	}
 	if con.queued >= con.lim.MaxQueue || sp.count >= con.lim.MaxOwn {
 		return core.Refuse(core.CodeOverloaded, retryAfter(wait/2, wo.Draw), "the queue of the workspace or the pool is full")
 	}
@@ -146,18 +174,26 @@
 	return nil
 }
 
-// mayStart reports whether a workspace's next request finds room. The further
-// a workspace is above its share of the places, the more of the reserve has to
-// stay free: one that sends ten times its share leaves all of it, one that is
-// a little above for a moment hardly any.
+// mayStart reports whether a workspace's next request finds room. A workspace
+// that is well above its share of the places leaves a reserve to the others.
+//
+// It is made for one workspace that takes all that is free: without it, each
+// request of the others would first wait for one of the hog's to end. Requests
+// arrive at random, so the places that the others need vary with the square
+// root of what they use, and so does the reserve.
 func (con *Controller) mayStart(sp *space) bool {
-	room := con.window - con.flying
+	room := float64(con.room.Places - con.flying)
 	if room <= 0 {
 		return false
 	}
-	share := sp.weight * float64(con.window) / con.weightsWith(sp)
-	over := min(max(float64(sp.flying+1)/share-1, 0), 1)
-	return float64(room) > over*reserve*float64(con.window)
+	share := sp.weight * float64(con.room.Places) / con.weightsWith(sp)
+	usual := share + spread*math.Sqrt(share)
+	over := min(max((float64(sp.flying+1)-usual)/share, 0), 1)
+	if over == 0 {
+		return true
+	}
+	others := float64(con.flying-sp.flying) * float64(con.room.Slots) / float64(con.room.Places)
+	return room > over*spread*math.Sqrt(others)
 }
 
 // Leave ends a started request. Used is the answer's usage, or nil when there
@@ -223,7 +259,7 @@
 // the waiting work takes, since a pool never idles while work waits.
 func (con *Controller) wait(sp *space, la int) float64 {
 	weights := con.weightsWith(sp)
-	rate := float64(con.window) / con.pace()
+	rate := float64(max(con.room.Places, 1)) / con.pace()
 	own := max(sp.tag-con.clock, 0)*weights + sp.ahead(la)*weights/sp.weight
 	return (min(own, con.backlog) + con.units) / rate
 }
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -12,6 +12,8 @@
 type Pool struct {
 	Target  core.ModelVersion
 	Service core.ServiceID
+	// Far is set for the upstreams of other regions.
+	Far bool
 }
 
 // ModelPool is the pool of a model version.
@@ -20,14 +22,11 @@
 // ServicePool is the pool of a plain service.
 func ServicePool(sv core.ServiceID) Pool { return Pool{Service: sv} }
 
-// Room returns how many requests of this entry a pool takes at once.
-type Room func(po Pool) int
-
 // Gate lets the goroutines of an entry wait for their start. It has a
 // controller and a lock for each pool, so that a full pool holds up no other.
 // It is safe for concurrent use.
 type Gate struct {
-	room Room
+	room func(Pool) Room
 	opts []Option
 
 	mu    sync.Mutex
@@ -37,7 +36,7 @@
 }
 
 // NewGate returns a gate.
-func NewGate(room Room, opts ...Option) *Gate {
+func NewGate(room func(Pool) Room, opts ...Option) *Gate {
 	return &Gate{room: room, opts: opts, pools: map[Pool]*door{}, held: map[core.WorkspaceID]int{}}
 }
 
@@ -68,30 +67,69 @@
 
 // Enter admits a request, or refuses it with a *core.Failure that was not run.
 // It blocks while the request waits for its turn.
+//
+// What the own region would refuse, or let wait for longer than the crossing
+// is worth, may start in another one, if that has room at this moment and the
+// link between them has budget. It is not queued there.
 func (gt *Gate) Enter(ctx context.Context, po Pool, wo Work) (*Pass, error) {
-	do, fl := gt.enter(po, wo)
-	if fl != nil {
+	if fl := gt.hold(wo); fl != nil {
+		return nil, fl
+	}
+	ps, wa, fl := gt.offer(po, wo)
+	if fl != nil && fl.Code == core.CodeOverloaded && wo.MayCross {
+		if far := gt.cross(po, wo); far != nil {
+			return far, nil
+		}
+	}
+	switch {
+	case fl != nil:
+		gt.leave(wo)
 		return nil, fl
+	case wa == nil:
+		return ps, nil
+	default:
+		return gt.await(ctx, ps, wa)
 	}
+}
+
+// offer puts a request to a pool's controller. The waiter is nil when the
+// request starts at once.
+func (gt *Gate) offer(po Pool, wo Work) (*Pass, *waiter, *core.Failure) {
+	do := gt.door(po)
 	do.mu.Lock()
+	defer do.mu.Unlock()
 	now := time.Now()
 	gt.refresh(po, do, now)
 	do.pump(now)
 	ti, start, fl := do.con.Offer(now, wo)
 	if fl != nil {
-		do.mu.Unlock()
-		gt.leave(wo)
-		return nil, fl
+		return nil, nil, fl
 	}
 	ps := &Pass{gt: gt, po: po, do: do, ti: ti, wo: wo}
 	if start {
-		do.mu.Unlock()
-		return ps, nil
+		return ps, nil, nil
+	}
+	if wo.MayCross && do.con.WorthCrossing(ti, wo.Body) {
+		if far := gt.cross(po, wo); far != nil {
+			do.con.Cancel(ti)
+			return far, nil, nil
+		}
 	}
 	wa := &waiter{decided: make(chan bool, 1)}
 	ti.Waiter = wa
-	do.mu.Unlock()
-	return gt.await(ctx, ps, wa)
+	return ps, wa, nil
+}
+
+// cross offers a request to the other regions, where it starts at once or not
+// at all. The lock of the own region's door may be held: the other's is always
+// taken after it.
+func (gt *Gate) cross(po Pool, wo Work) *Pass {
+	po.Far, wo.NoWait, wo.MayCross = true, true, false
+	ps, _, fl := gt.offer(po, wo)
+	if fl != nil {
+		return nil
+	}
+	return ps
 }
 
 // await blocks until the request starts, is given up, or its caller is gone.
@@ -119,6 +157,9 @@
 	return ps, nil
 }
 
+// Crossing says that the request was admitted to another region.
+func (ps *Pass) Crossing() bool { return ps.po.Far }
+
 // Used tells what the whole answer took, for the estimates of later requests.
 func (ps *Pass) Used(us core.Usage) { ps.usage = &us }
 
@@ -135,23 +176,30 @@
 	})
 }
 
-// enter finds the pool's controller and counts the request against its
-// workspace's limit. The limit is kept by each entry for itself.
-func (gt *Gate) enter(po Pool, wo Work) (*door, *core.Failure) {
+func (gt *Gate) door(po Pool) *door {
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
-	if wo.Limit > 0 {
-		if gt.held[wo.Workspace] >= wo.Limit {
-			return nil, core.Refuse(core.CodeOverloaded, retryAfter(0, wo.Draw), "the workspace has %d requests here, its limit", wo.Limit)
-		}
-		gt.held[wo.Workspace]++
-	}
 	do := gt.pools[po]
 	if do == nil {
-		do = &door{con: New(1, gt.opts...)}
+		do = &door{con: New(Room{}, gt.opts...)}
 		gt.pools[po] = do
 	}
-	return do, nil
+	return do
+}
+
+// hold counts a request against its workspace's limit. The limit is kept by
+// each entry for itself.
+func (gt *Gate) hold(wo Work) *core.Failure {
+	if wo.Limit == 0 {
+		return nil
+	}
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	if gt.held[wo.Workspace] >= wo.Limit {
+		return core.Refuse(core.CodeOverloaded, retryAfter(0, wo.Draw), "the workspace has %d requests here, its limit", wo.Limit)
+	}
+	gt.held[wo.Workspace]++
+	return nil
 }
 
 func (gt *Gate) leave(wo Work) {
--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -56,16 +56,21 @@
 	// follows a change within some twenty answers, and one odd answer moves
 	// the estimate little.
 	smooth = 1.0 / 8
-	// reserve is the part of a pool's places that is kept from workspaces far
-	// above their share of them. It is made for one workspace that takes all
-	// that is free: without it, each request of the others would first wait
-	// for one of the hog's to end.
-	reserve = 0.1
+	// spread is how many standard deviations of a random number of places are
+	// kept apart: two cover all but a few in a hundred moments.
+	spread = 2
+	// bytesPerToken is what a generated token takes on a link, as an event of
+	// a stream.
+	bytesPerToken = 150
+	// crossingRate is the bytes that may cross for each second of waiting
+	// saved. A short answer then crosses as soon as its region is full, a long
+	// draft only when it would wait for seconds, and a floor plan hardly ever.
+	crossingRate = 64 << 10
 	// margin stretches the estimated wait when it is held against a deadline.
 	// Work that is admitted and then misses its deadline has cost the pool its
 	// time and the caller an early answer; refusing slightly more costs
 	// neither while the queue is full anyway.
-	margin = 1.25
+	margin = 3
 	// hopelessPart is how often work that looks too long for its deadline runs
 	// all the same while there is room. The estimate may stem from a slow time
 	// that is over, and without an answer nothing would correct it.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -31,6 +31,7 @@
 	arrived  time.Time
 	started  time.Time
 	deadline time.Time // zero: none
+	expected float64   // seconds of waiting, as estimated on arrival
 	prev     *Ticket
 	next     *Ticket
 }
--- a/core/admission/sim_job_test.go
+++ b/core/admission/sim_job_test.go
@@ -31,7 +31,7 @@
 func (jo *job) place() (placement.Choice, bool) {
 	si, en := jo.si, jo.en
 	if si.pol.place == "" {
-		rq := placement.Request{Pool: pool, Body: 4 * jo.rq.ten.prompt, Tried: jo.tried}
+		rq := placement.Request{Pool: pool, Body: 4 * jo.rq.ten.prompt, Cross: jo.con == en.far, Tried: jo.tried}
 		return en.pk.Pick(si.clock(), rq, en.views, si.rnd.IntN)
 	}
 	var able []int
@@ -97,7 +97,7 @@
 	}
 	whole := seconds(rq.service().Seconds() * factor)
 	first := seconds((float64(rq.ten.prompt)*secondsPerPrompt + secondsPerToken) * factor)
-	sent, ch := jo.sent, jo.choice
+	sent := jo.sent
 	valid := func() bool { return !jo.over && jo.up == up && jo.sent == sent }
 	if si.rnd.Float64() < si.sit.failing {
 		si.after(whole/2, func() {
@@ -112,8 +112,15 @@
 			return
 		}
 		rq.first, jo.heard = si.now-rq.arrived, true
-		jo.en.pk.Heard(si.clock(), pool, ch, time.Unix(0, 0).Add(sent))
+		jo.en.pk.Heard(si.clock(), pool, up.host.ID, time.Unix(0, 0).Add(sent))
 	})
+	if pieces := seconds(placement.PacePieces * secondsPerToken * factor); rq.output > placement.PacePieces {
+		si.after(first+jo.delay()+pieces, func() {
+			if valid() {
+				jo.en.pk.Paced(pool, up.host.ID, pieces, placement.PacePieces)
+			}
+		})
+	}
 	si.after(whole+jo.delay(), func() {
 		if valid() {
 			jo.en.budget.Succeeded()
@@ -193,6 +200,6 @@
 	}
 	ti := jo.ti
 	jo.ti = nil
-	jo.en.con.Leave(jo.si.clock(), ti, us)
+	jo.con.Leave(jo.si.clock(), ti, us)
 	jo.si.pump(jo.en)
 }
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -132,6 +132,7 @@
 type entry struct {
 	site    site
 	con     *admission.Controller
+	far     *admission.Controller // of the other regions' upstreams
 	pk      *placement.Picker
 	budget  *retry.Budget
 	views   []core.Upstream
@@ -147,6 +148,7 @@
 	rq     *request
 	pl     *execute.Place
 	ti     *admission.Ticket
+	con    *admission.Controller
 	tries  *retry.Tries
 	tried  []core.UpstreamID
 	sent   time.Duration
@@ -184,7 +186,7 @@
 	}
 	for _, st := range sit.sites {
 		en := &entry{
-			site: st, con: admission.New(1), pk: placement.New(st.zone, st.region), budget: retry.NewBudget(),
+			site: st, con: admission.New(admission.Room{}), far: admission.New(admission.Room{}), pk: placement.New(st.zone, st.region), budget: retry.NewBudget(),
 			views: make([]core.Upstream, len(si.ups)), waiting: map[*request]*admission.Ticket{},
 		}
 		si.entries = append(si.entries, en)
@@ -289,10 +291,23 @@
 		return
 	}
 	si.pump(en)
-	ti, start, fl := en.con.Offer(si.clock(), admission.Work{
+	wo := admission.Work{
 		Workspace: rq.ten.id, Share: rq.ten.share, Prompt: core.Tokens(rq.ten.prompt),
 		Deadline: rq.ten.deadline, Draw: si.rnd.Float64(),
-	})
+	}
+	body := 4 * rq.ten.prompt
+	jo.con = en.con
+	ti, start, fl := en.con.Offer(si.clock(), wo)
+	if fl != nil || !start && en.con.WorthCrossing(ti, body) {
+		wo.NoWait = true
+		en.far.Resize(admission.Room(en.pk.FarRoom(si.clock(), en.views)))
+		if far, ok, _ := en.far.Offer(si.clock(), wo); ok {
+			if fl == nil {
+				en.con.Cancel(ti)
+			}
+			ti, start, fl, jo.con = far, true, nil, en.far
+		}
+	}
 	if fl != nil {
 		si.end(rq, refused)
 		return
@@ -307,7 +322,7 @@
 
 // pump starts what may start at an entry.
 func (si *sim) pump(en *entry) {
-	en.con.Resize(en.pk.Room(en.views, si.sharers(en), en.pk.MayCross(si.clock(), 0)))
+	en.con.Resize(admission.Room(en.pk.Room(en.views, si.sharers(en))))
 	for {
 		ti, start := en.con.Next(si.clock())
 		if ti == nil {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -62,9 +62,11 @@
 	IdempotencyKey string
 	Deadline       time.Duration
 	Priority       int
-	Stream         bool
-	Prompt         []byte
-	Body           []byte
+	// Crossing says that the request was admitted to another region.
+	Crossing bool
+	Stream   bool
+	Prompt   []byte
+	Body     []byte
 }
 
 // Chat runs a request for a model or cascade.
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -49,7 +51,7 @@
 	defer pl.mu.Unlock()
 	cands := pl.candidates(ups, at.Target, at.Service)
 	return pl.pk.Pick(time.Now(), placement.Request{
-		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Tried: tried,
+		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Cross: rq.Crossing, Tried: tried,
 	}, cands, rand.IntN)
 }
 
@@ -70,37 +72,54 @@
 		pl.pk.Failed(time.Now(), ch.ID)
 		return nil, err
 	}
-	pl.pk.Heard(time.Now(), poolOf(at), ch, sent)
-	if ch.Crossing {
-		return &crossing{Answer: ans, pl: pl}, nil
-	}
-	return ans, nil
+	now := time.Now()
+	pl.pk.Heard(now, poolOf(at), ch.ID, sent)
+	return &watched{Answer: ans, pl: pl, po: poolOf(at), ch: ch, sent: sent, began: now}, nil
 }
 
-// crossing charges an answer's bytes to the budget of the link between
-// regions, as they come.
-type crossing struct {
+// watched is an answer whose pace and, over the link between regions, size
+// the placement learns.
+type watched struct {
 	core.Answer
-	pl *placer
+	pl          *placer
+	po          placement.Pool
+	ch          placement.Choice
+	sent, began time.Time
+	pieces      int
 }
 
 // Next implements [core.Answer].
-func (cr *crossing) Next() ([]byte, error) {
-	data, err := cr.Answer.Next()
-	if len(data) > 0 {
-		cr.pl.mu.Lock()
-		cr.pl.pk.Crossed(time.Now(), len(data))
-		cr.pl.mu.Unlock()
+func (wa *watched) Next() ([]byte, error) {
+	data, err := wa.Answer.Next()
+	wa.pieces++
+	switch {
+	case err == nil && wa.ch.Crossing:
+		wa.pl.mu.Lock()
+		wa.pl.pk.Crossed(time.Now(), len(data))
+		wa.pl.mu.Unlock()
+	case errors.Is(err, io.EOF) && wa.po.Whole:
+		if out := int(wa.Usage().Generated); out >= placement.PacePieces {
+			wa.paced(time.Since(wa.sent), out)
+		}
+	}
+	if err == nil && !wa.po.Whole && wa.pieces == placement.PacePieces+1 {
+		wa.paced(time.Since(wa.began), placement.PacePieces)
 	}
 	return data, err
 }
 
+func (wa *watched) paced(took time.Duration, pieces int) {
+	wa.pl.mu.Lock()
+	defer wa.pl.mu.Unlock()
+	wa.pl.pk.Paced(wa.po, wa.ch.ID, took, pieces)
+}
+
 // census is implemented by upstreams that know how many entries share them.
 type census interface{ Entries() int }
 
-// Room returns how many requests of this entry the upstreams of a model
-// version, or of a plain service, take at once.
-func (dis *Dispatcher) Room(mv core.ModelVersion, sv core.ServiceID) int {
+// Room returns what the upstreams of a model version, or of a plain service,
+// take: in the own region, or in the others.
+func (dis *Dispatcher) Room(mv core.ModelVersion, sv core.ServiceID, far bool) placement.Room {
 	entries := 1
 	if ce, ok := dis.ups.(census); ok {
 		entries = ce.Entries()
@@ -108,5 +127,8 @@
 	dis.pl.mu.Lock()
 	defer dis.pl.mu.Unlock()
 	cands := dis.pl.candidates(dis.ups, mv, sv)
-	return dis.pl.pk.Room(cands, entries, dis.pl.pk.MayCross(time.Now(), 0))
+	if far {
+		return dis.pl.pk.FarRoom(time.Now(), cands)
+	}
+	return dis.pl.pk.Room(cands, entries)
 }
--- a/core/placement/crossing.go
+++ b/core/placement/crossing.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// maxCrossing bounds the body of an attempt that goes to another region
+	// MaxCrossing bounds the body of an attempt that goes to another region
 	// because its own is full. The benefit is one answer, whatever it weighs:
 	// a floor plan of some megabytes would take the link from thirty short
 	// questions.
-	maxCrossing = 128 << 10
+	MaxCrossing = 128 << 10
 	// answerBytes is kept of the budget for an answer: a few hundred pieces of
 	// a stream at some hundred and fifty bytes each.
 	answerBytes = 48 << 10
@@ -47,8 +47,8 @@
 }
 
 // cross chooses an upstream of another region. The load it is made for is a
-// region that is full, or cut off from all its upstreams, while another has
-// room. The budget keeps the store's and the configuration's traffic, which
+// region so full that the request would be refused, or cut off from all its
+// upstreams, while another has room. The budget keeps the store's and the configuration's traffic, which
 // share the link, from waiting behind answers, and bounds what it costs.
 func (pk *Picker) cross(fi *field, rq Request, draw func(n int) int, enough float64) (Choice, bool) {
 	if fi.fars == 0 || !pk.MayCross(fi.now, rq.Body) {
@@ -59,5 +59,5 @@
 		return Choice{}, false
 	}
 	pk.Crossed(fi.now, rq.Body)
-	return Choice{ID: fi.cands[ix].Host.ID, Crossing: true, Full: load > slotFree}, true
+	return Choice{ID: fi.cands[ix].Host.ID, Crossing: true}, true
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -2,8 +2,8 @@
 //
 // The choice is between two candidates drawn at random, the less loaded one
 // (the power of two choices, Mitzenmacher 2001), first in the own availability
-// zone, then in the region, and over the paid link between regions only when
-// the region is full. Load reports lag, so they are discounted by their age
+// zone, then in the region. The paid link between regions is taken only by
+// attempts for which the admission found the region full. Load reports lag, so they are discounted by their age
 // and this entry's own attempts are counted at once.
 //
 // All of it is pure: time and randomness come in as arguments.
@@ -12,8 +12,9 @@
 //
 //	pk := placement.New(zone, region)
 //	ch, ok := pk.Pick(now, placement.Request{Pool: po, Prefix: hash}, cands, rand.IntN)
-//	pk.Sent(now, po, ch.ID)
+//	pk.Sent(now, ch.ID)
 //	pk.Heard(now, po, ch.ID, sent)        // at the answer's first piece
+//	pk.Paced(po, ch.ID, took, pieces)     // a little later
 package placement
 
 import (
@@ -40,6 +41,9 @@
 	Prefix uint64
 	// Body is the size of the request in bytes.
 	Body int
+	// Cross says that the own region is full and the attempt was admitted to
+	// another one.
+	Cross bool
 	// Tried are upstreams that are not asked again.
 	Tried []core.UpstreamID
 }
@@ -50,9 +54,6 @@
 	// Crossing says that the attempt goes over the link between regions. Its
 	// bytes are charged with Crossed.
 	Crossing bool
-	// Full says that no slot seemed free. How soon the answer begins then says
-	// nothing about the upstream's speed.
-	Full bool
 }
 
 // Picker chooses. It belongs to one goroutine at a time.
@@ -97,11 +98,6 @@
 	zoneFull = 0.75
 	// slotFree is the load up to which an upstream has a slot for the attempt.
 	slotFree = 1.0
-	// regionFull is the load of the region from which on the link between
-	// regions is considered, when the drawn upstreams have no slot either. The
-	// last free slots of a region are hard to find by old reports, and waiting
-	// for them costs more than the crossing.
-	regionFull = 0.9
 	// farFree is the load below which an upstream of another region is worth
 	// the crossing. Above it the other region is about to fill up by itself.
 	farFree = 0.75
@@ -114,16 +110,15 @@
 // field is the candidates of one decision, sorted by distance, without
 // allocation.
 type field struct {
-	cands  []core.Upstream
-	pl     *pool
-	now    time.Time
-	mean   float64
-	near   [MaxSubset]uint8
-	far    [MaxSubset]uint8
-	zones  int // near[:zones] stand in the own availability zone.
-	nears  int
-	fars   int
-	filled float64
+	cands []core.Upstream
+	pl    *pool
+	now   time.Time
+	mean  float64
+	near  [MaxSubset]uint8
+	far   [MaxSubset]uint8
+	zones int // near[:zones] stand in the own availability zone.
+	nears int
+	fars  int
 }
 
 // Pick returns the upstream for an attempt, or false when there is none. At
@@ -141,6 +136,11 @@
 	if fi.nears == 0 {
 		return pk.cross(&fi, rq, draw, 0)
 	}
+	if rq.Cross {
+		if ch, ok := pk.cross(&fi, rq, draw, farFree); ok {
+			return ch, true
+		}
+	}
 	if rq.Prefix != 0 {
 		if ix, ok := pk.affine(&fi, rq.Prefix); ok {
 			return Choice{ID: cands[ix].Host.ID}, true
@@ -153,19 +153,13 @@
 			best, load = other, lo
 		}
 	}
-	if load > slotFree && fi.filled >= regionFull && fi.fars > 0 && rq.Body <= maxCrossing {
-		if ch, ok := pk.cross(&fi, rq, draw, farFree); ok {
-			return ch, true
-		}
-	}
-	return Choice{ID: cands[best].Host.ID, Full: load > slotFree}, true
+	return Choice{ID: cands[best].Host.ID}, true
 }
 
 // sort keeps the candidates that take work: their link stands, and neither
 // they nor the host list say that they are leaving.
 func (pk *Picker) sort(fi *field, tried []core.UpstreamID) {
 	var slots, work int
-	regional := 0
 	for ix := range fi.cands {
 		up := &fi.cands[ix]
 		if !up.Up || up.Leaving || len(tried) > 0 && slices.Contains(tried, up.Host.ID) {
@@ -178,7 +172,6 @@
 		}
 		slots += max(up.Load.Slots, 1)
 		work += max(up.Load.Running+up.Load.Queued-up.OwnThen, 0) + up.Own
-		regional++
 		fi.near[fi.nears] = uint8(ix)
 		if up.Host.Zone == pk.zone {
 			// The own availability zone goes to the front.
@@ -187,9 +180,8 @@
 		}
 		fi.nears++
 	}
-	if regional > 0 {
-		fi.filled = float64(work) / float64(slots)
-		fi.mean = fi.filled
+	if slots > 0 {
+		fi.mean = float64(work) / float64(slots)
 	}
 }
 
--- a/core/placement/slow.go
+++ b/core/placement/slow.go
@@ -6,9 +6,10 @@
 	"skylarkstand/core"
 )
 
-// pool is what is known of a pool's usual time to the first piece.
+// pool is what is known of a pool.
 type pool struct {
-	usual   float64 // seconds; 0 is unknown
+	usual   float64 // seconds to the first piece; 0 is unknown
+	pace    float64 // seconds a piece, once an answer has begun
 	picks   int
 	size    int // candidates at the last decision
 	marked  int // upstreams that are marked slow
@@ -16,9 +17,10 @@
 	probeAt time.Time
 }
 
-// peer is what was seen of one upstream. Its times are multiples of its
-// pool's usual one, so that streamed and whole answers count together.
+// peer is what was seen of one upstream.
 type peer struct {
+	// ratio is its pace as a multiple of the pool's, so that streamed and
+	// whole answers count together.
 	ratio   float64
 	marked  bool
 	waiting int
@@ -28,14 +30,14 @@
 }
 
 const (
-	// slowAt is the multiple of the usual time above which an upstream is
-	// avoided, and soundAt the one below which it is used again. Between lies
-	// the ordinary difference of long and short prompts; the gap keeps an
-	// upstream from changing sides with each answer.
+	// slowAt is the multiple of the usual pace above which an upstream is
+	// avoided, and soundAt the one below which it is used again. The pace of
+	// an engine changes with the size of its batch, by less than twofold as a
+	// rule; the gap keeps an upstream from changing sides with each answer.
 	slowAt  = 3.0
 	soundAt = 1.5
-	// oddest bounds what one answer can say, so that a single long one does
-	// not mark an upstream; two in a row do.
+	// oddest bounds what one answer can say, so that a single one that was
+	// held up does not mark an upstream; two in a row do.
 	oddest = 8.0
 	// smoothUp and smoothDown weigh the newest answer. A marked upstream gets
 	// few attempts, so that each has to count more.
@@ -44,15 +46,19 @@
 	smoothPool = 1.0 / 32
 	// slowPart bounds the upstreams of a pool that are avoided as slow.
 	slowPart = 5
-	// silentAt is the multiple of the usual time that an upstream may leave
-	// all its attempts without a first piece. It finds the slow one before its
-	// first slow answer has ended.
-	silentAt = 2 * slowAt
+	// silentAt is the multiple of the usual time to the first piece that an
+	// upstream may leave all its attempts without one. It holds attempts back
+	// from a slow or hanging one before its first answer has ended.
+	silentAt = 6
 	// A slow upstream gets one attempt in probePart, or one in probePause when
 	// there are few, to see whether it has recovered. A probe may cost its
 	// caller the slow time, so probes stay well below one in a hundred.
 	probePart  = 400
 	probePause = 30 * time.Second
+	// PacePieces is how many pieces after the first the pace of an answer is
+	// taken over: few, so that a slow upstream is known before its answers
+	// end, and enough that a single late packet is no matter.
+	PacePieces = 8
 )
 
 func (pk *Picker) pool(po Pool) *pool {
@@ -102,18 +108,31 @@
 }
 
 // Heard notes the first piece of an answer to an attempt that was sent.
-func (pk *Picker) Heard(now time.Time, po Pool, ch Choice, sent time.Time) {
-	pl, pe := pk.pool(po), pk.peer(ch.ID)
+func (pk *Picker) Heard(now time.Time, po Pool, id core.UpstreamID, sent time.Time) {
+	pl, pe := pk.pool(po), pk.peer(id)
 	pe.waiting = max(pe.waiting-1, 0)
 	pe.since = now
-	if ch.Full {
-		return
+	follow(&pl.usual, now.Sub(sent).Seconds())
+}
+
+// follow moves a pool's usual value towards the newest.
+func follow(usual *float64, val float64) {
+	if *usual == 0 {
+		*usual = val
 	}
-	took := max(now.Sub(sent).Seconds(), 1e-6)
-	if pl.usual == 0 {
-		pl.usual = took
+	*usual += smoothPool * (min(val, oddest**usual) - *usual)
+}
+
+// Paced notes how long pieces of an answer took, once it had begun. The time
+// to the first piece would tell more about an upstream's queue than about its
+// speed: in a full pool every upstream would be slow.
+func (pk *Picker) Paced(po Pool, id core.UpstreamID, took time.Duration, pieces int) {
+	pl, pe := pk.pool(po), pk.peer(id)
+	pace := max(took.Seconds(), 1e-6) / float64(max(pieces, 1))
+	if pl.pace == 0 {
+		pl.pace = pace
 	}
-	ratio := min(took/pl.usual, oddest)
+	ratio := min(pace/pl.pace, oddest)
 	weight := smoothUp
 	if pe.marked && ratio < pe.ratio {
 		weight = smoothDown
@@ -122,8 +141,12 @@
 	// A slow upstream does not change what is usual; otherwise a pool with one
 	// would soon find it usual.
 	if !pe.marked {
-		pl.usual += smoothPool * (min(took, oddest*pl.usual) - pl.usual)
+		follow(&pl.pace, pace)
 	}
+	pl.mark(pe)
+}
+
+func (pl *pool) mark(pe *peer) {
 	switch {
 	case pe.ratio > slowAt && !pe.marked:
 		pe.marked = true
--- a/core/placement/subset.go
+++ b/core/placement/subset.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -53,37 +54,50 @@
 	return slices.Concat(zone[:zones], region[:regions], far[:fars])
 }
 
-// Room returns how many attempts of this entry the candidates take at once:
-// the slots that other entries leave free, and at least an even part of all.
+// Room is what a pool takes.
+type Room struct {
+	// Places is how many attempts of this entry it takes at once, Slots how
+	// many of all entries.
+	Places, Slots int
+}
+
+// Room returns what the region's candidates take. This entry's places are the
+// slots that other entries leave free, and at least an even part of all.
 //
-// The slots alone would let each entry of several send a full pool's worth. The
-// free ones alone would starve an entry that comes to a pool the others have
-// filled. With the even part as a floor its work waits a little in the agents'
-// queues, the others see that in the reports, and the parts even out.
+// All slots for each entry would let several of them send a full pool's worth.
+// The free ones alone would starve an entry that comes to a pool the others
+// have filled. With the even part as a floor its work waits a little in the
+// agents' queues, the others see that in the reports, and the parts even out.
 //
-// Far upstreams count only while the link between regions has budget, or when
-// the region has none of its own.
-func (pk *Picker) Room(cands []core.Upstream, entries int, crossing bool) int {
-	near, slots, far, farSlots := 0, 0, 0, 0
+// A region without any upstream lives on those of the others.
+func (pk *Picker) Room(cands []core.Upstream, entries int) Room {
+	free, slots := pk.free(cands, true)
+	if slots == 0 {
+		free, slots = pk.free(cands, false)
+	}
+	even := (slots + max(entries, 1) - 1) / max(entries, 1)
+	return Room{Places: max(free, even, 1), Slots: max(slots, 1)}
+}
+
+// FarRoom returns what the other regions' candidates take. A
+// quarter is left to their own region, whose burst may be on its way.
+func (pk *Picker) FarRoom(now time.Time, cands []core.Upstream) Room {
+	if !pk.MayCross(now, 0) {
+		return Room{}
+	}
+	free, slots := pk.free(cands, false)
+	return Room{Places: int(float64(free) * farFree), Slots: slots}
+}
+
+func (pk *Picker) free(cands []core.Upstream, near bool) (free, slots int) {
 	for ix := range cands {
 		up := &cands[ix]
-		if !up.Up || up.Leaving {
+		if !up.Up || up.Leaving || near != (up.Host.Region == pk.region) {
 			continue
 		}
 		all := max(up.Load.Slots, 1)
-		free := max(all-max(up.Load.Running+up.Load.Queued-up.OwnThen, 0), 0)
-		if up.Host.Region == pk.region {
-			near, slots = near+free, slots+all
-		} else {
-			far, farSlots = far+free, farSlots+all
-		}
-	}
-	if slots == 0 {
-		near, slots, far = far, farSlots, 0
-	}
-	room := max(near, (slots+max(entries, 1)-1)/max(entries, 1))
-	if crossing {
-		room += int(float64(far) * farFree)
+		free += max(all-max(up.Load.Running+up.Load.Queued-up.OwnThen, 0), 0)
+		slots += all
 	}
-	return room
+	return free, slots
 }
--- a/io/caller/admit.go
+++ b/io/caller/admit.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/placement"
 	"skylarkstand/core/routing"
 )
 
@@ -52,12 +53,13 @@
 	pass, err := srv.gate.Enter(ctx, po, admission.Work{
 		Workspace: ws.ID, Share: ws.Share, Limit: ws.Limit, Prompt: core.Tokens(len(dr.Prompt) / bytesPerToken),
 		Priority: admission.Priority(dr.Priority), Deadline: dr.Deadline, Draw: rand.Float64(),
+		Body: len(dr.Body), MayCross: len(dr.Body) <= placement.MaxCrossing,
 	})
 	if err != nil {
 		srv.flying.Add(-1)
 		return nil, err
 	}
-	ad.pass = pass
+	ad.pass, dr.Crossing = pass, pass.Crossing()
 	return ad, nil
 }
 
