Estimate the wait by the shares that queue

The bound on the estimated wait by all waiting work let small workspaces in that then waited past their deadline, as later work had its turn first. The estimate now divides what quiet workspaces leave among those that queue; the reserve is kept for quiet ones only. Ruled out: charging each long answer at once, which pushes back what was admitted.

--- a/core/admission/bookkeeping.go
+++ b/core/admission/bookkeeping.go
@@ -15,6 +15,9 @@
 		if sp.counted {
 			con.weights += weight - sp.weight
 		}
+		if sp.count > 0 {
+			con.queuing += weight - sp.weight
+		}
 		sp.weight = weight
 	}
 	return sp
@@ -43,9 +46,12 @@
 
 func (con *Controller) enqueue(ti *Ticket) {
 	sp := ti.space
+	if sp.count == 0 {
+		con.quiet -= sp.flying
+		con.queuing += sp.weight
+	}
 	sp.push(ti)
 	con.queued++
-	con.backlog += ti.units
 	if sp.place < 0 {
 		// What a workspace did not use while it was away is not owed to it.
 		sp.tag = max(sp.tag, con.clock)
@@ -58,12 +64,10 @@
 	sp := ti.space
 	sp.remove(ti)
 	con.queued--
-	con.backlog = max(con.backlog-ti.units, 0)
-	if con.queued == 0 {
-		con.backlog = 0 // No rounding is carried on.
-	}
 	if sp.count == 0 {
 		con.waiting.remove(sp.place)
+		con.quiet += sp.flying
+		con.queuing -= sp.weight
 	}
 	con.weigh(sp)
 }
@@ -78,11 +82,19 @@
 	if sp.place >= 0 {
 		con.waiting.fix(sp.place)
 	}
-	con.flying++
-	sp.flying++
+	con.fly(sp, 1)
 	con.weigh(sp)
 }
 
+// fly counts a request that starts or ends.
+func (con *Controller) fly(sp *space, by int) {
+	con.flying += by
+	sp.flying += by
+	if sp.count == 0 {
+		con.quiet += by
+	}
+}
+
 // ticket takes a ticket from the free list, so that an admission allocates
 // nothing while the pool is in a steady state.
 func (con *Controller) ticket() *Ticket {
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -44,11 +44,13 @@
 	room   Room
 	flying int
 	queued int
-	// backlog is the units that wait, weights the shares of the workspaces
-	// with work here, clock the virtual time of the fair queue.
-	backlog, weights, clock float64
-	waiting                 spaces
-	spaces                  map[core.WorkspaceID]*space
+	// weights is the shares of the workspaces with work here, queuing of those
+	// with work that waits, clock the virtual time of the fair queue.
+	weights, queuing, clock float64
+	// quiet is the running requests of workspaces with nothing waiting.
+	quiet   int
+	waiting spaces
+	spaces  map[core.WorkspaceID]*space
 	// seconds and units are smoothed sums over answers; their quotient is the
 	// time that a unit takes.
 	seconds, units float64
@@ -180,7 +182,10 @@
 // It is made for one workspace that takes all that is free: without it, each
 // request of the others would first wait for one of the hog's to end. Requests
 // arrive at random, so the places that the others need vary with the square
-// root of what they use, and so does the reserve.
+// root of what they use, and so does the reserve. Workspaces that have work
+// waiting need none: they are next by their turn. To keep a reserve for them
+// as well was tried; in a full pool it held workspaces back that had a few
+// long answers running, past their deadlines.
 func (con *Controller) mayStart(sp *space) bool {
 	room := float64(con.room.Places - con.flying)
 	if room <= 0 {
@@ -192,7 +197,11 @@
 	if over == 0 {
 		return true
 	}
-	others := float64(con.flying-sp.flying) * float64(con.room.Slots) / float64(con.room.Places)
+	quiet := con.quiet
+	if sp.count == 0 {
+		quiet -= sp.flying
+	}
+	others := float64(quiet) * float64(con.room.Slots) / float64(con.room.Places)
 	return room > over*spread*math.Sqrt(others)
 }
 
@@ -200,8 +209,7 @@
 // was none to learn from. The ticket is not used afterwards.
 func (con *Controller) Leave(now time.Time, ti *Ticket, used *core.Usage) {
 	sp := ti.space
-	con.flying--
-	sp.flying--
+	con.fly(sp, -1)
 	if used != nil {
 		con.learn(sp, ti, now.Sub(ti.started), used)
 	} else {
@@ -211,18 +219,17 @@
 	con.release(ti)
 }
 
-// learn takes an answer into the estimates and charges the workspace for what
-// it really used: guessing low must not gain it a larger share.
+// learn takes an answer into the estimates. The workspace is not charged for
+// the difference to what was expected: its next requests are expected to be
+// like this one, which comes to the same over time. To charge each long answer
+// at once was tried; it pushed what waited behind it past its deadline, after
+// it had been admitted.
 func (con *Controller) learn(sp *space, ti *Ticket, took time.Duration, used *core.Usage) {
 	out := max(float64(used.Generated), 1)
 	total := out + max(ti.prompt, float64(used.Prompt)/promptPerUnit)
 	con.seconds += smooth * (took.Seconds() - con.seconds)
 	con.units += smooth * (total - con.units)
 	sp.learn(out)
-	sp.tag += (total - ti.units) / sp.weight
-	if sp.place >= 0 {
-		con.waiting.fix(sp.place)
-	}
 }
 
 // learnCut takes an answer into the estimates that was cut by its deadline or
@@ -254,14 +261,20 @@
 
 func (con *Controller) service(units float64) float64 { return units * con.pace() }
 
-// wait estimates the seconds that a request would wait: virtual time passes at
-// the pool's rate over the shares that have work. It cannot be longer than all
-// the waiting work takes, since a pool never idles while work waits.
+// wait estimates the seconds that a request would wait. Workspaces without a
+// queue take what they use now; the rest of the pool's rate is divided by
+// share among those that wait. The work that waits now over the rate was tried
+// for a bound: it is none, as work that comes later may have its turn first.
 func (con *Controller) wait(sp *space, la int) float64 {
-	weights := con.weightsWith(sp)
+	weights, quiet := con.queuing, con.quiet
+	if sp.count == 0 {
+		weights += sp.weight
+		quiet -= sp.flying
+	}
+	left := max(1-float64(quiet)/float64(max(con.room.Places, 1)), leastLeft)
 	rate := float64(max(con.room.Places, 1)) / con.pace()
 	own := max(sp.tag-con.clock, 0)*weights + sp.ahead(la)*weights/sp.weight
-	return (min(own, con.backlog) + con.units) / rate
+	return (own/left + con.units) / rate
 }
 
 func retryAfter(seconds, draw float64) time.Duration {
--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -66,6 +66,9 @@
 	// saved. A short answer then crosses as soon as its region is full, a long
 	// draft only when it would wait for seconds, and a floor plan hardly ever.
 	crossingRate = 64 << 10
+	// leastLeft is the least part of a pool that is taken to be left to those
+	// who wait, so that a moment without any does not refuse them all.
+	leastLeft = 0.1
 	// margin stretches the estimated wait when it is held against a deadline.
 	// Work that is admitted and then misses its deadline has cost the pool its
 	// time and the caller an early answer; refusing slightly more costs
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -168,6 +168,8 @@
 
 func seconds(val float64) time.Duration { return time.Duration(val * float64(time.Second)) }
 
+var debug func(si *sim)
+
 // simulate runs a situation under a policy and returns what callers got.
 func simulate(sit situation, pol policy) *outcome {
 	si := &sim{sit: sit, pol: pol, rnd: rand.New(rand.NewPCG(sit.seed, 7))}
@@ -196,6 +198,9 @@
 		si.arrive(&sit.tenants[ix])
 	}
 	si.faults()
+	if debug != nil {
+		debug(si)
+	}
 	for len(si.queue) > 0 && si.now < 2*sit.length {
 		ev := heap.Pop(&si.queue).(event)
 		si.now = ev.at
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -98,8 +98,8 @@
 	zoneFull = 0.75
 	// slotFree is the load up to which an upstream has a slot for the attempt.
 	slotFree = 1.0
-	// farFree is the load below which an upstream of another region is worth
-	// the crossing. Above it the other region is about to fill up by itself.
+	// farFree is the load below which another region takes work from here.
+	// Above it that region is about to fill up by itself.
 	farFree = 0.75
 	// redraws bounds the pairs drawn when all drawn so far are slow or full.
 	// One pair is enough almost always; a few more find the last free slots of
@@ -137,7 +137,7 @@
 		return pk.cross(&fi, rq, draw, 0)
 	}
 	if rq.Cross {
-		if ch, ok := pk.cross(&fi, rq, draw, farFree); ok {
+		if ch, ok := pk.cross(&fi, rq, draw, slotFree); ok {
 			return ch, true
 		}
 	}
--- a/core/placement/subset.go
+++ b/core/placement/subset.go
@@ -79,14 +79,14 @@
 	return Room{Places: max(free, even, 1), Slots: max(slots, 1)}
 }
 
-// FarRoom returns what the other regions' candidates take. A
-// quarter is left to their own region, whose burst may be on its way.
+// FarRoom returns what the other regions' candidates take. A quarter of their
+// slots is left to their own region, whose burst may be on its way.
 func (pk *Picker) FarRoom(now time.Time, cands []core.Upstream) Room {
 	if !pk.MayCross(now, 0) {
 		return Room{}
 	}
 	free, slots := pk.free(cands, false)
-	return Room{Places: int(float64(free) * farFree), Slots: slots}
+	return Room{Places: max(free-int(float64(slots)*(1-farFree)), 0), Slots: slots}
 }
 
 func (pk *Picker) free(cands []core.Upstream, near bool) (free, slots int) {
