Measure admission and placement against their baselines

The figures run the pure logic in virtual time for both users' pools, beside round robin, least loaded, random and a queue without refusal on the same arrivals. A hog's requests were let wait for places that the reserve keeps from it; the estimate now takes the reserve out. The pools of three miss the bound for the first token under a hog and a slow upstream: one upstream is a third of their places. Ruled out: a larger fixed reserve, which idles small pools.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -187,22 +187,34 @@
 // as well was tried; in a full pool it held workspaces back that had a few
 // long answers running, past their deadlines.
 func (con *Controller) mayStart(sp *space) bool {
-	room := float64(con.room.Places - con.flying)
+	room := con.room.Places - con.flying
 	if room <= 0 {
 		return false
 	}
+	over := con.over(sp)
+	return over == 0 || float64(room) > over*con.reserve(sp)
+}
+
+// over is how far a workspace would be above its share of the places, from 0
+// to 1, beyond what a share varies by itself.
+func (con *Controller) over(sp *space) float64 {
 	share := sp.weight * float64(con.room.Places) / con.weightsWith(sp)
 	usual := share + spread*math.Sqrt(share)
-	over := min(max((float64(sp.flying+1)-usual)/share, 0), 1)
-	if over == 0 {
-		return true
-	}
-	quiet := con.quiet
+	return min(max((float64(sp.flying+1)-usual)/share, 0), 1)
+}
+
+// others is the places that workspaces with nothing waiting use, but one.
+func (con *Controller) others(sp *space) float64 {
 	if sp.count == 0 {
-		quiet -= sp.flying
+		return float64(con.quiet - sp.flying)
 	}
-	others := float64(quiet) * float64(con.room.Slots) / float64(con.room.Places)
-	return room > over*spread*math.Sqrt(others)
+	return float64(con.quiet)
+}
+
+// reserve is the free places that one workspace leaves to the others. The
+// other entries' callers are taken to be like this entry's.
+func (con *Controller) reserve(sp *space) float64 {
+	return spread * math.Sqrt(con.others(sp)*float64(con.room.Slots)/float64(con.room.Places))
 }
 
 // Leave ends a started request. Used is the answer's usage, or nil when there
@@ -266,13 +278,17 @@
 // share among those that wait. The work that waits now over the rate was tried
 // for a bound: it is none, as work that comes later may have its turn first.
 func (con *Controller) wait(sp *space, la int) float64 {
-	weights, quiet := con.queuing, con.quiet
+	places := float64(max(con.room.Places, 1))
+	weights := con.queuing
 	if sp.count == 0 {
 		weights += sp.weight
-		quiet -= sp.flying
 	}
-	left := max(1-float64(quiet)/float64(max(con.room.Places, 1)), leastLeft)
-	rate := float64(max(con.room.Places, 1)) / con.pace()
+	used := con.others(sp)
+	if con.room.Places > 0 && con.over(sp) > 0 {
+		used += con.reserve(sp)
+	}
+	left := max(1-used/places, leastLeft)
+	rate := places / con.pace()
 	own := max(sp.tag-con.clock, 0)*weights + sp.ahead(la)*weights/sp.weight
 	return (own/left + con.units) / rate
 }
--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -73,7 +73,7 @@
 	// Work that is admitted and then misses its deadline has cost the pool its
 	// time and the caller an early answer; refusing slightly more costs
 	// neither while the queue is full anyway.
-	margin = 3
+	margin = 2
 	// hopelessPart is how often work that looks too long for its deadline runs
 	// all the same while there is room. The estimate may stem from a slow time
 	// that is over, and without an answer nothing would correct it.
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -168,8 +168,6 @@
 
 func seconds(val float64) time.Duration { return time.Duration(val * float64(time.Second)) }
 
-var debug func(si *sim)
-
 // simulate runs a situation under a policy and returns what callers got.
 func simulate(sit situation, pol policy) *outcome {
 	si := &sim{sit: sit, pol: pol, rnd: rand.New(rand.NewPCG(sit.seed, 7))}
@@ -195,12 +193,9 @@
 		si.report(en)
 	}
 	for ix := range sit.tenants {
-		si.arrive(&sit.tenants[ix])
+		si.arrive(&sit.tenants[ix], rand.New(rand.NewPCG(sit.seed, uint64(100+ix))))
 	}
 	si.faults()
-	if debug != nil {
-		debug(si)
-	}
 	for len(si.queue) > 0 && si.now < 2*sit.length {
 		ev := heap.Pop(&si.queue).(event)
 		si.now = ev.at
@@ -257,22 +252,23 @@
 }
 
 // arrive draws the next arrival of a tenant, at an entry in proportion to the
-// upstreams beside it.
-func (si *sim) arrive(te *tenant) {
+// upstreams beside it. Each tenant has its own random numbers, so that all
+// policies get the same work.
+func (si *sim) arrive(te *tenant, rnd *rand.Rand) {
 	rate := te.rate
 	if part := float64(si.now) / float64(si.sit.length); si.sit.burst > 0 && part > 0.45 && part < 0.55 {
 		rate *= si.sit.burst
 	}
-	si.after(seconds(si.rnd.ExpFloat64()/rate), func() {
+	si.after(seconds(rnd.ExpFloat64()/rate), func() {
 		if si.now >= si.sit.length {
 			return
 		}
-		at := si.rnd.IntN(len(si.ups))
+		at := rnd.IntN(len(si.ups))
 		ix := slices.IndexFunc(si.sit.sites, func(st site) bool { return st.zone == si.ups[at].host.Zone })
-		rq := &request{ten: te, arrived: si.now, output: math.Ceil(si.rnd.ExpFloat64() * te.output)}
+		rq := &request{ten: te, arrived: si.now, output: math.Ceil(rnd.ExpFloat64() * te.output)}
 		si.requests = append(si.requests, rq)
 		si.offer(si.entries[ix], rq)
-		si.arrive(te)
+		si.arrive(te, rnd)
 	})
 }
 
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,211 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"skylarkstand/core"
+	"skylarkstand/core/placement"
+)
+
+func upstream(id string, zo core.Zone, re core.Region, running int) core.Upstream {
+	return core.Upstream{
+		Host: core.Host{ID: core.UpstreamID(id), Zone: zo, Region: re}, Up: true,
+		Load: core.Load{Running: running, Slots: 8},
+	}
+}
+
+// A few seconds after an upstream says that it leaves, and as soon as its link
+// is down or an attempt came back from it, no attempt goes there. A caller
+// would lose its answer in the middle, or wait for one that never comes.
+func TestPickTakesOnlyAbleUpstreams(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var cands []core.Upstream
+		var tried []core.UpstreamID
+		able := map[core.UpstreamID]bool{}
+		for ix := range rapid.IntRange(0, 70).Draw(rt, "upstreams") {
+			re := rapid.SampledFrom([]core.Region{"muc", "nue"}).Draw(rt, "region")
+			up := upstream(fmt.Sprint(ix), rapid.SampledFrom([]core.Zone{"a", "b"}).Draw(rt, "zone"), re, rapid.IntRange(0, 20).Draw(rt, "running"))
+			up.Up, up.Leaving = rapid.Bool().Draw(rt, "up"), rapid.Bool().Draw(rt, "leaving")
+			if rapid.IntRange(0, 4).Draw(rt, "tried") == 0 {
+				tried = append(tried, up.Host.ID)
+			} else if up.Up && !up.Leaving && ix < placement.MaxSubset {
+				able[up.Host.ID] = true
+			}
+			cands = append(cands, up)
+		}
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		pk := placement.New("a", "muc")
+		rq := placement.Request{Prefix: rapid.Uint64().Draw(rt, "prefix"), Cross: rapid.Bool().Draw(rt, "cross"), Tried: tried}
+		ch, ok := pk.Pick(time.Unix(1, 0), rq, cands, rnd.IntN)
+		assert.Equal(rt, ok, len(able) > 0)
+		assert.Assert(rt, !ok || able[ch.ID])
+	})
+}
+
+// picks counts where many attempts go.
+func picks(pk *placement.Picker, rq placement.Request, cands []core.Upstream) map[core.UpstreamID]int {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	got := map[core.UpstreamID]int{}
+	for range 1000 {
+		if ch, ok := pk.Pick(time.Unix(1, 0), rq, cands, rnd.IntN); ok {
+			got[ch.ID]++
+		}
+	}
+	return got
+}
+
+func TestPickByDistanceAndLoad(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		loads    [3]int // of near, neighbour and far
+		rq       placement.Request
+		want     core.UpstreamID
+	}{
+		{"the own zone while it has room", [3]int{4, 0, 0}, placement.Request{}, "near"},
+		{"the region once the zone is full", [3]int{8, 2, 0}, placement.Request{}, "neighbour"},
+		{"no crossing by placement alone", [3]int{12, 9, 0}, placement.Request{}, "neighbour"},
+		{"crossing when admitted there", [3]int{8, 8, 2}, placement.Request{Cross: true}, "far"},
+		{"not when the other region has filled up", [3]int{9, 8, 8}, placement.Request{Cross: true}, "neighbour"},
+		{"what was tried is not asked again", [3]int{0, 0, 0}, placement.Request{Tried: []core.UpstreamID{"near"}}, "neighbour"},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			pk := placement.New("a", "muc", placement.CrossingBudget(1<<40))
+			got := picks(pk, sc.rq, []core.Upstream{
+				upstream("near", "a", "muc", sc.loads[0]), upstream("neighbour", "b", "muc", sc.loads[1]), upstream("far", "c", "nue", sc.loads[2]),
+			})
+			assert.Equal(t, got[sc.want], 1000)
+		})
+	}
+}
+
+// A region is full for an hour and everything goes to the other one. The paid
+// link would be full as well: the bill grows, and the store's traffic waits
+// behind answers, so that no configuration gets through.
+func TestCrossingKeepsItsBudget(t *testing.T) {
+	const rate = 100 << 10
+	pk := placement.New("a", "muc", placement.CrossingBudget(rate))
+	cands := []core.Upstream{upstream("far", "c", "nue", 0)}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	sent := 0
+	for step := range 600 {
+		now := time.Unix(1, 0).Add(time.Duration(step) * 100 * time.Millisecond)
+		for range 10 {
+			if ch, ok := pk.Pick(now, placement.Request{Body: 8 << 10, Cross: true}, cands, rnd.IntN); ok && ch.Crossing {
+				pk.Crossed(now, 20<<10)
+				sent += 28 << 10
+			}
+		}
+	}
+	assert.Assert(t, sent <= 62*rate, "%d bytes in a minute", sent)
+	assert.Assert(t, sent >= 50*rate, "%d bytes in a minute", sent)
+}
+
+// All callers of a workspace share a prompt's beginning. Kept together without
+// a bound, they would all queue at one upstream beside idle ones.
+func TestAffinityIsBounded(t *testing.T) {
+	var cands []core.Upstream
+	for ix := range 8 {
+		cands = append(cands, upstream(fmt.Sprint(ix), "a", "muc", 1))
+	}
+	rq := placement.Request{Prefix: 42}
+	got := picks(placement.New("a", "muc"), rq, cands)
+	assert.Equal(t, len(got), 1, "an idle pool keeps a prefix together")
+	for ix := range cands {
+		if got[cands[ix].Host.ID] > 0 {
+			cands[ix].Own = 7
+		}
+	}
+	for id := range picks(placement.New("a", "muc"), rq, cands) {
+		assert.Assert(t, got[id] == 0, "the full upstream is left alone")
+	}
+}
+
+// An upstream becomes slow and later recovers. It must get hardly anything
+// while it is slow, and its part again afterwards, or the pool has lost it.
+func TestSlowUpstreamIsProbedAndComesBack(t *testing.T) {
+	pk := placement.New("a", "muc")
+	var cands []core.Upstream
+	for ix := range 8 {
+		cands = append(cands, upstream(fmt.Sprint(ix), "a", "muc", 0))
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1, 0)
+	run := func(pace time.Duration) (atSlow int) {
+		for range 4000 {
+			ch, _ := pk.Pick(now, placement.Request{}, cands, rnd.IntN)
+			pk.Sent(now, ch.ID)
+			pk.Heard(now.Add(time.Millisecond), placement.Pool{}, ch.ID, now)
+			took := 10 * time.Millisecond
+			if ch.ID == "0" {
+				took = pace
+				atSlow++
+			}
+			pk.Paced(placement.Pool{}, ch.ID, took, 1)
+			now = now.Add(20 * time.Millisecond)
+		}
+		return atSlow
+	}
+	assert.Assert(t, run(10*time.Millisecond) > 300)
+	assert.Assert(t, run(100*time.Millisecond) < 30)
+	assert.Assert(t, run(10*time.Millisecond) > 100)
+}
+
+// A version has thousands of upstreams. Each entry works with its own few, and
+// a host that comes or goes must not change all of them: caches would go cold.
+func TestSubset(t *testing.T) {
+	var hosts []core.Host
+	for ix := range 1000 {
+		ho := core.Host{ID: core.UpstreamID(fmt.Sprint(ix)), Zone: core.Zone("z" + fmt.Sprint(ix%4)), Region: "muc"}
+		if ix%4 == 3 {
+			ho.Region = "nue"
+		}
+		hosts = append(hosts, ho)
+	}
+	count := func(sub []core.Host) (zone, region, far int) {
+		for _, ho := range sub {
+			switch {
+			case ho.Zone == "z0":
+				zone++
+			case ho.Region == "muc":
+				region++
+			default:
+				far++
+			}
+		}
+		return zone, region, far
+	}
+	one := placement.Subset("entry-1", "z0", "muc", hosts)
+	assert.Equal(t, len(one), placement.MaxSubset)
+	zone, region, far := count(one)
+	assert.Assert(t, zone > region && region > 0 && far > 0, "%d %d %d", zone, region, far)
+	kept := map[core.UpstreamID]bool{}
+	for _, ho := range one {
+		kept[ho.ID] = true
+	}
+	common := 0
+	for _, ho := range placement.Subset("entry-1", "z0", "muc", hosts[1:]) {
+		if kept[ho.ID] {
+			common++
+		}
+	}
+	assert.Assert(t, common >= placement.MaxSubset-1)
+}
+
+// Two entries share a region. One that comes to a pool which the other has
+// filled must still get its part; one that is alone gets all of it.
+func TestRoomIsShared(t *testing.T) {
+	pk := placement.New("a", "muc")
+	cands := []core.Upstream{upstream("1", "a", "muc", 0), upstream("2", "a", "muc", 0)}
+	assert.Equal(t, pk.Room(cands, 2), placement.Room{Places: 16, Slots: 16})
+	cands[0].Load.Running, cands[1].Load.Running = 8, 8
+	assert.Equal(t, pk.Room(cands, 2), placement.Room{Places: 8, Slots: 16})
+	cands[0].Own, cands[0].OwnThen = 8, 8
+	assert.Equal(t, pk.Room(cands, 2), placement.Room{Places: 8, Slots: 16})
+}
