--- a/core/admission/figures_test.go
+++ b/core/admission/figures_test.go
@@ -31,15 +31,15 @@
 		fifoFull, fifo := simulate(sit, policy{fifo: true}), simulate(sit.at(3), policy{fifo: true})
 		figure.Plain("goodput-3x-over-1x-fifo-"+sh.name, fifo.goodput()/fifoFull.goodput(), "ratio")
 		figure.Plain("tokens-in-time-3x-over-1x-fifo-"+sh.name, fifo.goodUnits()/fifoFull.goodUnits(), "ratio")
-		for _, ou := range []*outcome{full, simulate(sit.at(2), policy{}), triple, simulate(sit.at(2).with(func(si *situation) { si.burst = 5 }), policy{}), simulate(sit.at(0.8).hog(10), policy{})} {
-			late += ou.late(promptly)
+		for _, ou := range []*outcome{full, simulate(sit.at(2), policy{}), triple, simulate(sit.at(2).with(func(si *situation) { si.burst = 5 }), policy{}), simulate(sit.at(0.8).hog(), policy{})} {
+			late += ou.late()
 			missed += ou.count(expired)
 		}
 	}
 	figure.AtMost("refusals-late", float64(late), "count", 0)
 	figure.Plain("admitted-and-missed-deadline", float64(missed), "count")
 	mixed := simulate(landesamt().at(2).with(func(si *situation) { *si = si.mixed() }), policy{})
-	figure.AtMost("refusals-late-mixed-work-cold-start", float64(mixed.late(promptly)), "count", 0)
+	figure.AtMost("refusals-late-mixed-work-cold-start", float64(mixed.late()), "count", 0)
 	figure.Plain("refusals-mixed-work-cold-start", float64(mixed.count(refused)), "count")
 }
 
@@ -72,10 +72,10 @@
 	measuring(t)
 	for _, sh := range shapes() {
 		sit := sh.make().at(0.6)
-		calm, hog := simulate(sit, policy{}), simulate(sit.hog(10), policy{})
+		calm, hog := simulate(sit, policy{}), simulate(sit.hog(), policy{})
 		figure.AtMost("harm-p95-of-hog-"+sh.name, hog.percentile(0.95, "w9", whole)/calm.percentile(0.95, "w9", whole), "ratio", 1.10)
 		figure.AtMost("harm-p95-first-token-of-hog-"+sh.name, hog.percentile(0.95, "w9", first)/calm.percentile(0.95, "w9", first), "ratio", 1.10)
-		fifoCalm, fifo := simulate(sit, policy{fifo: true}), simulate(sit.hog(10), policy{fifo: true})
+		fifoCalm, fifo := simulate(sit, policy{fifo: true}), simulate(sit.hog(), policy{fifo: true})
 		figure.Plain("harm-p95-of-hog-fifo-"+sh.name, fifo.percentile(0.95, "w9", whole)/fifoCalm.percentile(0.95, "w9", whole), "ratio")
 	}
 }
--- a/core/admission/load_test.go
+++ b/core/admission/load_test.go
@@ -7,8 +7,6 @@
 	"gotest.tools/v3/assert"
 )
 
-const promptly = 50 * time.Millisecond
-
 // brief shortens a situation: the tests run in CI with the race detector.
 func brief(sit situation) situation {
 	sit.length = 2 * time.Minute
@@ -29,7 +27,7 @@
 			fifo := simulate(sit.at(3), policy{fifo: true})
 			assert.Assert(t, over.goodUnits() >= 0.95*full.goodUnits())
 			assert.Assert(t, over.goodUnits() >= 1.5*fifo.goodUnits(), "the fault does not show without the remedy")
-			assert.Equal(t, over.late(promptly), 0, "refusals that came late")
+			assert.Equal(t, over.late(), 0, "refusals that came late")
 		})
 	}
 }
@@ -50,7 +48,7 @@
 		{"half of the pool lost", func(sit *situation) { sit.lostHalf = true }, 0.8, 1, 0.8},
 		{"a region's upstreams cut off", func(sit *situation) { sit.cut = true }, 0.6, 0.99, 0.98},
 		{"reports of a second ago", func(sit *situation) { sit.stale = true }, 0.8, 0.99, 0.98},
-		{"one workspace at ten times its share", func(sit *situation) { *sit = sit.hog(10) }, 0.8, 1, 0.7},
+		{"one workspace at ten times its share", func(sit *situation) { *sit = sit.hog() }, 0.8, 1, 0.7},
 	}
 	for _, sc := range scenarios {
 		for _, make := range []func() situation{landesamt, association} {
@@ -60,10 +58,10 @@
 				ours, fifo := simulate(sit, policy{}), simulate(sit, policy{fifo: true})
 				part := float64(ours.count(answered)) / float64(len(ours.requests))
 				t.Logf("in time %.3f, fifo %.3f; tokens %.0f, fifo %.0f; late %d; crossed %d", part,
-					float64(fifo.count(answered))/float64(len(fifo.requests)), ours.goodUnits(), fifo.goodUnits(), ours.late(promptly), ours.crossed)
+					float64(fifo.count(answered))/float64(len(fifo.requests)), ours.goodUnits(), fifo.goodUnits(), ours.late(), ours.crossed)
 				assert.Assert(t, ours.goodUnits() >= sc.better*fifo.goodUnits())
 				assert.Assert(t, part >= sc.inTime)
-				assert.Equal(t, ours.late(promptly), 0, "refusals that came late")
+				assert.Equal(t, ours.late(), 0, "refusals that came late")
 				assert.Assert(t, float64(ours.crossed) <= 2*450*1024*sit.length.Seconds(), "bytes over the paid link")
 			})
 		}
@@ -91,9 +89,9 @@
 		t.Run(sh.name, func(t *testing.T) {
 			t.Parallel()
 			sit := brief(sh.make()).at(0.6)
-			calm, hog := simulate(sit, policy{}), simulate(sit.hog(10), policy{})
+			calm, hog := simulate(sit, policy{}), simulate(sit.hog(), policy{})
 			assert.Assert(t, hog.percentile(0.95, "w9", whole) <= 1.15*calm.percentile(0.95, "w9", whole))
-			fifo := simulate(sit.hog(10), policy{fifo: true})
+			fifo := simulate(sit.hog(), policy{fifo: true})
 			assert.Assert(t, fifo.percentile(0.95, "w9", whole) > 1.5*calm.percentile(0.95, "w9", whole), "the fault does not show without the remedy")
 		})
 	}
--- a/core/admission/outcome_test.go
+++ b/core/admission/outcome_test.go
@@ -49,11 +49,13 @@
 	return sum
 }
 
-// late counts the refusals that came later than a limit after arrival.
-func (ou *outcome) late(limit time.Duration) int {
+const promptly = 50 * time.Millisecond
+
+// late counts the refusals that did not come promptly.
+func (ou *outcome) late() int {
 	sum := 0
 	for _, rq := range ou.requests {
-		if rq.end == refused && rq.ended-rq.arrived > limit {
+		if rq.end == refused && rq.ended-rq.arrived > promptly {
 			sum++
 		}
 	}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -58,8 +58,6 @@
 	counted bool
 }
 
-func (sp *space) active() bool { return sp.count > 0 || sp.flying > 0 }
-
 // head is the request that goes first: the oldest of the highest priority.
 func (sp *space) head() *Ticket {
 	for _, ti := range sp.heads {
--- a/core/admission/shapes_test.go
+++ b/core/admission/shapes_test.go
@@ -78,16 +78,16 @@
 	return sit
 }
 
-// hog returns the situation with one workspace sending a multiple of what its
-// share of the capacity is.
-func (sit situation) hog(times float64) situation {
+// hog returns the situation with the last workspace sending ten times its share
+// of the capacity.
+func (sit situation) hog() situation {
 	shares := 0
 	for _, te := range sit.tenants {
 		shares += te.share
 	}
 	last := len(sit.tenants) - 1
 	sit.tenants = append([]tenant(nil), sit.tenants...)
-	sit.tenants[last].rate = times * sit.capacity() * float64(sit.tenants[last].share) / float64(shares)
+	sit.tenants[last].rate = 10 * sit.capacity() * float64(sit.tenants[last].share) / float64(shares)
 	return sit
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -150,7 +150,7 @@
 	if load > zoneFull && fi.zones < fi.nears {
 		other, lo := pk.twoChoices(&fi, fi.near[:fi.nears], draw, slotFree)
 		if lo < load {
-			best, load = other, lo
+			best = other
 		}
 	}
 	return Choice{ID: cands[best].Host.ID}, true
