--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -62,8 +62,8 @@
 	ownSpread = 2
 	// othersSpread is how many standard deviations of what the others use a
 	// hog leaves free for them. Three was measured: with two, the others' p95
-	// to the first token rose by half in the pool of twelve; with four, it
-	// gained nothing and the hog got a tenth less.
+	// to the first token rose by half in the pool of twelve; with four, they
+	// gained nothing and the hog got up to 7% less.
 	othersSpread = 3
 	// bytesPerToken is what a generated token takes on a link, as an event of
 	// a stream.
