--- a/app/providers.go
+++ b/app/providers.go
@@ -14,14 +14,16 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/order"
 	"skylarkstand/core/placement"
 	"skylarkstand/core/session"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
 	"skylarkstand/io/engine"
-	entrylink "skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/metrics"
+	"skylarkstand/io/peer"
 	"skylarkstand/io/rater"
 	"skylarkstand/io/service"
 	"skylarkstand/io/store"
@@ -79,15 +81,29 @@
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
 }
 
-func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	room := func(po admission.Pool) admission.Room { return admission.Room(dis.Room(po.Target, po.Service, po.Far)) }
 	gt := admission.NewGate(room, admission.MaxWait(time.Duration(set.MaxWait)), admission.MaxQueue(set.MaxQueue))
 	return caller.New(deps, inf, dis, kr, caller.Gate(gt),
-		caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
-func newDispatcher(set settings.Entry, deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi dispatch.Biller) *dispatch.Dispatcher {
-	return dispatch.New(deps, inf, ups, ra, bi, placement.CrossingBudget(set.CrossingBudget))
+// entryHost returns the entry's own line of the host list.
+func entryHost(set settings.Entry) core.Host {
+	return core.Host{Role: core.RoleEntry, Addr: set.PeerListen, Zone: set.Zone, Region: set.Region}
+}
+
+func newMesh(set settings.Entry, deps core.Deps, inf *declaration.InForce, reg *suspect.Registry) *peer.Mesh {
+	return peer.New(deps, inf, reg, entryHost(set))
+}
+
+func newUpstreams(deps core.Deps, po *agent.Pool, reg *suspect.Registry, mesh *peer.Mesh) core.Upstreams {
+	return suspect.NewUpstreams(deps, po, reg, mesh.Tell)
+}
+
+func newDispatcher(set settings.Entry, deps core.Deps, inf *declaration.InForce, ups core.Upstreams, po *agent.Pool, ra core.Rater, bi dispatch.Biller) *dispatch.Dispatcher {
+	return dispatch.New(deps, inf, ups, ra, bi,
+		dispatch.Candidates(po), dispatch.Placement(placement.CrossingBudget(set.CrossingBudget)))
 }
 
 // newUpstreamHost returns the agent's own line of the host list.
@@ -111,11 +127,17 @@
 	return execute.New(deps, ho, inf, ru, tbl, execute.Slots(set.Slots), execute.Queue(set.Queue))
 }
 
-func newLinkServer(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor) *entrylink.Server {
-	return entrylink.New(deps, ho, inf, ex)
+func newGate(ho core.Host, st core.Store) *order.Gate { return order.NewGate(st, ho.ID) }
+
+func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
+
+func newEntryAdmin(page metricsPage, sp *statusPage) http.Handler {
+	mux := newAdmin(page)
+	mux.Handle("GET /status", sp)
+	return mux
 }
 
-func newAdmin(page metricsPage) http.Handler {
+func newAdmin(page metricsPage) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
--- a/app/settings/load.go
+++ b/app/settings/load.go
@@ -1,16 +1,20 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
+
+	"skylarkstand/core/schema"
+	"skylarkstand/core/spelling"
 )
 
 // Faults is all that is wrong with a settings file.
@@ -22,10 +26,10 @@
 // LoadEntry reads and checks an entry's settings.
 func LoadEntry(path string) (Entry, error) {
 	set := DefaultEntry()
-	if err := load(path, &set); err != nil {
+	fa, err := load(path, schema.Entry, &set)
+	if err != nil {
 		return set, err
 	}
-	var fa Faults
 	fa.address("listen", set.Listen)
 	fa.url("store", set.Store)
 	fa.url("hosts", set.Hosts)
@@ -33,23 +37,31 @@
 	fa.present("zone", string(set.Zone))
 	fa.present("region", string(set.Region))
 	fa.present("pin-secret", set.PinSecret)
+	fa.atLeast("max-body", set.MaxBody, 1, "every request would be refused")
+	fa.atLeast("max-in-flight", set.MaxInFlight, 1, "every request would be refused")
+	fa.some("max-wait", set.MaxWait, "every request would be refused while its pool is full")
+	fa.atLeast("max-queue", int64(set.MaxQueue), 1, "every request would be refused while its pool is full")
+	fa.atLeast("crossing-budget", set.CrossingBudget, 0, "a budget cannot be less than nothing")
+	fa.some("ledger-pace", set.LedgerPace, "the ledger would be written without a pause")
+	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
+	fa.logLevel(set.LogLevel)
 	return set, fa.err(path)
 }
 
 // LoadAgent reads and checks an agent's settings.
 func LoadAgent(path string) (Agent, error) {
 	set := DefaultAgent()
-	if err := load(path, &set); err != nil {
+	fa, err := load(path, schema.Agent, &set)
+	if err != nil {
 		return set, err
 	}
-	var fa Faults
 	fa.address("listen", set.Listen)
 	fa.url("store", set.Store)
 	fa.present("upstream", string(set.Upstream))
 	fa.present("zone", string(set.Zone))
 	fa.present("region", string(set.Region))
 	if (set.Engine == "") == (set.ServiceURL == "") {
-		fa = append(fa, "engine, service-url: exactly one must be set; an agent stands beside one upstream")
+		fa.add("engine, service-url", "exactly one must be set; an agent stands beside one upstream")
 	}
 	if set.Engine != "" {
 		fa.url("engine", set.Engine)
@@ -60,48 +72,126 @@
 		fa.url("service-url", set.ServiceURL)
 		fa.present("service", string(set.Service))
 	}
-	if set.Slots < 1 {
-		fa = append(fa, "slots: must be at least 1, or the upstream gets no work")
-	}
+	fa.atLeast("slots", int64(set.Slots), 1, "the upstream would get no work")
+	fa.atLeast("queue", int64(set.Queue), 0, "a queue cannot be shorter than nothing")
+	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
+	fa.logLevel(set.LogLevel)
 	return set, fa.err(path)
 }
 
-func load(path string, out any) error {
+// load reads a file into settings that hold the defaults. What breaks the
+// schema is returned as faults, so that the checks of content can add theirs:
+// a process that is set up by hand would otherwise be started once a fault.
+func load(path string, kd schema.Kind, out any) (Faults, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return eris.Wrap(err, "settings")
+		return nil, eris.Wrap(err, "settings")
 	}
 	std, err := hujson.Standardize(raw)
 	if err != nil {
-		return eris.Wrapf(err, "settings %s are not JSON with comments", path)
+		return nil, eris.Wrapf(err, "settings %s are not JSON with comments", path)
+	}
+	list, err := schema.Validate(kd, std)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings %s", path)
+	}
+	var fa Faults
+	for _, el := range list {
+		fa = append(fa, el.String())
+	}
+	return fa, eris.Wrapf(decode(std, list, out), "settings %s", path)
+}
+
+// decode reads what is readable. Fields of another type than declared are left
+// out: the decoder stops at some of them, and what stands behind them would
+// count as not given.
+func decode(std []byte, list []schema.Fault, out any) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(std, &fields); err != nil {
+		if len(list) > 0 {
+			return nil // No object at all, which is a fault already.
+		}
+		return err
+	}
+	for _, el := range list {
+		if el.Shape {
+			name, _, _ := strings.Cut(el.Place, ".")
+			name, _, _ = strings.Cut(name, "[")
+			delete(fields, name)
+		}
+	}
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, out)
+}
+
+// has reports whether a field has a fault already; a second line about it
+// would only confuse.
+func (fa *Faults) has(name string) bool {
+	for _, line := range *fa {
+		if strings.HasPrefix(line, name+":") {
+			return true
+		}
+	}
+	return false
+}
+
+func (fa *Faults) add(name, format string, args ...any) {
+	if !fa.has(name) {
+		*fa = append(*fa, name+": "+fmt.Sprintf(format, args...))
 	}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	return eris.Wrapf(dec.Decode(out), "settings %s", path)
 }
 
 func (fa *Faults) address(name, val string) {
 	if _, _, err := net.SplitHostPort(val); err != nil {
-		*fa = append(*fa, fmt.Sprintf("%s: %q is not an address; write IP:port", name, val))
+		fa.add(name, "%q is not an address; write IP:port", val)
 	}
 }
 
 func (fa *Faults) url(name, val string) {
 	ur, err := url.Parse(val)
 	if err != nil || ur.Scheme == "" || ur.Host == "" {
-		*fa = append(*fa, fmt.Sprintf("%s: %q is not a base URL; write http://IP:port", name, val))
+		fa.add(name, "%q is not a base URL; write http://IP:port", val)
 	}
 }
 
 func (fa *Faults) present(name, val string) {
 	if val == "" {
-		*fa = append(*fa, fmt.Sprintf("%s: is missing; set it", name))
+		fa.add(name, "is missing; set it")
+	}
+}
+
+func (fa *Faults) atLeast(name string, val, least int64, harm string) {
+	if val < least {
+		fa.add(name, "%d is too small, %s; give at least %d", val, harm, least)
+	}
+}
+
+func (fa *Faults) some(name string, du Duration, harm string) {
+	if du <= 0 {
+		fa.add(name, "%s is too short, %s; give more, such as \"2s\"", time.Duration(du), harm)
+	}
+}
+
+// logLevel refuses unknown levels: an operator who asks for "verbose" and gets
+// the default looks for lines that are never written.
+func (fa *Faults) logLevel(val string) {
+	levels := []string{"debug", "info", "warn", "error"}
+	if slices.Contains(levels, val) {
+		return
+	}
+	remedy := "choose one of " + strings.Join(levels, ", ")
+	if near, ok := spelling.Nearest(val, levels); ok {
+		remedy = fmt.Sprintf("did you mean %q?", near)
 	}
+	fa.add("log-level", "there is no level %q; %s", val, remedy)
 }
 
 func (fa *Faults) err(path string) error {
 	if len(*fa) == 0 {
 		return nil
 	}
-	return eris.Wrapf(*fa, "settings %s", path)
+	return fmt.Errorf("settings %s, faults: %d\n%w", path, len(*fa), *fa)
 }
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -19,6 +19,9 @@
 type Entry struct {
 	// Listen is the address for callers, as IP:port.
 	Listen string `json:"listen"`
+	// Admin is the address of healthz, metrics and the status page for
+	// operators, as IP:port. Callers should not reach it.
+	Admin string `json:"admin,omitempty"`
 	// PeerListen is the address for other entries, as IP:port.
 	PeerListen string `json:"peer-listen,omitempty"`
 	// Zone is the availability zone that the process stands in.
@@ -45,8 +48,11 @@
 	MaxQueue int `json:"max-queue,omitempty"`
 	// CrossingBudget is the bytes per second that this process may send and
 	// receive for attempts over the link between regions. All entries share
-	// the link with the store's traffic.
+	// the link with the store's traffic; 0 crosses never.
 	CrossingBudget int64 `json:"crossing-budget,omitempty"`
+	// Freshness is how old the last word of the newest configuration may be
+	// before versions under roll-out get no new sessions.
+	Freshness Duration `json:"freshness,omitempty"`
 	// LedgerPace is the time between two ledger segments.
 	LedgerPace Duration `json:"ledger-pace,omitempty"`
 	// DrainLimit bounds a planned stop. It must be above the longest answer.
@@ -94,7 +100,7 @@
 // DefaultEntry returns an entry's settings before the file is read.
 func DefaultEntry() Entry {
 	return Entry{
-		MaxBody: 4 << 20, MaxInFlight: 4096,
+		MaxBody: 4 << 20, MaxInFlight: 4096, Freshness: Duration(20 * time.Second),
 		MaxWait: Duration(30 * time.Second), MaxQueue: 4096, CrossingBudget: placement.DefaultCrossing,
 		LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), LogLevel: "info",
 	}
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,7 +10,9 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
 	"skylarkstand/io/store"
@@ -22,10 +24,10 @@
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
 		declaration.NewInForce, agent.New, newLedger, newDispatcher, newKeyring, newCaller, newConfigReader,
+		suspect.New, newMesh, newUpstreams, newEntryAdmin, wire.Struct(new(statusPage), "*"),
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
 		wire.Bind(new(core.Rater), new(*rater.Rater)),
-		wire.Bind(new(core.Upstreams), new(*agent.Pool)),
 		wire.Bind(new(dispatch.Biller), new(*ledger.Writer)),
 		wire.Struct(new(entryProcess), "*"),
 	)
@@ -35,7 +37,7 @@
 func wireAgent(set settings.Agent) (*agentProcess, func(), error) {
 	wire.Build(
 		newAgentProcess, wire.FieldsOf(new(process), "Deps", "Page"), newAgentStore, newUpstreamHost, newRunner,
-		declaration.NewInForce, newClaims, newExecutor, newLinkServer, newAdmin,
+		declaration.NewInForce, newClaims, newExecutor, newGate, entry.New, newAgentAdmin,
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Struct(new(agentProcess), "*"),
 	)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,7 +9,9 @@
 import (
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
+	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/entry"
 )
 
 // Injectors from wire.go:
@@ -22,12 +24,22 @@
 	pool := agent.New(deps, inForce, list)
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
-	appConfigReader := newConfigReader(deps, inForce, store)
+	registry := suspect.New()
+	mesh := newMesh(set, deps, inForce, registry)
+	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
 	appMetricsPage := appProcess.Page
+	upstreams := newUpstreams(deps, pool, registry, mesh)
 	rater := newRater(set)
-	dispatcher := newDispatcher(set, deps, inForce, pool, rater, writer)
+	dispatcher := newDispatcher(set, deps, inForce, upstreams, pool, rater, writer)
 	keyring := newKeyring(set)
-	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
+	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
+	appStatusPage := &statusPage{
+		deps: deps,
+		inf:  inForce,
+		pool: pool,
+		reg:  registry,
+	}
+	handler := newEntryAdmin(appMetricsPage, appStatusPage)
 	appEntryProcess := &entryProcess{
 		set:    set,
 		deps:   deps,
@@ -35,6 +47,7 @@
 		led:    writer,
 		reader: appConfigReader,
 		srv:    server,
+		admin:  handler,
 	}
 	return appEntryProcess, func() {
 		cleanup()
@@ -50,9 +63,10 @@
 	store := newAgentStore(set)
 	table := newClaims(deps, store)
 	executor := newExecutor(set, deps, host, inForce, runner, table)
-	server := newLinkServer(deps, host, inForce, executor)
+	gate := newGate(host, store)
+	server := entry.New(deps, host, inForce, executor, gate)
 	appMetricsPage := appProcess.Page
-	handler := newAdmin(appMetricsPage)
+	handler := newAgentAdmin(appMetricsPage)
 	appAgentProcess := &agentProcess{
 		set:   set,
 		deps:  deps,
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -41,12 +41,27 @@
 	budget *retry.Budget
 }
 
-// New returns a dispatcher. The options concern the choice of upstreams.
-func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...placement.Option) *Dispatcher {
-	return &Dispatcher{
+// Option changes a Dispatcher at construction.
+type Option func(*Dispatcher)
+
+// Placement sets options of the choice of upstreams.
+func Placement(opts ...placement.Option) Option {
+	return func(dis *Dispatcher) { dis.pl.pk = placement.New(dis.deps.Zone, dis.deps.Region, opts...) }
+}
+
+// Candidates sets what lists the upstreams to choose from.
+func Candidates(li Lister) Option { return func(dis *Dispatcher) { dis.pl.list = li } }
+
+// New returns a dispatcher.
+func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...Option) *Dispatcher {
+	dis := &Dispatcher{
 		deps: deps, inf: inf, ups: ups, rater: ra, biller: bi,
-		pl: newPlacer(deps, opts), budget: retry.NewBudget(),
+		pl: newPlacer(deps, ups), budget: retry.NewBudget(),
+	}
+	for _, opt := range opts {
+		opt(dis)
 	}
+	return dis
 }
 
 // Request is a caller's request after its workspace is known.
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -12,44 +12,56 @@
 	"skylarkstand/core/placement"
 )
 
+// Lister lists the upstreams of an entry into a buffer, so that a decision
+// need not allocate.
+type Lister interface {
+	AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream
+	AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream
+	// Entries returns how many entries share them, this one included.
+	Entries() int
+}
+
+// lone lists what [core.Upstreams] does, for an entry that knows of no other.
+type lone struct{ core.Upstreams }
+
+func (lo lone) AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream {
+	return append(buf, lo.Serving(mv)...)
+}
+
+func (lo lone) AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream {
+	return append(buf, lo.Offering(sv)...)
+}
+
+func (lo lone) Entries() int { return 1 }
+
 // placer lets goroutines share one picker.
 type placer struct {
+	list Lister
+
 	mu sync.Mutex
 	pk *placement.Picker
 	// buf is reused between decisions, which read it under the lock.
 	buf []core.Upstream
 }
 
-func newPlacer(deps core.Deps, opts []placement.Option) *placer {
-	return &placer{pk: placement.New(deps.Zone, deps.Region, opts...)}
-}
-
-// lister is implemented by upstreams that list candidates into a buffer.
-type lister interface {
-	AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream
-	AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream
+func newPlacer(deps core.Deps, ups core.Upstreams) *placer {
+	return &placer{list: lone{ups}, pk: placement.New(deps.Zone, deps.Region)}
 }
 
 // candidates is called with the lock held.
-func (pl *placer) candidates(ups core.Upstreams, mv core.ModelVersion, sv core.ServiceID) []core.Upstream {
-	li, ok := ups.(lister)
-	switch {
-	case ok && sv != "":
-		pl.buf = li.AppendOffering(pl.buf[:0], sv)
-	case ok:
-		pl.buf = li.AppendServing(pl.buf[:0], mv)
-	case sv != "":
-		return ups.Offering(sv)
-	default:
-		return ups.Serving(mv)
+func (pl *placer) candidates(mv core.ModelVersion, sv core.ServiceID) []core.Upstream {
+	if sv != "" {
+		pl.buf = pl.list.AppendOffering(pl.buf[:0], sv)
+	} else {
+		pl.buf = pl.list.AppendServing(pl.buf[:0], mv)
 	}
 	return pl.buf
 }
 
-func (pl *placer) pick(ups core.Upstreams, rq *Request, at *core.Attempt, tried []core.UpstreamID) (placement.Choice, bool) {
+func (pl *placer) pick(rq *Request, at *core.Attempt, tried []core.UpstreamID) (placement.Choice, bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	cands := pl.candidates(ups, at.Target, at.Service)
+	cands := pl.candidates(at.Target, at.Service)
 	return pl.pk.Pick(time.Now(), placement.Request{
 		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Cross: rq.Crossing, Tried: tried,
 	}, cands, rand.IntN)
@@ -114,21 +126,14 @@
 	wa.pl.pk.Paced(wa.po, wa.ch.ID, took, pieces)
 }
 
-// census is implemented by upstreams that know how many entries share them.
-type census interface{ Entries() int }
-
 // Room returns what the upstreams of a model version, or of a plain service,
 // take: in the own region, or in the others.
 func (dis *Dispatcher) Room(mv core.ModelVersion, sv core.ServiceID, far bool) placement.Room {
-	entries := 1
-	if ce, ok := dis.ups.(census); ok {
-		entries = ce.Entries()
-	}
 	dis.pl.mu.Lock()
 	defer dis.pl.mu.Unlock()
-	cands := dis.pl.candidates(dis.ups, mv, sv)
+	cands := dis.pl.candidates(mv, sv)
 	if far {
 		return dis.pl.pk.FarRoom(time.Now(), cands)
 	}
-	return dis.pl.pk.Room(cands, entries)
+	return dis.pl.pk.Room(cands, dis.pl.list.Entries())
 }
--- a/core/dispatch/try.go
+++ b/core/dispatch/try.go
@@ -21,7 +21,7 @@
 	var last *core.Failure
 	ran := false
 	for {
-		ch, ok := dis.pl.pick(dis.ups, rq, &at, tried)
+		ch, ok := dis.pl.pick(rq, &at, tried)
 		if !ok {
 			break
 		}
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	claims *claim.Table
 	bound  bound
 
+	gate    gate
 	leaving atomic.Bool
 }
 
@@ -73,12 +75,49 @@
 // Load returns what the upstream is doing now.
 func (ex *Executor) Load() core.Load { return ex.bound.load() }
 
+// Probe reports whether the upstream accepts connections, if its runner can
+// tell.
+func (ex *Executor) Probe() error {
+	if pr, ok := ex.runner.(interface{ Probe() error }); ok {
+		return pr.Probe()
+	}
+	return nil
+}
+
+// ErrNoOrders tells that the upstream takes no orders.
+var ErrNoOrders = errors.New("execute: this upstream takes no orders")
+
+// Order passes an order on to the upstream, if its runner takes any.
+func (ex *Executor) Order(ctx context.Context, fence uint64, body []byte) error {
+	if or, ok := ex.runner.(interface {
+		Order(ctx context.Context, fence uint64, body []byte) error
+	}); ok {
+		return or.Order(ctx, fence, body)
+	}
+	return ErrNoOrders
+}
+
 // Run takes an attempt to the upstream.
 func (ex *Executor) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	ex.awaitGeneration(ctx, at.Generation)
 	if fl := ex.check(at); fl != nil {
 		return nil, fl
 	}
+	if fl := ex.gate.enter(ctx, ex.host, at.Solo); fl != nil {
+		return nil, fl
+	}
+	exit := func() { ex.gate.exit(at.Solo) }
+	ans, err := ex.runBounded(ctx, at, exit)
+	if err != nil {
+		exit()
+		return nil, err
+	}
+	return ans, nil
+}
+
+// runBounded runs an attempt that has passed the gate; done is called when its
+// answer has ended.
+func (ex *Executor) runBounded(ctx context.Context, at *core.Attempt, done func()) (core.Answer, error) {
 	exit, err := ex.bound.enter(ctx, at)
 	if err != nil {
 		return nil, err
@@ -93,7 +132,10 @@
 		exit()
 		return nil, err
 	}
-	return &held{Answer: ans, exit: exit}, nil
+	return &held{Answer: ans, exit: sync.OnceFunc(func() {
+		exit()
+		done()
+	})}, nil
 }
 
 func (ex *Executor) check(at *core.Attempt) *core.Failure {
--- a/core/placement/crossing.go
+++ b/core/placement/crossing.go
@@ -37,7 +37,7 @@
 // body of this many bytes.
 func (pk *Picker) MayCross(now time.Time, body int) bool {
 	pk.link.refill(now)
-	return pk.link.level >= min(float64(body+answerBytes), pk.link.rate*linkBurst)
+	return pk.link.rate > 0 && pk.link.level >= min(float64(body+answerBytes), pk.link.rate*linkBurst)
 }
 
 // Crossed charges bytes that went over the link between regions.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -105,6 +105,8 @@
 	}
 	assert.Assert(t, sent <= 62*rate, "%d bytes in a minute", sent)
 	assert.Assert(t, sent >= 50*rate, "%d bytes in a minute", sent)
+	_, ok := placement.New("a", "muc", placement.CrossingBudget(0)).Pick(time.Unix(1, 0), placement.Request{}, cands, rnd.IntN)
+	assert.Assert(t, !ok, "without a budget nothing crosses")
 }
 
 // All callers of a workspace share a prompt's beginning. Kept together without
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -94,7 +94,7 @@
 		return tr.budget.spend()
 	case core.CodeStoreDown:
 		return fl.Ran == core.NotRun && tr.budget.spend()
-	case core.CodeOutcomeLost, core.CodeUpstream:
+	case core.CodeOutcomeLost, core.CodeUpstream, core.CodeCrashed:
 		return (fl.Ran == core.NotRun || repeatable) && tr.budget.spend()
 	default:
 		return false
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +27,8 @@
 	index atomic.Pointer[index]
 	// entries counts the region's entries that are listed and not leaving.
 	entries atomic.Int64
+	// onHosts is called with each reading of the host list.
+	onHosts func([]core.Host)
 }
 
 // index is what dispatching reads; it is replaced as a whole.
@@ -35,11 +40,15 @@
 
 // New returns a pool without links; Serve makes them.
 func New(deps core.Deps, inf *declaration.InForce, ho core.Hosts) *Pool {
-	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}}
+	po := &Pool{deps: deps, inf: inf, hosts: ho, links: map[core.UpstreamID]*link{}, onHosts: func([]core.Host) {}}
 	po.index.Store(po.newIndex(nil))
 	return po
 }
 
+// OnHosts sets what hears of each reading of the host list. It is called
+// before Serve.
+func (po *Pool) OnHosts(fn func([]core.Host)) { po.onHosts = fn }
+
 // refresh is how often the host list is read. The list lags by itself; agents
 // that leave say so on their links at once.
 const refresh = time.Second
@@ -69,6 +78,7 @@
 		}
 		return
 	}
+	po.onHosts(list)
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	listed := map[core.UpstreamID]bool{}
@@ -154,6 +164,13 @@
 	}
 }
 
+// All lists every upstream that the entry knows, by id.
+func (po *Pool) All() []core.Upstream {
+	ups := appendTo(nil, slices.Collect(maps.Values(po.index.Load().byID)))
+	slices.SortFunc(ups, func(a, b core.Upstream) int { return strings.Compare(string(a.Host.ID), string(b.Host.ID)) })
+	return ups
+}
+
 // Serving implements [core.Upstreams].
 func (po *Pool) Serving(mv core.ModelVersion) []core.Upstream { return po.AppendServing(nil, mv) }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -44,6 +45,8 @@
 	hosts []core.Host
 
 	StoreURL, PlatformURL string
+	// AgentSettings are added to the settings of agents started from now on.
+	AgentSettings map[string]any
 }
 
 // Process is one running program.
@@ -180,9 +183,7 @@
 	if err != nil {
 		return err
 	}
-	return fl.startAgent(id, pl, core.Host{Model: mv.Model, Version: mv.Version}, map[string]any{
-		"engine": eng.URL, "model": mv.Model, "version": mv.Version,
-	})
+	return fl.StartAgent(id, mv, pl, eng.URL)
 }
 
 // StartService runs a plain service with its agent and lists it.
@@ -198,6 +199,17 @@
 	return fl.startAgent(id, pl, core.Host{Service: sv}, map[string]any{"service-url": svc.URL, "service": sv})
 }
 
+// StartAgent runs an agent beside an upstream that runs already, or that no
+// request will reach, and lists it.
+func (fl *Fleet) StartAgent(id string, mv core.ModelVersion, pl Place, engineURL string) error {
+	return fl.startAgent(id, pl, core.Host{Model: mv.Model, Version: mv.Version}, map[string]any{
+		"engine": engineURL, "model": mv.Model, "version": mv.Version,
+	})
+}
+
+// Hosts returns the list as it was last published.
+func (fl *Fleet) Hosts() []core.Host { return fl.hosts }
+
 func (fl *Fleet) startAgent(id string, pl Place, ho core.Host, set map[string]any) error {
 	listen, err := Addr()
 	if err != nil {
@@ -209,6 +221,7 @@
 	}
 	set["listen"], set["admin"], set["upstream"] = listen, admin, id
 	set["zone"], set["region"], set["store"] = pl.Zone, pl.Region, fl.StoreURL
+	maps.Copy(set, fl.AgentSettings)
 	path, err := fl.writeSettings(id, set)
 	if err != nil {
 		return err
@@ -238,9 +251,7 @@
 		"store": fl.StoreURL, "hosts": fl.PlatformURL, "rater": fl.PlatformURL,
 		"pin-secret": "fleet", "ledger-pace": "200ms",
 	}
-	for key, val := range extra {
-		set[key] = val
-	}
+	maps.Copy(set, extra)
 	path, err := fl.writeSettings(name, set)
 	if err != nil {
 		return nil, err
