Learn the usual pace of a pool that has a slow upstream from the start

The first values now count alike and none for more than twice the usual. Whole answers count only from 64 tokens on, as the time before the first one stands in them.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -52,6 +52,10 @@
 // Candidates sets what lists the upstreams to choose from.
 func Candidates(li Lister) Option { return func(dis *Dispatcher) { dis.pl.list = li } }
 
+// Draw sets the random numbers that upstreams are drawn by: from 0 to n-1, one
+// caller at a time.
+func Draw(fn func(n int) int) Option { return func(dis *Dispatcher) { dis.pl.draw = fn } }
+
 // New returns a dispatcher.
 func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...Option) *Dispatcher {
 	dis := &Dispatcher{
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -37,6 +37,7 @@
 // placer lets goroutines share one picker.
 type placer struct {
 	list Lister
+	draw func(n int) int
 
 	mu sync.Mutex
 	pk *placement.Picker
@@ -45,7 +46,7 @@
 }
 
 func newPlacer(deps core.Deps, ups core.Upstreams) *placer {
-	return &placer{list: lone{ups}, pk: placement.New(deps.Zone, deps.Region)}
+	return &placer{list: lone{ups}, draw: rand.IntN, pk: placement.New(deps.Zone, deps.Region)}
 }
 
 // candidates is called with the lock held.
@@ -64,7 +65,7 @@
 	cands := pl.candidates(at.Target, at.Service)
 	return pl.pk.Pick(time.Now(), placement.Request{
 		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Cross: rq.Crossing, Tried: tried,
-	}, cands, rand.IntN)
+	}, cands, pl.draw)
 }
 
 func poolOf(at *core.Attempt) placement.Pool {
@@ -110,7 +111,7 @@
 		wa.pl.pk.Crossed(time.Now(), len(data))
 		wa.pl.mu.Unlock()
 	case errors.Is(err, io.EOF) && wa.po.Whole:
-		if out := int(wa.Usage().Generated); out >= placement.PacePieces {
+		if out := int(wa.Usage().Generated); out >= placement.PaceTokens {
 			wa.paced(time.Since(wa.sent), out)
 		}
 	}
--- a/core/dispatch/try_test.go
+++ b/core/dispatch/try_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -69,7 +72,7 @@
 			ups := &script{ends: sc.ends}
 			deps := core.NewDeps()
 			deps.Zone, deps.Region = "a", "muc"
-			dis := New(deps, declaration.NewInForce(), ups, nil, noBills{})
+			dis := New(deps, declaration.NewInForce(), ups, nil, noBills{}, Draw(rand.New(rand.NewPCG(1, 1)).IntN))
 			ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 			defer cancel()
 			_, _, err := dis.try(ctx, &declaration.Snapshot{}, &Request{Deadline: 2 * time.Hour, Priority: 1}, core.Attempt{}, sc.repeatable)
@@ -85,3 +88,65 @@
 		})
 	}
 }
+
+// words is an answer in pieces that each take a while.
+type words struct {
+	core.Answer
+	left int
+	pace time.Duration
+}
+
+func (wo *words) Next() ([]byte, error) {
+	if wo.left == 0 {
+		return nil, io.EOF
+	}
+	wo.left--
+	time.Sleep(wo.pace)
+	return []byte("word "), nil
+}
+
+func (wo *words) Usage() core.Usage { return core.Usage{Generated: 100} }
+
+// paced is four upstreams, the first of which is ten times slower.
+type paced struct {
+	script
+	stream bool
+	got    map[core.UpstreamID]int
+}
+
+func (pa *paced) Dispatch(_ context.Context, id core.UpstreamID, _ *core.Attempt) (core.Answer, error) {
+	pa.got[id]++
+	pace := time.Millisecond
+	if id == "one" {
+		pace *= 10
+	}
+	if pa.stream {
+		return &words{left: 20, pace: pace}, nil
+	}
+	time.Sleep(100 * pace)
+	return &words{left: 1}, nil
+}
+
+// An engine is slow and says nothing of it. Callers whose streams or whole
+// answers it carries wait ten times as long; after the first few of them, it
+// must get no more than a probe now and then.
+func TestSlowEngineIsLearnedFromAnswers(t *testing.T) {
+	for seed := range uint64(20) {
+		stream := seed%2 == 0
+		synctest.Test(t, func(t *testing.T) {
+			ups := &paced{stream: stream, got: map[core.UpstreamID]int{}}
+			deps := core.NewDeps()
+			deps.Zone, deps.Region = "a", "muc"
+			dis := New(deps, declaration.NewInForce(), ups, nil, noBills{}, Draw(rand.New(rand.NewPCG(seed, 1)).IntN))
+			for range 300 {
+				ans, _, err := dis.try(t.Context(), &declaration.Snapshot{}, &Request{}, core.Attempt{Stream: stream}, true)
+				assert.NilError(t, err)
+				for err == nil {
+					_, err = ans.Next()
+				}
+			}
+			assert.Assert(t, ups.got["one"] <= 10, "seed %d: %d of 300", seed, ups.got["one"])
+			assert.Assert(t, ups.got["two"] > 30)
+		})
+	}
+}
--- a/core/placement/slow.go
+++ b/core/placement/slow.go
@@ -8,8 +8,8 @@
 
 // pool is what is known of a pool.
 type pool struct {
-	usual   float64 // seconds to the first piece; 0 is unknown
-	pace    float64 // seconds a piece, once an answer has begun
+	usual   mean // seconds to the first piece
+	pace    mean // seconds a piece, once an answer has begun
 	picks   int
 	size    int // candidates at the last decision
 	marked  int // upstreams that are marked slow
@@ -39,6 +39,10 @@
 	// oddest bounds what one answer can say, so that a single one that was
 	// held up does not mark an upstream; two in a row do.
 	oddest = 8.0
+	// steady bounds what one answer can say of the pool's pace. In a pool of
+	// four, a slow upstream would otherwise lift the mean to a third of its
+	// own pace before it is marked, and so never be.
+	steady = 2.0
 	// smoothUp and smoothDown weigh the newest answer. A marked upstream gets
 	// few attempts, so that each has to count more.
 	smoothUp   = 0.25
@@ -59,6 +63,10 @@
 	// taken over: few, so that a slow upstream is known before its answers
 	// end, and enough that a single late packet is no matter.
 	PacePieces = 8
+	// PaceTokens is the shortest answer in one piece that the pace is taken
+	// from. The time before its first token counts in it as well, so a short
+	// one would make its upstream look slow.
+	PaceTokens = 64
 )
 
 func (pk *Picker) pool(po Pool) *pool {
@@ -112,15 +120,24 @@
 	pl, pe := pk.pool(po), pk.peer(id)
 	pe.waiting = max(pe.waiting-1, 0)
 	pe.since = now
-	follow(&pl.usual, now.Sub(sent).Seconds())
+	pl.usual.follow(now.Sub(sent).Seconds(), oddest)
 }
 
-// follow moves a pool's usual value towards the newest.
-func follow(usual *float64, val float64) {
-	if *usual == 0 {
-		*usual = val
+// mean follows a value; 0 is unknown.
+type mean struct {
+	val   float64
+	count int
+}
+
+// follow takes the newest value in. The first ones count alike: were the very
+// first to count for long, a pool that met its slow upstream first would take
+// that for the usual. A value counts for at most so many times the usual.
+func (me *mean) follow(val, most float64) {
+	if me.count == 0 {
+		me.val = val
 	}
-	*usual += smoothPool * (min(val, oddest**usual) - *usual)
+	me.count++
+	me.val += max(smoothPool, 1/float64(me.count)) * (min(val, most*me.val) - me.val)
 }
 
 // Paced notes how long pieces of an answer took, once it had begun. The time
@@ -129,10 +146,10 @@
 func (pk *Picker) Paced(po Pool, id core.UpstreamID, took time.Duration, pieces int) {
 	pl, pe := pk.pool(po), pk.peer(id)
 	pace := max(took.Seconds(), 1e-6) / float64(max(pieces, 1))
-	if pl.pace == 0 {
-		pl.pace = pace
+	ratio := 1.0
+	if pl.pace.count > 0 {
+		ratio = min(pace/pl.pace.val, oddest)
 	}
-	ratio := min(pace/pl.pace, oddest)
 	weight := smoothUp
 	if pe.marked && ratio < pe.ratio {
 		weight = smoothDown
@@ -141,7 +158,7 @@
 	// A slow upstream does not change what is usual; otherwise a pool with one
 	// would soon find it usual.
 	if !pe.marked {
-		follow(&pl.pace, pace)
+		pl.pace.follow(pace, steady)
 	}
 	pl.mark(pe)
 }
@@ -180,7 +197,7 @@
 	if pe.marked {
 		return true
 	}
-	return pe.waiting > 0 && pl.usual > 0 && now.Sub(pe.since).Seconds() > silentAt*pl.usual
+	return pe.waiting > 0 && pl.usual.count > 0 && now.Sub(pe.since).Seconds() > silentAt*pl.usual.val
 }
 
 // mayProbe takes the pool's turn to probe, if it is due.
