--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -17,13 +17,13 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
+	"skylarkstand/core/retry"
 	"skylarkstand/core/rollout"
 	"skylarkstand/core/routing"
 )
@@ -38,15 +38,39 @@
 	ups    core.Upstreams
 	biller Biller
 	judge  *judge
+	pl     *placer
+	budget *retry.Budget
 }
 
+// Option changes a Dispatcher at construction.
+type Option func(*Dispatcher)
+
+// Guard sets the guard of roll-outs.
+func Guard(gu *rollout.Guard) Option { return func(dis *Dispatcher) { dis.judge.guard = gu } }
+
+// Placement sets options of the choice of upstreams.
+func Placement(opts ...placement.Option) Option {
+	return func(dis *Dispatcher) { dis.pl.pk = placement.New(dis.deps.Zone, dis.deps.Region, opts...) }
+}
+
+// Candidates sets what lists the upstreams to choose from.
+func Candidates(li Lister) Option { return func(dis *Dispatcher) { dis.pl.list = li } }
+
+// Draw sets the random numbers that upstreams are drawn by: from 0 to n-1, one
+// caller at a time.
+func Draw(fn func(n int) int) Option { return func(dis *Dispatcher) { dis.pl.draw = fn } }
+
 // New returns a dispatcher.
 func New(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi Biller, opts ...Option) *Dispatcher {
-	jd := newJudge(deps, ra)
+	dis := &Dispatcher{
+		deps: deps, inf: inf, biller: bi, judge: newJudge(deps, ra),
+		pl: newPlacer(deps, ups), budget: retry.NewBudget(),
+	}
 	for _, opt := range opts {
-		opt(jd)
+		opt(dis)
 	}
-	return &Dispatcher{deps: deps, inf: inf, ups: rollout.Watch(ups, jd.guard), biller: bi, judge: jd}
+	dis.ups = rollout.Watch(ups, dis.judge.guard)
+	return dis
 }
 
 // Request is a caller's request after its workspace is known.
@@ -61,16 +85,14 @@
 	Operation      core.OperationID
 	IdempotencyKey string
 	Deadline       time.Duration
-	Stream         bool
-	Prompt         []byte
-	Body           []byte
+	Priority       int
+	// Crossing says that the request was admitted to another region.
+	Crossing bool
+	Stream   bool
+	Prompt   []byte
+	Body     []byte
 }
 
-// maxTries bounds the upstreams that one attempt of work is offered to. A
-// refusal is cheap, but a pool that refuses twice is full, and going on would
-// load it with refusals.
-const maxTries = 3
-
 // Call runs a request for a plain service.
 func (dis *Dispatcher) Call(ctx context.Context, rq *Request) (*Outcome, error) {
 	sn := dis.inf.Current()
@@ -87,9 +109,8 @@
 	if op.AtMostOnce && rq.IdempotencyKey == "" {
 		return nil, core.Refuse(core.CodeBadRequest, 0, "operation %s runs at most once and needs an Idempotency-Key header", rq.Operation)
 	}
-	cands := func() []core.Upstream { return dis.ups.Offering(rq.Service) }
 	at := core.Attempt{Service: rq.Service, Operation: rq.Operation, IdempotencyKey: rq.IdempotencyKey}
-	ans, line, err := dis.try(ctx, sn, rq, at, cands, !op.AtMostOnce)
+	ans, line, err := dis.try(ctx, sn, rq, at, !op.AtMostOnce)
 	if err != nil {
 		return nil, err
 	}
@@ -100,61 +121,6 @@
 	return out, nil
 }
 
-// try offers one piece of work to upstreams until one takes it. After an
-// unknown outcome it goes on only with repeatable work.
-func (dis *Dispatcher) try(ctx context.Context, sn *declaration.Snapshot, rq *Request, at core.Attempt, cands func() []core.Upstream, repeatable bool) (core.Answer, *line, error) {
-	at.Request, at.Workspace, at.Generation, at.Deadline, at.Body = rq.ID, rq.Workspace, sn.Number, rq.Deadline, rq.Body
-	var tried []core.UpstreamID
-	var last *core.Failure
-	ran := false
-	for range maxTries {
-		id, ok := placement.Pick(cands(), dis.deps.Zone, dis.deps.Region, rand.IntN, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, id)
-		at.ID = core.AttemptID(core.NewID())
-		ans, err := dis.ups.Dispatch(ctx, id, &at)
-		if err == nil {
-			return ans, &line{upstream: id, Line: ledger.Line{Attempt: at.ID}}, nil
-		}
-		last = asFailure(err)
-		ran = ran || last.Ran != core.NotRun
-		if ctx.Err() != nil || !again(last, repeatable) {
-			break
-		}
-	}
-	if last == nil {
-		last = core.Refuse(core.CodeNoUpstream, time.Second, "no upstream takes this work now")
-	}
-	if ran && last.Ran == core.NotRun {
-		// An earlier try reached an upstream, so the request as a whole may
-		// have run although the last try did not.
-		last = &core.Failure{Code: last.Code, Ran: core.RanUnknown, Message: last.Message, RetryAfter: last.RetryAfter}
-	}
-	return nil, nil, last
-}
-
-// again reports whether another upstream may be tried after a failure.
-func again(fl *core.Failure, repeatable bool) bool {
-	switch fl.Code {
-	case core.CodeOverloaded, core.CodeLeaving, core.CodeNoUpstream, core.CodeStaleConfig, core.CodeStoreDown:
-		return fl.Ran == core.NotRun
-	case core.CodeOutcomeLost, core.CodeUpstream, core.CodeCrashed:
-		return fl.Ran == core.NotRun || repeatable
-	default:
-		return false
-	}
-}
-
-func asFailure(err error) *core.Failure {
-	var fl *core.Failure
-	if errors.As(err, &fl) {
-		return fl
-	}
-	return core.Lost("%v", err)
-}
-
 func cost(ve *declaration.Version, us core.Usage) core.Millicents {
 	total := int64(ve.PromptPrice)*int64(us.Prompt) + int64(ve.TokenPrice)*int64(us.Generated)
 	return core.Millicents((total + 999) / 1000)
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/placement"
 	"skylarkstand/io/frame"
 	protocol "skylarkstand/io/link"
 )
@@ -19,6 +20,7 @@
 	deps   core.Deps
 	inf    *declaration.InForce
 	host   core.Host
+	hash   uint64
 	cancel context.CancelFunc
 	// told takes the bills that the agent hands over.
 	told func(*link, *frame.Told)
@@ -28,22 +30,30 @@
 	toldLeaving   atomic.Bool
 	down          atomic.Bool
 	own           atomic.Int64
-	load          atomic.Pointer[core.Load]
+	load          atomic.Pointer[report]
 	ses           atomic.Pointer[yamux.Session]
 	control       atomic.Pointer[protocol.Control]
 }
 
+// report is an agent's last word on its load, with when it came and how many
+// attempts of this entry were there then: it lags, and counts them too.
+type report struct {
+	core.Load
+	at  time.Time
+	own int
+}
+
 func newLink(deps core.Deps, inf *declaration.InForce, ho core.Host) *link {
-	return &link{deps: deps, inf: inf, host: ho}
+	return &link{deps: deps, inf: inf, host: ho, hash: placement.Hash(ho.ID)}
 }
 
 func (ln *link) snapshot() core.Upstream {
 	up := core.Upstream{
-		Host: ln.host, Up: ln.up.Load() && !ln.down.Load(), Own: int(ln.own.Load()),
+		Host: ln.host, Hash: ln.hash, Up: ln.up.Load() && !ln.down.Load(), Own: int(ln.own.Load()),
 		Leaving: ln.listedLeaving.Load() || ln.toldLeaving.Load(),
 	}
-	if lo := ln.load.Load(); lo != nil {
-		up.Load = *lo
+	if re := ln.load.Load(); re != nil {
+		up.Load, up.Reported, up.OwnThen = re.Load, re.at, re.own
 	}
 	return up
 }
@@ -83,7 +93,10 @@
 	if st == nil {
 		return
 	}
-	ln.load.Store(&core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)})
+	ln.load.Store(&report{
+		Load: core.Load{Running: int(st.Running), Queued: int(st.Queued), Slots: int(st.Slots)},
+		at:   time.Now(), own: int(ln.own.Load()),
+	})
 	ln.down.Store(st.Down)
 	if st.Leaving && !ln.toldLeaving.Swap(true) {
 		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
