Claims in buckets with group commit, and their proofs over a faulty store

Cause: one key and three store calls for each at-most-once operation cannot carry 2,000 a second at a store of 100 writes; a lost reply could leave a key claimed for good by an attempt that never ran; nothing was ever dropped.

Change: a service's claims stand in 16 values; a process has one compare-and-swap in flight for each, which carries all claims, answers and releases that waited. A write whose reply was lost is read back, and written again from the same revision, so that it cannot take effect later. A claim whose caller gave up is never told as owned and is released in the background. Retention with a floor kept in the bucket: a time-ordered key whose claim was dropped is refused whatever the clocks say. A full bucket refuses, and never drops a claim within its retention. The agent claims before it takes a slot, waits for an attempt of its own that has the key, refuses an at-most-once operation without a key, and does not call after a pause beyond the retention. Entries send a bucket's keys to one agent by rendezvous.

Ruled out: the number of buckets as a setting, since two agents that count differently would run a key twice; evicting the oldest claim of a full bucket.

--- a/app/providers.go
+++ b/app/providers.go
@@ -97,7 +97,9 @@
 	return engine.New(deps, set.Engine)
 }
 
-func newClaims(deps core.Deps, st core.Store) *claim.Table { return claim.New(st, deps.Self) }
+func newClaims(set settings.Agent, deps core.Deps, st core.Store) (*claim.Table, func()) {
+	return claim.New(deps, st, claim.Retention(time.Duration(set.ClaimRetention)), claim.Writes(set.ClaimWrites))
+}
 
 func newExecutor(set settings.Agent, deps core.Deps, ho core.Host, inf *declaration.InForce, ru core.Runner, tbl *claim.Table) *execute.Executor {
 	return execute.New(deps, ho, inf, ru, tbl, execute.Slots(set.Slots), execute.Queue(set.Queue))
--- a/app/settings/load.go
+++ b/app/settings/load.go
@@ -63,6 +63,12 @@
 	if set.Slots < 1 {
 		fa = append(fa, "slots: must be at least 1, or the upstream gets no work")
 	}
+	if set.ClaimRetention <= 0 {
+		fa = append(fa, "claim-retention: must be above 0, or a repeated call runs again")
+	}
+	if set.ClaimWrites <= 0 {
+		fa = append(fa, "claim-writes: must be above 0, or no claim is ever written")
+	}
 	return set, fa.err(path)
 }
 
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -71,6 +71,15 @@
 	Service core.ServiceID `json:"service,omitempty"`
 	// Store is the base URL of the platform's key-value service, for claims.
 	Store string `json:"store"`
+	// ClaimRetention is how long the answer of an operation that runs at most
+	// once is kept. A time-ordered key (UUIDv7) older than it is refused; a
+	// key of another form that is repeated later may run again. All agents of
+	// a service should have the same.
+	ClaimRetention Duration `json:"claim-retention,omitempty"`
+	// ClaimWrites is this agent's share of the store's writes for claims, in a
+	// second. The shares of all agents together must stay below what the store
+	// takes; under load claims wait longer and share a write.
+	ClaimWrites float64 `json:"claim-writes,omitempty"`
 	// Slots is how many attempts the upstream runs at once.
 	Slots int `json:"slots,omitempty"`
 	// Queue is how many attempts may wait for a slot.
@@ -91,7 +100,10 @@
 
 // DefaultAgent returns an agent's settings before the file is read.
 func DefaultAgent() Agent {
-	return Agent{Slots: 16, Queue: 32, DrainLimit: Duration(time.Minute), LogLevel: "info"}
+	return Agent{
+		ClaimRetention: Duration(24 * time.Hour), ClaimWrites: 32,
+		Slots: 16, Queue: 32, DrainLimit: Duration(time.Minute), LogLevel: "info",
+	}
 }
 
 // Duration is a time in settings, written as "1.5s".
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -49,7 +49,7 @@
 	inForce := declaration.NewInForce()
 	runner := newRunner(set, deps)
 	store := newAgentStore(set)
-	table := newClaims(deps, store)
+	table, cleanup2 := newClaims(set, deps, store)
 	executor := newExecutor(set, deps, host, inForce, runner, table)
 	server := newLinkServer(deps, host, inForce, executor)
 	appMetricsPage := appProcess.Page
@@ -61,6 +61,7 @@
 		admin: handler,
 	}
 	return appAgentProcess, func() {
+		cleanup2()
 		cleanup()
 	}, nil
 }
--- /dev/null
+++ b/core/claim/bucket.go
@@ -0,0 +1,239 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+)
+
+// bucket writes one bucket of the store, one write at a time. What is below
+// waiting and serving belongs to the serving goroutine.
+type bucket struct {
+	tbl  *Table
+	path path
+
+	// waiting and serving are guarded by the table's lock.
+	waiting []*change
+	serving bool
+
+	// known tells that val and rev are what this process last saw; rev 0 is
+	// an absent key.
+	known bool
+	rev   core.Revision
+	val   *value
+	// doubt tells that a write from revision doubtRev may still take effect.
+	// It cannot once the revision has moved on.
+	doubt    bool
+	doubtRev core.Revision
+}
+
+func newBucket(tbl *Table, pa path) *bucket { return &bucket{tbl: tbl, path: pa, val: &value{}} }
+
+const (
+	// firstPause and maxPause space the tries while the store fails. A claim
+	// that comes during an outage waits that long at most for its refusal.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// callLimit bounds one call to the store.
+	callLimit = 2 * time.Second
+)
+
+// serve writes until nothing waits.
+func (bu *bucket) serve() {
+	var open []*change
+	pause := firstPause
+	for bu.tbl.ctx.Err() == nil {
+		if len(open) == 0 && bu.idle() {
+			return
+		}
+		if bu.tbl.budget.Wait(bu.tbl.ctx) != nil {
+			return
+		}
+		open = append(open, bu.take()...)
+		var ok bool
+		open, ok = bu.round(open)
+		if ok {
+			pause = firstPause
+			continue
+		}
+		bu.sleep(pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (bu *bucket) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-bu.tbl.ctx.Done():
+	}
+}
+
+// idle ends serving when nothing waits. A later change starts it again.
+func (bu *bucket) idle() bool {
+	bu.tbl.mu.Lock()
+	defer bu.tbl.mu.Unlock()
+	if len(bu.waiting) > 0 {
+		return false
+	}
+	bu.serving = false
+	bu.tbl.serving--
+	if bu.tbl.serving == 0 && bu.tbl.idle != nil {
+		close(bu.tbl.idle)
+		bu.tbl.idle = nil
+	}
+	return true
+}
+
+func (bu *bucket) take() []*change {
+	bu.tbl.mu.Lock()
+	defer bu.tbl.mu.Unlock()
+	took := bu.waiting
+	bu.waiting = nil
+	for _, ch := range took {
+		if ch.kind == claiming {
+			bu.tbl.queued--
+		}
+	}
+	return took
+}
+
+// round makes one write of all open changes, after one read if need be. It
+// returns the changes that are still open and false when the store failed.
+func (bu *bucket) round(open []*change) ([]*change, bool) {
+	fresh := false
+	if !bu.known {
+		if !bu.load() {
+			return bu.refuse(open), false
+		}
+		fresh = true
+	}
+	ed, results := bu.edit(open)
+	if !fresh && unsettled(results) {
+		if !bu.load() {
+			return bu.refuse(open), false
+		}
+		ed, results = bu.edit(open)
+	}
+	// A write in doubt takes effect from this revision or never. While the
+	// revision is unmoved only another write keeps it from doing so, also
+	// when nothing is left to be changed.
+	if ed.changed || bu.doubt {
+		switch err := bu.write(&ed.val); {
+		case errors.Is(err, core.ErrConflict):
+			return open, true
+		case errors.Is(err, core.ErrUnavailable):
+			return bu.refuse(open), false
+		case err != nil:
+			for _, ch := range open {
+				ch.sent = true
+			}
+			return open, false
+		}
+	}
+	bu.tell(open, results)
+	return nil, true
+}
+
+func (bu *bucket) edit(open []*change) (*editor, []result) {
+	ed := newEditor(bu.tbl, time.Now(), bu.val)
+	results := make([]result, len(open))
+	for i, ch := range open {
+		results[i] = ed.apply(ch)
+	}
+	return ed, results
+}
+
+func unsettled(results []result) bool {
+	for _, res := range results {
+		if !res.settled {
+			return true
+		}
+	}
+	return false
+}
+
+// load reads the bucket.
+func (bu *bucket) load() bool {
+	ctx, cancel := context.WithTimeout(bu.tbl.ctx, callLimit)
+	defer cancel()
+	it, err := bu.tbl.store.Get(ctx, string(bu.path))
+	val := &value{}
+	switch {
+	case errors.Is(err, core.ErrNotFound):
+		it.Revision = 0
+	case err != nil:
+		return false
+	default:
+		if val, err = decode(it.Value); err != nil {
+			event.Log(bu.tbl.deps.Log, event.ClaimsBroken, "bucket", bu.path, "error", err)
+			return false
+		}
+	}
+	bu.known, bu.rev, bu.val = true, it.Revision, val
+	bu.doubt = bu.doubt && bu.doubtRev == bu.rev
+	return true
+}
+
+// write replaces the bucket if it is still what this process saw.
+func (bu *bucket) write(val *value) error {
+	raw, err := json.Marshal(val)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(bu.tbl.ctx, callLimit)
+	defer cancel()
+	var rev core.Revision
+	if bu.rev == 0 {
+		rev, err = bu.tbl.store.Create(ctx, string(bu.path), raw, "")
+	} else {
+		rev, err = bu.tbl.store.Swap(ctx, string(bu.path), bu.rev, raw)
+	}
+	bu.tbl.deps.Metrics.Counter("claim-writes").Inc(1)
+	switch {
+	case err == nil:
+		bu.rev, bu.val, bu.doubt = rev, val, false
+	case errors.Is(err, core.ErrUnavailable):
+	case errors.Is(err, core.ErrConflict):
+		// Either another process wrote, or our own earlier write took effect.
+		bu.known = false
+	default:
+		bu.known, bu.doubt, bu.doubtRev = false, true, bu.rev
+	}
+	return err
+}
+
+// refuse answers the claims that certainly were not written, because the
+// store is away, and keeps the rest: answers and releases are owed, and a
+// claim that was sent in an unsettled write must be read back.
+func (bu *bucket) refuse(open []*change) []*change {
+	var kept []*change
+	for _, ch := range open {
+		if ch.kind == claiming && !ch.sent {
+			ch.tell(result{err: ErrAway})
+			continue
+		}
+		kept = append(kept, ch)
+	}
+	return kept
+}
+
+// tell gives the results out. A claim whose caller gave up while it was being
+// written is released: nobody will ever run it.
+func (bu *bucket) tell(open []*change, results []result) {
+	for i, ch := range open {
+		owned := ch.kind == claiming && results[i].out.State == Owned
+		switch {
+		case owned:
+			bu.tbl.hold(ch.req.Attempt)
+		case ch.kind != claiming:
+			bu.tbl.drop(ch.req.Attempt)
+		}
+		if !ch.tell(results[i]) && owned {
+			_ = bu.tbl.enqueue(newChange(releasing, ch.req))
+		}
+	}
+}
--- /dev/null
+++ b/core/claim/key.go
@@ -0,0 +1,53 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"skylarkstand/core"
+)
+
+// Key is what may run once.
+type Key struct {
+	Workspace core.WorkspaceID
+	Service   core.ServiceID
+	Operation core.OperationID
+	// Idempotency is the caller's key.
+	Idempotency string
+}
+
+// text is the whole key without ambiguity.
+func (ke Key) text() string {
+	return fmt.Sprintf("%q/%q/%q/%q", ke.Workspace, ke.Service, ke.Operation, ke.Idempotency)
+}
+
+// Bucket returns the number of the key's bucket, from 0 to Buckets-1. Entries
+// use it to send the keys of one bucket to one agent.
+func (ke Key) Bucket() int { return int(xxhash.Sum64String(ke.text()) % Buckets) }
+
+// path is the store's key of a bucket.
+type path string
+
+func (ke Key) path() path { return path(fmt.Sprintf("claims/%s/%d", ke.Service, ke.Bucket())) }
+
+// fingerprint stands for a key in a bucket. Two keys with one fingerprint
+// would be taken for one operation, so it is a cryptographic hash, of 128 bits.
+func (ke Key) fingerprint() string {
+	sum := sha256.Sum256([]byte(ke.text()))
+	return base64.RawURLEncoding.EncodeToString(sum[:16])
+}
+
+// made returns the time that a UUIDv7 key tells, false for any other key.
+func (ke Key) made() (time.Time, bool) {
+	id, err := uuid.Parse(ke.Idempotency)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> 16)), true
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
@@ -128,6 +129,9 @@
 		return nil, core.Refuse(core.CodeBadRequest, 0, "operation %s runs at most once and needs an Idempotency-Key header", rq.Operation)
 	}
 	cands := func() []core.Upstream { return dis.ups.Offering(rq.Service) }
+	if op.AtMostOnce {
+		cands = preferred(claim.Key{Workspace: rq.Workspace, Service: rq.Service, Operation: rq.Operation, Idempotency: rq.IdempotencyKey}, cands)
+	}
 	at := core.Attempt{Service: rq.Service, Operation: rq.Operation, IdempotencyKey: rq.IdempotencyKey}
 	ans, line, err := dis.try(ctx, sn, rq, at, cands, !op.AtMostOnce)
 	if err != nil {
--- /dev/null
+++ b/core/execute/claimed_test.go
@@ -0,0 +1,197 @@
+package execute_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/claim"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/execute"
+	"skylarkstand/test/fakestore"
+)
+
+// booking is a plain service that counts its runs.
+type booking struct {
+	runs int
+	err  error
+	hold time.Duration
+}
+
+func (bo *booking) Run(context.Context, *core.Attempt) (core.Answer, error) {
+	time.Sleep(bo.hold)
+	var fl *core.Failure
+	if errors.As(bo.err, &fl) && fl.Ran == core.NotRun {
+		return nil, bo.err
+	}
+	bo.runs++
+	if bo.err != nil {
+		return nil, bo.err
+	}
+	return &reply{}, nil
+}
+
+type reply struct{ read bool }
+
+func (re *reply) Next() ([]byte, error) {
+	if re.read {
+		return nil, io.EOF
+	}
+	re.read = true
+	return []byte("booked"), nil
+}
+func (re *reply) Usage() core.Usage   { return core.Usage{} }
+func (re *reply) Status() int         { return 201 }
+func (re *reply) ContentType() string { return "application/json" }
+func (re *reply) Close()              {}
+
+// bench is one agent beside the booking service.
+type bench struct {
+	t  *testing.T
+	st *fakestore.Store
+	bo *booking
+	ex *execute.Executor
+}
+
+func newBench(t *testing.T) *bench {
+	be := &bench{t: t, st: fakestore.New(), bo: &booking{}}
+	deps := core.NewDeps()
+	tbl, cleanup := claim.New(deps, be.st)
+	t.Cleanup(cleanup)
+	gen := declaration.Generation{Number: 1, Document: declaration.Document{
+		Services:   []declaration.Service{{ID: "booking", Operations: []declaration.Operation{{ID: "survey", AtMostOnce: true}}}},
+		Workspaces: []declaration.Workspace{{ID: "school", Services: []core.ServiceID{"booking"}}},
+	}}
+	raw, err := gen.Encode()
+	assert.NilError(t, err)
+	inf := declaration.NewInForce()
+	_, err = inf.Adopt(raw)
+	assert.NilError(t, err)
+	be.ex = execute.New(deps, core.Host{ID: "booking-1", Service: "booking"}, inf, be.bo, tbl, execute.Slots(1))
+	return be
+}
+
+// told is what a caller was told: an answer, or a code and whether it ran.
+type told struct {
+	ran  core.Ran
+	text string
+}
+
+func (be *bench) call(ctx context.Context, key string) told {
+	at := &core.Attempt{
+		ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: "survey",
+		IdempotencyKey: key, Generation: 1, Body: []byte("{}"),
+	}
+	ans, err := be.ex.Run(ctx, at)
+	if err != nil {
+		var fl *core.Failure
+		assert.Assert(be.t, errors.As(err, &fl), "%v", err)
+		return told{fl.Ran, string(fl.Code)}
+	}
+	defer ans.Close()
+	data, err := ans.Next()
+	assert.NilError(be.t, err)
+	return told{"", string(data)}
+}
+
+// A caller sends one booking again and again: while it runs, after its answer
+// was lost, after the service could not be reached, while the store is down.
+// It must see one booking at most, and "not run" only when there is none.
+func TestRunsUnderClaim(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(be *bench) []told
+		want     []told
+		runs     int
+	}{
+		{"again after the answer", func(be *bench) []told {
+			return []told{be.told("key"), be.told("key"), be.told("key")}
+		}, []told{{"", "booked"}, {"", "booked"}, {"", "booked"}}, 1},
+		{"again while it runs", func(be *bench) []told {
+			be.bo.hold = time.Minute
+			first := make(chan told)
+			go func() { first <- be.told("key") }()
+			time.Sleep(time.Second)
+			second := be.told("key")
+			return []told{<-first, second}
+		}, []told{{"", "booked"}, {"", "booked"}}, 1},
+		{"the service lost the call", func(be *bench) []told {
+			be.bo.err = core.Lost("broken off")
+			first := be.told("key")
+			be.bo.err = nil
+			return []told{first, be.told("key")}
+		}, []told{{core.RanUnknown, "outcome-unknown"}, {core.RanUnknown, "outcome-unknown"}}, 1},
+		{"the service could not be reached", func(be *bench) []told {
+			be.bo.err = core.Refuse(core.CodeNoUpstream, time.Second, "no way there")
+			first := be.told("key")
+			be.bo.err = nil
+			return []told{first, be.told("key")}
+		}, []told{{core.NotRun, "no-upstream"}, {"", "booked"}}, 1},
+		{"the store is down and comes back", func(be *bench) []told {
+			be.st.Set(fakestore.Faults{Down: true})
+			first := be.told("key")
+			be.st.Set(fakestore.Faults{})
+			return []told{first, be.told("key")}
+		}, []told{{core.NotRun, "store-unavailable"}, {"", "booked"}}, 1},
+		{"the store goes down while the service works", func(be *bench) []told {
+			be.bo.hold = time.Second
+			time.AfterFunc(time.Second/2, func() { be.st.Set(fakestore.Faults{Down: true}) })
+			time.AfterFunc(time.Minute, func() { be.st.Set(fakestore.Faults{}) })
+			first := be.told("key")
+			second := be.told("key")
+			time.Sleep(2 * time.Minute)
+			return []told{first, second, be.told("key")}
+		}, []told{{"", "booked"}, {core.NotRun, "store-unavailable"}, {"", "booked"}}, 1},
+		{"the caller gives up before its claim stands", func(be *bench) []told {
+			be.st.Set(fakestore.Faults{Latency: time.Second})
+			ctx, cancel := context.WithTimeout(be.t.Context(), time.Second/2)
+			defer cancel()
+			first := be.call(ctx, "key")
+			be.st.Set(fakestore.Faults{})
+			time.Sleep(10 * time.Second)
+			return []told{first, be.told("key")}
+		}, []told{{core.NotRun, "store-unavailable"}, {"", "booked"}}, 1},
+		{"the upstream leaves while the claim is written", func(be *bench) []told {
+			be.st.Set(fakestore.Faults{Latency: time.Second})
+			time.AfterFunc(time.Second/2, be.ex.Leave)
+			return []told{be.told("key")}
+		}, []told{{core.NotRun, "leaving"}}, 0},
+		{"no key", func(be *bench) []told { return []told{be.told("")} }, []told{{core.NotRun, "bad-request"}}, 0},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				be := newBench(t)
+				got := sc.run(be)
+				assert.Equal(t, len(got), len(sc.want))
+				for i := range got {
+					assert.Equal(t, got[i], sc.want[i])
+				}
+				assert.Equal(t, be.bo.runs, sc.runs)
+				assert.Equal(t, be.ex.Load().Running, 0)
+			})
+		})
+	}
+}
+
+func (be *bench) told(key string) told { return be.call(context.Background(), key) }
+
+// An attempt owns its claim and then stands still for two days, paused with its
+// host or behind a call that hangs. The others have dropped its claim by then
+// and the key may have run elsewhere, so it must not call when it goes on.
+func TestPausedBeyondRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		be := newBench(t)
+		be.bo.hold = 50 * time.Hour
+		go be.told("hangs")
+		time.Sleep(time.Minute)
+		assert.Equal(t, be.told("waits"), told{core.NotRun, "deadline"})
+		assert.Equal(t, be.bo.runs, 1)
+	})
+}
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -12,9 +12,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -88,6 +85,9 @@
 	if fl := ex.check(at); fl != nil {
 		return nil, fl
 	}
+	if ex.atMostOnce(at) {
+		return ex.runClaimed(ctx, at)
+	}
 	if err := ex.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -96,7 +96,7 @@
 		ex.exit()
 		return nil, fl
 	}
-	ans, err := ex.runClaimed(ctx, at)
+	ans, err := ex.runner.Run(ctx, at)
 	if err != nil {
 		ex.exit()
 		return nil, err
@@ -157,75 +157,3 @@
 	ex.running.Add(-1)
 	<-ex.slots
 }
-
-// runClaimed runs the attempt, under a claim when it may run at most once.
-func (ex *Executor) runClaimed(ctx context.Context, at *core.Attempt) (core.Answer, error) {
-	if at.IdempotencyKey == "" || at.Service == "" {
-		return ex.runner.Run(ctx, at)
-	}
-	op := ex.inf.Current().Operation(at.Service, at.Operation)
-	if op == nil || !op.AtMostOnce {
-		return ex.runner.Run(ctx, at)
-	}
-	req := claim.Request{
-		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
-		Digest: digest(at.Body), Attempt: at.ID,
-	}
-	out, err := ex.claims.Claim(ctx, req)
-	if err != nil {
-		return nil, refuseClaim(err)
-	}
-	switch out.State {
-	case claim.Owned:
-		return ex.runOwned(ctx, at, req)
-	case claim.Done:
-		return newStored(out.Answer), nil
-	default:
-		return nil, core.Lost("the operation was handed to attempt %s, whose outcome is not known", out.Attempt)
-	}
-}
-
-func refuseClaim(err error) *core.Failure {
-	switch {
-	case errors.Is(err, claim.ErrReused):
-		return core.Refuse(core.CodeKeyReused, 0, "the idempotency key was used with another body")
-	case errors.Is(err, claim.ErrExpired):
-		return core.Refuse(core.CodeKeyExpired, 0, "the idempotency key is older than the retention")
-	default:
-		// Whether the claim was written or not, nothing was dispatched under
-		// it, and nothing will be: this attempt's id is never used again.
-		return core.Refuse(core.CodeStoreDown, 2*time.Second, "the claim could not be written")
-	}
-}
-
-// maxStored bounds a stored answer: many of them share a value of the store.
-const maxStored = 64 << 10
-
-// runOwned calls the upstream under an owned claim and stores the answer. It
-// goes on when the caller is gone: the operation has begun, and its answer is
-// what the caller's next try with the same key is told.
-func (ex *Executor) runOwned(ctx context.Context, at *core.Attempt, req claim.Request) (core.Answer, error) {
-	ctx = context.WithoutCancel(ctx)
-	ans, err := ex.runner.Run(ctx, at)
-	if err != nil {
-		var fl *core.Failure
-		if errors.As(err, &fl) && fl.Ran == core.NotRun {
-			_ = ex.claims.Release(ctx, req)
-		}
-		return nil, err
-	}
-	defer ans.Close()
-	st, err := readStored(ans, maxStored)
-	if err != nil {
-		return nil, err
-	}
-	if err := ex.claims.Finish(ctx, req, st); err != nil {
-		ex.deps.Metrics.Counter("claims-unfinished").Inc(1)
-	}
-	return newStored(st), nil
-}
-
-func digest(body []byte) string {
-	sum := sha256.Sum256(body)
-	return hex.EncodeToString(sum[:])
-}
--- /dev/null
+++ b/test/fakestore/store.go
@@ -0,0 +1,365 @@
+// Package fakestore is the platform's key-value service in memory, with the
+// faults that the protocols over it must bear: replies lost after the write
+// took effect, writes that take effect long after their reply was lost or not
+// at all, refusals, outages, delays, limits on the rate, and callers paused at
+// any call.
+//
+// Which call meets which fault is drawn from a seed and the number of the
+// call, so that a run repeats. Time is the clock of package time: inside
+// testing/synctest it is virtual, and the waiting costs nothing.
+//
+// # Usage
+//
+//	st := fakestore.New(fakestore.Seed(7), fakestore.With(fakestore.Faults{LoseReply: 0.2}))
+//	st.Set(fakestore.Faults{Down: true})
+//	st.Land()                       // held late writes take effect now
+//	st.Before(func(op fakestore.Op) { <-resume })   // pause a caller
+package fakestore
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Faults is what goes wrong until the next Set. Shares are from 0 to 1.
+type Faults struct {
+	// Down refuses each call.
+	Down bool
+	// Refuse is the share of calls that are refused without effect.
+	Refuse float64
+	// LoseReply is the share of writes that take effect and whose reply is
+	// lost; LoseWrite of those that never take effect, with the same error.
+	LoseReply, LoseWrite float64
+	// Late is the share of writes whose reply is lost and that take effect
+	// LateBy afterwards, if their condition holds then. With a LateBy of 0
+	// they are held until Land.
+	Late   float64
+	LateBy time.Duration
+	// Latency is the time that each call takes.
+	Latency time.Duration
+	// WritesPerSecond refuses the writes above it; 0 is no limit.
+	WritesPerSecond int
+}
+
+// Op is one call, as Before sees it.
+type Op struct {
+	Name string
+	Key  string
+}
+
+// Counts is what the store was asked. Refused calls count as well.
+type Counts struct{ Reads, Writes, Refused int }
+
+// Store implements [core.Store].
+type Store struct {
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	faults  Faults
+	before  func(Op)
+	items   map[string]core.Item
+	leases  map[core.LeaseID]*lease
+	rev     core.Revision
+	held    []func()
+	changed chan struct{}
+	counts  Counts
+	second  int64
+	writes  int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    []string
+}
+
+// Option changes a Store at construction.
+type Option func(*Store)
+
+// Seed sets what the faults are drawn from.
+func Seed(seed uint64) Option {
+	return func(st *Store) { st.rnd = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// With sets the faults to begin with.
+func With(fa Faults) Option { return func(st *Store) { st.faults = fa } }
+
+// New returns an empty store without faults.
+func New(opts ...Option) *Store {
+	st := &Store{items: map[string]core.Item{}, leases: map[core.LeaseID]*lease{}, changed: make(chan struct{}), before: func(Op) {}}
+	Seed(1)(st)
+	for _, opt := range opts {
+		opt(st)
+	}
+	return st
+}
+
+// Set replaces the faults.
+func (st *Store) Set(fa Faults) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.faults = fa
+}
+
+// Before sets what is called in the caller's goroutine ahead of each call; a
+// function that blocks is a caller that is paused there.
+func (st *Store) Before(fn func(Op)) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.before = fn
+}
+
+// Counts returns what was asked so far.
+func (st *Store) Counts() Counts {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.counts
+}
+
+// Land lets the held late writes take effect, as far as their conditions hold,
+// and returns how many were held.
+func (st *Store) Land() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	held := st.held
+	st.held = nil
+	for _, fn := range held {
+		fn()
+	}
+	return len(held)
+}
+
+// enter counts a call and lets it wait, or refuses it.
+func (st *Store) enter(ctx context.Context, op Op, write bool) error {
+	st.mu.Lock()
+	fa, before := st.faults, st.before
+	refuse := fa.Down || fa.Refuse > 0 && st.rnd.Float64() < fa.Refuse
+	if write {
+		st.counts.Writes++
+		refuse = st.overRate(fa) || refuse
+	} else {
+		st.counts.Reads++
+	}
+	if refuse {
+		st.counts.Refused++
+	}
+	st.mu.Unlock()
+	before(op)
+	if fa.Latency > 0 {
+		select {
+		case <-time.After(fa.Latency):
+		case <-ctx.Done():
+			return core.ErrUnavailable
+		}
+	}
+	if refuse || ctx.Err() != nil {
+		return core.ErrUnavailable
+	}
+	return nil
+}
+
+func (st *Store) overRate(fa Faults) bool {
+	now := time.Now().Unix()
+	if now != st.second {
+		st.second, st.writes = now, 0
+	}
+	st.writes++
+	return fa.WritesPerSecond > 0 && st.writes > fa.WritesPerSecond
+}
+
+// write runs a write with the fault that is drawn for it.
+func (st *Store) write(ctx context.Context, op Op, effect func() (core.Revision, error)) (core.Revision, error) {
+	if err := st.enter(ctx, op, true); err != nil {
+		return 0, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	fa, draw := st.faults, st.rnd.Float64()
+	switch {
+	case draw < fa.LoseReply:
+		_, _ = effect()
+		return 0, core.ErrUncertain
+	case draw < fa.LoseReply+fa.LoseWrite:
+		return 0, core.ErrUncertain
+	case draw < fa.LoseReply+fa.LoseWrite+fa.Late:
+		st.later(fa.LateBy, func() { _, _ = effect() })
+		return 0, core.ErrUncertain
+	}
+	return effect()
+}
+
+func (st *Store) later(by time.Duration, fn func()) {
+	if by == 0 {
+		st.held = append(st.held, fn)
+		return
+	}
+	time.AfterFunc(by, func() {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		fn()
+	})
+}
+
+// put is called with the lock held.
+func (st *Store) put(key string, val []byte) core.Revision {
+	st.rev++
+	st.items[key] = core.Item{Key: key, Value: slices.Clone(val), Revision: st.rev}
+	st.notify()
+	return st.rev
+}
+
+func (st *Store) notify() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// Get implements [core.Store].
+func (st *Store) Get(ctx context.Context, key string) (core.Item, error) {
+	if err := st.enter(ctx, Op{"get", key}, false); err != nil {
+		return core.Item{}, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lapse()
+	it, ok := st.items[key]
+	if !ok {
+		return core.Item{}, core.ErrNotFound
+	}
+	return it, nil
+}
+
+// List implements [core.Store].
+func (st *Store) List(ctx context.Context, prefix string) ([]core.Item, error) {
+	if err := st.enter(ctx, Op{"list", prefix}, false); err != nil {
+		return nil, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lapse()
+	var its []core.Item
+	for key, it := range st.items {
+		if strings.HasPrefix(key, prefix) {
+			its = append(its, it)
+		}
+	}
+	slices.SortFunc(its, func(aa, bb core.Item) int { return strings.Compare(aa.Key, bb.Key) })
+	return its, nil
+}
+
+// Create implements [core.Store].
+func (st *Store) Create(ctx context.Context, key string, val []byte, le core.LeaseID) (core.Revision, error) {
+	return st.write(ctx, Op{"create", key}, func() (core.Revision, error) {
+		st.lapse()
+		if _, ok := st.items[key]; ok {
+			return 0, core.ErrConflict
+		}
+		if le != "" {
+			ls := st.leases[le]
+			if ls == nil {
+				return 0, core.ErrConflict
+			}
+			ls.keys = append(ls.keys, key)
+		}
+		return st.put(key, val), nil
+	})
+}
+
+// Swap implements [core.Store].
+func (st *Store) Swap(ctx context.Context, key string, prev core.Revision, val []byte) (core.Revision, error) {
+	return st.write(ctx, Op{"swap", key}, func() (core.Revision, error) {
+		st.lapse()
+		if it, ok := st.items[key]; !ok || it.Revision != prev {
+			return 0, core.ErrConflict
+		}
+		return st.put(key, val), nil
+	})
+}
+
+// Delete implements [core.Store].
+func (st *Store) Delete(ctx context.Context, key string, prev core.Revision) error {
+	_, err := st.write(ctx, Op{"delete", key}, func() (core.Revision, error) {
+		it, ok := st.items[key]
+		switch {
+		case !ok:
+			return 0, core.ErrNotFound
+		case it.Revision != prev:
+			return 0, core.ErrConflict
+		}
+		delete(st.items, key)
+		st.notify()
+		return 0, nil
+	})
+	return err
+}
+
+// Watch implements [core.Store].
+func (st *Store) Watch(ctx context.Context, key string, after core.Revision) (core.Item, error) {
+	if err := st.enter(ctx, Op{"watch", key}, false); err != nil {
+		return core.Item{}, err
+	}
+	for {
+		st.mu.Lock()
+		it, ok := st.items[key]
+		changed, down := st.changed, st.faults.Down
+		st.mu.Unlock()
+		switch {
+		case down:
+			return core.Item{}, core.ErrUnavailable
+		case ok && it.Revision > after:
+			return it, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return core.Item{}, ctx.Err()
+		}
+	}
+}
+
+// Grant implements [core.Store].
+func (st *Store) Grant(ctx context.Context, ttl time.Duration) (core.LeaseID, error) {
+	var id core.LeaseID
+	_, err := st.write(ctx, Op{"grant", ""}, func() (core.Revision, error) {
+		st.rev++
+		id = core.LeaseID(strconv.FormatUint(uint64(st.rev), 10))
+		st.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+		return 0, nil
+	})
+	return id, err
+}
+
+// Renew implements [core.Store].
+func (st *Store) Renew(ctx context.Context, id core.LeaseID) error {
+	_, err := st.write(ctx, Op{"renew", string(id)}, func() (core.Revision, error) {
+		st.lapse()
+		ls := st.leases[id]
+		if ls == nil {
+			return 0, core.ErrNotFound
+		}
+		ls.expires = time.Now().Add(ls.ttl)
+		return 0, nil
+	})
+	return err
+}
+
+// lapse removes what hangs on leases that ran out. It is called with the lock
+// held.
+func (st *Store) lapse() {
+	now := time.Now()
+	for id, ls := range st.leases {
+		if now.Before(ls.expires) {
+			continue
+		}
+		for _, key := range ls.keys {
+			delete(st.items, key)
+		}
+		delete(st.leases, id)
+		st.notify()
+	}
+}
