--- a/core/chain/snapshot.go
+++ b/core/chain/snapshot.go
@@ -19,7 +19,7 @@
 	Payload json.RawMessage `json:"payload"`
 }
 
-// ErrAhead: the entries to be folded are not all accepted.
+// ErrAhead means that the entries to be folded are not all accepted.
 var ErrAhead = errors.New("chain: entries to fold are not accepted yet")
 
 func (ch *Chain) snapshotKey() string { return ch.name + "/snapshot" }
--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -421,7 +421,7 @@
 		for at := time.Now(); reqs[0].Key.Bucket() != 0 || len(reqs[0].Key.Idempotency) < 36; at = at.Add(time.Millisecond) {
 			reqs[0].Key.Idempotency = keyOf(at)
 		}
-		wo.runAll(t, 0, reqs[:many])
+		wo.runAll(t, reqs[:many])
 		time.Sleep(23 * time.Hour)
 		for _, req := range reqs[:many] {
 			first := req.Attempt
@@ -437,15 +437,15 @@
 		before, err := wo.st.List(t.Context(), "claims/")
 		assert.NilError(t, err)
 		// An hour after a day the first segments go, and nothing of the head.
-		wo.runAll(t, 0, reqs[many:])
+		wo.runAll(t, reqs[many:])
 		time.Sleep(2 * time.Hour)
 		longer, cleanup := claim.New(core.NewDeps(), wo.st, claim.Retention(1000*time.Hour), claim.Room(4<<10))
 		defer cleanup()
-		wo.runAll(t, 0, fresh[:1])
+		wo.runAll(t, fresh[:1])
 		_, err = longer.Claim(t.Context(), reqs[0])
 		assert.ErrorIs(t, err, claim.ErrExpired)
 		time.Sleep(50 * time.Hour)
-		wo.runAll(t, 0, fresh[1:])
+		wo.runAll(t, fresh[1:])
 		time.Sleep(time.Minute)
 		after, err := wo.st.List(t.Context(), "claims/")
 		assert.NilError(t, err)
@@ -456,13 +456,13 @@
 	})
 }
 
-// runAll claims and answers requests with their attempts at an agent.
-func (wo *world) runAll(t *testing.T, at int, reqs []claim.Request) {
+// runAll claims and answers requests with their attempts at the first agent.
+func (wo *world) runAll(t *testing.T, reqs []claim.Request) {
 	for _, req := range reqs {
-		out, err := wo.agents[at].tbl.Claim(t.Context(), req)
+		out, err := wo.agents[0].tbl.Claim(t.Context(), req)
 		assert.NilError(t, err)
 		assert.Equal(t, out.State, claim.Owned)
-		assert.NilError(t, wo.agents[at].tbl.Finish(t.Context(), req, claim.Answer{Status: 200, Body: []byte(req.Attempt)}))
+		assert.NilError(t, wo.agents[0].tbl.Finish(t.Context(), req, claim.Answer{Status: 200, Body: []byte(req.Attempt)}))
 	}
 }
 
@@ -486,7 +486,7 @@
 				}
 			})
 			reqs := sameBucket(12)
-			wo.runAll(t, 0, reqs)
+			wo.runAll(t, reqs)
 			assert.Assert(t, done)
 			for _, req := range reqs {
 				req.Attempt = "again"
