Refuse claimed calls early, and do not send an unsettled one to another agent

Cause: a burst beyond the upstream's queue waited for the writes of a claim and of its release before it was refused; an entry that tried another agent after an unsettled claim could meet that claim there and had to tell its caller that the outcome is unknown, although nothing ran.

Change: a full queue refuses before the claim; an unsettled claim is refused with a code after which the entry does not go on; a full bucket names a time in which retention can make room; a broken segment is logged as a broken bucket is. A test shows that a planned stop waits for answers that are not stored yet.

--- a/core/claim/segment.go
+++ b/core/claim/segment.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"skylarkstand/core"
+	"skylarkstand/core/event"
 )
 
 // segment is the stored form of folded claims. All are done.
@@ -62,11 +63,14 @@
 	ctx, cancel := context.WithTimeout(seg.tbl.ctx, callLimit)
 	defer cancel()
 	it, err := seg.tbl.store.Get(ctx, seg.key(n))
-	if err != nil {
-		return nil, 0, false
-	}
 	var sg segment
-	if json.Unmarshal(it.Value, &sg) != nil {
+	if err == nil {
+		err = json.Unmarshal(it.Value, &sg)
+	}
+	if err != nil {
+		if !errors.Is(err, core.ErrUnavailable) {
+			event.Log(seg.tbl.deps.Log, event.ClaimsBroken, "segment", seg.key(n), "error", err)
+		}
 		return nil, 0, false
 	}
 	return sg.Claims, it.Revision, true
--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -310,6 +310,28 @@
 	})
 }
 
+// An agent stops as planned while the store is away for some seconds. The
+// answer of its last operation is known but not stored; were it dropped, the
+// caller's repeat would be told for good that the outcome is unknown.
+func TestStopStoresAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(2)
+		defer wo.stop()
+		req := request("key", "one")
+		_, err := wo.agents[0].tbl.Claim(t.Context(), req)
+		assert.NilError(t, err)
+		wo.st.Set(fakestore.Faults{Down: true})
+		time.AfterFunc(3*time.Second, func() { wo.st.Set(fakestore.Faults{}) })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, wo.agents[0].tbl.Finish(ctx, req, claim.Answer{Status: 200}), context.DeadlineExceeded)
+		wo.agents[0].stop()
+		out, err := wo.agents[1].tbl.Claim(t.Context(), request("key", "two"))
+		assert.NilError(t, err)
+		assert.Equal(t, out.State, claim.Done)
+	})
+}
+
 // A caller repeats its key after days. Its first answer is long dropped; when
 // the key tells no time nobody can know, but a time-ordered key must be
 // refused, also by an agent whose clock stands still, or the claim runs twice.
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -42,7 +42,7 @@
 	SegmentLate = &Event{402, "segment-late", slog.LevelWarn,
 		"A ledger segment could not be written yet; its bills are kept and tried again.", "Look at the store."}
 	ClaimsBroken = &Event{420, "claims-broken", slog.LevelError,
-		"A bucket of claims cannot be read; its keys are refused, not run.", "Look at the store: something else wrote under `claims/`."}
+		"A bucket or segment of claims cannot be read; its keys are refused, not run.", "Look at the store: something else wrote under `claims/`."}
 	ClaimUnfinished = &Event{421, "claim-unfinished", slog.LevelWarn,
 		"The answer of an at-most-once operation is not stored yet; it is tried again in the background.", "Look at the store."}
 	RequestFailed = &Event{500, "request-failed", slog.LevelDebug,
--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -25,6 +25,9 @@
 	storeLimit = time.Second
 	// retryStore is told when a claim could not be written.
 	retryStore = 2 * time.Second
+	// retryRoom is told when there is no room for a claim; only retention
+	// makes some.
+	retryRoom = 10 * time.Minute
 	// retryUnknown is told when another attempt has the key. Asking again with
 	// the same key is safe and brings the answer once it is stored.
 	retryUnknown = 2 * time.Second
@@ -48,6 +51,11 @@
 		// still be repeated.
 		return nil, core.Refuse(core.CodeBadRequest, 0, "operation %s runs at most once and needs an Idempotency-Key header", at.Operation)
 	}
+	if ex.full() {
+		// Refused before the claim: a burst of calls that cannot run must not
+		// wait for two group writes each to hear it.
+		return nil, core.Refuse(core.CodeOverloaded, retryFull, "the queue of upstream %s is full", ex.host.ID)
+	}
 	req := claim.Request{
 		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
 		Digest: digest(at.Body), Attempt: at.ID,
@@ -66,6 +74,12 @@
 	}
 }
 
+// full reports whether a call would be refused now. The queue may fill while
+// the claim is written; the claim is released then.
+func (ex *Executor) full() bool {
+	return len(ex.slots) == cap(ex.slots) && ex.queued.Load() >= int64(ex.queue)
+}
+
 // refuseClaim is always "not run": the claim of this attempt, written or not,
 // is never told as owned afterwards, and nothing runs without that. The table
 // releases what was written of it.
@@ -77,8 +91,13 @@
 		return core.Refuse(core.CodeKeyExpired, 0, "the time in the idempotency key is outside the retention")
 	case errors.Is(err, claim.ErrBusy):
 		return core.Refuse(core.CodeOverloaded, retryStore, "too many claims wait")
+	case errors.Is(err, claim.ErrUnsettled):
+		// Not a code for which the entry goes on to another agent: that one
+		// could meet this claim before it is released, and would have to say
+		// that the outcome is unknown.
+		return core.Refuse(core.CodeDeadline, retryStore, "the claim was not settled in time")
 	case errors.Is(err, claim.ErrFull):
-		return core.Refuse(core.CodeOverloaded, retryStore, "the claims within their retention leave no room for another")
+		return core.Refuse(core.CodeOverloaded, retryRoom, "the claims within their retention leave no room for another")
 	default:
 		return core.Refuse(core.CodeStoreDown, retryStore, "the claim could not be written")
 	}
