--- a/app/settings/load.go
+++ b/app/settings/load.go
@@ -75,6 +75,10 @@
 	fa.atLeast("slots", int64(set.Slots), 1, "the upstream would get no work")
 	fa.atLeast("queue", int64(set.Queue), 0, "a queue cannot be shorter than nothing")
 	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
+	fa.some("claim-retention", set.ClaimRetention, "a repeated call would run again")
+	if set.ClaimWrites <= 0 {
+		fa = append(fa, "claim-writes: must be above 0, or no claim is ever written")
+	}
 	fa.logLevel(set.LogLevel)
 	return set, fa.err(path)
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -67,7 +67,7 @@
 	inForce := declaration.NewInForce()
 	runner := newRunner(set, deps)
 	store := newAgentStore(set)
-	table := newClaims(deps, store)
+	table, cleanup2 := newClaims(set, deps, store)
 	executor := newExecutor(set, deps, host, inForce, runner, table)
 	gate := newGate(host, store)
 	server := entry.New(deps, host, inForce, executor, gate)
@@ -80,6 +80,7 @@
 		admin: handler,
 	}
 	return appAgentProcess, func() {
+		cleanup2()
 		cleanup()
 	}, nil
 }
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -52,6 +52,10 @@
 	// Status and ContentType describe a plain service's answer.
 	Status() int
 	ContentType() string
+	// ReplayOf names the attempt whose stored answer this is, once Next has
+	// returned io.EOF; it is empty for an answer of its own. A replay is not
+	// charged again.
+	ReplayOf() AttemptID
 	// Close gives the attempt up; the upstream is told to cancel.
 	Close()
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
@@ -91,6 +92,9 @@
 	Stream   bool
 	Prompt   []byte
 	Body     []byte
+
+	// claim is set for an operation that runs at most once.
+	claim *claim.Key
 }
 
 // Call runs a request for a plain service.
@@ -109,6 +113,9 @@
 	if op.AtMostOnce && rq.IdempotencyKey == "" {
 		return nil, core.Refuse(core.CodeBadRequest, 0, "operation %s runs at most once and needs an Idempotency-Key header", rq.Operation)
 	}
+	if op.AtMostOnce {
+		rq.claim = &claim.Key{Workspace: rq.Workspace, Service: rq.Service, Operation: rq.Operation, Idempotency: rq.IdempotencyKey}
+	}
 	at := core.Attempt{Service: rq.Service, Operation: rq.Operation, IdempotencyKey: rq.IdempotencyKey}
 	ans, line, err := dis.try(ctx, sn, rq, at, !op.AtMostOnce)
 	if err != nil {
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -63,6 +63,9 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	cands := pl.candidates(at.Target, at.Service)
+	if rq.claim != nil {
+		cands = preferred(*rq.claim, cands, tried)
+	}
 	return pl.pk.Pick(time.Now(), placement.Request{
 		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Cross: rq.Crossing, Tried: tried,
 	}, cands, pl.draw)
--- a/core/execute/answer.go
+++ b/core/execute/answer.go
@@ -20,15 +20,6 @@
 	he.exit()
 }
 
-// ReplayOf names the attempt that ran the operation, when the answer is its
-// stored one.
-func (he *held) ReplayOf() core.AttemptID {
-	if st, ok := he.Answer.(*stored); ok {
-		return st.replayOf
-	}
-	return ""
-}
-
 // stored is an answer that is whole in memory.
 type stored struct {
 	ans  claim.Answer
@@ -55,6 +46,9 @@
 func (st *stored) ContentType() string { return st.ans.ContentType }
 func (st *stored) Close()              {}
 
+// ReplayOf implements [core.Answer].
+func (st *stored) ReplayOf() core.AttemptID { return st.replayOf }
+
 // readStored reads a whole answer.
 func readStored(ans core.Answer, limit int) (claim.Answer, error) {
 	var body []byte
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -51,9 +51,7 @@
 	ups := suspect.NewUpstreams(core.NewDeps(), new(pool), suspect.New(), func(suspect.Record) {})
 	ans, err := ups.Dispatch(t.Context(), "orders-1", attempt("booking"))
 	assert.NilError(t, err)
-	re, ok := ans.(interface{ ReplayOf() core.AttemptID })
-	assert.Assert(t, ok)
-	assert.Equal(t, re.ReplayOf(), core.AttemptID("a1"))
+	assert.Equal(t, ans.ReplayOf(), core.AttemptID("a1"))
 }
 
 func attempt(body string) *core.Attempt {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -48,10 +48,11 @@
 	sc.at++
 	return []byte(sc.us.pieces[sc.at-1]), nil
 }
-func (sc *scripted) Usage() core.Usage   { return core.Usage{Generated: 2} }
-func (sc *scripted) Status() int         { return http.StatusOK }
-func (sc *scripted) ContentType() string { return "text/event-stream" }
-func (sc *scripted) Close()              {}
+func (sc *scripted) Usage() core.Usage        { return core.Usage{Generated: 2} }
+func (sc *scripted) Status() int              { return http.StatusOK }
+func (sc *scripted) ContentType() string      { return "text/event-stream" }
+func (sc *scripted) Close()                   {}
+func (sc *scripted) ReplayOf() core.AttemptID { return "" }
 
 // bills counts what was billed, and what the caller had read by then.
 type bills struct {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -167,3 +167,6 @@
 func (wh *whole) Status() int         { return http.StatusOK }
 func (wh *whole) ContentType() string { return wh.ctype }
 func (wh *whole) Close()              {}
+
+// ReplayOf implements [core.Answer]: an upstream stores nothing.
+func (wh *whole) ReplayOf() core.AttemptID { return "" }
