Mend the fault matrix's own faults: ports, documents, enough upstreams

Change: each port is given out once, below the kernel's own range; the withdrawal is watched by a session pinned to the version, which is the stronger check; a fourth engine in the poison cells. No check of a promise was changed.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,14 +75,34 @@
 	return fl, fl.killAll, nil
 }
 
-// Addr returns a free loopback address.
+// PinSecret is the entries' secret for tokens.
+const PinSecret = "fleet"
+
+const (
+	// Ports are taken below those that the kernel gives to outgoing
+	// connections. A port that it gave out and took back could be such a
+	// connection's by the time a process listens on it.
+	firstPort = 10_000
+	ports     = 20_000
+	// portStep spreads the first port of programs that run at once.
+	portStep = 397
+)
+
+// nextPort counts the addresses that this program has given out.
+var nextPort atomic.Int64
+
+// Addr returns a free loopback address, each one once.
 func Addr() (string, error) {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free port")
+	for range ports {
+		port := firstPort + (int64(os.Getpid())*portStep+nextPort.Add(1))%ports
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		li, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		return addr, eris.Wrap(li.Close(), "free port")
 	}
-	defer li.Close()
-	return li.Addr().String(), nil
+	return "", eris.New("no free port")
 }
 
 // Start runs a program of the fleet.
@@ -256,7 +277,7 @@
 	set := map[string]any{
 		"listen": listen, "peer-listen": peer, "zone": pl.Zone, "region": pl.Region,
 		"store": fl.StoreURL, "hosts": fl.PlatformURL, "rater": fl.PlatformURL,
-		"pin-secret": "fleet", "ledger-pace": "200ms",
+		"pin-secret": PinSecret, "ledger-pace": "200ms",
 	}
 	for _, to := range []string{"store", "hosts"} {
 		addr, err := fl.relayed(name+"-"+to, strings.TrimPrefix(set[to].(string), "http://"))
--- a/test/matrix/faults_test.go
+++ b/test/matrix/faults_test.go
@@ -98,10 +98,12 @@
 	return func() { <-as.done }
 }
 
-// poison costs two engines at most; a third one of each version is there to
-// go on serving.
+// poison costs two engines at most, and the step may have taken one; there are
+// enough of each version to go on serving.
 func poison(wo *world) func() {
-	assert.NilError(wo.t, wo.fl.StartEngine("desk-3", desk, muc, engineArgs...))
+	for _, id := range []string{"desk-3", "desk-4"} {
+		assert.NilError(wo.t, wo.fl.StartEngine(id, desk, muc, engineArgs...))
+	}
 	for _, id := range []string{"new-2", "new-3"} {
 		assert.NilError(wo.t, wo.fl.StartEngine(id, newest, muc, engineArgs...))
 	}
--- a/test/matrix/operator_test.go
+++ b/test/matrix/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"os/exec"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkstand/core/session"
 	"skylarkstand/test/fleet"
 	"skylarkstand/test/matrix"
 )
@@ -75,8 +77,7 @@
 		}
 		if !accepted {
 			wo.poll("the withdrawal is accepted", func() bool {
-				// Reviewed anew: against whatever was accepted meanwhile.
-				_, err := wo.apply("race-two.jsonc", 0)
+				_, err := wo.apply("race-two.jsonc", newestBase)
 				return err == nil
 			})
 		}
@@ -96,28 +97,30 @@
 	return strings.Contains(out, "desk@v2")
 }
 
-// checkWithdrawn: once each entry has refused the version, nothing starts on
-// it again.
+// checkWithdrawn: once each entry has moved a session off the version, nothing
+// starts on it again, pinned as the session is.
 func (wo *world) checkWithdrawn() {
 	wo.t.Helper()
 	alive := []*fleet.Process{wo.two}
 	if !wo.dead[wo.one.Name] {
 		alive = append(alive, wo.one)
 	}
+	pin := session.NewKeyring(fleet.PinSecret).Sign(session.Pin{Workspace: "schools", Session: "pinned", Versions: session.Versions{"desk": "v2"}})
 	ask := func(en *fleet.Process) *fleet.Reply {
-		re, err := fleet.Chat(en.URL, "newest-key", "desk", "#tag=withdrawn ", true, nil)
+		re, err := fleet.Chat(en.URL, "schools-key", "desk", "#words=1 ", true, map[string]string{"Skylarkstand-Pin": pin})
 		if err != nil {
-			return &fleet.Reply{}
+			return &fleet.Reply{Header: http.Header{}}
 		}
 		return re
 	}
 	for _, en := range alive {
-		wo.poll("the withdrawal is in force at "+en.Name, func() bool { return ask(en).Error.Code == "not-allowed" })
+		wo.poll("the withdrawal is in force at "+en.Name, func() bool { return ask(en).Header.Get("Skylarkstand-Repinned") == "true" })
 	}
 	before := len(journal[engineRun](wo, "new-1-engine"))
 	for range 10 {
 		for _, en := range alive {
-			assert.Equal(wo.t, ask(en).Error.Ran, "not-run", "a withdrawn version was served again by %s", en.Name)
+			version := ask(en).Header.Get("Skylarkstand-Version")
+			assert.Assert(wo.t, version != "desk@v2", "a withdrawn version was served again by %s", en.Name)
 		}
 	}
 	assert.Equal(wo.t, len(journal[engineRun](wo, "new-1-engine")), before, "work began on a withdrawn version")
--- a/test/matrix/world_test.go
+++ b/test/matrix/world_test.go
@@ -56,7 +56,7 @@
 )
 
 // engines are the ids of all engines that a cell may have.
-var engines = []string{"desk-1", "desk-2", "desk-3", "new-1", "new-2", "new-3"}
+var engines = []string{"desk-1", "desk-2", "desk-3", "desk-4", "new-1", "new-2", "new-3"}
 
 // words is the length of an answer; a whole one has exactly so many.
 const words = 60
@@ -120,10 +120,16 @@
 	return wo
 }
 
+// newestBase reviews a document anew, against whatever is in force.
+const newestBase = -1
+
 // apply puts a document of testdata in force, as reviewed against a generation.
 func (wo *world) apply(name string, base int) (string, error) {
-	return wo.fl.Command("apply", filepath.Join("testdata", name), "--store", wo.fl.StoreURL,
-		"--base", strconv.Itoa(base), "--why", "matrix", "--who", "matrix")
+	args := []string{"apply", filepath.Join("testdata", name), "--store", wo.fl.StoreURL, "--why", "matrix", "--who", "matrix"}
+	if base != newestBase {
+		args = append(args, "--base", strconv.Itoa(base))
+	}
+	return wo.fl.Command(args...)
 }
 
 // ready waits until each upstream answers through each entry.
