--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -15,15 +15,12 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,16 +51,8 @@
 	cleanup []func()
 }
 
-// Process is one running program.
-type Process struct {
-	Name string
-	// URL is where it answers HTTP; Addr its links.
-	URL, Addr string
-	cmd       *exec.Cmd
-	done      chan struct{}
-	err       error
-	stopped   bool
-}
+// PinSecret is the entries' secret for tokens.
+const PinSecret = "fleet"
 
 // New returns an empty fleet of the programs in bin, with logs and settings in
 // dir. The clean-up kills what still runs.
@@ -75,36 +64,6 @@
 	return fl, fl.killAll, nil
 }
 
-// PinSecret is the entries' secret for tokens.
-const PinSecret = "fleet"
-
-const (
-	// Ports are taken below those that the kernel gives to outgoing
-	// connections. A port that it gave out and took back could be such a
-	// connection's by the time a process listens on it.
-	firstPort = 10_000
-	ports     = 20_000
-	// portStep spreads the first port of programs that run at once.
-	portStep = 397
-)
-
-// nextPort counts the addresses that this program has given out.
-var nextPort atomic.Int64
-
-// Addr returns a free loopback address, each one once.
-func Addr() (string, error) {
-	for range ports {
-		port := firstPort + (int64(os.Getpid())*portStep+nextPort.Add(1))%ports
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		li, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		return addr, eris.Wrap(li.Close(), "free port")
-	}
-	return "", eris.New("no free port")
-}
-
 // Start runs a program of the fleet.
 func (fl *Fleet) Start(name, program string, args ...string) (*Process, error) {
 	logFile, err := os.OpenFile(filepath.Join(fl.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -357,51 +316,6 @@
 	return fl.procs[name]
 }
 
-// Kill ends a process without warning; Freeze and Resume pause it.
-func (pr *Process) Kill() {
-	pr.signal(syscall.SIGKILL)
-	<-pr.done
-}
-
-// Freeze pauses the process.
-func (pr *Process) Freeze() { pr.signal(syscall.SIGSTOP) }
-
-// Resume ends a pause.
-func (pr *Process) Resume() { pr.signal(syscall.SIGCONT) }
-
-func (pr *Process) signal(sig syscall.Signal) {
-	pr.stopped = true
-	_ = pr.cmd.Process.Signal(sig)
-}
-
-// Ended reports whether the process has ended.
-func (pr *Process) Ended() bool {
-	select {
-	case <-pr.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// PID returns the process's id.
-func (pr *Process) PID() int { return pr.cmd.Process.Pid }
-
-// Terminate asks for a planned stop without waiting for it.
-func (pr *Process) Terminate() { pr.signal(syscall.SIGTERM) }
-
-// Wait waits for the end and returns the error of a bad exit.
-func (pr *Process) Wait() error {
-	<-pr.done
-	return pr.err
-}
-
-// Stop ends the process as planned and returns the error of a bad exit.
-func (pr *Process) Stop() error {
-	pr.Terminate()
-	return pr.Wait()
-}
-
 func (fl *Fleet) killAll() {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
