--- a/app/entry.go
+++ b/app/entry.go
@@ -36,15 +36,15 @@
 
 // entryProcess is the parts of an entry process that start and stop.
 type entryProcess struct {
-	set    settings.Entry
-	deps   core.Deps
-	pool   *agent.Pool
-	led    *ledger.Writer
-	heir   *ledger.Heir
-	reader *configReader
-	guard  *guardDuty
-	srv    *caller.Server
-	admin  http.Handler
+	set       settings.Entry
+	deps      core.Deps
+	pool      *agent.Pool
+	led       *ledger.Writer
+	successor *ledger.Successor
+	reader    *configReader
+	guard     *guardDuty
+	srv       *caller.Server
+	admin     http.Handler
 }
 
 // run serves until the context ends and then stops as planned: readyz fails,
@@ -63,7 +63,7 @@
 	sup := newSupervisor("entry", en.deps)
 	sup.Add(en.pool)
 	sup.Add(en.led)
-	sup.Add(en.heir)
+	sup.Add(en.successor)
 	sup.Add(en.reader)
 	sup.Add(en.guard)
 	done := sup.ServeBackground(duties)
--- a/app/providers.go
+++ b/app/providers.go
@@ -76,10 +76,10 @@
 		ledger.Budget(set.LedgerWrites, po.Listed), ledger.OnDurable(po.Durable))
 }
 
-func newHeir(deps core.Deps, st core.Store, po *agent.Pool, led *ledger.Writer) *ledger.Heir {
-	he := ledger.NewHeir(deps, st, led)
-	po.OnOffered(he.Offer)
-	return he
+func newSuccessor(deps core.Deps, st core.Store, po *agent.Pool, led *ledger.Writer) *ledger.Successor {
+	su := ledger.NewSuccessor(deps, st, led)
+	po.OnOffered(su.Offer)
+	return su
 }
 
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
--- a/app/wire.go
+++ b/app/wire.go
@@ -24,7 +24,7 @@
 func wireEntry(set settings.Entry) (*entryProcess, func(), error) {
 	wire.Build(
 		newEntryProcess, wire.FieldsOf(new(process), "Deps", "Page"), newEntryStore, newHosts, newRater,
-		declaration.NewInForce, agent.New, newLedger, newHeir, rollout.New, newDispatcher, newKeyring, newCaller,
+		declaration.NewInForce, agent.New, newLedger, newSuccessor, rollout.New, newDispatcher, newKeyring, newCaller,
 		newConfigReader, newGuardDuty, suspect.New, newMesh, newUpstreams, newEntryAdmin, wire.Struct(new(statusPage), "*"),
 		wire.Bind(new(core.Store), new(*store.Store)),
 		wire.Bind(new(core.Hosts), new(*hosts.List)),
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -25,7 +25,7 @@
 	pool := agent.New(deps, inForce, hostsList)
 	store := newEntryStore(set)
 	writer := newLedger(set, deps, store, pool)
-	heir := newHeir(deps, store, pool, writer)
+	successor := newSuccessor(deps, store, pool, writer)
 	registry := suspect.New()
 	guard := rollout.New()
 	mesh := newMesh(set, deps, inForce, registry, guard)
@@ -45,15 +45,15 @@
 	}
 	handler := newEntryAdmin(appMetricsPage, appStatusPage)
 	appEntryProcess := &entryProcess{
-		set:    set,
-		deps:   deps,
-		pool:   pool,
-		led:    writer,
-		heir:   heir,
-		reader: appConfigReader,
-		guard:  appGuardDuty,
-		srv:    server,
-		admin:  handler,
+		set:       set,
+		deps:      deps,
+		pool:      pool,
+		led:       writer,
+		successor: successor,
+		reader:    appConfigReader,
+		guard:     appGuardDuty,
+		srv:       server,
+		admin:     handler,
 	}
 	return appEntryProcess, func() {
 		cleanup()
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -101,7 +101,7 @@
 // when the whole answer was read and before the caller gets its end: an entry
 // that dies before it leaves the request unbilled, never billed for nothing.
 //
-// The bill waits at the ledger before the agent has the copy: an heir that
+// The bill waits at the ledger before the agent has the copy: a successor that
 // files the copy in an entry which the ledger has read already would bill the
 // request twice. The bill of an operation's stored answer names the attempt that
 // ran it, and the ledger charges for one of the two: the first may never have
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -61,11 +61,11 @@
 	SegmentLate = &Event{402, "segment-late", slog.LevelWarn,
 		"A ledger segment could not be written yet; its bills are kept and tried again.", "Look at the store."}
 	LedgerSealed = &Event{440, "ledger-sealed", slog.LevelWarn,
-		"Others took this process for gone and sealed its ledger; its bills go into its estate from now on.",
+		"Others took this process for gone and sealed its ledger; its bills go into its takeover chain from now on.",
 		"Look for what paused the process or cut its links."}
-	EstateFiled = &Event{441, "estate-filed", slog.LevelInfo,
+	TakeoverFiled = &Event{441, "takeover-filed", slog.LevelInfo,
 		"Bills that agents held of a gone process were looked up, and those that lacked were filed.", "Nothing."}
-	EstateLate = &Event{442, "estate-late", slog.LevelWarn,
+	TakeoverLate = &Event{442, "takeover-late", slog.LevelWarn,
 		"Bills of a gone process could not be filed yet; agents keep them and offer them again.", "Look at the store."}
 	CopyDropped = &Event{443, "copy-dropped", slog.LevelWarn,
 		"An agent has no room for a copy of a bill; the entry alone has it until it is durable.", "Look at the store."}
@@ -94,7 +94,7 @@
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending,
 		StoreDown, SegmentWritten, SegmentLate,
-		LedgerSealed, EstateFiled, EstateLate, CopyDropped, CopiesLeft,
+		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished,
 		RequestFailed, BillLost, RatingsAway,
 	}
--- a/core/ledger/bill.go
+++ b/core/ledger/bill.go
@@ -7,7 +7,7 @@
 //
 // A process that is taken for gone may only be paused. So its chain is sealed
 // before anybody else files its bills, and from then on all of them, whoever
-// files them, go into one more chain, ledger/<process>/estate. The author of
+// files them, go into one more chain, ledger/<process>/takeover. The author of
 // an entry there has read all entries below it, and files nothing that stands
 // in one. The entries are serial, so no bill can stand in two; spec/billing.pml
 // is the model of it.
@@ -22,8 +22,8 @@
 //	led.Add(bill)                            // before an agent is told
 //	copy := ledger.Copy{Floor: floor, Bill: bill}
 //	go led.Serve(ctx)                        // writes segments
-//	heir := ledger.NewHeir(deps, store, led)
-//	go heir.Serve(ctx)                       // files bills of gone processes
+//	successor := ledger.NewSuccessor(deps, store, led)
+//	go successor.Serve(ctx)                       // files bills of gone processes
 //	led.Close(10 * time.Second)              // at a planned stop
 //	acc, err := ledger.Sum(ctx, store)
 package ledger
@@ -86,16 +86,16 @@
 }
 
 // Floor is the first entry of each of a process's chains that can hold a
-// bill. Without it an heir would have to read the chains from their beginning,
+// bill. Without it a successor would have to read the chains from their beginning,
 // which after a day of segments are thousands of calls of the store.
 type Floor struct {
-	Own    uint64 `json:"own"`
-	Estate uint64 `json:"estate"`
+	Own      uint64 `json:"own"`
+	Takeover uint64 `json:"takeover"`
 }
 
 // lower returns the floor below both.
 func (fl Floor) lower(other Floor) Floor {
-	return Floor{Own: min(fl.Own, other.Own), Estate: min(fl.Estate, other.Estate)}
+	return Floor{Own: min(fl.Own, other.Own), Takeover: min(fl.Takeover, other.Takeover)}
 }
 
 // Copy is what an agent keeps of a bill until it is durable. The floor is
--- a/core/ledger/chains.go
+++ b/core/ledger/chains.go
@@ -30,21 +30,21 @@
 
 // chains are the two chains of a process.
 type chains struct {
-	store       core.Store
-	process     core.ProcessID
-	own, estate *chain.Chain
+	store         core.Store
+	process       core.ProcessID
+	own, takeover *chain.Chain
 }
 
 func openChains(st core.Store, process core.ProcessID) *chains {
 	name := Prefix + string(process)
-	return &chains{store: st, process: process, own: chain.New(st, name), estate: chain.New(st, name+"/estate")}
+	return &chains{store: st, process: process, own: chain.New(st, name), takeover: chain.New(st, name+"/takeover")}
 }
 
 // enlist puts the process into the index. It must precede the first entry of
 // a chain: bills of a process that is not in the index would be durable and
 // yet on nobody's account.
 //
-// It reads first: heirs mostly find the process enlisted, and the store takes
+// It reads first: successors mostly find the process enlisted, and the store takes
 // several times as many reads as writes.
 func (ch *chains) enlist(ctx context.Context) error {
 	key := index + string(ch.process)
--- a/core/ledger/copies/copies.go
+++ b/core/ledger/copies/copies.go
@@ -25,7 +25,7 @@
 
 const (
 	// goneAfter is how long all links of a process must have been away before
-	// an heir is asked. A link that broke is dialled again within three
+	// a successor is asked. A link that broke is dialled again within three
 	// seconds, so a shorter bound would seal ledgers of entries that are well.
 	// That costs the entry a read for each later segment and nothing else;
 	// being wrong is safe.
@@ -35,7 +35,7 @@
 	// a usual fleet. A copy that old means that the word of its being durable
 	// was lost with a link, or that the entry had no room for the bill.
 	remindAfter = time.Minute
-	// again is the pause between two offers of one process's bills. The heir
+	// again is the pause between two offers of one process's bills. The successor
 	// needs a second or two; after this time it is taken for paused, dead or
 	// without the store, and the next one by preference is asked as well. The
 	// pause doubles up to doublings times: while the store is down for hours,
@@ -180,7 +180,7 @@
 		}
 		if ho := ow.offer(now, ripe); len(ho.Bills) > 0 {
 			ho.Process = id
-			ho.To = heir(id, linked, ow.round)
+			ho.To = successor(id, linked, ow.round)
 			if ho.To != "" {
 				out = append(out, ho)
 			}
@@ -227,11 +227,11 @@
 	return ho
 }
 
-// heir chooses who is asked: the process itself while it is linked, else the
+// successor chooses who is asked: the process itself while it is linked, else the
 // linked entries in their order by rendezvous hashing, one further in each
-// round. All agents of a region so prefer the same heir and it reads the
+// round. All agents of a region so prefer the same successor and it reads the
 // chains once for all of them. Another choice would cost reads only.
-func heir(id core.ProcessID, linked []core.ProcessID, round int) core.ProcessID {
+func successor(id core.ProcessID, linked []core.ProcessID, round int) core.ProcessID {
 	if len(linked) == 0 {
 		return ""
 	}
--- a/core/ledger/copies/copies_test.go
+++ b/core/ledger/copies/copies_test.go
@@ -33,7 +33,7 @@
 	}{
 		{"a linked entry is reminded of old copies only", []core.ProcessID{"gone", "a"}, 0, 80 * time.Second, false,
 			[]ask{{60 * time.Second, "gone", 2}, {75 * time.Second, "gone", 2}}},
-		{"one heir is asked, and another when it stays silent", []core.ProcessID{"a", "b"}, 0, 30 * time.Second, false,
+		{"one successor is asked, and another when it stays silent", []core.ProcessID{"a", "b"}, 0, 30 * time.Second, false,
 			[]ask{{10 * time.Second, "b", 2}, {25 * time.Second, "a", 2}}},
 		{"no one is asked again once the bills are durable", []core.ProcessID{"a", "b"}, 12 * time.Second, 60 * time.Second, false,
 			[]ask{{10 * time.Second, "b", 2}}},
--- a/core/ledger/figures_test.go
+++ b/core/ledger/figures_test.go
@@ -81,7 +81,7 @@
 	figure.Plain("ledger-add", float64(res.NsPerOp())/1000, "us")
 }
 
-// measureInherit counts what one pass of an heir costs after an hour of an
+// measureInherit counts what one pass of a successor costs after an hour of an
 // entry's segments, with the last eight seconds of bills to look up.
 func measureInherit(t *testing.T) {
 	st, deps := newMemory(), core.NewDeps()
@@ -102,9 +102,9 @@
 	}
 	reads, writes := st.reads, st.writes
 	other := core.NewDeps()
-	done, err := ledger.NewHeir(other, st, ledger.New(other, st)).File(t.Context(), deps.Self, copies)
+	done, err := ledger.NewSuccessor(other, st, ledger.New(other, st)).File(t.Context(), deps.Self, copies)
 	assert.NilError(t, err)
 	assert.Equal(t, len(done), len(copies))
-	figure.Plain("ledger-heir-pass-store-reads", float64(st.reads-reads), "calls")
-	figure.Plain("ledger-heir-pass-store-writes", float64(st.writes-writes), "calls")
+	figure.Plain("ledger-successor-pass-store-reads", float64(st.reads-reads), "calls")
+	figure.Plain("ledger-successor-pass-store-writes", float64(st.writes-writes), "calls")
 }
--- a/core/ledger/once_test.go
+++ b/core/ledger/once_test.go
@@ -18,13 +18,13 @@
 )
 
 // world is one entry process, the agent that works for it and two entries that
-// may become its heirs. Each has its own faulty way to one store.
+// may become its successors. Each has its own faulty way to one store.
 type world struct {
-	st    *memory
-	ways  []*flaky
-	led   *ledger.Writer
-	heirs []*ledger.Heir
-	own   *ledger.Heir
+	st         *memory
+	ways       []*flaky
+	led        *ledger.Writer
+	successors []*ledger.Successor
+	own        *ledger.Successor
 	// bills counts those that the agent was told of.
 	bills int
 	dead  bool
@@ -43,11 +43,11 @@
 	deps := core.NewDeps()
 	deps.Self = "gone"
 	wo.led = ledger.New(deps, wo.way(seed), ledger.Memory(small), ledger.OnDurable(wo.forget))
-	wo.own = ledger.NewHeir(deps, wo.ways[0], wo.led)
+	wo.own = ledger.NewSuccessor(deps, wo.ways[0], wo.led)
 	for i := range 2 {
-		deps.Self = core.ProcessID(fmt.Sprint("heir-", i))
+		deps.Self = core.ProcessID(fmt.Sprint("successor-", i))
 		way := wo.way(seed + uint64(i) + 1)
-		wo.heirs = append(wo.heirs, ledger.NewHeir(deps, way, ledger.New(deps, way)))
+		wo.successors = append(wo.successors, ledger.NewSuccessor(deps, way, ledger.New(deps, way)))
 	}
 	return wo
 }
@@ -97,9 +97,9 @@
 	}()
 }
 
-// offer hands the agent's copies to an heir, or back to the entry itself.
+// offer hands the agent's copies to a successor, or back to the entry itself.
 func (wo *world) offer(t *rapid.T) {
-	he := rapid.SampledFrom(append(wo.heirs, wo.own)).Draw(t, "heir")
+	he := rapid.SampledFrom(append(wo.successors, wo.own)).Draw(t, "successor")
 	if held := wo.held(); len(held) > 0 && (he != wo.own || !wo.dead) {
 		go wo.file(he, held)
 	}
@@ -115,7 +115,7 @@
 	return held
 }
 
-func (wo *world) file(he *ledger.Heir, held []ledger.Copy) {
+func (wo *world) file(he *ledger.Successor, held []ledger.Copy) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if done, err := he.File(ctx, "gone", held); err == nil {
@@ -145,7 +145,7 @@
 	assert.Equal(t, len(wo.wrong), 0, "%v", wo.wrong)
 }
 
-// end heals the store, lets every pause pass, and has one heir file what the
+// end heals the store, lets every pause pass, and has one successor file what the
 // agent still holds. Then each bill stands there once.
 func (wo *world) end(t *rapid.T) {
 	for _, way := range wo.ways {
@@ -156,7 +156,7 @@
 		assert.NilError(t, wo.led.Flush(context.Background()))
 	}
 	if held := wo.held(); len(held) > 0 {
-		wo.file(wo.heirs[0], held)
+		wo.file(wo.successors[0], held)
 	}
 	wo.check(t)
 	acc, err := ledger.Sum(context.Background(), wo.st)
@@ -166,7 +166,7 @@
 }
 
 // The store loses replies, refuses, and applies writes late; the entry and its
-// heirs are paused in the middle of a write, wake much later, or die. Agents
+// successors are paused in the middle of a write, wake much later, or die. Agents
 // offer their copies whenever they take the entry for gone. A customer must
 // find each whole answer on the account once, whatever the order.
 func TestEachBillStandsOnce(t *testing.T) {
--- a/core/ledger/heir.go
+++ b/core/ledger/successor.go
@@ -12,10 +12,10 @@
 	"skylarkstand/core/event"
 )
 
-// Heir files the bills of processes that agents take for gone, and hands those
-// of this process back to its writer. Any entry may be the heir of any
+// Successor files the bills of processes that agents take for gone, and hands those
+// of this process back to its writer. Any entry may be the successor of any
 // process, also two at once: the chains decide. It is safe for concurrent use.
-type Heir struct {
+type Successor struct {
 	deps   core.Deps
 	store  core.Store
 	own    *Writer
@@ -32,9 +32,9 @@
 	size    int64
 }
 
-// NewHeir returns an heir that knows the process's own writer.
-func NewHeir(deps core.Deps, st core.Store, own *Writer) *Heir {
-	return &Heir{deps: deps, store: st, own: own, offers: make(chan Offer, maxOffers)}
+// NewSuccessor returns a successor that knows the process's own writer.
+func NewSuccessor(deps core.Deps, st core.Store, own *Writer) *Successor {
+	return &Successor{deps: deps, store: st, own: own, offers: make(chan Offer, maxOffers)}
 }
 
 const (
@@ -52,7 +52,7 @@
 )
 
 // Offer takes copies in their stored form. It does not block.
-func (he *Heir) Offer(process core.ProcessID, raws [][]byte, durable func([]core.AttemptID)) {
+func (su *Successor) Offer(process core.ProcessID, raws [][]byte, durable func([]core.AttemptID)) {
 	of := Offer{Process: process, Durable: durable}
 	for _, raw := range raws {
 		var co Copy
@@ -62,45 +62,45 @@
 		of.Copies = append(of.Copies, co)
 		of.size += int64(len(raw))
 	}
-	if len(of.Copies) == 0 || he.size.Load()+of.size > maxOffered {
+	if len(of.Copies) == 0 || su.size.Load()+of.size > maxOffered {
 		return
 	}
-	he.size.Add(of.size)
+	su.size.Add(of.size)
 	select {
-	case he.offers <- of:
+	case su.offers <- of:
 	default:
-		he.size.Add(-of.size)
+		su.size.Add(-of.size)
 	}
 }
 
 // Serve files what is offered until the context ends.
-func (he *Heir) Serve(ctx context.Context) error {
+func (su *Successor) Serve(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case of := <-he.offers:
-			batch := he.collect(ctx, of)
+		case of := <-su.offers:
+			batch := su.collect(ctx, of)
 			for _, id := range sortedKeys(batch) {
-				he.pass(ctx, id, batch[id])
+				su.pass(ctx, id, batch[id])
 			}
 		}
 	}
 }
 
 // collect gathers the offers that come shortly after one another, by process.
-func (he *Heir) collect(ctx context.Context, of Offer) map[core.ProcessID][]Offer {
+func (su *Successor) collect(ctx context.Context, of Offer) map[core.ProcessID][]Offer {
 	select {
 	case <-time.After(gather):
 	case <-ctx.Done():
 	}
 	batch := map[core.ProcessID][]Offer{of.Process: {of}}
-	he.size.Add(-of.size)
+	su.size.Add(-of.size)
 	for {
 		select {
-		case of := <-he.offers:
+		case of := <-su.offers:
 			batch[of.Process] = append(batch[of.Process], of)
-			he.size.Add(-of.size)
+			su.size.Add(-of.size)
 		default:
 			return batch
 		}
@@ -108,17 +108,17 @@
 }
 
 // pass files the offers of one process and tells the agents what is durable.
-func (he *Heir) pass(ctx context.Context, id core.ProcessID, ofs []Offer) {
+func (su *Successor) pass(ctx context.Context, id core.ProcessID, ofs []Offer) {
 	ctx, cancel := context.WithTimeout(ctx, inheritLimit)
 	defer cancel()
 	var all []Copy
 	for _, of := range ofs {
 		all = append(all, of.Copies...)
 	}
-	done, err := he.File(ctx, id, all)
+	done, err := su.File(ctx, id, all)
 	if err != nil {
 		// The agents keep their copies and offer them again.
-		event.Log(he.deps.Log, event.EstateLate, "process", id, "error", err)
+		event.Log(su.deps.Log, event.TakeoverLate, "process", id, "error", err)
 		return
 	}
 	stands := idSet{}
@@ -140,11 +140,11 @@
 
 // File files the copies of a process's bills where they lack and returns those
 // that stand in the store. After an error nothing is known of them.
-func (he *Heir) File(ctx context.Context, id core.ProcessID, copies []Copy) ([]core.AttemptID, error) {
-	if id == he.deps.Self {
-		return he.own.Reclaim(ctx, copies)
+func (su *Successor) File(ctx context.Context, id core.ProcessID, copies []Copy) ([]core.AttemptID, error) {
+	if id == su.deps.Self {
+		return su.own.Reclaim(ctx, copies)
 	}
-	chs := openChains(he.store, id)
+	chs := openChains(su.store, id)
 	if err := chs.enlist(ctx); err != nil {
 		return nil, err
 	}
@@ -153,15 +153,15 @@
 	if err != nil {
 		return nil, err
 	}
-	ta, err = readTail(ctx, chs.estate, fl.Estate, ta.found)
+	ta, err = readTail(ctx, chs.takeover, fl.Takeover, ta.found)
 	if err != nil {
 		return nil, err
 	}
 	lacks, all := lacking(copies, ta.found)
-	if err := fileLacking(ctx, chs.estate, ta, lacks); err != nil {
+	if err := fileLacking(ctx, chs.takeover, ta, lacks); err != nil {
 		return nil, err
 	}
-	event.Log(he.deps.Log, event.EstateFiled, "process", id, "offered", len(all), "lacked", len(lacks))
+	event.Log(su.deps.Log, event.TakeoverFiled, "process", id, "offered", len(all), "lacked", len(lacks))
 	return all, nil
 }
 
@@ -202,7 +202,7 @@
 	return lacks, seen.list()
 }
 
-// fileLacking appends bills to the estate. Entry n is created only after all
+// fileLacking appends bills to the takeover chain. Entry n is created only after all
 // entries below it were read, here and by the caller; an entry that somebody
 // else wrote meanwhile is read, and what it holds is left out.
 func fileLacking(ctx context.Context, ch *chain.Chain, ta tail, lacks []waiting) error {
--- a/core/ledger/sum.go
+++ b/core/ledger/sum.go
@@ -70,9 +70,9 @@
 // read returns the bills of both chains of a process.
 func (acc *Account) read(ctx context.Context, chs *chains) ([]Bill, error) {
 	name := Prefix + string(chs.process)
-	// The estate goes first: the seal stood before its first entry, so it is
+	// The takeover chain goes first: the seal stood before its first entry, so it is
 	// there when the own chain is read, also while both grow.
-	estate, _, err := acc.readChain(ctx, chs, chs.estate, name+"/estate")
+	takeover, _, err := acc.readChain(ctx, chs, chs.takeover, name+"/takeover")
 	if err != nil {
 		return nil, err
 	}
@@ -80,10 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(estate) > 0 && !sealed {
-		acc.fault("%s has an estate but no seal", name)
+	if len(takeover) > 0 && !sealed {
+		acc.fault("%s has a takeover chain but no seal", name)
 	}
-	return append(own, estate...), nil
+	return append(own, takeover...), nil
 }
 
 // readChain reads a chain to its end. An absent entry is the end unless the
--- a/core/ledger/writer.go
+++ b/core/ledger/writer.go
@@ -86,7 +86,7 @@
 	wr := &Writer{
 		deps: deps, chains: openChains(st, deps.Self), shortest: defaultPace,
 		live: func() int { return 1 }, durable: func([]core.AttemptID) {},
-		queue: queue{limit: defaultMemory}, turn: make(chan struct{}, 1), floor: Floor{Own: 1, Estate: 1},
+		queue: queue{limit: defaultMemory}, turn: make(chan struct{}, 1), floor: Floor{Own: 1, Takeover: 1},
 	}
 	for _, opt := range opts {
 		opt(wr)
@@ -102,7 +102,7 @@
 }
 
 // Add files a bill for the next segment. It does not block. It comes before an
-// agent is told of the bill: an heir could otherwise file the agent's copy in
+// agent is told of the bill: a successor could otherwise file the agent's copy in
 // an entry that this writer has read already, and the bill would stand twice.
 func (wr *Writer) Add(bi Bill) {
 	raw, err := json.Marshal(bi)
@@ -225,7 +225,7 @@
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
 	if wr.sealed {
-		return wr.chains.estate, wr.floor.Estate
+		return wr.chains.takeover, wr.floor.Takeover
 	}
 	return wr.chains.own, wr.floor.Own
 }
@@ -235,7 +235,7 @@
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
 	if wr.sealed {
-		wr.floor.Estate = n + 1
+		wr.floor.Takeover = n + 1
 	} else {
 		wr.floor.Own = n + 1
 	}
@@ -254,10 +254,10 @@
 	wr.durable(ids)
 }
 
-// goOver leaves the own chain, which an heir has sealed at entry n because it
-// took this process for gone. Writing on in it would file bills that the heir
+// goOver leaves the own chain, which a successor has sealed at entry n because it
+// took this process for gone. Writing on in it would file bills that the successor
 // has filed from the agents' copies; one would notice doubled bills after each
-// long pause of an entry. In the estate every entry of an heir is read before
+// long pause of an entry. In the takeover chain every entry of a successor is read before
 // the next one is written.
 func (wr *Writer) goOver(n uint64) {
 	wr.mu.Lock()
@@ -266,7 +266,7 @@
 	event.Log(wr.deps.Log, event.LedgerSealed, "process", wr.deps.Self, "entry", n)
 }
 
-// stepOver reads an entry that an heir wrote. What it holds is durable and
+// stepOver reads an entry that a successor wrote. What it holds is durable and
 // must not be written again.
 func (wr *Writer) stepOver(ctx context.Context, ch *chain.Chain, n uint64) error {
 	en, err := ch.Read(ctx, n)
@@ -302,7 +302,7 @@
 	fl := lowest(copies)
 	ta, err := readTail(ctx, wr.chains.own, fl.Own, idSet{})
 	if err == nil && ta.sealed {
-		ta, err = readTail(ctx, wr.chains.estate, fl.Estate, ta.found)
+		ta, err = readTail(ctx, wr.chains.takeover, fl.Takeover, ta.found)
 	}
 	if err != nil {
 		return nil, err
--- a/io/entry/bills.go
+++ b/io/entry/bills.go
@@ -88,10 +88,10 @@
 	}
 }
 
-// strandedLimit bounds how long a planned stop waits for an heir.
+// strandedLimit bounds how long a planned stop waits for a successor.
 const strandedLimit = 5 * time.Second
 
-// drain hands the copies of entries that are not linked to an heir and waits
+// drain hands the copies of entries that are not linked to a successor and waits
 // until they are durable. An agent that stopped shortly after an entry died
 // would otherwise take the last trace of its bills along.
 func (bl *bills) drain(ctx context.Context) {
--- a/io/entry/bills_test.go
+++ b/io/entry/bills_test.go
@@ -47,7 +47,7 @@
 			defer cancel()
 			go bl.serve(ctx)
 			handed := 0
-			connect(ctx, &bl, "heir", func(co *link.Control, to *frame.Told) {
+			connect(ctx, &bl, "successor", func(co *link.Control, to *frame.Told) {
 				assert.Equal(t, to.Process, "gone")
 				handed += len(to.Bills)
 				_ = co.Send(&frame.Frame{Body: &frame.Frame_Durable{Durable: &frame.Durable{Attempts: []string{"a1", "a2"}}}})
--- a/spec/billing.pml
+++ b/spec/billing.pml
@@ -2,14 +2,14 @@
  *
  * An entry process P files its bills in its own chain. The agents hold a copy
  * of each bill until they are told that it is durable. When an agent takes P
- * for gone it gives what it holds to an heir, which seals P's chain. After the
+ * for gone it gives what it holds to a successor, which seals P's chain. After the
  * seal there is one place for all further bills of P, whoever files them: the
- * chain "estate". An author may create entry n of it only after it has read all
+ * chain "takeover". An author may create entry n of it only after it has read all
  * entries below n of both chains, and files nothing that stands there.
  *
  * The model takes the worst case throughout. Each process may stand still
  * between any two steps, P may be taken for gone at any time and wake at any
- * time, P and one heir may end at any step (an heir that stands still for ever
+ * time, P and one successor may end at any step (a successor that stands still for ever
  * has ended for the others). A write is sent, and the store applies it at any
  * later time, also after its author ended, or never. The reply of every write
  * is lost, so that an author always settles it by reading the key and, while
@@ -17,18 +17,18 @@
  * it takes back what the agent holds and no entry has, at any time.
  *
  * Properties (assertions): no bill stands in two entries; an agent forgets
- * only what stands in the store; once P is gone and one heir has ended its
+ * only what stands in the store; once P is gone and one successor has ended its
  * work, each bill that an agent was told of stands in the store. No process
  * waits for ever (no invalid end state).
  *
  * Bounds: 2 bills, one owner with a thread that settles and one that writes,
- * 2 heirs, one agent. Not modelled: an agent that restarts loses its copies;
+ * 2 successors, one agent. Not modelled: an agent that restarts loses its copies;
  * the floor from which chains are read is taken as their beginning.
  */
-// mutation: HEIR_BLIND      an heir files without reading the estate
-// mutation: NO_SEAL         an heir files without sealing the owner's chain
+// mutation: SUCCESSOR_BLIND      a successor files without reading the takeover chain
+// mutation: NO_SEAL         a successor files without sealing the owner's chain
 // mutation: PAST_SEAL       the owner goes on in its own chain after a seal
-// mutation: OWNER_BLIND     the owner files in the estate what heirs filed there
+// mutation: OWNER_BLIND     the owner files in the takeover chain what successors filed there
 // mutation: FORGET_EARLY    an agent forgets a bill when it is settled
 // mutation: FORGET_SENT     an agent is told durable when the write was sent
 // mutation: TELL_FIRST      the agent is told before the bill waits at the owner
@@ -38,14 +38,14 @@
 #define ALL   3            /* a bit for each bill */
 #define SEAL  4
 #define LEN   7
-#define OWNER 2            /* authors: heirs 0 and 1, and the owner */
+#define OWNER 2            /* authors: successors 0 and 1, and the owner */
 
-byte own[LEN], estate[LEN];        /* what stands in the store; 0 is absent */
-byte ownBy[LEN], estateBy[LEN];    /* its author, which stands for the nonce */
+byte own[LEN], takeover[LEN];        /* what stands in the store; 0 is absent */
+byte ownBy[LEN], takeoverBy[LEN];    /* its author, which stands for the nonce */
 byte billed;                       /* bills that stand in the store */
 
 /* One write on its way to the store for each author. */
-bool sent[3], toEstate[3];
+bool sent[3], toTakeover[3];
 byte number[3], content[3];
 
 byte pending;   /* bills that wait at the owner */
@@ -54,7 +54,7 @@
 byte ended;     /* threads of the owner that ended */
 
 inline send(a, est, n, c) {
-	sent[a] = true; toEstate[a] = est; number[a] = n; content[a] = c
+	sent[a] = true; toTakeover[a] = est; number[a] = n; content[a] = c
 }
 
 inline forget(bills) {
@@ -75,11 +75,11 @@
 		fi;
 		sent[a] = false;
 		if
-		:: toEstate[a] && estate[number[a]] == 0 ->
-			estate[number[a]] = content[a]; estateBy[number[a]] = a;
+		:: toTakeover[a] && takeover[number[a]] == 0 ->
+			takeover[number[a]] = content[a]; takeoverBy[number[a]] = a;
 			assert((billed & content[a]) == 0);
 			billed = billed | content[a]
-		:: !toEstate[a] && own[number[a]] == 0 ->
+		:: !toTakeover[a] && own[number[a]] == 0 ->
 			own[number[a]] = content[a]; ownBy[number[a]] = a;
 			assert((billed & content[a] & ALL) == 0);
 			billed = billed | (content[a] & ALL)
@@ -134,7 +134,7 @@
 	};
 	atomic {
 		do
-		:: sealed && estate[k] != 0 -> seen = seen | estate[k]; k++
+		:: sealed && takeover[k] != 0 -> seen = seen | takeover[k]; k++
 		:: else -> break
 		od;
 		sealed = false; k = 0
@@ -146,7 +146,7 @@
 /* The owner's writer. */
 proctype Write() {
 	byte n, batch, want, seen, k;
-	bool over, sealed;          /* over: it writes to the estate */
+	bool over, sealed;          /* over: it writes to the takeover chain */
 	do
 	:: true -> break            /* the owner ends here */
 	:: reclaim()
@@ -158,7 +158,7 @@
 		:: true -> goto gone
 		:: reclaim()            /* while a write is not settled */
 		:: atomic { !over && own[n] == 0 && !sent[OWNER] -> send(OWNER, over, n, batch) }
-		:: atomic { over && estate[n] == 0 && !sent[OWNER] -> send(OWNER, over, n, batch) }
+		:: atomic { over && takeover[n] == 0 && !sent[OWNER] -> send(OWNER, over, n, batch) }
 #ifdef FRESH_NONCE
 		:: atomic { !over && own[n] != 0 && own[n] != SEAL -> n++; batch = 0; break }
 #else
@@ -169,11 +169,11 @@
 #else
 		:: atomic { !over && own[n] == SEAL -> over = true; n = 0; batch = 0; break }
 #endif
-		:: atomic { over && estate[n] != 0 && estateBy[n] == OWNER -> pending = pending & ~batch; n++; break }
+		:: atomic { over && takeover[n] != 0 && takeoverBy[n] == OWNER -> pending = pending & ~batch; n++; break }
 #ifdef OWNER_BLIND
-		:: atomic { over && estate[n] != 0 && estateBy[n] != OWNER -> n++; batch = 0; break }
+		:: atomic { over && takeover[n] != 0 && takeoverBy[n] != OWNER -> n++; batch = 0; break }
 #else
-		:: atomic { over && estate[n] != 0 && estateBy[n] != OWNER -> batch = estate[n]; pending = pending & ~batch; n++; break }
+		:: atomic { over && takeover[n] != 0 && takeoverBy[n] != OWNER -> batch = takeover[n]; pending = pending & ~batch; n++; break }
 #endif
 		od;
 		atomic { forget(batch); batch = 0 }
@@ -182,7 +182,7 @@
 	atomic { n = 0; batch = 0; over = false; ended++ }
 }
 
-proctype Heir(byte me) {
+proctype Successor(byte me) {
 	byte n, want, seen;
 	do
 	:: me == 1 -> break         /* … or it stands still for ever somewhere below */
@@ -202,23 +202,23 @@
 #endif
 		od;
 		do
-#ifdef HEIR_BLIND
-		:: atomic { estate[n] != 0 && estateBy[n] != me -> n++ }
-		:: atomic { estate[n] != 0 && estateBy[n] == me -> seen = seen | estate[n]; n++ }
+#ifdef SUCCESSOR_BLIND
+		:: atomic { takeover[n] != 0 && takeoverBy[n] != me -> n++ }
+		:: atomic { takeover[n] != 0 && takeoverBy[n] == me -> seen = seen | takeover[n]; n++ }
 #else
-		:: atomic { estate[n] != 0 ->
+		:: atomic { takeover[n] != 0 ->
 			do
-			:: estate[n] != 0 -> seen = seen | estate[n]; n++
+			:: takeover[n] != 0 -> seen = seen | takeover[n]; n++
 			:: else -> break
 			od }
 #endif
-		:: atomic { estate[n] == 0 && (want & ~seen) != 0 && !sent[me] -> send(me, true, n, (want & ~seen)) }
-		:: atomic { estate[n] == 0 && (want & ~seen) == 0 -> break }
+		:: atomic { takeover[n] == 0 && (want & ~seen) != 0 && !sent[me] -> send(me, true, n, (want & ~seen)) }
+		:: atomic { takeover[n] == 0 && (want & ~seen) == 0 -> break }
 		od;
 		atomic { forget(want); want = 0; seen = 0; n = 0 }
 	od
 }
 
 init {
-	atomic { run Store(); run Settle(); run Write(); run Heir(0); run Heir(1) }
+	atomic { run Store(); run Settle(); run Write(); run Successor(0); run Successor(1) }
 }
--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -54,8 +54,8 @@
 		Text: "Each request is billed once.",
 		Proofs: []Proof{
 			{"after every cell each whole answer has one bill and no request has two", cells},
-			{"model of entry, heirs and agents, with its mutations", models},
-			{"the real writer, heirs and agents over a store that loses replies", "go test ./core/ledger/..."},
+			{"model of entry, successors and agents, with its mutations", models},
+			{"the real writer, successors and agents over a store that loses replies", "go test ./core/ledger/..."},
 		},
 		Open: "When an entry and the agent that kept its usage are killed before the segment is durable, the bill is lost.",
 	},
