--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BIN := bin
 
-.PHONY: build demo test measure generate lint
+.PHONY: build demo test soak measure generate lint
 
 build:
 	go build -o $(BIN)/ . ./standin
@@ -13,6 +13,9 @@
 test:
 	scripts/test
 
+soak:
+	scripts/soak
+
 measure: build
 	scripts/measure
 
--- a/core/chain/chain_test.go
+++ b/core/chain/chain_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,17 +16,11 @@
 
 	"skylarkstand/core/chain"
 	"skylarkstand/test/fakestore"
+	"skylarkstand/test/property"
 )
 
 // TestMain fixes the seed of the properties unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("4")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "4") }
 
 // bubbled hides the deadline of a test, which cannot be read in a bubble of
 // virtual time.
--- a/core/claim/world_test.go
+++ b/core/claim/world_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,17 +14,11 @@
 	"skylarkstand/core"
 	"skylarkstand/core/claim"
 	"skylarkstand/test/fakestore"
+	"skylarkstand/test/property"
 )
 
 // TestMain fixes the seed of the properties unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("4")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, "4") }
 
 func request(key string, id core.AttemptID) claim.Request {
 	return claim.Request{
--- a/core/declaration/split_test.go
+++ b/core/declaration/split_test.go
@@ -1,7 +1,6 @@
 package declaration_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -11,15 +10,12 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/routing"
+	"skylarkstand/test/property"
 )
 
 // The verdict of a change must not depend on the day: one seed for all runs,
 // unless -rapid.seed names another.
-func init() {
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-}
+func TestMain(m *testing.M) { property.Main(m, "20261202") }
 
 // arbitrary draws a document out of few names, so that clashes, gaps and slips
 // are frequent.
--- a/core/ledger/once_test.go
+++ b/core/ledger/once_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +13,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/ledger"
+	"skylarkstand/test/property"
 )
 
 // world is one entry process, the agent that works for it and two entries that
@@ -191,11 +190,5 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, val := range map[string]string{"rapid.seed": seed, "rapid.checks": checks} {
-		if fl := flag.Lookup(name); fl.Value.String() == fl.DefValue {
-			_ = flag.Set(name, val)
-		}
-	}
-	os.Exit(m.Run())
+	property.Main(m, seed, property.Setting{Name: "rapid.checks", Value: checks})
 }
--- /dev/null
+++ b/io/peer/main_test.go
@@ -0,0 +1,10 @@
+package peer_test
+
+import (
+	"testing"
+
+	"skylarkstand/test/property"
+)
+
+// TestMain fixes the seed of the properties unless one is given.
+func TestMain(m *testing.M) { property.Main(m, "4") }
