Write ledger segments as often as the budget really allows

Cause: the pace still reckoned two writes a segment, the entry and the hint of the head, but a chain moves its head once in eight entries since claims came.

Change: the pace takes the chain's own constant.

--- a/core/chain/chain.go
+++ b/core/chain/chain.go
@@ -136,7 +136,7 @@
 	case err == nil:
 		// The seal moves the head too: it is the last entry, so an entry that
 		// is lost before it can be told from a chain that never had it.
-		if n%hintEvery == 0 || rec.Seal {
+		if n%HintEvery == 0 || rec.Seal {
 			ch.hint(ctx, n)
 		}
 		return nil
@@ -251,9 +251,9 @@
 	return n, nil
 }
 
-// hintEvery is how many entries pass between two moves of the head. A move
+// HintEvery is how many entries pass between two moves of the head. A move
 // takes two calls and saves its readers at most this many.
-const hintEvery = 8
+const HintEvery = 8
 
 // hint moves the head forward, at best effort.
 func (ch *Chain) hint(ctx context.Context, n uint64) {
--- a/core/ledger/pace.go
+++ b/core/ledger/pace.go
@@ -6,11 +6,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkstand/core"
+	"skylarkstand/core/chain"
 )
 
 // writesPerSegment is what one segment costs the store in writes: the entry
-// itself, and the chain's hint of its head.
-const writesPerSegment = 2
+// itself, and its part of the chain's hint of its head.
+const writesPerSegment = 1 + 1.0/chain.HintEvery
 
 // Interval returns the time between two segments of one entry process, from
 // the writes a second that all ledgers together may take of the store and the
@@ -29,7 +30,7 @@
 	if budget <= 0 {
 		return shortest
 	}
-	secs := float64(writesPerSegment*max(live, 1)) / budget
+	secs := writesPerSegment * float64(max(live, 1)) / budget
 	return max(shortest, time.Duration(secs*float64(time.Second)))
 }
 
