Admit a chat request to the pool that it will begin on

Cause: admission took a cascade's first stage for the pool, while the dispatcher may begin with a later one or with the stable version in place of a halted one; the wrong pool's queue was asked, and the choice was made twice.

Change: the dispatcher decides once what a request begins on (First) and Chat keeps to it, unless the configuration changed or the version was halted while the request waited. TestHaltReachesARequestThatWaits fails without that check (the caller met v2) and passes with it. core/dispatch and io/caller green with -race; make demo holds.

--- a/core/dispatch/chat.go
+++ b/core/dispatch/chat.go
@@ -15,25 +15,66 @@
 
 // Chat runs a request for a model or cascade.
 func (dis *Dispatcher) Chat(ctx context.Context, rq *Request) (*Outcome, error) {
+	pd, err := dis.plan(rq)
+	if err != nil {
+		return nil, err
+	}
+	out := &Outcome{dis: dis, rq: rq, Cascade: pd.plan.Cascade}
+	wk := &walk{dis: dis, planned: pd, rq: rq, out: out, began: time.Now(), ran: make([]bool, len(pd.plan.Stages))}
+	if err := wk.run(ctx); err != nil {
+		return nil, out.fail(err)
+	}
+	return out, nil
+}
+
+// planned is what was decided of a request by one configuration.
+type planned struct {
+	sn   *declaration.Snapshot
+	plan routing.Plan
+	// qu is nil for a plan of one stage: there is nothing to decide.
+	qu    *cascade.Question
+	start cascade.Decision
+}
+
+// First decides what a chat request begins on and returns that version, so that
+// it is admitted to the upstreams that it will use. Chat keeps to the decision
+// unless the configuration changed meanwhile.
+func (dis *Dispatcher) First(rq *Request) (core.ModelVersion, error) {
+	pd, err := dis.plan(rq)
+	if err != nil {
+		return core.ModelVersion{}, err
+	}
+	return pd.plan.Stages[pd.start.Stage].Target, nil
+}
+
+func (dis *Dispatcher) plan(rq *Request) (*planned, error) {
 	sn := dis.inf.Current()
 	if sn == nil {
 		return nil, core.Refuse(core.CodeNoConfig, time.Second, "no configuration is known yet")
 	}
+	if rq.planned != nil && rq.planned.sn == sn && !dis.halted(rq.planned.plan) {
+		return rq.planned, nil
+	}
 	se := rq.Session
 	se.Halted = dis.judge.guard.Halted
 	plan, err := routing.Resolve(sn, rq.Workspace, rq.Model, se)
 	if err != nil {
 		return nil, err
 	}
-	out := &Outcome{dis: dis, rq: rq, Cascade: plan.Cascade}
-	wk := &walk{dis: dis, sn: sn, rq: rq, plan: plan, out: out, began: time.Now(), ran: make([]bool, len(plan.Stages))}
+	rq.planned = &planned{sn: sn, plan: plan, start: cascade.Decision{Final: true}}
 	if len(plan.Stages) > 1 {
-		wk.qu = question(sn, rq, plan)
+		rq.planned.qu = question(sn, rq, plan)
+		rq.planned.start = dis.judge.start(rq.planned.qu)
 	}
-	if err := wk.run(ctx); err != nil {
-		return nil, out.fail(err)
-	}
-	return out, nil
+	return rq.planned, nil
+}
+
+// halted reports whether a version that the plan joins was halted since. A
+// request may wait for its admission much longer than a halt takes to spread.
+func (dis *Dispatcher) halted(plan routing.Plan) bool {
+	return slices.ContainsFunc(plan.Stages, func(st routing.Stage) bool {
+		return st.Joined && dis.judge.guard.Halted(st.Target)
+	})
 }
 
 // assumedTokens is the length of an answer before any was seen, for the order
@@ -58,14 +99,11 @@
 
 // walk takes one request through the stages of its plan.
 type walk struct {
+	*planned
 	dis   *Dispatcher
-	sn    *declaration.Snapshot
 	rq    *Request
-	plan  routing.Plan
 	out   *Outcome
 	began time.Time
-	// qu is nil for a plan of one stage: there is nothing to decide.
-	qu *cascade.Question
 	// ran marks the stages that were run; kept is the last whole answer.
 	ran  []bool
 	kept *kept
@@ -85,7 +123,7 @@
 }
 
 func (wk *walk) run(ctx context.Context) error {
-	de := wk.start()
+	de := wk.start
 	for {
 		more, next, err := wk.step(ctx, de)
 		if err != nil && wk.restore(ctx) {
@@ -116,15 +154,13 @@
 	return fl
 }
 
-func (wk *walk) start() cascade.Decision {
-	switch {
-	case wk.qu == nil:
-		return cascade.Decision{Final: true}
-	case !wk.dis.judge.health.Ask(time.Now()):
-		return cascade.Decision{Stage: wk.qu.Fallback(), Final: true}
-	default:
-		return wk.dis.judge.learner.Start(time.Now(), wk.qu, rand.Float64())
+// start decides with which stage a cascade begins.
+func (jd *judge) start(qu *cascade.Question) cascade.Decision {
+	now := time.Now()
+	if !jd.health.Ask(now) {
+		return cascade.Decision{Stage: qu.Fallback(), Final: true}
 	}
+	return jd.learner.Start(now, qu, rand.Float64())
 }
 
 // step runs one stage and decides what comes after it.
--- a/core/dispatch/chat_test.go
+++ b/core/dispatch/chat_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+// A request of a new session waits half a minute for its admission, and the
+// version that was planned for it is halted meanwhile. It must not be the next
+// caller that meets the bad version.
+func TestHaltReachesARequestThatWaits(t *testing.T) {
+	inf, gu := inForce(t, declaration.RollOut{Model: "desk", Version: "v2", Percent: 50}), rollout.New()
+	gu.Follow(inf.Current())
+	dis := dispatch.New(core.NewDeps(), inf, &upstreams{}, &rater{}, &bills{}, dispatch.Guard(gu))
+	rq := &dispatch.Request{ID: "r1", Workspace: "ws", Model: "desk", Session: routing.Session{Draw: 0.1}}
+	first, err := dis.First(rq)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Version, core.VersionID("v2"))
+	assert.Assert(t, gu.Heed(rollout.Halt{Version: first}, inf.Number()))
+	out, err := dis.Chat(t.Context(), rq)
+	assert.NilError(t, err)
+	defer out.Close()
+	assert.Equal(t, out.Target.Version, core.VersionID("v1"))
+}
+
 // A version under roll-out answers badly. Its answers are rated although it
 // stands in no cascade, the caller does not wait for that, and the roll-out
 // ends.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -93,6 +93,8 @@
 	Prompt   []byte
 	Body     []byte
 
+	// planned is set once it is decided what a chat request begins on.
+	planned *planned
 	// claim is set for an operation that runs at most once.
 	claim *claim.Key
 }
--- a/io/caller/admit.go
+++ b/io/caller/admit.go
@@ -12,7 +12,6 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/placement"
-	"skylarkstand/core/routing"
 )
 
 // HeaderPriority orders a workspace's own requests: "high", "normal" or "low".
@@ -88,19 +87,15 @@
 	ad.srv.flying.Add(-1)
 }
 
-// chatPool is the pool that a chat request starts on. Later stages of a
+// chatPool is the pool that a chat request begins on. Later stages of a
 // cascade are not admitted again: refusing them would throw away what the
 // first has cost.
-func (srv *Server) chatPool(ws core.WorkspaceID, dr *dispatch.Request) (admission.Pool, error) {
-	sn := srv.inf.Current()
-	if sn == nil {
-		return admission.Pool{}, core.Refuse(core.CodeNoConfig, time.Second, "no configuration is known yet")
-	}
-	plan, err := routing.Resolve(sn, ws, dr.Model, dr.Session)
+func (srv *Server) chatPool(dr *dispatch.Request) (admission.Pool, error) {
+	first, err := srv.dis.First(dr)
 	if err != nil {
 		return admission.Pool{}, err
 	}
-	return admission.ModelPool(plan.Stages[0].Target), nil
+	return admission.ModelPool(first), nil
 }
 
 // servicePool is the pool of a plain service. A service that is not declared
--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	dr.Session = se
-	po, err := srv.chatPool(ws.ID, dr)
+	po, err := srv.chatPool(dr)
 	if err != nil {
 		return err
 	}
