--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -158,7 +158,10 @@
 	for {
 		data, err := ans.Next()
 		if errors.Is(err, io.EOF) {
+			// The slot is free before the end goes out with the state: told the
+			// other way round, an idle upstream would look busy by one.
 			us := ans.Usage()
+			ans.Close()
 			_ = wr.Write(&frame.Frame{Body: &frame.Frame_End{End: &frame.End{
 				Attempt: string(at.ID), PromptTokens: int64(us.Prompt), GeneratedTokens: int64(us.Generated), State: srv.state(),
 				ReplayOf: string(ans.ReplayOf()),
