Measure slopes of links, hand-on, store calls and the data path

A page on capacity needs costs per link, change, request and token that anybody can measure again, and not guesses. The program starts real entries and agents for what is weighed, and many small peers in one process.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BIN := bin
 
-.PHONY: build demo test measure generate lint
+.PHONY: build demo test measure slopes generate lint
 
 build:
 	go build -o $(BIN)/ . ./standin
@@ -21,3 +21,6 @@
 
 lint:
 	scripts/lint
+
+slopes: build
+	go run ./test/slopes
--- /dev/null
+++ b/test/slopes/entries.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/declaration"
+	"skylarkstand/core/spread"
+	"skylarkstand/core/suspect"
+	"skylarkstand/io/peer"
+)
+
+// measureEntries hands changes on between entries, over the links that
+// core/spread calls for, and weighs other ways by the costs that were
+// measured.
+func measureEntries(re *report) error {
+	var took, bytes, frames, links, rest []point
+	for _, size := range []int{5, 20, 60} {
+		me, err := startMesh(size)
+		if err != nil {
+			return err
+		}
+		ho, err := me.handOn()
+		if err != nil {
+			me.cancel()
+			return err
+		}
+		before := me.meter.read()
+		time.Sleep(meshRest)
+		rest = append(rest, point{float64(me.links), me.meter.read().since(before).bytes() / meshRest.Seconds()})
+		me.cancel()
+		num := float64(size)
+		took = append(took, point{num, ho.took})
+		bytes = append(bytes, point{num, ho.bytes})
+		frames = append(frames, point{num, ho.frames})
+		links = append(links, point{num, float64(me.links)})
+	}
+	re.add("entries-time", "time until all entries have a change of 100 workspaces that the readers of one zone had first, in one process", "entry", seconds, took)
+	re.add("entries-bytes", "bytes between all entries for such a change", "entry", bytesOf, bytes)
+	re.add("entries-frames", "frames with a message between all entries for such a change", "entry", frameCount, frames)
+	re.add("entries-links", "links between entries", "entry", number, links)
+	re.add("entries-link-idle", "bytes on links between entries at rest, both ways: keep-alives and notices", "link", bytesPerSecond, rest)
+	re.notes = append(re.notes, re.weighSpread(100))
+	return nil
+}
+
+// meshRest covers two rounds of keep-alives and of notices.
+const meshRest = 4 * time.Second
+
+// mesh is entries in this process, linked as core/spread calls for.
+type mesh struct {
+	hosts  []core.Host
+	infs   []*declaration.InForce
+	meter  meter
+	links  int
+	cancel context.CancelFunc
+}
+
+// meshZones shape the entries: four zones in two regions.
+var meshZones = []core.Host{
+	{Zone: "a-1", Region: "a"}, {Zone: "a-2", Region: "a"}, {Zone: "b-1", Region: "b"}, {Zone: "b-2", Region: "b"},
+}
+
+func startMesh(size int) (*mesh, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	me := &mesh{cancel: cancel}
+	var parts []*peer.Mesh
+	for i := range size {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		ho := meshZones[i%len(meshZones)]
+		ho.Role, ho.Addr = core.RoleEntry, li.Addr().String()
+		inf := declaration.NewInForce()
+		part := peer.New(core.NewDeps(), inf, suspect.New(), ho)
+		go func() { _ = part.Serve(ctx, meteredListener{li, &me.meter}) }()
+		me.hosts, me.infs, parts = append(me.hosts, ho), append(me.infs, inf), append(parts, part)
+	}
+	time.Sleep(50 * time.Millisecond) // Update does nothing before Serve runs.
+	for i, part := range parts {
+		me.links += len(spread.Peers(me.hosts, me.hosts[i]))
+		part.Update(me.hosts)
+	}
+	err := poll("links between entries", func() (bool, error) { return me.meter.conns.Load() >= int64(me.links), nil })
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	return me, nil
+}
+
+// handOn averages changes that only the readers of the first zone bring in,
+// which is the worst case: as a rule the readers of all zones do.
+func (me *mesh) handOn() (handOn, error) {
+	var sum handOn
+	for i := range changes {
+		num := core.Generation(i + 1)
+		raw, err := generation(num, 100)
+		if err != nil {
+			return sum, err
+		}
+		began, before := time.Now(), me.meter.read()
+		for _, ho := range spread.Readers(me.hosts, meshZones[0].Zone) {
+			for j := range me.hosts {
+				if me.hosts[j].Addr != ho.Addr {
+					continue
+				}
+				if _, err := me.infs[j].Adopt(raw); err != nil {
+					return sum, err
+				}
+			}
+		}
+		if err := awaitAll(me.infs, num); err != nil {
+			return sum, fmt.Errorf("entries: %w", err)
+		}
+		sum.took += time.Since(began).Seconds() / changes
+		time.Sleep(300 * time.Millisecond)
+		tr := me.meter.read().since(before)
+		sum.bytes += tr.bytes() / changes
+		sum.frames += tr.data / changes
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/test/slopes/path.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/test/fleet"
+)
+
+// bench is one engine with its agent, one entry and callers.
+type bench struct {
+	fl           *fleet.Fleet
+	entry, agent *fleet.Process
+	cli          *http.Client
+}
+
+// wide are limits above anything that is offered here.
+var wide = map[string]any{"slots": 8192, "queue": 8192, "log-level": "warn"}
+
+func newBench(name string, engine ...string) (*bench, func(), error) {
+	fl, cleanup, err := newFleet(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	be := &bench{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
+	if err := be.start(engine); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return be, func() {
+		be.cli.CloseIdleConnections()
+		cleanup()
+	}, nil
+}
+
+func (be *bench) start(engine []string) error {
+	be.fl.AgentSettings = wide
+	if err := be.fl.StartEngine("desk-1", desk, place, append([]string{"--slots", "8192"}, engine...)...); err != nil {
+		return err
+	}
+	var err error
+	if be.entry, err = be.fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
+		return err
+	}
+	be.agent = be.fl.Process("desk-1")
+	out, err := be.fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", be.fl.StoreURL, "--why", "measure", "--who", "measure")
+	if err != nil {
+		return fmt.Errorf("%s: %w", out, err)
+	}
+	return poll("first answer", func() (bool, error) {
+		return be.ask(context.Background(), "#words=1", false, func() {}) == nil, nil
+	})
+}
+
+// ask sends a request and reads its answer; began is called at its first byte.
+func (be *bench) ask(ctx context.Context, prompt string, stream bool, began func()) error {
+	body := fmt.Appendf(nil, `{"model":"desk","stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, be.entry.URL+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	rq.Header.Set("Authorization", "Bearer schools-key")
+	rq.Header.Set("X-Request-Id", core.NewID())
+	rs, err := be.cli.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", rs.StatusCode)
+	}
+	var first [1]byte
+	if _, err := io.ReadFull(rs.Body, first[:]); err != nil {
+		return err
+	}
+	began()
+	_, err = io.Copy(io.Discard, rs.Body)
+	return err
+}
+
+// offer sends requests at a rate, whatever the answers take, and returns the
+// processor time a second of entry and agent.
+func (be *bench) offer(rate int, lasts time.Duration, stream bool) (entry, agent float64, err error) {
+	en, err := usageOf(be.entry)
+	if err != nil {
+		return 0, 0, err
+	}
+	ag, err := usageOf(be.agent)
+	if err != nil {
+		return 0, 0, err
+	}
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	began := time.Now()
+	for i := range int(lasts.Seconds() * float64(rate)) {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		wg.Go(func() {
+			if be.ask(context.Background(), "hello", stream, func() {}) != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if failed.Load() > 0 {
+		return 0, 0, fmt.Errorf("%d requests failed at %d a second", failed.Load(), rate)
+	}
+	en2, err := usageOf(be.entry)
+	if err != nil {
+		return 0, 0, err
+	}
+	ag2, err := usageOf(be.agent)
+	return (en2.processor - en.processor) / lasts.Seconds(), (ag2.processor - ag.processor) / lasts.Seconds(), err
+}
+
+const offered = 4 * time.Second
+
+// measurePath loads the whole path at three rates.
+func measurePath(re *report) error {
+	if err := measureRates(re, "request", "requests with a whole answer of one token", 1, false, []int{200, 500, 1000}); err != nil {
+		return err
+	}
+	if err := measureRates(re, "token", "streams of 100 tokens at 10 ms", 100, true, []int{20, 50, 100}); err != nil {
+		return err
+	}
+	return measureStreams(re)
+}
+
+func measureRates(re *report, kind, what string, tokens int, stream bool, rates []int) error {
+	be, cleanup, err := newBench("path-"+kind, "--first", "1ms", "--pace", "10ms", "--words", fmt.Sprint(tokens))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	if _, _, err := be.offer(rates[0], time.Second, stream); err != nil { // Warms connections.
+		return err
+	}
+	var entry, agent []point
+	for _, rate := range rates {
+		en, ag, err := be.offer(rate, offered, stream)
+		if err != nil {
+			return err
+		}
+		size := float64(rate * tokens)
+		entry, agent = append(entry, point{size, en}), append(agent, point{size, ag})
+	}
+	re.add("entry-"+kind+"-processor", "processor time of an entry, "+what, kind+"/s", cores, entry)
+	re.add("agent-"+kind+"-processor", "processor time of an agent, "+what, kind+"/s", cores, agent)
+	return nil
+}
+
+// measureStreams holds streams open whose tokens come slowly.
+func measureStreams(re *report) error {
+	be, cleanup, err := newBench("path-streams", "--first", "1ms", "--pace", "1s", "--words", "100")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var open atomic.Int64
+	var entry, agent []point
+	for _, count := range []int{100, 500, 1000} {
+		for range count - int(open.Load()) {
+			go func() { _ = be.ask(ctx, "hello", true, func() { open.Add(1) }) }()
+		}
+		if err := poll("open streams", func() (bool, error) { return open.Load() >= int64(count), nil }); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+		en, err := usageOf(be.entry)
+		if err != nil {
+			return err
+		}
+		ag, err := usageOf(be.agent)
+		if err != nil {
+			return err
+		}
+		entry, agent = append(entry, point{float64(count), en.resident}), append(agent, point{float64(count), ag.resident})
+	}
+	re.add("entry-stream-memory", "resident memory of an entry", "open stream", bytesOf, entry)
+	re.add("agent-stream-memory", "resident memory of an agent", "open stream", bytesOf, agent)
+	return nil
+}
--- /dev/null
+++ b/test/slopes/store.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/chain"
+	"skylarkstand/core/claim"
+	"skylarkstand/core/declaration/publish"
+	"skylarkstand/core/ledger"
+	"skylarkstand/io/store"
+	"skylarkstand/test/fleet"
+)
+
+// measureStore counts the calls that each use makes of the platform's store.
+func measureStore(re *report) error {
+	if err := measureEntryCalls(re); err != nil {
+		return err
+	}
+	fl, cleanup, err := newFleet("calls")
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	if err := measureAgentCalls(re, fl); err != nil {
+		return err
+	}
+	if err := measureClaims(re, fl); err != nil {
+		return err
+	}
+	return measureLedger(re, fl)
+}
+
+// storeCalls is a reading of the stand-in's counters.
+type storeCalls struct{ Reads, Writes float64 }
+
+func callsOf(fl *fleet.Fleet) (storeCalls, error) {
+	var sc storeCalls
+	return sc, fleet.GetJSON(fl.StoreURL+"/counts", &sc)
+}
+
+// entryCase is entries spread evenly over some zones.
+type entryCase struct {
+	zones, perZone int
+	// start is the reads of all starts together, at rest the reads a second
+	// once all entries know each other.
+	start, atRest float64
+	err           error
+}
+
+const (
+	// known is the time in which entries learn of each other and all but the
+	// readers leave the store alone: a list refresh and a watch round.
+	known  = 8 * time.Second
+	atRest = 10 * time.Second
+)
+
+// measureEntryCalls runs all cases at the same time, because they mostly wait.
+func measureEntryCalls(re *report) error {
+	cases := []entryCase{
+		{zones: 1, perZone: 2}, {zones: 1, perZone: 6}, {zones: 1, perZone: 12}, {zones: 2, perZone: 2}, {zones: 4, perZone: 2},
+	}
+	var wg sync.WaitGroup
+	for i := range cases {
+		wg.Go(func() { cases[i].err = cases[i].run() })
+	}
+	wg.Wait()
+	var start, idleEntries, idleZones []point
+	for _, ec := range cases {
+		if ec.err != nil {
+			return ec.err
+		}
+		if ec.zones == 1 {
+			start = append(start, point{float64(ec.perZone), ec.start})
+			idleEntries = append(idleEntries, point{float64(ec.perZone), ec.atRest})
+		}
+		if ec.perZone == 2 {
+			idleZones = append(idleZones, point{float64(ec.zones), ec.atRest})
+		}
+	}
+	re.add("entry-start-reads", "reads of the store while the entries of one zone start, one after the other", "entry", calls, start)
+	re.add("entry-idle-calls", "calls of the store by the entries of one zone at rest, watch rounds included", "entry", callsPerSecond, idleEntries)
+	re.add("zone-idle-calls", "calls of the store at rest, two entries a zone", "zone", callsPerSecond, idleZones)
+	return nil
+}
+
+func (ec *entryCase) run() error {
+	fl, cleanup, err := newFleet(fmt.Sprintf("entries-%d-%d", ec.zones, ec.perZone))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ch := chain.New(store.New(fl.StoreURL), publish.Chain)
+	for num := range core.Generation(3) {
+		raw, err := generation(num+1, 10)
+		if err != nil {
+			return err
+		}
+		if err := ch.Create(context.Background(), uint64(num+1), raw); err != nil {
+			return err
+		}
+	}
+	before, err := callsOf(fl)
+	if err != nil {
+		return err
+	}
+	for i := range ec.zones * ec.perZone {
+		zone := fleet.Place{Zone: core.Zone(fmt.Sprintf("muc-%d", i%ec.zones)), Region: "muc"}
+		if _, err := fl.StartEntry(fmt.Sprintf("entry-%d", i), zone, nil); err != nil {
+			return err
+		}
+	}
+	time.Sleep(known)
+	started, err := callsOf(fl)
+	if err != nil {
+		return err
+	}
+	time.Sleep(atRest)
+	after, err := callsOf(fl)
+	ec.start = started.Reads - before.Reads
+	ec.atRest = (after.Reads + after.Writes - started.Reads - started.Writes) / atRest.Seconds()
+	return err
+}
+
+// measureAgentCalls starts agents.
+func measureAgentCalls(re *report, fl *fleet.Fleet) error {
+	var pts []point
+	for _, count := range []int{1, 2, 4} {
+		before, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		for i := range count {
+			if err := fl.StartEngine(fmt.Sprintf("start-%d-%d", count, i), desk, place); err != nil {
+				return err
+			}
+		}
+		time.Sleep(time.Second)
+		after, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		pts = append(pts, point{float64(count), after.Reads + after.Writes - before.Reads - before.Writes})
+	}
+	re.add("agent-start-calls", "calls of the store by agents that start", "agent", calls, pts)
+	return nil
+}
+
+// measureClaims counts the calls of operations that run at most once.
+func measureClaims(re *report, fl *fleet.Fleet) error {
+	tbl := claim.New(store.New(fl.StoreURL), "agent")
+	ctx := context.Background()
+	var reads, writes []point
+	for _, count := range []int{10, 50, 200} {
+		before, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		for range count {
+			req := claim.Request{
+				Key:    claim.Key{Workspace: "schools", Service: "subsidy", Operation: "claim", Idempotency: core.NewID()},
+				Digest: "d", Attempt: core.AttemptID(core.NewID()),
+			}
+			if _, err := tbl.Claim(ctx, req); err != nil {
+				return err
+			}
+			if err := tbl.Finish(ctx, req, claim.Answer{Status: 200, Body: []byte(`{}`)}); err != nil {
+				return err
+			}
+		}
+		after, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		reads = append(reads, point{float64(count), after.Reads - before.Reads})
+		writes = append(writes, point{float64(count), after.Writes - before.Writes})
+	}
+	re.add("claim-reads", "reads of the store for operations that run at most once, without races", "operation", calls, reads)
+	re.add("claim-writes", "writes of the store for them", "operation", calls, writes)
+	return nil
+}
+
+// measureLedger counts the calls of segments, and the size of bills in them.
+func measureLedger(re *report, fl *fleet.Fleet) error {
+	var reads, writes, bytes []point
+	ctx := context.Background()
+	for _, count := range []int{1, 4, 16} {
+		led := ledger.New(core.NewDeps(), store.New(fl.StoreURL))
+		before, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		for range count {
+			led.Add(bill())
+			if err := led.Flush(ctx); err != nil {
+				return err
+			}
+		}
+		after, err := callsOf(fl)
+		if err != nil {
+			return err
+		}
+		reads = append(reads, point{float64(count), after.Reads - before.Reads})
+		writes = append(writes, point{float64(count), after.Writes - before.Writes})
+	}
+	for _, count := range []int{100, 500, 1500} {
+		seg := ledger.Segment{}
+		for range count {
+			seg.Bills = append(seg.Bills, bill())
+		}
+		raw, err := json.Marshal(seg)
+		if err != nil {
+			return err
+		}
+		bytes = append(bytes, point{float64(count), float64(len(raw))})
+	}
+	re.add("segment-reads", "reads of the store for ledger segments", "segment", calls, reads)
+	re.add("segment-writes", "writes of the store for ledger segments", "segment", calls, writes)
+	re.add("bill-size", "a segment, bills with one stage", "bill", bytesOf, bytes)
+	return nil
+}
+
+func bill() ledger.Bill {
+	return ledger.Bill{
+		Request: core.RequestID(core.NewID()), Workspace: "workspace-0001", When: time.Now(), Total: 123456,
+		Lines: []ledger.Line{{Target: desk.String(), Attempt: core.AttemptID(core.NewID()), Usage: core.Usage{Prompt: 1000, Generated: 379}, Cost: 123456}},
+	}
+}
--- /dev/null
+++ b/test/slopes/table.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// slope is one measured dependence: what a size costs.
+type slope struct {
+	name string
+	// what is measured, and per which unit of size.
+	what, per string
+	dim       dimension
+	points    []point
+	fit       fit
+}
+
+func newSlope(name, what, per string, dim dimension, pts []point) slope {
+	return slope{name, what, per, dim, pts, fitLine(pts)}
+}
+
+// row writes a slope as a line of docs/slopes.md.
+func (sl slope) row() string {
+	sizes := make([]string, len(sl.points))
+	for i, pt := range sl.points {
+		sizes[i] = fmt.Sprintf("%s: %s", digits(pt.size), quantity{pt.value, sl.dim})
+	}
+	in := func(val float64) quantity { return quantity{val, sl.dim} }
+	return fmt.Sprintf("| `%s` | %s | %s | %s | %s | %s | %s |", sl.name, sl.what, in(sl.fit.slope), sl.per, in(sl.fit.intercept), in(sl.fit.residual), strings.Join(sizes, "; "))
+}
+
+const tableHead = "| slope | of what | slope | per | intercept | worst residual | measured |\n| --- | --- | --- | --- | --- | --- | --- |\n"
+
+// parseSlopes reads the lines that row wrote. The page is computed from these
+// rounded figures, so that a reader can redo each product by hand.
+func parseSlopes(text string) (map[string]slope, error) {
+	out := map[string]slope{}
+	for line := range strings.Lines(text) {
+		cells := cellsOf(line)
+		if len(cells) != 7 || !strings.HasPrefix(cells[0], "`") {
+			continue
+		}
+		by, err := parseQuantity(cells[2])
+		if err != nil {
+			return nil, err
+		}
+		base, err := parseQuantity(cells[4])
+		if err != nil {
+			return nil, err
+		}
+		name := strings.Trim(cells[0], "`")
+		out[name] = slope{name: name, dim: by.dim, fit: fit{slope: by.value, intercept: base.value}}
+	}
+	return out, nil
+}
+
+// cellsOf splits a line of a table, or returns nil for another line.
+func cellsOf(line string) []string {
+	line = strings.TrimSpace(line)
+	if len(line) < 2 || line[0] != '|' || line[len(line)-1] != '|' {
+		return nil
+	}
+	cells := strings.Split(line[1:len(line)-1], "|")
+	for i := range cells {
+		cells[i] = strings.TrimSpace(cells[i])
+	}
+	return cells
+}
