--- a/app/app.go
+++ b/app/app.go
@@ -29,6 +29,8 @@
 	ExitRefused = 3
 	// ExitUncertain: it is not known whether the change was accepted.
 	ExitUncertain = 4
+	// ExitSpreading: accepted, but not in force everywhere when the time was up.
+	ExitSpreading = 5
 )
 
 type args struct {
@@ -40,6 +42,7 @@
 	Status    *statusCmd    `arg:"subcommand:status" help:"show what is in force"`
 	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
 	RollBack  *rollBackCmd  `arg:"subcommand:roll-back" help:"put an old generation's content in force again"`
+	Order     *orderCmd     `arg:"subcommand:order" help:"give an engine an order through its agent"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
 	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
 	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
@@ -59,7 +62,8 @@
   skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
   skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
-Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known.`
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known,
+5 accepted but not yet in force everywhere.`
 }
 
 // command is what each subcommand implements.
--- a/app/providers.go
+++ b/app/providers.go
@@ -13,12 +13,12 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/order"
 	"skylarkstand/core/session"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
 	"skylarkstand/io/engine"
-	entrylink "skylarkstand/io/entry"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/metrics"
 	"skylarkstand/io/peer"
@@ -79,9 +79,9 @@
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)), ledger.OnDurable(durable))
 }
 
-func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring) *caller.Server {
+func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
 	return caller.New(deps, inf, dis, kr,
-		caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
+		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
 // entryHost returns the entry's own line of the host list.
@@ -118,11 +118,17 @@
 	return execute.New(deps, ho, inf, ru, tbl, execute.Slots(set.Slots), execute.Queue(set.Queue))
 }
 
-func newLinkServer(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor) *entrylink.Server {
-	return entrylink.New(deps, ho, inf, ex)
+func newGate(ho core.Host, st core.Store) *order.Gate { return order.NewGate(st, ho.ID) }
+
+func newAgentAdmin(page metricsPage) http.Handler { return newAdmin(page) }
+
+func newEntryAdmin(page metricsPage, sp *statusPage) http.Handler {
+	mux := newAdmin(page)
+	mux.Handle("GET /status", sp)
+	return mux
 }
 
-func newAdmin(page metricsPage) http.Handler {
+func newAdmin(page metricsPage) *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/entry"
 )
 
 // Injectors from wire.go:
@@ -32,7 +33,14 @@
 	rater := newRater(set)
 	dispatcher := dispatch.New(deps, inForce, upstreams, rater, writer)
 	keyring := newKeyring(set)
-	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring)
+	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
+	appStatusPage := &statusPage{
+		deps: deps,
+		inf:  inForce,
+		pool: pool,
+		reg:  registry,
+	}
+	handler := newEntryAdmin(appMetricsPage, appStatusPage)
 	appEntryProcess := &entryProcess{
 		set:    set,
 		deps:   deps,
@@ -40,6 +48,7 @@
 		led:    writer,
 		reader: appConfigReader,
 		srv:    server,
+		admin:  handler,
 	}
 	return appEntryProcess, func() {
 		cleanup()
@@ -55,9 +64,10 @@
 	store := newAgentStore(set)
 	table := newClaims(deps, store)
 	executor := newExecutor(set, deps, host, inForce, runner, table)
-	server := newLinkServer(deps, host, inForce, executor)
+	gate := newGate(host, store)
+	server := entry.New(deps, host, inForce, executor, gate)
 	appMetricsPage := appProcess.Page
-	handler := newAdmin(appMetricsPage)
+	handler := newAgentAdmin(appMetricsPage)
 	appAgentProcess := &agentProcess{
 		set:   set,
 		deps:  deps,
