--- a/test/slopes/configuration.go
+++ b/test/slopes/configuration.go
@@ -94,7 +94,8 @@
 	return nil
 }
 
-const changes = 3
+// changes are averaged, because processor time is told in ticks of 10 ms.
+const changes = 5
 
 // handOnce averages some changes through one entry process.
 func handOnce(workspaces, count int) (handOn, error) {
--- a/test/slopes/entries.go
+++ b/test/slopes/entries.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"time"
 
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
+	"skylarkstand/core/session"
 	"skylarkstand/core/spread"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/peer"
@@ -43,7 +45,25 @@
 	re.add("entries-frames", "frames with a message between all entries for such a change", "entry", frameCount, frames)
 	re.add("entries-links", "links between entries", "entry", number, links)
 	re.add("entries-link-idle", "bytes on links between entries at rest, both ways: keep-alives and notices", "link", bytesPerSecond, rest)
-	re.notes = append(re.notes, re.weighSpread(100))
+	re.notes = append(re.notes, weighPeers(), re.weighSpread(100))
+	return measureSessions(re)
+}
+
+// measureSessions fills an entry's table of sessions whose callers send only
+// an id.
+func measureSessions(re *report) error {
+	var pts []point
+	for _, count := range []int{1_000, 10_000, 60_000} {
+		before := heap()
+		ho := session.NewHolder()
+		for i := range count {
+			key := session.Key{Workspace: "workspace-0001", Session: core.SessionID(fmt.Sprintf("session-%d", i))}
+			ho.Keep(key, session.Versions{desk.Model: desk.Version}, time.Unix(0, 0))
+		}
+		pts = append(pts, point{float64(count), heap() - before})
+		runtime.KeepAlive(ho)
+	}
+	re.add("session-memory", "live memory of the held sessions", "session", bytesOf, pts)
 	return nil
 }
 
--- a/test/slopes/links.go
+++ b/test/slopes/links.go
@@ -20,10 +20,9 @@
 
 // idleLinks is what one size showed.
 type idleLinks struct {
-	entry, agent         usage // processor is per second of the idle time
-	received, sent       float64
-	probes, messages     float64
-	entryBytes, ownBytes float64
+	entry, agent     usage // processor is per second of the idle time
+	received, sent   float64
+	probes, messages float64
 }
 
 // measureLinks watches idle links: an entry process that holds links to many
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -46,6 +46,7 @@
 	{"entries", measureEntries},
 	{"control", measureControl},
 	{"store", measureStore},
+	{"operators", measureOperators},
 	{"path", measurePath},
 }
 
--- a/test/slopes/weigh.go
+++ b/test/slopes/weigh.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"strings"
+
+	"skylarkstand/core"
+	"skylarkstand/core/spread"
 )
 
 // The sizes that the ways of handing on are weighed at.
@@ -43,9 +48,10 @@
 	all := entriesAtSize + agentsAtSize
 	rounds, told := gossip(all)
 	degree := bits.Len(uint(all - 1))
+	perEntry := (subset*agentsAtSize + entriesAtSize - 1) / entriesAtSize
 	return []way{
 		{"two levels, all entries link with all agents (today)", agentsAtSize, 2 * entriesAtSize * agentsAtSize, agentsAtSize, 2, agentsAtSize, 0},
-		{fmt.Sprintf("two levels, %d entries an agent", subset), subset * agentsAtSize / entriesAtSize, 2 * subset * agentsAtSize, agentsAtSize, 2, subset * agentsAtSize / entriesAtSize, 0},
+		{fmt.Sprintf("two levels, %d entries an agent", subset), perEntry, 2 * subset * agentsAtSize, agentsAtSize, 2, float64(perEntry), 0},
 		{fmt.Sprintf("gossip over all processes, %d told a round of %g s, body on demand", pushes, gossipRound), pushes * 2, told, float64(all - 1), rounds, pushes, float64(rounds) * gossipRound},
 		{"hypercube over all processes (HyperCast)", degree, float64(all - 1), float64(all - 1), degree, float64(degree), 0},
 	}
@@ -104,6 +110,35 @@
 	return sb.String()
 }
 
+// weighPeers tells how many links entries hold among themselves at the
+// letter's size, by core/spread.
+func weighPeers() string {
+	const zones, regions = 16, 5
+	var hosts []core.Host
+	for i := range entriesAtSize {
+		zone := i % zones
+		hosts = append(hosts, core.Host{
+			Role: core.RoleEntry, Addr: fmt.Sprintf("10.0.%d.%d:9100", i>>8, i&255),
+			Zone: core.Zone(fmt.Sprintf("zone-%d", zone)), Region: core.Region(fmt.Sprintf("region-%d", zone%regions)),
+		})
+	}
+	held := map[string]int{}
+	total, abroad := 0, 0
+	for _, ho := range hosts {
+		for _, pe := range spread.Peers(hosts, ho) {
+			held[ho.Addr]++
+			held[pe.Addr]++
+			total++
+			if pe.Region != ho.Region {
+				abroad++
+			}
+		}
+	}
+	counts := slices.Sorted(maps.Values(held))
+	return fmt.Sprintf("## Links between entries at %d entries, %d zones, %d regions\n\nComputed by core/spread: %s links in all, %s of them between regions; an entry holds\n%d at least, %d at the median, %d at most.\n",
+		entriesAtSize, zones, regions, grouped(int64(total)), grouped(int64(abroad)), counts[0], counts[len(counts)/2], counts[len(counts)-1])
+}
+
 // noticeBytes is a notice on a link: the header of a yamux frame, and up to 14
 // bytes of the message with its length.
 const noticeBytes = 12 + 14
--- a/test/slopes/world.go
+++ b/test/slopes/world.go
@@ -16,6 +16,7 @@
 	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/execute"
+	"skylarkstand/core/order"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/entry"
 	"skylarkstand/test/fleet"
@@ -50,7 +51,9 @@
 		}
 		deps, inf := core.NewDeps(), declaration.NewInForce()
 		ex := execute.New(deps, ho, inf, ru, claim.New(nil, deps.Self), execute.Slots(4096), execute.Queue(4096))
-		go func() { _ = entry.New(deps, ho, inf, ex).Serve(ctx, meteredListener{li, &ags.meter}) }()
+		go func() {
+			_ = entry.New(deps, ho, inf, ex, order.NewGate(nil, ho.ID)).Serve(ctx, meteredListener{li, &ags.meter})
+		}()
 		ags.hosts, ags.configs = append(ags.hosts, ho), append(ags.configs, inf)
 	}
 	return ags, nil
