--- a/io/agent/answer.go
+++ b/io/agent/answer.go
@@ -24,9 +24,10 @@
 	once  sync.Once
 	first *frame.Frame
 
-	usage  core.Usage
-	status int
-	ctype  string
+	usage    core.Usage
+	status   int
+	ctype    string
+	replayOf core.AttemptID
 }
 
 func newAnswer(ctx context.Context, ln *link, st *yamux.Stream, id core.AttemptID) *answer {
@@ -107,6 +108,7 @@
 		return body.Chunk.Data, nil
 	case *frame.Frame_End:
 		an.usage = core.Usage{Prompt: core.Tokens(body.End.PromptTokens), Generated: core.Tokens(body.End.GeneratedTokens)}
+		an.replayOf = core.AttemptID(body.End.ReplayOf)
 		an.ln.state(body.End.State)
 		an.Close()
 		return nil, io.EOF
@@ -121,6 +123,10 @@
 // Usage implements [core.Answer].
 func (an *answer) Usage() core.Usage { return an.usage }
 
+// ReplayOf names, once Next has returned io.EOF, the earlier attempt whose
+// stored answer this is, if it is one.
+func (an *answer) ReplayOf() core.AttemptID { return an.replayOf }
+
 // Status implements [core.Answer].
 func (an *answer) Status() int { return an.status }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -43,14 +43,13 @@
 	controls map[*link.Control]bool
 	inFlight sync.WaitGroup
 	// down tells that the upstream accepts no connections.
-	down atomic.Bool
-	// bills are the usage that entries have settled and not yet made durable.
-	bills map[core.RequestID][]byte
+	down  atomic.Bool
+	bills bills
 }
 
 // New returns a server for the upstream beside the agent.
 func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ex *execute.Executor, ga *order.Gate) *Server {
-	return &Server{deps: deps, host: ho, inf: inf, ex: ex, gate: ga, controls: map[*link.Control]bool{}, bills: map[core.RequestID][]byte{}}
+	return &Server{deps: deps, host: ho, inf: inf, ex: ex, gate: ga, controls: map[*link.Control]bool{}, bills: newBills(deps)}
 }
 
 // Serve accepts links until the listener closes or the context ends.
@@ -58,6 +57,7 @@
 	stop := context.AfterFunc(ctx, func() { li.Close() })
 	defer stop()
 	go srv.report(ctx)
+	go srv.bills.serve(ctx)
 	for {
 		conn, err := li.Accept()
 		if err != nil {
@@ -77,7 +77,12 @@
 		return
 	}
 	defer cleanup()
-	co := link.NewControl(srv.deps, srv.inf, st, link.Handlers{Settled: srv.settled, Durable: srv.durable})
+	var co *link.Control
+	co = link.NewControl(srv.deps, srv.inf, st, link.Handlers{
+		Settled: srv.bills.settled, Durable: srv.bills.durable,
+		Hello: func(he *frame.Hello) { srv.bills.linked(core.ProcessID(he.Process), co) },
+	})
+	defer func() { srv.bills.unlinked(co) }()
 	srv.enter(co)
 	defer srv.leave(co)
 	if co.Hello(srv.host.ID) != nil || co.Send(srv.stateFrame()) != nil {
@@ -156,6 +161,7 @@
 			us := ans.Usage()
 			_ = wr.Write(&frame.Frame{Body: &frame.Frame_End{End: &frame.End{
 				Attempt: string(at.ID), PromptTokens: int64(us.Prompt), GeneratedTokens: int64(us.Generated), State: srv.state(),
+				ReplayOf: string(replayOf(ans)),
 			}}})
 			return
 		}
@@ -185,20 +191,6 @@
 	return core.Lost("%v", err)
 }
 
-func (srv *Server) settled(se *frame.Settled) {
-	srv.mu.Lock()
-	defer srv.mu.Unlock()
-	srv.bills[core.RequestID(se.Request)] = se.Bill
-}
-
-func (srv *Server) durable(du *frame.Durable) {
-	srv.mu.Lock()
-	defer srv.mu.Unlock()
-	for _, rq := range du.Requests {
-		delete(srv.bills, core.RequestID(rq))
-	}
-}
-
 func (srv *Server) state() *frame.State {
 	lo := srv.ex.Load()
 	return &frame.State{
@@ -267,7 +259,8 @@
 	srv.broadcast()
 }
 
-// Drain waits until no attempt is in flight, or the context ends.
+// Drain waits until no attempt is in flight and the bills of lost entries are
+// handed over, or the context ends.
 func (srv *Server) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
@@ -276,6 +269,7 @@
 	}()
 	select {
 	case <-done:
+		srv.bills.drain(ctx)
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
