--- a/app/entry.go
+++ b/app/entry.go
@@ -42,6 +42,7 @@
 	led    *ledger.Writer
 	heir   *ledger.Heir
 	reader *configReader
+	guard  *guardDuty
 	srv    *caller.Server
 	admin  http.Handler
 }
@@ -55,12 +56,16 @@
 	}
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	en.pool.OnHosts(en.reader.Update)
+	en.pool.OnHosts(func(hosts []core.Host) {
+		en.reader.Update(hosts)
+		en.guard.Update(hosts)
+	})
 	sup := newSupervisor("entry", en.deps)
 	sup.Add(en.pool)
 	sup.Add(en.led)
 	sup.Add(en.heir)
 	sup.Add(en.reader)
+	sup.Add(en.guard)
 	done := sup.ServeBackground(duties)
 
 	defer serveAdmin(en.set.Admin, en.admin)()
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,7 +9,7 @@
 import (
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
-	"skylarkstand/core/dispatch"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/entry"
@@ -27,12 +27,14 @@
 	writer := newLedger(set, deps, store, pool)
 	heir := newHeir(deps, store, pool, writer)
 	registry := suspect.New()
-	mesh := newMesh(set, deps, inForce, registry)
+	guard := rollout.New()
+	mesh := newMesh(set, deps, inForce, registry, guard)
 	appConfigReader := newConfigReader(set, deps, inForce, store, mesh)
+	appGuardDuty := newGuardDuty(set, deps, inForce, guard, store, mesh)
 	appMetricsPage := appProcess.Page
 	upstreams := newUpstreams(deps, pool, registry, mesh)
 	rater := newRater(set)
-	dispatcher := dispatch.New(deps, inForce, upstreams, rater, writer)
+	dispatcher := newDispatcher(deps, inForce, upstreams, rater, writer, guard)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
 	appStatusPage := &statusPage{
@@ -49,6 +51,7 @@
 		led:    writer,
 		heir:   heir,
 		reader: appConfigReader,
+		guard:  appGuardDuty,
 		srv:    server,
 		admin:  handler,
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -22,6 +22,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/rollout"
 	"skylarkstand/core/session"
 	"skylarkstand/core/spread"
 	"skylarkstand/core/suspect"
@@ -42,6 +43,7 @@
 	suspects *suspect.Registry
 	holder   *session.Holder
 	asks     sessions
+	guard    *rollout.Guard
 
 	mu       sync.Mutex
 	peers    map[string]context.CancelFunc
@@ -50,9 +52,22 @@
 	hosts    []core.Host
 }
 
+// Option changes a Mesh at construction.
+type Option func(*Mesh)
+
+// Guard sets the guard of roll-outs that gets the other entries' evidence.
+func Guard(gu *rollout.Guard) Option { return func(me *Mesh) { me.guard = gu } }
+
 // New returns a mesh for the entry at self.
-func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host) *Mesh {
-	return &Mesh{deps: deps, inf: inf, suspects: reg, holder: session.NewHolder(), self: self, peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{}}
+func New(deps core.Deps, inf *declaration.InForce, reg *suspect.Registry, self core.Host, opts ...Option) *Mesh {
+	me := &Mesh{
+		deps: deps, inf: inf, suspects: reg, holder: session.NewHolder(), guard: rollout.New(), self: self,
+		peers: map[string]context.CancelFunc{}, controls: map[*link.Control]bool{},
+	}
+	for _, opt := range opts {
+		opt(me)
+	}
+	return me
 }
 
 // Serve accepts links until the context ends.
@@ -86,7 +101,8 @@
 
 // serve runs the control stream of one link until it ends.
 func (me *Mesh) serve(ctx context.Context, st io.ReadWriteCloser) error {
-	co := link.NewControl(me.deps, me.inf, st, link.Handlers{Suspect: me.learn}, link.Every(NoticeEvery))
+	hd := link.Handlers{Suspect: me.learn, Halt: me.heed}
+	co := link.NewControl(me.deps, me.inf, st, hd, link.Every(NoticeEvery))
 	me.hold(co, true)
 	defer me.hold(co, false)
 	if err := co.Hello(""); err != nil {
@@ -120,12 +136,16 @@
 
 // Tell sends a suspect's record to all linked entries.
 func (me *Mesh) Tell(re suspect.Record) {
+	me.broadcast(&frame.Frame{Body: &frame.Frame_Suspect{Suspect: &frame.Suspect{
+		Fingerprint: uint64(re.Fingerprint), State: int32(re.State), LeftMicros: time.Until(re.Until).Microseconds(),
+	}}})
+}
+
+// broadcast sends a frame to all linked entries.
+func (me *Mesh) broadcast(fr *frame.Frame) {
 	me.mu.Lock()
 	cos := slices.Collect(maps.Keys(me.controls))
 	me.mu.Unlock()
-	fr := &frame.Frame{Body: &frame.Frame_Suspect{Suspect: &frame.Suspect{
-		Fingerprint: uint64(re.Fingerprint), State: int32(re.State), LeftMicros: time.Until(re.Until).Microseconds(),
-	}}}
 	for _, co := range cos {
 		_ = co.Send(fr)
 	}
