--- a/app/providers.go
+++ b/app/providers.go
@@ -8,12 +8,14 @@
 
 	"skylarkstand/app/settings"
 	"skylarkstand/core"
+	"skylarkstand/core/admission"
 	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/execute"
 	"skylarkstand/core/ledger"
 	"skylarkstand/core/order"
+	"skylarkstand/core/placement"
 	"skylarkstand/core/rollout"
 	"skylarkstand/core/session"
 	"skylarkstand/core/suspect"
@@ -71,7 +73,7 @@
 
 func newLedger(set settings.Entry, deps core.Deps, st core.Store, po *agent.Pool) *ledger.Writer {
 	return ledger.New(deps, st, ledger.Pace(time.Duration(set.LedgerPace)),
-		ledger.Budget(set.LedgerWrites, po.Entries), ledger.OnDurable(po.Durable))
+		ledger.Budget(set.LedgerWrites, po.Listed), ledger.OnDurable(po.Durable))
 }
 
 func newHeir(deps core.Deps, st core.Store, po *agent.Pool, led *ledger.Writer) *ledger.Heir {
@@ -80,12 +82,10 @@
 	return he
 }
 
-func newDispatcher(deps core.Deps, inf *declaration.InForce, ups core.Upstreams, ra core.Rater, bi dispatch.Biller, gu *rollout.Guard) *dispatch.Dispatcher {
-	return dispatch.New(deps, inf, ups, ra, bi, dispatch.Guard(gu))
-}
-
 func newCaller(set settings.Entry, deps core.Deps, page metricsPage, inf *declaration.InForce, dis *dispatch.Dispatcher, kr *session.Keyring, mesh *peer.Mesh) *caller.Server {
-	return caller.New(deps, inf, dis, kr,
+	room := func(po admission.Pool) admission.Room { return admission.Room(dis.Room(po.Target, po.Service, po.Far)) }
+	gt := admission.NewGate(room, admission.MaxWait(time.Duration(set.MaxWait)), admission.MaxQueue(set.MaxQueue))
+	return caller.New(deps, inf, dis, kr, caller.Gate(gt),
 		caller.WithSessions(mesh), caller.Freshness(time.Duration(set.Freshness)), caller.MaxBody(set.MaxBody), caller.MaxInFlight(set.MaxInFlight), caller.Metrics(page))
 }
 
@@ -102,6 +102,11 @@
 	return suspect.NewUpstreams(deps, po, reg, mesh.Tell)
 }
 
+func newDispatcher(set settings.Entry, deps core.Deps, inf *declaration.InForce, ups core.Upstreams, po *agent.Pool, ra core.Rater, bi dispatch.Biller, gu *rollout.Guard) *dispatch.Dispatcher {
+	return dispatch.New(deps, inf, ups, ra, bi, dispatch.Guard(gu),
+		dispatch.Candidates(po), dispatch.Placement(placement.CrossingBudget(set.CrossingBudget)))
+}
+
 // newUpstreamHost returns the agent's own line of the host list.
 func newUpstreamHost(set settings.Agent) core.Host {
 	return core.Host{
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -34,7 +34,7 @@
 	appMetricsPage := appProcess.Page
 	upstreams := newUpstreams(deps, pool, registry, mesh)
 	rater := newRater(set)
-	dispatcher := newDispatcher(deps, inForce, upstreams, rater, writer, guard)
+	dispatcher := newDispatcher(set, deps, inForce, upstreams, pool, rater, writer, guard)
 	keyring := newKeyring(set)
 	server := newCaller(set, deps, appMetricsPage, inForce, dispatcher, keyring, mesh)
 	appStatusPage := &statusPage{
--- a/core/dispatch/chat.go
+++ b/core/dispatch/chat.go
@@ -149,9 +149,8 @@
 	if st.Joined {
 		wk.dis.judge.guard.Reach(st.Target)
 	}
-	cands := func() []core.Upstream { return wk.dis.ups.Serving(st.Target) }
 	at := core.Attempt{Target: st.Target, Stream: wk.rq.Stream}
-	ans, line, err := wk.dis.try(ctx, wk.sn, wk.rq, at, cands, true)
+	ans, line, err := wk.dis.try(ctx, wk.sn, wk.rq, at, true)
 	if err != nil {
 		return err
 	}
--- a/core/dispatch/judge.go
+++ b/core/dispatch/judge.go
@@ -24,12 +24,6 @@
 	waited, aside chan struct{}
 }
 
-// Option changes a dispatcher.
-type Option func(*judge)
-
-// Guard sets the guard of roll-outs.
-func Guard(gu *rollout.Guard) Option { return func(jd *judge) { jd.guard = gu } }
-
 const (
 	// rateLimit bounds the wait of a caller for a rating. Beyond it the
 	// declared quality counts. Raters answer in some tens of milliseconds; a
--- /dev/null
+++ b/core/dispatch/placer.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/placement"
+)
+
+// Lister lists the upstreams of an entry into a buffer, so that a decision
+// need not allocate.
+type Lister interface {
+	AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream
+	AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream
+	// Entries returns how many entries share them, this one included.
+	Entries() int
+}
+
+// lone lists what [core.Upstreams] does, for an entry that knows of no other.
+type lone struct{ core.Upstreams }
+
+func (lo lone) AppendServing(buf []core.Upstream, mv core.ModelVersion) []core.Upstream {
+	return append(buf, lo.Serving(mv)...)
+}
+
+func (lo lone) AppendOffering(buf []core.Upstream, sv core.ServiceID) []core.Upstream {
+	return append(buf, lo.Offering(sv)...)
+}
+
+func (lo lone) Entries() int { return 1 }
+
+// placer lets goroutines share one picker.
+type placer struct {
+	list Lister
+	draw func(n int) int
+
+	mu sync.Mutex
+	pk *placement.Picker
+	// buf is reused between decisions, which read it under the lock.
+	buf []core.Upstream
+}
+
+func newPlacer(deps core.Deps, ups core.Upstreams) *placer {
+	return &placer{list: lone{ups}, draw: rand.IntN, pk: placement.New(deps.Zone, deps.Region)}
+}
+
+// candidates is called with the lock held.
+func (pl *placer) candidates(mv core.ModelVersion, sv core.ServiceID) []core.Upstream {
+	if sv != "" {
+		pl.buf = pl.list.AppendOffering(pl.buf[:0], sv)
+	} else {
+		pl.buf = pl.list.AppendServing(pl.buf[:0], mv)
+	}
+	return pl.buf
+}
+
+func (pl *placer) pick(rq *Request, at *core.Attempt, tried []core.UpstreamID) (placement.Choice, bool) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	cands := pl.candidates(at.Target, at.Service)
+	return pl.pk.Pick(time.Now(), placement.Request{
+		Pool: poolOf(at), Prefix: placement.Prefix(rq.Prompt), Body: len(rq.Body), Cross: rq.Crossing, Tried: tried,
+	}, cands, pl.draw)
+}
+
+func poolOf(at *core.Attempt) placement.Pool {
+	return placement.Pool{Target: at.Target, Service: at.Service, Whole: !at.Stream}
+}
+
+// send hands an attempt over and notes how soon its answer begins.
+func (pl *placer) send(ctx context.Context, ups core.Upstreams, ch placement.Choice, at *core.Attempt) (core.Answer, error) {
+	sent := time.Now()
+	pl.mu.Lock()
+	pl.pk.Sent(sent, ch.ID)
+	pl.mu.Unlock()
+	ans, err := ups.Dispatch(ctx, ch.ID, at)
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if err != nil {
+		pl.pk.Failed(time.Now(), ch.ID)
+		return nil, err
+	}
+	now := time.Now()
+	pl.pk.Heard(now, poolOf(at), ch.ID, sent)
+	return &watched{Answer: ans, pl: pl, po: poolOf(at), ch: ch, sent: sent, began: now}, nil
+}
+
+// watched is an answer whose pace and, over the link between regions, size
+// the placement learns.
+type watched struct {
+	core.Answer
+	pl          *placer
+	po          placement.Pool
+	ch          placement.Choice
+	sent, began time.Time
+	pieces      int
+}
+
+// Next implements [core.Answer].
+func (wa *watched) Next() ([]byte, error) {
+	data, err := wa.Answer.Next()
+	wa.pieces++
+	switch {
+	case err == nil && wa.ch.Crossing:
+		wa.pl.mu.Lock()
+		wa.pl.pk.Crossed(time.Now(), len(data))
+		wa.pl.mu.Unlock()
+	case errors.Is(err, io.EOF) && wa.po.Whole:
+		if out := int(wa.Usage().Generated); out >= placement.PaceTokens {
+			wa.paced(time.Since(wa.sent), out)
+		}
+	}
+	if err == nil && !wa.po.Whole && wa.pieces == placement.PacePieces+1 {
+		wa.paced(time.Since(wa.began), placement.PacePieces)
+	}
+	return data, err
+}
+
+func (wa *watched) paced(took time.Duration, pieces int) {
+	wa.pl.mu.Lock()
+	defer wa.pl.mu.Unlock()
+	wa.pl.pk.Paced(wa.po, wa.ch.ID, took, pieces)
+}
+
+// Room returns what the upstreams of a model version, or of a plain service,
+// take: in the own region, or in the others.
+func (dis *Dispatcher) Room(mv core.ModelVersion, sv core.ServiceID, far bool) placement.Room {
+	dis.pl.mu.Lock()
+	defer dis.pl.mu.Unlock()
+	cands := dis.pl.candidates(mv, sv)
+	if far {
+		return dis.pl.pk.FarRoom(time.Now(), cands)
+	}
+	return dis.pl.pk.Room(cands, dis.pl.list.Entries())
+}
--- a/io/agent/bills.go
+++ b/io/agent/bills.go
@@ -16,8 +16,8 @@
 // dropped; agents offer them again.
 func (po *Pool) OnOffered(fn Offered) { po.offered.Store(&fn) }
 
-// Entries returns the number of entries on the platform's host list.
-func (po *Pool) Entries() int { return int(po.entries.Load()) }
+// Listed returns the number of entries on the platform's host list.
+func (po *Pool) Listed() int { return int(po.entries.Load()) }
 
 // holders knows which agent has the copy of a bill. Telling every agent of
 // every bill would take frames in the number of agents times segments.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -17,6 +17,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"skylarkstand/core"
+	"skylarkstand/core/admission"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/session"
@@ -36,6 +37,7 @@
 	flying   atomic.Int64
 	limit    int64
 	fresh    time.Duration
+	gate     *admission.Gate
 }
 
 // Option changes a Server at construction.
@@ -47,6 +49,10 @@
 // MaxInFlight bounds the requests in this entry.
 func MaxInFlight(n int64) Option { return func(srv *Server) { srv.limit = n } }
 
+// Gate sets what admits requests before they are dispatched. Without one only
+// MaxInFlight bounds them.
+func Gate(gt *admission.Gate) Option { return func(srv *Server) { srv.gate = gt } }
+
 // Sessions keeps the versions of sessions whose callers send an id and no
 // token. Errors do not exist for it: what cannot be found begins anew.
 type Sessions interface {
