--- a/core/dispatch/chat_test.go
+++ b/core/dispatch/chat_test.go
@@ -57,10 +57,11 @@
 	return nil, io.EOF
 }
 
-func (an *answer) Usage() core.Usage   { return core.Usage{Prompt: 100, Generated: 200} }
-func (an *answer) Status() int         { return 200 }
-func (an *answer) ContentType() string { return "" }
-func (an *answer) Close()              {}
+func (an *answer) Usage() core.Usage        { return core.Usage{Prompt: 100, Generated: 200} }
+func (an *answer) Status() int              { return 200 }
+func (an *answer) ContentType() string      { return "" }
+func (an *answer) Close()                   {}
+func (an *answer) ReplayOf() core.AttemptID { return "" }
 
 // rater is a fake that rates each model alike.
 type rater struct {
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -110,10 +110,7 @@
 	if out.bill.Request != "" {
 		return out.bill
 	}
-	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now(), Content: out.rq.digest()}
-	if re, ok := out.ans.(replayer); ok {
-		bi.ReplayOf = re.ReplayOf()
-	}
+	bi := ledger.Bill{Request: out.rq.ID, Workspace: out.rq.Workspace, When: time.Now(), Content: out.rq.digest(), ReplayOf: out.ans.ReplayOf()}
 	for _, li := range out.lines {
 		bi.Lines = append(bi.Lines, li.Line)
 		bi.Total += li.Cost
@@ -132,9 +129,6 @@
 	return bi
 }
 
-// replayer is an answer that may be the stored one of an earlier attempt.
-type replayer interface{ ReplayOf() core.AttemptID }
-
 // digest tells a request that is sent again from another one under its id.
 func (rq *Request) digest() string {
 	return ledger.Digest(rq.Body, string(rq.Service), string(rq.Operation), rq.IdempotencyKey)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -72,6 +72,10 @@
 	CopiesLeft = &Event{444, "copies-left", slog.LevelError,
 		"An agent stopped with copies of bills whose entries are gone and that no other entry could file.",
 		"Look at the store; bills of the entry that was lost last may be missing."}
+	ClaimsBroken = &Event{420, "claims-broken", slog.LevelError,
+		"A bucket or segment of claims cannot be read; its keys are refused, not run.", "Look at the store: something else wrote under `claims/`."}
+	ClaimUnfinished = &Event{421, "claim-unfinished", slog.LevelWarn,
+		"The answer of an at-most-once operation is not stored yet; it is tried again in the background.", "Look at the store."}
 	RequestFailed = &Event{500, "request-failed", slog.LevelDebug,
 		"A request ended without an answer.", "Nothing; the code tells the caller."}
 	BillLost = &Event{501, "bill-lost", slog.LevelError,
@@ -91,6 +95,7 @@
 		RollOutHalted, HaltRecorded, HaltPending,
 		StoreDown, SegmentWritten, SegmentLate,
 		LedgerSealed, EstateFiled, EstateLate, CopyDropped, CopiesLeft,
+		ClaimsBroken, ClaimUnfinished,
 		RequestFailed, BillLost, RatingsAway,
 	}
 }
--- a/core/execute/bound.go
+++ b/core/execute/bound.go
@@ -151,6 +151,13 @@
 	}), nil
 }
 
+// full reports whether an attempt would be refused for want of a place now.
+func (bd *bound) full() bool {
+	bd.mu.Lock()
+	defer bd.mu.Unlock()
+	return bd.bo.running >= bd.bo.slots && len(bd.bo.waiting) >= bd.bo.limit
+}
+
 func (bd *bound) cancel(pl *Place) bool {
 	bd.mu.Lock()
 	defer bd.mu.Unlock()
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -111,3 +111,6 @@
 func (sm *stream) Status() int         { return http.StatusOK }
 func (sm *stream) ContentType() string { return "text/event-stream" }
 func (sm *stream) Close()              { sm.rs.Body.Close() }
+
+// ReplayOf implements [core.Answer]: an upstream stores nothing.
+func (sm *stream) ReplayOf() core.AttemptID { return "" }
--- a/io/entry/bills.go
+++ b/io/entry/bills.go
@@ -135,11 +135,3 @@
 	}
 	return out
 }
-
-// replayOf names the attempt whose stored answer this is, if it is one.
-func replayOf(ans core.Answer) core.AttemptID {
-	if re, ok := ans.(interface{ ReplayOf() core.AttemptID }); ok {
-		return re.ReplayOf()
-	}
-	return ""
-}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -100,3 +100,6 @@
 func (an *answer) Status() int         { return an.status }
 func (an *answer) ContentType() string { return an.ctype }
 func (an *answer) Close()              {}
+
+// ReplayOf implements [core.Answer]: an upstream stores nothing.
+func (an *answer) ReplayOf() core.AttemptID { return "" }
