--- a/test/slopes/store.go
+++ b/test/slopes/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -150,40 +151,69 @@
 	return nil
 }
 
-// measureClaims counts the calls of operations that run at most once.
+// measureClaims counts the calls of operations that run at most once: one
+// after the other, and many of one service at the same time, whose claims
+// share writes.
 func measureClaims(re *report, fl *fleet.Fleet) error {
-	tbl := claim.New(store.New(fl.StoreURL), "agent")
-	ctx := context.Background()
-	var reads, writes []point
+	var reads, writes, shared []point
 	for _, count := range []int{10, 50, 200} {
-		before, err := callsOf(fl)
+		apart, err := claimCalls(fl, count, false)
 		if err != nil {
 			return err
 		}
-		for range count {
-			req := claim.Request{
-				Key:    claim.Key{Workspace: "schools", Service: "subsidy", Operation: "claim", Idempotency: core.NewID()},
-				Digest: "d", Attempt: core.AttemptID(core.NewID()),
-			}
-			if _, err := tbl.Claim(ctx, req); err != nil {
-				return err
-			}
-			if err := tbl.Finish(ctx, req, claim.Answer{Status: 200, Body: []byte(`{}`)}); err != nil {
-				return err
-			}
-		}
-		after, err := callsOf(fl)
+		together, err := claimCalls(fl, count, true)
 		if err != nil {
 			return err
 		}
-		reads = append(reads, point{float64(count), after.Reads - before.Reads})
-		writes = append(writes, point{float64(count), after.Writes - before.Writes})
+		num := float64(count)
+		reads, writes = append(reads, point{num, apart.Reads}), append(writes, point{num, apart.Writes})
+		shared = append(shared, point{num, together.Writes})
 	}
-	re.add("claim-reads", "reads of the store for operations that run at most once, without races", "operation", calls, reads)
+	re.add("claim-reads", "reads of the store for operations that run at most once, one after the other at one agent", "operation", calls, reads)
 	re.add("claim-writes", "writes of the store for them", "operation", calls, writes)
+	re.add("claim-together-writes", "writes of the store for such operations that come to one agent at the same time", "operation", calls, shared)
 	return nil
 }
 
+func claimCalls(fl *fleet.Fleet, count int, together bool) (storeCalls, error) {
+	tbl, cleanup := claim.New(core.NewDeps(), store.New(fl.StoreURL), claim.Writes(1000))
+	defer cleanup()
+	before, err := callsOf(fl)
+	if err != nil {
+		return before, err
+	}
+	if err := runClaims(tbl, count, together); err != nil {
+		return before, err
+	}
+	after, err := callsOf(fl)
+	return storeCalls{after.Reads - before.Reads, after.Writes - before.Writes}, err
+}
+
+func runClaims(tbl *claim.Table, count int, together bool) error {
+	var wg sync.WaitGroup
+	errs := make([]error, count)
+	for i := range count {
+		if !together {
+			errs[i] = runClaim(tbl)
+			continue
+		}
+		wg.Go(func() { errs[i] = runClaim(tbl) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func runClaim(tbl *claim.Table) error {
+	req := claim.Request{
+		Key:    claim.Key{Workspace: "schools", Service: "subsidy", Operation: "claim", Idempotency: core.NewID()},
+		Digest: "d", Attempt: core.AttemptID(core.NewID()),
+	}
+	if _, err := tbl.Claim(context.Background(), req); err != nil {
+		return err
+	}
+	return tbl.Finish(context.Background(), req, claim.Answer{Status: 200, Body: []byte(`{}`)})
+}
+
 // measureLedger counts the calls of segments, and the size of bills in them.
 // The intercept is what a process pays once to be listed.
 func measureLedger(re *report, fl *fleet.Fleet) error {
--- a/test/slopes/world.go
+++ b/test/slopes/world.go
@@ -50,7 +50,8 @@
 			Zone: place.Zone, Region: place.Region, Model: desk.Model, Version: desk.Version,
 		}
 		deps, inf := core.NewDeps(), declaration.NewInForce()
-		ex := execute.New(deps, ho, inf, ru, claim.New(nil, deps.Self), execute.Slots(4096), execute.Queue(4096))
+		tbl, _ := claim.New(deps, nil) // No operation here runs at most once.
+		ex := execute.New(deps, ho, inf, ru, tbl, execute.Slots(4096), execute.Queue(4096))
 		go func() {
 			_ = entry.New(deps, ho, inf, ex, order.NewGate(nil, ho.ID)).Serve(ctx, meteredListener{li, &ags.meter})
 		}()
@@ -200,3 +201,6 @@
 func (wa *wordsAnswer) Status() int         { return http.StatusOK }
 func (wa *wordsAnswer) ContentType() string { return "text/event-stream" }
 func (wa *wordsAnswer) Close()              {}
+
+// ReplayOf tells that no answer is a stored one.
+func (wa *wordsAnswer) ReplayOf() core.AttemptID { return "" }
