--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BIN := bin
 
-.PHONY: build demo test soak measure generate lint
+.PHONY: build demo test soak measure slopes generate lint
 
 build:
 	go build -o $(BIN)/ . ./standin
@@ -24,3 +24,6 @@
 
 lint:
 	scripts/lint
+
+slopes: build
+	go run ./test/slopes
