--- a/core/declaration/effect.go
+++ b/core/declaration/effect.go
@@ -87,7 +87,7 @@
 func (ef *effect) workspace(ws *Workspace) {
 	old := ef.from.Workspace(ws.ID)
 	if old == nil {
-		ef.on(ws.ID, "is new")
+		ef.on(ws.ID, "new")
 		return
 	}
 	ef.access(ws.ID, "model", ef.from.usable(ws.ID), ef.to.usable(ws.ID))
--- a/test/matrix/table.go
+++ b/test/matrix/table.go
@@ -1,4 +1,4 @@
-// Package matrix is the fault matrix: every fault of the brief at every step
+// Package matrix is the fault matrix: every fault that is reckoned with at every step
 // of a request, an apply, a roll-out, a leave and a stop, and what was promised
 // checked from the outside afterwards.
 //
--- a/test/slopes/weigh.go
+++ b/test/slopes/weigh.go
@@ -79,7 +79,7 @@
 	return rounds, told
 }
 
-// weighSpread writes the comparison at the letter's size. Times are a sum of
+// weighSpread writes the comparison at the planned size. Times are a sum of
 // what was measured: an adoption on each hop, the bodies that the busiest
 // process sends one after the other, and the rounds waited for.
 func (re *report) weighSpread(workspaces float64) string {
@@ -111,7 +111,7 @@
 }
 
 // weighPeers tells how many links entries hold among themselves at the
-// letter's size, by core/spread.
+// planned size, by core/spread.
 func weighPeers() string {
 	const zones, regions = 16, 5
 	var hosts []core.Host
