Break a whole answer that is cut, in place of ending it in good order

A panic in a handler showed a stack trace.

Change: the status goes out with the first piece that is followed by another; a cut before that is the typed error with its status, a cut after it breaks the connection. Streams are as before. Panics get a typed error.

--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -1,10 +1,7 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -119,45 +116,3 @@
 	defer out.Close()
 	return srv.relay(w, id, out, dr.Stream, ad)
 }
-
-// doneMark ends a whole stream; a caller that has it takes the answer for whole.
-var doneMark = []byte("data: [DONE]")
-
-// relay copies an answer to the caller. The end of it is held until the
-// request is settled: once the caller has the whole answer, the bill is filed.
-//
-// Of a stream only the end mark is held. Holding each piece until the next one
-// came would delay every token by one.
-func (srv *Server) relay(w http.ResponseWriter, id core.RequestID, out *dispatch.Outcome, stream bool, ad *admitted) error {
-	piece, err := out.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
-		return err
-	}
-	if ct := out.ContentType(); ct != "" {
-		w.Header().Set("Content-Type", ct)
-	}
-	w.WriteHeader(out.Status())
-	ctl := http.NewResponseController(w)
-	var held []byte
-	for ; err == nil; piece, err = out.Next() {
-		if len(held) > 0 {
-			_, _ = w.Write(held)
-			held = held[:0]
-		}
-		if !stream || bytes.HasPrefix(piece, doneMark) {
-			held = append(held, piece...)
-			continue
-		}
-		if _, werr := w.Write(piece); werr != nil {
-			return nil // The caller is gone.
-		}
-		_ = ctl.Flush()
-	}
-	if !errors.Is(err, io.EOF) {
-		srv.breakOff(w, id, err)
-		return nil
-	}
-	ad.settled(out.Settle())
-	_, _ = w.Write(held)
-	return nil
-}
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -54,7 +54,7 @@
 	if errors.As(err, &fl) {
 		return fl
 	}
-	return &core.Failure{Code: core.CodeInternalError, Ran: core.RanUnknown, Message: "internal error"}
+	return errInternal
 }
 
 func detail(fl *core.Failure, id core.RequestID) errorBody {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -84,6 +84,7 @@
 	}
 	srv.cont = restful.NewContainer()
 	srv.cont.DoNotRecover(false)
+	srv.cont.RecoverHandler(srv.recovered)
 	ws := new(restful.WebService)
 	ws.Path("/").Produces("application/json", "text/event-stream", "*/*").Consumes("*/*")
 	ws.Route(ws.POST("/v1/chat/completions").To(srv.chat))
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 
@@ -177,3 +178,36 @@
 	assert.Assert(t, !strings.Contains(rec.Body.String(), "[DONE]"))
 	assert.Equal(t, len(bi.filed), 0)
 }
+
+// The link to an agent is lost between the only piece of an answer that is not
+// streamed and its end. The caller must get an error with its status, not a 200
+// with something that is no answer behind it.
+func TestCutWholeAnswerIsAnError(t *testing.T) {
+	us := &upstream{pieces: []string{`{"id":"x"`}, end: core.Lost("the link was lost")}
+	rec, bi := httptest.NewRecorder(), new(bills)
+	newServer(t, us, bi).ServeHTTP(rec, post(`{"model":"desk","messages":[]}`, nil))
+	assert.Equal(t, rec.Code, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(rec.Body.String(), `"ran":"unknown"`))
+	assert.Equal(t, len(bi.filed), 0)
+}
+
+// A long answer that is not streamed is cut after a part of it has gone out. It
+// is too late for a status; the connection must break, so that no client takes
+// the part for the whole.
+func TestCutLongAnswerBreaksTheConnection(t *testing.T) {
+	us := &upstream{pieces: []string{"one", "two"}, end: core.Lost("the link was lost")}
+	hs := httptest.NewServer(newServer(t, us, new(bills)))
+	defer hs.Close()
+	rq := post(`{"model":"desk","messages":[]}`, nil)
+	rq.RequestURI = ""
+	to, err := url.Parse(hs.URL + "/v1/chat/completions")
+	assert.NilError(t, err)
+	rq.URL = to
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return // Broken before the header went out.
+	}
+	defer rs.Body.Close()
+	_, err = io.ReadAll(rs.Body)
+	assert.Assert(t, err != nil, "the part looks whole")
+}
