--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -102,7 +102,7 @@
 // recovered answers for a handler that panicked. The library's own way shows
 // the caller a stack trace.
 func (srv *Server) recovered(reason any, w http.ResponseWriter) {
-	if reason == http.ErrAbortHandler {
+	if err, ok := reason.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(reason)
 	}
 	event.Log(srv.deps.Log, event.DutyFailed, "handler", reason)
