--- a/test/matrix/steps_test.go
+++ b/test/matrix/steps_test.go
@@ -19,6 +19,7 @@
 var steps = map[string]func(*world) func(){
 	"accepted":    accepted,
 	"queued":      queued,
+	"routed":      routed,
 	"handed-over": handedOver,
 	"claiming":    claiming,
 	"running":     running,
@@ -77,6 +78,22 @@
 	return goOn
 }
 
+// routed holds the links to both agents of the version, so that the request is
+// on none of them.
+func routed(wo *world) func() {
+	wo.agent = "desk-1"
+	for _, id := range []string{"desk-1", "desk-2"} {
+		wo.fl.Relay(id).Hold()
+	}
+	wo.chat(wo.one, "", true)
+	time.Sleep(200 * time.Millisecond)
+	return func() {
+		for _, id := range []string{"desk-1", "desk-2"} {
+			wo.fl.Relay(id).Restore()
+		}
+	}
+}
+
 // handedOver freezes both agents of the version, so that the request stands on
 // the link.
 func handedOver(wo *world) func() {
--- a/test/matrix/table.go
+++ b/test/matrix/table.go
@@ -23,6 +23,7 @@
 var RequestSteps = []Step{
 	{"accepted", "half of the request's body has arrived at the entry"},
 	{"queued", "all upstreams are busy and the request waits"},
+	{"routed", "an upstream is chosen and the link to it passes nothing"},
 	{"handed-over", "the request is on its way to an agent that does not read"},
 	{"claiming", "an at-most-once call's claim is on its way to a slow store"},
 	{"running", "an at-most-once call runs in the service"},
