--- a/app/app.go
+++ b/app/app.go
@@ -35,6 +35,7 @@
 
 type args struct {
 	Entry     *entryCmd     `arg:"subcommand:entry" help:"serve callers"`
+	Gateway   *gatewayCmd   `arg:"subcommand:gateway" help:"serve callers and call upstreams directly"`
 	Agent     *agentCmd     `arg:"subcommand:agent" help:"guard the upstream on this host"`
 	Check     *checkCmd     `arg:"subcommand:check" help:"find mistakes in a configuration"`
 	Diff      *diffCmd      `arg:"subcommand:diff" help:"show what a configuration would change"`
--- /dev/null
+++ b/app/gateway_providers.go
@@ -0,0 +1,133 @@
+package app
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"skylarkstand/app/settings"
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/feed"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/forward"
+	"skylarkstand/core/mirror"
+	"skylarkstand/core/register"
+	"skylarkstand/core/rendezvous"
+	"skylarkstand/core/route"
+	"skylarkstand/io/front"
+	"skylarkstand/io/logline"
+	"skylarkstand/io/metrics"
+	"skylarkstand/io/sibling"
+	"skylarkstand/io/upstream"
+	"skylarkstand/platform"
+)
+
+// newGatewayProcess logs to standard output, where the platform collects it,
+// without waiting for whoever reads.
+func newGatewayProcess(set settings.Gateway) (process, func()) {
+	scope, page, closeScope := metrics.New("gateway")
+	lw, closeLog := logline.New(os.Stdout)
+	var lv slog.Level
+	if lv.UnmarshalText([]byte(set.LogLevel)) != nil {
+		lv = slog.LevelInfo
+	}
+	deps := core.Deps{
+		Self: core.ProcessID(core.NewID()), Zone: set.Zone, Region: set.Regions[set.Zone],
+		Log: slog.New(slog.NewJSONHandler(lw, &slog.HandlerOptions{Level: lv})), Metrics: scope,
+	}
+	return process{Deps: deps, Page: page}, func() {
+		closeScope()
+		closeLog()
+	}
+}
+
+func newUpstreamClient() (*upstream.Client, func()) { return upstream.New() }
+
+func newPlatformStore(set settings.Gateway, cl *upstream.Client) *platform.Store {
+	return platform.NewStore(set.Store, cl)
+}
+
+func newLayout(set settings.Gateway) platform.Layout { return platform.Layout{Regions: set.Regions} }
+
+func newFleet() *fleet.Fleet { return fleet.New() }
+
+func newGuard(set settings.Gateway) *canary.Guard {
+	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)))
+}
+
+func newCodec() front.Codec { return platform.Callers{} }
+
+// members is the entries that are registered. It is filled in once the feed is
+// there, which itself needs the parts that ask for the entries.
+type members struct{ list func() []feed.Member }
+
+func newMembers() *members { return &members{list: func() []feed.Member { return nil }} }
+
+// others lists the addresses of the other entries.
+func (me *members) others(self core.ProcessID) []string {
+	var out []string
+	for _, mb := range me.list() {
+		if mb.ID != self {
+			out = append(out, mb.Addr)
+		}
+	}
+	return out
+}
+
+// rank is the process's place among the entries for a service.
+func (me *members) rank(self core.ProcessID, sv core.ServiceID) int {
+	list := me.list()
+	top := rendezvous.Top(string(sv), list, len(list), func(mb feed.Member) string { return string(mb.ID) })
+	at := slices.IndexFunc(top, func(mb feed.Member) bool { return mb.ID == self })
+	if at < 0 {
+		return len(list)
+	}
+	return at
+}
+
+func newSiblings(deps core.Deps, cl *upstream.Client, me *members) *sibling.Siblings {
+	return sibling.New(cl, func() []string { return me.others(deps.Self) }, rand.IntN)
+}
+
+func newFollower(deps core.Deps, mi *mirror.Mirror, st *platform.Store, si *sibling.Siblings) *mirror.Follower {
+	return mirror.NewFollower(deps, mi, st, si)
+}
+
+// slackParts divides the slack of the bound on repeats: more than there are
+// entries at the larger of today's deployments, so that their parts together
+// stay below it whichever of them use theirs.
+const slackParts = 24
+
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access) *forward.Forwarder {
+	re := set.Repeats
+	return forward.New(deps, ac, forward.Parts{
+		InForce: inf, Fleet: fl, Canary: gu,
+		Age:     func() time.Duration { return mi.Age(time.Now()) },
+		Repeats: forward.NewWindows(time.Duration(re.Window), re.Ratio, re.Slack/slackParts),
+	})
+}
+
+func newFeed(deps core.Deps, la platform.Layout, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, fo *mirror.Follower, fw *forward.Forwarder, cl *upstream.Client, me *members) *feed.Feed {
+	fd := feed.New(deps, la, feed.Parts{
+		InForce: inf, Fleet: fl, Canary: gu, Doubtful: fo.Doubtful,
+		Gone: func(ho core.Host) {
+			cl.Forget(ho.Addr)
+			fw.Gone(ho.ID)
+		},
+		Adopted: func(*route.Table) {},
+	})
+	me.list = fd.Members
+	return fd
+}
+
+func newRegistrar(set settings.Gateway, deps core.Deps, st *platform.Store) (*register.Registrar, error) {
+	line, err := member(set, deps)
+	return register.New(deps, st, feed.PrefixEntries+string(deps.Self), line), err
+}
+
+func newRecorder(deps core.Deps, gu *canary.Guard, st *platform.Store, la platform.Layout, me *members) *canary.Recorder {
+	return canary.NewRecorder(deps, gu, st, la, feed.PrefixSteps, func(sv core.ServiceID) int { return me.rank(deps.Self, sv) })
+}
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,13 +10,17 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/ledger"
+	"skylarkstand/core/mirror"
 	"skylarkstand/core/rollout"
+	"skylarkstand/core/route"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/entry"
+	"skylarkstand/io/front"
 	"skylarkstand/io/hosts"
 	"skylarkstand/io/rater"
 	"skylarkstand/io/store"
+	"skylarkstand/platform"
 )
 
 //go:generate wire
@@ -44,3 +48,14 @@
 	)
 	return nil, nil, nil
 }
+
+func wireGateway(set settings.Gateway) (*gatewayProcess, func(), error) {
+	wire.Build(
+		newGatewayProcess, wire.FieldsOf(new(process), "Deps", "Page"), newUpstreamClient, newPlatformStore, newLayout,
+		newFleet, newGuard, newCodec, newMembers, newSiblings, newFollower, newForwarder, newFeed, newRegistrar, newRecorder,
+		route.NewInForce, mirror.New, front.New, platform.NewUpstreams,
+		wire.Bind(new(core.Access), new(*platform.Upstreams)),
+		wire.Struct(new(gatewayProcess), "set", "deps", "inf", "fleet", "mirror", "feed", "follower", "reg", "recorder", "srv", "admin"),
+	)
+	return nil, nil, nil
+}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,10 +9,14 @@
 import (
 	"skylarkstand/app/settings"
 	"skylarkstand/core/declaration"
+	"skylarkstand/core/mirror"
 	"skylarkstand/core/rollout"
+	"skylarkstand/core/route"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/entry"
+	"skylarkstand/io/front"
+	"skylarkstand/platform"
 )
 
 // Injectors from wire.go:
@@ -84,3 +88,48 @@
 		cleanup()
 	}, nil
 }
+
+func wireGateway(set settings.Gateway) (*gatewayProcess, func(), error) {
+	appProcess, cleanup := newGatewayProcess(set)
+	deps := appProcess.Deps
+	inForce := route.NewInForce()
+	fleet := newFleet()
+	mirrorMirror := mirror.New()
+	layout := newLayout(set)
+	guard := newGuard(set)
+	client, cleanup2 := newUpstreamClient()
+	store := newPlatformStore(set, client)
+	appMembers := newMembers()
+	siblings := newSiblings(deps, client, appMembers)
+	follower := newFollower(deps, mirrorMirror, store, siblings)
+	upstreams := platform.NewUpstreams(client)
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams)
+	feed := newFeed(deps, layout, inForce, fleet, guard, follower, forwarder, client, appMembers)
+	registrar, err := newRegistrar(set, deps, store)
+	if err != nil {
+		cleanup2()
+		cleanup()
+		return nil, nil, err
+	}
+	recorder := newRecorder(deps, guard, store, layout, appMembers)
+	codec := newCodec()
+	server := front.New(deps, codec, forwarder, inForce)
+	appMetricsPage := appProcess.Page
+	appGatewayProcess := &gatewayProcess{
+		set:      set,
+		deps:     deps,
+		inf:      inForce,
+		fleet:    fleet,
+		mirror:   mirrorMirror,
+		feed:     feed,
+		follower: follower,
+		reg:      registrar,
+		recorder: recorder,
+		srv:      server,
+		admin:    appMetricsPage,
+	}
+	return appGatewayProcess, func() {
+		cleanup2()
+		cleanup()
+	}, nil
+}
--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,262 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Service core.ServiceID
+	// Model, Parts and Prompt are set for engines. Parts are those of the
+	// prompt, in order; their sum may be below Prompt.
+	Model  core.ModelID
+	Parts  []core.Part
+	Prompt core.Tokens
+	// Engine says that the upstreams batch and keep prompts in memory.
+	Engine bool
+	// Pool separates times that are unlike: one route from another.
+	Pool string
+	// Tried are upstreams that are not asked again.
+	Tried []core.UpstreamID
+	// Once says that the work may run at most once, so that a failing upstream
+	// costs the whole answer.
+	Once bool
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Good: a whole answer that was no error.
+	Good Outcome = iota
+	// Failed: an error of the upstream, a cut or a wrong answer.
+	Failed
+	// Refused: the upstream took no more work.
+	Refused
+	// Unreached: no connection could be opened.
+	Unreached
+	// Abandoned: the caller left or another answer was taken; it says nothing
+	// about the upstream.
+	Abandoned
+	// Overdue: no answer came in the time that is usual.
+	Overdue
+)
+
+// Flight is an attempt under way.
+type Flight struct {
+	peer  *peer
+	pool  *pool
+	sent  time.Time
+	cost  time.Duration
+	begun bool
+	ended bool
+}
+
+// Picker chooses. It belongs to one goroutine at a time.
+type Picker struct {
+	zone   core.Zone
+	region core.Region
+	peers  map[core.UpstreamID]*peer
+	pools  map[poolKey]*pool
+	reads  map[core.ModelID]*rate
+}
+
+// New returns a picker for an entry's place.
+func New(zo core.Zone, re core.Region) *Picker {
+	return &Picker{
+		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
+		pools: map[poolKey]*pool{}, reads: map[core.ModelID]*rate{},
+	}
+}
+
+const (
+	// zoneCost and regionCost are what the way to another availability zone or
+	// region is worth in time. A round trip between zones takes 3 ms, between
+	// regions 60 ms; the rest is the price by volume: an exchange of 15 kB over
+	// the paid link costs as much as a fortieth of a long answer is worth, and
+	// a wait of half a second costs a caller about as much.
+	zoneCost   = 12 * time.Millisecond
+	regionCost = 450 * time.Millisecond
+	// batchCost is what one more request in an engine's batch adds to each of
+	// the others: 0.15 ms a step over some hundred steps of an answer.
+	batchCost = 14 * time.Millisecond
+	// placeCost is the time a place of a plain service is taken by one call,
+	// before any was seen.
+	placeCost = 40 * time.Millisecond
+	// jitter keeps entries with the same knowledge from taking the same
+	// upstream; it is below every difference that matters.
+	jitter = 4 * time.Millisecond
+	// homeShare is the part of a prompt that is taken as kept at the upstream
+	// that rendezvous hashing prefers for it. Other entries send the same
+	// prompts there, of which this one hears nothing.
+	homeShare = 0.6
+	// fullCost keeps attempts from an upstream whose places are all taken
+	// while another has one.
+	fullCost = 3 * time.Second
+)
+
+// Pick returns the upstream for an attempt, or false when none is left. Draw
+// returns a number from 0 to 1.
+func (pk *Picker) Pick(now time.Time, hosts []core.Host, rq Request, draw func() float64) (core.Host, bool) {
+	fi := pk.field(now, hosts, rq)
+	best, least := -1, time.Duration(0)
+	for i := range hosts {
+		if slices.Contains(rq.Tried, hosts[i].ID) {
+			continue
+		}
+		cost := pk.cost(now, &hosts[i], rq, fi) + time.Duration(draw()*float64(jitter))
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	if best < 0 {
+		return core.Host{}, false
+	}
+	return hosts[best], true
+}
+
+// field is what all candidates of a decision share.
+type field struct {
+	pool *pool
+	home core.UpstreamID
+	// badness is the mean of the candidates' failures, shunned the candidates
+	// that are avoided.
+	badness float64
+	read    time.Duration
+}
+
+func (pk *Picker) field(now time.Time, hosts []core.Host, rq Request) field {
+	fi := field{pool: pk.pool(rq)}
+	if rq.Engine {
+		fi.home = pk.home(hosts, rq)
+		fi.read = pk.read(rq.Model).get()
+	}
+	known := 0
+	for i := range hosts {
+		if pe := pk.peers[hosts[i].ID]; pe != nil {
+			fi.badness += pe.badness(now)
+			known++
+		}
+	}
+	if known > 0 {
+		fi.badness /= float64(known)
+	}
+	return fi
+}
+
+// cost is the expected time to the first byte of an answer at an upstream,
+// with what else speaks against it turned into time.
+func (pk *Picker) cost(now time.Time, ho *core.Host, rq Request, fi field) time.Duration {
+	pe := pk.peer(ho)
+	cost := pk.distance(ho) + pe.avoid(now, fi, rq)
+	load := pe.load(now)
+	if rq.Engine {
+		fresh := rq.Prompt - pe.kept(now, rq)
+		if ho.ID == fi.home {
+			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
+		}
+		cost += pe.pending + scale(fi.read, fresh) + time.Duration(load*float64(batchCost))
+	} else {
+		cost += time.Duration(load * float64(fi.pool.usual(placeCost)) / float64(max(ho.Slots, 1)))
+	}
+	if ho.Slots > 0 && load >= float64(ho.Slots) {
+		cost += fullCost
+	}
+	return time.Duration(float64(cost) * pe.slowness(fi.pool))
+}
+
+// scale is the time to read so many tokens, at a time for a thousand.
+func scale(thousand time.Duration, tok core.Tokens) time.Duration {
+	return time.Duration(float64(thousand) * float64(max(tok, 0)) / 1000)
+}
+
+func (pk *Picker) distance(ho *core.Host) time.Duration {
+	switch {
+	case ho.Zone == pk.zone:
+		return 0
+	case ho.Region == pk.region:
+		return zoneCost
+	default:
+		return regionCost
+	}
+}
+
+// Sent notes that an attempt goes to an upstream.
+func (pk *Picker) Sent(now time.Time, ho core.Host, rq Request) *Flight {
+	pe := pk.peer(&ho)
+	fl := &Flight{peer: pe, pool: pk.pool(rq), sent: now}
+	if rq.Engine {
+		fl.cost = scale(pk.read(rq.Model).get(), rq.Prompt-pe.kept(now, rq))
+		pe.keep(now, rq)
+		pe.pending += fl.cost
+	}
+	pe.own++
+	return fl
+}
+
+// Begun notes the header of an answer, with the load that it reports or nil.
+func (pk *Picker) Begun(now time.Time, fl *Flight, rq Request, lo *core.Load) {
+	if fl.begun {
+		return
+	}
+	fl.begun = true
+	took := now.Sub(fl.sent)
+	if rq.Engine {
+		pk.read(rq.Model).learn(took, fl.cost, fl.peer.pending)
+	}
+	fl.peer.pending = max(fl.peer.pending-fl.cost, 0)
+	fl.peer.paced(fl.pool, took, fl.cost)
+	fl.pool.learn(took)
+	if lo != nil {
+		fl.peer.report(now, *lo)
+	}
+}
+
+// Reported notes the load that a refusal reports.
+func (pk *Picker) Reported(now time.Time, fl *Flight, lo core.Load) { fl.peer.report(now, lo) }
+
+// Usual returns the usual time from sending to the header of an answer, and
+// whether enough were seen to rely on it.
+func (pk *Picker) Usual(rq Request) (time.Duration, bool) {
+	pl := pk.pool(rq)
+	return pl.usual(0), pl.count >= trusted
+}
+
+// Ended notes the end of an attempt.
+func (pk *Picker) Ended(now time.Time, fl *Flight, out Outcome) {
+	if fl.ended {
+		return
+	}
+	fl.ended = true
+	pe := fl.peer
+	pe.own--
+	if !fl.begun {
+		pe.pending = max(pe.pending-fl.cost, 0)
+	}
+	pe.ended(now, out)
+}
+
+// Own returns how many attempts of this entry are at the upstreams of a list,
+// and how many places they have.
+func (pk *Picker) Own(hosts []core.Host) (own, places int) {
+	for i := range hosts {
+		if pe := pk.peers[hosts[i].ID]; pe != nil {
+			own += pe.own
+		}
+		places += hosts[i].Slots
+	}
+	return own, places
+}
+
+// Load returns the estimated calls of all entries at the upstreams of a list.
+func (pk *Picker) Load(now time.Time, hosts []core.Host) (running float64, places int) {
+	for i := range hosts {
+		running += pk.peer(&hosts[i]).load(now)
+		places += hosts[i].Slots
+	}
+	return running, places
+}
--- /dev/null
+++ b/core/balance/peer.go
@@ -0,0 +1,149 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// peer is what is known of one upstream.
+type peer struct {
+	born int64
+	// own counts this entry's attempts there, pending is the time that the
+	// prompts among them need that were not begun.
+	own     int
+	pending time.Duration
+	// others is what an answer reported beside the own attempts, at a time.
+	others   float64
+	reported time.Time
+	// fails follows the share of attempts that failed, at the time last.
+	fails float64
+	last  time.Time
+	// down is until when nothing is sent after it could not be reached; away
+	// counts how often in a row.
+	down  time.Time
+	away  int
+	full  time.Time
+	ratio float64
+	cache cache
+}
+
+const (
+	// reportHalf is the age at which a report of others' load counts half:
+	// answers take a second or two.
+	reportHalf = 1500 * time.Millisecond
+	// failWeight weighs the newest outcome. Four failures in a row lift an
+	// upstream from sound to 0.68.
+	failWeight = 0.25
+	// failHalf is the time in which a bad past is forgiven by half, so that
+	// an upstream that recovers is tried again within seconds.
+	failHalf = 4 * time.Second
+	// failCost is what a certain failure is worth in time, for work that can
+	// run again and for work that cannot.
+	failCost     = 1500 * time.Millisecond
+	failCostOnce = 6 * time.Second
+	// failMargin is the failures above the pool's mean that are ignored. Some
+	// routes fail for reasons of their own at any upstream.
+	failMargin = 0.12
+	// downFirst and downMost bound how long an upstream rests that could not
+	// be reached. A crashed one is back after some seconds.
+	downFirst = 400 * time.Millisecond
+	downMost  = 3 * time.Second
+	downCost  = 20 * time.Second
+	// fullFor is how long a refusal for want of room counts.
+	fullFor = 250 * time.Millisecond
+	// ratioWeight weighs the newest answer in an upstream's pace, oddest
+	// bounds it.
+	ratioWeight = 0.2
+	oddest      = 8.0
+	// ratioMargin is the slowness that is taken for chance.
+	ratioMargin = 1.5
+)
+
+// peer returns what is known of an upstream. One that comes back under its id
+// with another start is a new one.
+func (pk *Picker) peer(ho *core.Host) *peer {
+	pe := pk.peers[ho.ID]
+	if pe == nil || pe.born != ho.Born {
+		pe = &peer{born: ho.Born, ratio: 1, cache: newCache()}
+		pk.peers[ho.ID] = pe
+	}
+	return pe
+}
+
+// Forget drops what is known of an upstream that is gone.
+func (pk *Picker) Forget(id core.UpstreamID) { delete(pk.peers, id) }
+
+// load is the calls at the upstream: the own ones, and the others' as they
+// were reported, fading with age.
+func (pe *peer) load(now time.Time) float64 {
+	return float64(pe.own) + pe.others*fade(now.Sub(pe.reported), reportHalf)
+}
+
+// fade is the weight of something that halves with each half of age.
+func fade(age, half time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(half))
+}
+
+func (pe *peer) report(now time.Time, lo core.Load) {
+	pe.others = max(float64(lo.Running+lo.Queued-pe.own), 0)
+	pe.reported = now
+}
+
+func (pe *peer) badness(now time.Time) float64 { return pe.fails * fade(now.Sub(pe.last), failHalf) }
+
+// avoid is what an upstream's health speaks against it, in time.
+func (pe *peer) avoid(now time.Time, fi field, rq Request) time.Duration {
+	var cost time.Duration
+	if now.Before(pe.down) {
+		cost += downCost
+	}
+	if now.Before(pe.full) {
+		cost += fullCost
+	}
+	worse := max(pe.badness(now)-fi.badness-failMargin, 0)
+	unit := failCost
+	if rq.Once {
+		unit = failCostOnce
+	}
+	return cost + time.Duration(worse*float64(unit))
+}
+
+func (pe *peer) ended(now time.Time, out Outcome) {
+	bad := 0.0
+	switch out {
+	case Abandoned:
+		return
+	case Refused:
+		pe.full = now.Add(fullFor)
+		return
+	case Unreached:
+		pe.away++
+		rest := min(downFirst<<min(pe.away-1, 4), downMost)
+		pe.down = now.Add(rest)
+		return
+	case Failed, Overdue:
+		bad = 1
+	case Good:
+		pe.away = 0
+	}
+	pe.fails = pe.badness(now)
+	pe.fails += failWeight * (bad - pe.fails)
+	pe.last = now
+}
+
+// paced follows how long answers took to begin, against the usual of the pool
+// and what their prompts alone need.
+func (pe *peer) paced(pl *pool, took, read time.Duration) {
+	if pl.count < trusted {
+		return
+	}
+	ratio := float64(took) / float64(max(pl.usual(0), read, time.Millisecond))
+	pe.ratio += ratioWeight * (min(ratio, oddest) - pe.ratio)
+}
+
+// slowness is the factor on an upstream's expected time.
+func (pe *peer) slowness(_ *pool) float64 {
+	return max(pe.ratio/ratioMargin, 1)
+}
--- /dev/null
+++ b/core/canary/guard.go
@@ -0,0 +1,295 @@
+package canary
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkstand/core"
+)
+
+// Guard decides on the roll-outs of all services. It is safe for concurrent
+// use.
+type Guard struct {
+	gap time.Duration
+
+	mu       sync.Mutex
+	rollouts map[core.ServiceID]*rollout
+	sessions map[sessionKey]pin
+	swept    time.Time
+	// flying counts this entry's attempts now.
+	flying map[versionKey]int
+	// stable is the version in use of a service that has no roll-out.
+	stable map[core.ServiceID]core.VersionID
+}
+
+type sessionKey struct {
+	service core.ServiceID
+	session core.SessionID
+}
+
+type versionKey struct {
+	service core.ServiceID
+	version core.VersionID
+}
+
+// pin is the version that a session was served by last.
+type pin struct {
+	version core.VersionID
+	at      time.Time
+}
+
+// Option changes a Guard at construction.
+type Option func(*Guard)
+
+// SessionGap sets how long after its last request a session counts as under
+// way.
+func SessionGap(du time.Duration) Option { return func(gu *Guard) { gu.gap = du } }
+
+// defaultGap is the users' own figure for both deployments.
+const defaultGap = 5 * time.Second
+
+// New returns a guard.
+func New(opts ...Option) *Guard {
+	gu := &Guard{
+		gap: defaultGap, rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{}, flying: map[versionKey]int{},
+		stable: map[core.ServiceID]core.VersionID{},
+	}
+	for _, opt := range opts {
+		opt(gu)
+	}
+	return gu
+}
+
+// rollout is one order with what this entry knows of it.
+type rollout struct {
+	order   Order
+	status  Status
+	step    Step
+	began   time.Time
+	stepped time.Time
+	// all and sent count this entry's requests for the service, and those to
+	// the new version, since the order.
+	all, sent int
+	evidence evidence
+	// bad is why this entry holds the version for bad; empty is not.
+	bad string
+}
+
+func (gu *Guard) rollout(sv core.ServiceID) *rollout {
+	ro := gu.rollouts[sv]
+	if ro == nil {
+		ro = &rollout{evidence: newEvidence()}
+		gu.rollouts[sv] = ro
+	}
+	return ro
+}
+
+// Order takes in an order. One that is known, or older, changes nothing.
+func (gu *Guard) Order(now time.Time, or Order) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	ro := gu.rollout(or.Service)
+	if or.Revision <= ro.order.Revision {
+		return
+	}
+	ro.order, ro.began, ro.stepped = or, now, now
+	ro.all, ro.sent, ro.bad = 0, 0, ""
+	ro.evidence.restart()
+}
+
+// Status takes in a status from the store.
+func (gu *Guard) Status(st Status) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	ro := gu.rollout(st.Service)
+	if st.Revision > ro.status.Revision {
+		ro.status = st
+	}
+}
+
+// Step takes in a step from the store.
+func (gu *Guard) Step(now time.Time, st Step) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	ro := gu.rollout(st.Service)
+	if st.Revision > ro.step.Revision {
+		ro.step, ro.stepped = st, now
+	}
+}
+
+// state returns the status of the current order; the empty one before any.
+func (ro *rollout) state() State {
+	if ro.order.Revision == 0 || ro.status.Revision < ro.order.Revision || ro.status.Target != ro.order.Target {
+		return ""
+	}
+	return ro.status.State
+}
+
+// at returns the step of the current order.
+func (ro *rollout) at() int {
+	if ro.step.Order != ro.order.Revision {
+		return 0
+	}
+	return min(max(ro.step.Step, 0), len(steps)-1)
+}
+
+// Choose narrows the upstreams of a service to those whose version a request
+// may run on. Draw, from 0 to 1, places requests without a session. Fresh says
+// that the entry's news are recent; without, no new session is given to a
+// version under roll-out, since the word that it is bad may not have arrived.
+func (gu *Guard) Choose(now time.Time, sv core.ServiceID, se core.SessionID, draw float64, hosts []core.Host, fresh bool) []core.Host {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	ro := gu.rollouts[sv]
+	if ro == nil || ro.order.Revision == 0 {
+		return gu.known(sv, hosts)
+	}
+	target := ro.order.Target
+	ro.all++
+	switch {
+	case ro.bad != "" || ro.state() == RolledBack:
+		return except(hosts, target)
+	case ro.state() == Completed:
+		return prefer(only(hosts, target), hosts)
+	}
+	ups := only(hosts, target)
+	old := except(hosts, target)
+	if len(ups) == 0 {
+		return old
+	}
+	if !gu.joins(now, ro, sv, se, draw, fresh) {
+		return old
+	}
+	return ups
+}
+
+// joins reports whether a request goes to the version under roll-out.
+func (gu *Guard) joins(now time.Time, ro *rollout, sv core.ServiceID, se core.SessionID, draw float64, fresh bool) bool {
+	at := ro.at()
+	if se != "" {
+		draw = Place(se)
+		if pi, ok := gu.sessions[sessionKey{sv, se}]; ok && now.Sub(pi.at) <= gu.gap {
+			if pi.version == ro.order.Target {
+				return true
+			}
+			if at == 0 {
+				return false
+			}
+		}
+	}
+	if draw >= steps[at].share || !fresh {
+		return false
+	}
+	return at > 0 || float64(ro.sent) < capShare*float64(ro.all)+capSlack
+}
+
+// Place is a session's place from 0 to 1, the same at all entries.
+func Place(se core.SessionID) float64 {
+	return float64(xxhash.Sum64String(string(se))>>11) / (1 << 53)
+}
+
+// known narrows to the version that the service runs on, without a roll-out:
+// upstreams of another version may be listed before the order for it is known.
+func (gu *Guard) known(sv core.ServiceID, hosts []core.Host) []core.Host {
+	if len(hosts) == 0 {
+		return hosts
+	}
+	if ve, ok := gu.stable[sv]; ok {
+		if ups := only(hosts, ve); len(ups) > 0 {
+			return ups
+		}
+	}
+	gu.stable[sv] = most(hosts)
+	return only(hosts, gu.stable[sv])
+}
+
+// most returns the version that most upstreams run.
+func most(hosts []core.Host) core.VersionID {
+	count := map[core.VersionID]int{}
+	best := hosts[0].Version
+	for i := range hosts {
+		ve := hosts[i].Version
+		count[ve]++
+		if count[ve] > count[best] {
+			best = ve
+		}
+	}
+	return best
+}
+
+func only(hosts []core.Host, ve core.VersionID) []core.Host {
+	return filter(hosts, func(ho core.Host) bool { return ho.Version == ve })
+}
+
+func except(hosts []core.Host, ve core.VersionID) []core.Host {
+	return filter(hosts, func(ho core.Host) bool { return ho.Version != ve })
+}
+
+// filter copies only when something is left out.
+func filter(hosts []core.Host, keep func(core.Host) bool) []core.Host {
+	if !slices.ContainsFunc(hosts, func(ho core.Host) bool { return !keep(ho) }) {
+		return hosts
+	}
+	var out []core.Host
+	for _, ho := range hosts {
+		if keep(ho) {
+			out = append(out, ho)
+		}
+	}
+	return out
+}
+
+func prefer(first, second []core.Host) []core.Host {
+	if len(first) > 0 {
+		return first
+	}
+	return second
+}
+
+// Sent notes that a request of a session goes to an upstream.
+func (gu *Guard) Sent(now time.Time, se core.SessionID, ho core.Host) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	if se != "" {
+		gu.sweep(now)
+		gu.sessions[sessionKey{ho.Service, se}] = pin{ho.Version, now}
+	}
+	gu.flying[versionKey{ho.Service, ho.Version}]++
+	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
+		ro.sent++
+	}
+}
+
+// old counts this entry's attempts at versions that a roll-out replaces.
+func (gu *Guard) old(ro *rollout) int {
+	sum := 0
+	for key, n := range gu.flying {
+		if key.service == ro.order.Service && key.version != ro.order.Target {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// maxSessions bounds the memory of sessions; at ten new ones a second and a gap
+// of some seconds it is never near.
+const maxSessions = 1 << 16
+
+// sweep forgets the sessions that are over, once a gap.
+func (gu *Guard) sweep(now time.Time) {
+	if now.Sub(gu.swept) < gu.gap && len(gu.sessions) < maxSessions {
+		return
+	}
+	gu.swept = now
+	for key, pi := range gu.sessions {
+		if now.Sub(pi.at) > gu.gap {
+			delete(gu.sessions, key)
+		}
+	}
+	if len(gu.sessions) >= maxSessions {
+		clear(gu.sessions)
+	}
+}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -14,6 +14,12 @@
 		"All work in flight has ended and the process exits.", "Nothing."}
 	DutyFailed = &Event{103, "duty-failed", slog.LevelError,
 		"A duty of the supervisor tree ended and is started again.", "Report it when it repeats."}
+	Reloaded = &Event{105, "reloaded", slog.LevelInfo,
+		"The settings file was read again and what may change while running is in force.", "Nothing."}
+	ReloadRefused = &Event{106, "reload-refused", slog.LevelError,
+		"The settings file has faults; the settings in force stay.", "Mend the file; the line names all faults."}
+	LogDropped = &Event{107, "log-dropped", slog.LevelWarn,
+		"Log lines were dropped because more were written than the bound; `lines` counts them.", "Nothing; the counters have every request."}
 	DrainCut = &Event{104, "drain-cut", slog.LevelError,
 		"A planned stop ran out of its time and cut work off.", "Raise `drain-limit` above the longest answer."}
 	LinkUp = &Event{200, "link-up", slog.LevelInfo,
@@ -51,11 +57,36 @@
 		"Look at the version and withdraw it, or clear `halted` to go on."}
 	HaltRecorded = &Event{341, "halt-recorded", slog.LevelInfo,
 		"A halt of the guard stands in the configuration and spreads to all processes.", "Nothing."}
+	CanaryOrdered = &Event{343, "canary-ordered", slog.LevelInfo,
+		"Operators ordered a service to be moved to a version.", "Nothing."}
+	CanaryStatus = &Event{344, "canary-status", slog.LevelInfo,
+		"A roll-out's status in the store is a new one.", "Nothing."}
+	CanaryStep = &Event{345, "canary-step", slog.LevelInfo,
+		"A roll-out has reached its next step; the new version gets a larger share.", "Nothing."}
+	CanaryWritten = &Event{346, "canary-written", slog.LevelInfo,
+		"This process wrote a roll-out's next step or status; `why` is the evidence.", "Look at the version when it was rolled back."}
+	EntryMalformed = &Event{347, "entry-malformed", slog.LevelWarn,
+		"A key of the store cannot be read. An upstream's is taken as none; a configuration's leaves the one in force.",
+		"Find who writes it."}
+	UpstreamListed = &Event{348, "upstream-listed", slog.LevelInfo,
+		"An upstream's line of the list is new or has changed.", "Nothing."}
+	UpstreamGone = &Event{349, "upstream-gone", slog.LevelInfo,
+		"An upstream's line is gone. While `doubtful`, the store's own trouble may be the cause and it is used for a little longer.", "Nothing."}
 	HaltPending = &Event{342, "halt-pending", slog.LevelWarn,
 		"A halt could not be written into the configuration yet; it holds in this process and is tried again.",
 		"Look at the store."}
 	StoreDown = &Event{400, "store-down", slog.LevelWarn,
 		"The store cannot be reached.", "Look at the platform."}
+	StoreBack = &Event{403, "store-back", slog.LevelInfo,
+		"The store answers again; `away` is for how long it did not.", "Nothing."}
+	MirrorListed = &Event{404, "mirror-listed", slog.LevelInfo,
+		"The copy of the store was read anew, at the start or because the store has dropped its history.", "Nothing."}
+	MirrorBySibling = &Event{405, "mirror-by-sibling", slog.LevelInfo,
+		"The store does not answer this process; its news came from another entry.", "Look at the way to the store."}
+	Registered = &Event{407, "registered", slog.LevelInfo,
+		"The process stands in the store's list of entries.", "Nothing."}
+	StoreWriteLate = &Event{406, "store-write-late", slog.LevelWarn,
+		"A write is due that the store did not take; it is tried again.", "Look at the store."}
 	SegmentWritten = &Event{401, "segment-written", slog.LevelDebug,
 		"A ledger segment is durable.", "Nothing."}
 	SegmentLate = &Event{402, "segment-late", slog.LevelWarn,
@@ -81,6 +112,19 @@
 	BillLost = &Event{501, "bill-lost", slog.LevelError,
 		"A bill could not be written before the process ended, or had no room to wait.",
 		"Keep the line: it is the bill. The agent's copy is filed when the store answers; file the line by hand only if `skylarkstand bill --list` lacks its request an hour later."}
+	ExchangeEnded = &Event{510, "exchange-ended", slog.LevelInfo,
+		"An exchange ended with an upstream's answer, whole unless a code is given.", "Nothing."}
+	ExchangeFailed = &Event{511, "exchange-failed", slog.LevelWarn,
+		"An exchange ended without an upstream's answer; `ran` is what its caller was told, `last` the last attempt's failure.",
+		"Follow the request's id to its `attempt-ended` lines."}
+	ExchangeRefused = &Event{512, "exchange-refused", slog.LevelInfo,
+		"An exchange was refused before an upstream was chosen: no route, no key, no configuration, or too large.",
+		"Compare `configuration` with the newest one when the caller should have been let in."}
+	AttemptEnded = &Event{513, "attempt-ended", slog.LevelInfo,
+		"An attempt's answer was not used: `verdict` and `why` say what came of it.",
+		"Look at the upstream when it repeats there."}
+	StreamResumed = &Event{514, "stream-resumed", slog.LevelInfo,
+		"A stream that broke goes on at another upstream, after the event that its caller has.", "Nothing."}
 	RatingsAway = &Event{540, "ratings-away", slog.LevelWarn,
 		"The rating service does not answer in time; cascades run the stage that is declared good enough.",
 		"Look at the rating service."}
@@ -89,13 +133,14 @@
 // Catalogue lists all events by number.
 func Catalogue() []*Event {
 	return []*Event{
-		Started, Stopping, Stopped, DutyFailed, DrainCut,
+		Started, Stopping, Stopped, DutyFailed, DrainCut, Reloaded, ReloadRefused, LogDropped,
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
-		RollOutHalted, HaltRecorded, HaltPending,
-		StoreDown, SegmentWritten, SegmentLate,
+		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
+		EntryMalformed, UpstreamListed, UpstreamGone,
+		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished,
-		RequestFailed, BillLost, RatingsAway,
+		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, RatingsAway,
 	}
 }
--- a/core/failure.go
+++ b/core/failure.go
@@ -29,6 +29,8 @@
 	CodeUnauthorized  Code = "unauthorized"
 	CodeNotAllowed    Code = "not-allowed"
 	CodeUnknownModel  Code = "unknown-model"
+	CodeUnknownRoute  Code = "unknown-route"
+	CodeHeaderTooLong Code = "header-too-long"
 	CodeTooLarge      Code = "too-large"
 	CodeOverloaded    Code = "overloaded"
 	CodeDeadline      Code = "deadline"
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,138 @@
+// Package fleet keeps which upstreams there are, from the platform's list.
+//
+// The list is news of leases: an entry that vanishes may mean that its
+// upstream left, or only that the store was away and leases ran out
+// meanwhile. Taking every removal at its word would leave a service without
+// upstreams at the very moment when the store comes back, although all of them
+// run; keeping every one for long would send work to hosts that are gone. So a
+// removal counts at once while the store has been well, and only after a grace
+// when it has not.
+//
+// # Usage
+//
+//	fl := fleet.New(fleet.Grace(2500 * time.Millisecond))
+//	fl.Put(host)
+//	fl.Remove(id, now, true)
+//	for _, ho := range fl.Serving(service, now) { … }
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// DefaultGrace is how long an upstream stays after a removal that may be a
+// lapsed lease. Upstreams that live write themselves back within about two
+// seconds of the store's return; half a second is for the way here.
+const DefaultGrace = 2500 * time.Millisecond
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	grace time.Duration
+
+	mu      sync.Mutex
+	members map[core.UpstreamID]*member
+	// lists are built when asked for, and dropped when something changes.
+	lists map[core.ServiceID][]core.Host
+	// next is when the first grace ends; zero when none runs.
+	next time.Time
+}
+
+type member struct {
+	host core.Host
+	// gone is when the member stops counting; zero while it is listed.
+	gone time.Time
+}
+
+// Option changes a Fleet at construction.
+type Option func(*Fleet)
+
+// Grace sets how long an upstream stays after a doubtful removal.
+func Grace(du time.Duration) Option { return func(fl *Fleet) { fl.grace = du } }
+
+// New returns an empty fleet.
+func New(opts ...Option) *Fleet {
+	fl := &Fleet{grace: DefaultGrace, members: map[core.UpstreamID]*member{}, lists: map[core.ServiceID][]core.Host{}}
+	for _, opt := range opts {
+		opt(fl)
+	}
+	return fl
+}
+
+// Put takes over an upstream's line of the list.
+func (fl *Fleet) Put(ho core.Host) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.members[ho.ID] = &member{host: ho}
+	clear(fl.lists)
+}
+
+// Remove notes that an upstream's line is gone. A doubtful removal is one that
+// the store's own trouble may have caused; the upstream then stays for the
+// grace, unless it had said that it was leaving.
+func (fl *Fleet) Remove(id core.UpstreamID, now time.Time, doubtful bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	clear(fl.lists)
+	if !doubtful || me.host.Leaving {
+		delete(fl.members, id)
+		return
+	}
+	me.gone = now.Add(fl.grace)
+	if fl.next.IsZero() || me.gone.Before(fl.next) {
+		fl.next = me.gone
+	}
+}
+
+// Serving lists the upstreams of a service that take work, by id. The list is
+// shared and must not be changed.
+func (fl *Fleet) Serving(sv core.ServiceID, now time.Time) []core.Host {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.expire(now)
+	list, ok := fl.lists[sv]
+	if ok {
+		return list
+	}
+	for _, me := range fl.members {
+		if me.host.Service == sv && !me.host.Leaving {
+			list = append(list, me.host)
+		}
+	}
+	slices.SortFunc(list, func(a, b core.Host) int { return cmp.Compare(a.ID, b.ID) })
+	fl.lists[sv] = list
+	return list
+}
+
+// expire drops the members whose grace has ended.
+func (fl *Fleet) expire(now time.Time) {
+	if fl.next.IsZero() || now.Before(fl.next) {
+		return
+	}
+	fl.next = time.Time{}
+	for id, me := range fl.members {
+		switch {
+		case me.gone.IsZero():
+		case !now.Before(me.gone):
+			delete(fl.members, id)
+		case fl.next.IsZero() || me.gone.Before(fl.next):
+			fl.next = me.gone
+		}
+	}
+	clear(fl.lists)
+}
+
+// Len returns how many upstreams are known.
+func (fl *Fleet) Len() int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return len(fl.members)
+}
--- /dev/null
+++ b/core/forward/attempt.go
@@ -0,0 +1,182 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/balance"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/event"
+)
+
+// attempt is one call of an upstream, from its choice to its end.
+type attempt struct {
+	jb     *job
+	to     core.Host
+	rq     balance.Request
+	flight *balance.Flight
+	sent   time.Time
+	after  string
+	// left is the time that the upstream has; bounded is false when there is
+	// no bound.
+	left    time.Duration
+	bounded bool
+	// patience is how long the header may take; 0 is to the end.
+	patience time.Duration
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	reply  *core.Reply
+	began  time.Time
+	pieces int
+	why    string
+	ended  bool
+}
+
+var (
+	errSilent  = errors.New("no answer began in the usual time")
+	errStalled = errors.New("the answer stopped half-way")
+)
+
+// run calls the upstream and judges the header of its answer.
+func (at *attempt) run(ctx context.Context) verdict {
+	at.ctx, at.cancel = context.WithCancelCause(ctx)
+	if at.patience > 0 {
+		ti := time.AfterFunc(at.patience, func() { at.cancel(errSilent) })
+		defer ti.Stop()
+	}
+	re, err := at.jb.fw.access.Call(at.ctx, at.call())
+	if err != nil {
+		return at.fail(err)
+	}
+	at.reply, at.began = re, time.Now()
+	at.header()
+	ve := judge(re)
+	if ve == taken && at.jb.mayClimb() && re.Status < 300 && doubtful(re) {
+		ve = unsure
+	}
+	if ve != taken {
+		at.why = fmt.Sprintf("status %d, confidence %d", re.Status, re.Confidence)
+	}
+	return ve
+}
+
+func (at *attempt) call() *core.Call {
+	jb := at.jb
+	ca := &core.Call{
+		Exchange: jb.ex, To: at.to, Workspace: jb.workspace, Model: at.rq.Model,
+		After: at.after, Priority: jb.priority, Connections: jb.connections(),
+	}
+	if at.bounded {
+		ca.Left = max(at.left-time.Since(at.sent), time.Millisecond)
+	}
+	return ca
+}
+
+// connections is this entry's part of those that one upstream accepts.
+func (jb *job) connections() int {
+	sv := jb.tb.Service(jb.service)
+	if sv == nil || sv.MaxConnections <= 0 {
+		return 0
+	}
+	return max(sv.MaxConnections/connectionPart, 1)
+}
+
+// connectionPart divides the connections that an upstream accepts: entries see
+// unlike shares of the callers, the busiest up to twice the mean of four.
+const connectionPart = 2
+
+// fail judges a call without an answer.
+func (at *attempt) fail(err error) verdict {
+	at.why = err.Error()
+	if cause := context.Cause(at.ctx); errors.Is(cause, errSilent) {
+		at.why = cause.Error()
+	}
+	var fl *core.Failure
+	if errors.As(err, &fl) && fl.Ran == core.NotRun {
+		return unreached
+	}
+	return lost
+}
+
+// header lets the choice of upstreams learn from the header of an answer.
+func (at *attempt) header() {
+	fw := at.jb.fw
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if at.reply.NotRun || at.reply.Stranger {
+		if at.reply.Load != nil {
+			fw.picker.Reported(at.began, at.flight, *at.reply.Load)
+		}
+		return
+	}
+	fw.picker.Begun(at.began, at.flight, at.rq, at.reply.Load)
+}
+
+// drop gives up an attempt whose answer is not used.
+func (at *attempt) drop(ve verdict) {
+	if ve == refused || ve == stranger || ve == unreached {
+		at.jb.runs--
+	}
+	if at.reply != nil {
+		at.finishBody(ve)
+	}
+	at.end(ve)
+	at.cancel(nil)
+}
+
+// finishBody reads the short body of a refusal to its end, so that the
+// connection can be kept, and drops any other: closing makes the upstream stop.
+func (at *attempt) finishBody(ve verdict) {
+	if ve == refused || ve == stranger || ve == failed {
+		drain(at.reply.Body)
+	}
+	at.reply.Body.Close()
+}
+
+// end notes the attempt's end with all that learn from it.
+func (at *attempt) end(ve verdict) {
+	if at.ended {
+		return
+	}
+	at.ended = true
+	jb, now := at.jb, time.Now()
+	out := ve.outcome()
+	gone := errors.Is(context.Cause(at.ctx), context.Canceled) && ve == lost
+	if gone {
+		out = balance.Abandoned
+	}
+	if errors.Is(context.Cause(at.ctx), errSilent) {
+		out = balance.Overdue
+	}
+	fw := jb.fw
+	fw.mu.Lock()
+	fw.picker.Ended(now, at.flight, out)
+	fw.mu.Unlock()
+	fw.parts.Canary.Ended(at.evidence(ve, gone))
+	if ve != taken {
+		fw.meters.attemptFailed(ve)
+		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "upstream", at.to.ID, "address", at.to.Addr,
+			"version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.why,
+			"took", now.Sub(at.sent), "pieces", at.pieces)
+	}
+}
+
+// evidence is what the attempt says about its upstream's version.
+func (at *attempt) evidence(ve verdict, gone bool) canary.Outcome {
+	ou := canary.Outcome{
+		Service: at.to.Service, Version: at.to.Version, Pool: at.jb.rt.ID + "/" + string(at.rq.Model),
+		Neutral: gone || ve == refused || ve == stranger || ve == unreached,
+		Failed:  ve == failed || ve == lost,
+	}
+	if !at.began.IsZero() {
+		ou.First = at.began.Sub(at.sent)
+	}
+	if at.pieces > 1 {
+		ou.Piece = time.Since(at.began) / time.Duration(at.pieces)
+	}
+	return ou
+}
--- /dev/null
+++ b/core/forward/events.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+)
+
+// events splits a stream into whole events. What comes after the last whole one
+// is kept back: an upstream that breaks may cut an event in the middle.
+type events struct {
+	br  *bufio.Reader
+	buf []byte
+	err error
+}
+
+// maxEvent bounds one event.
+const maxEvent = 1 << 20
+
+// eventBuffer holds a few events of the usual size.
+const eventBuffer = 1024
+
+var errLongEvent = errors.New("an event is longer than 1 MB")
+
+func newEvents(rd io.Reader) *events { return &events{br: bufio.NewReaderSize(rd, eventBuffer)} }
+
+// next returns the next event with the blank line that ends it. Its bytes are
+// valid until the next call. The end of a whole stream is io.EOF; what stands
+// there without a blank line belongs to the answer and comes as a last piece.
+func (ev *events) next() ([]byte, error) {
+	ev.buf = ev.buf[:0]
+	if ev.err != nil {
+		return nil, ev.err
+	}
+	for {
+		line, err := ev.br.ReadSlice('\n')
+		ev.buf = append(ev.buf, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(ev.buf) > maxEvent {
+				return nil, errLongEvent
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(ev.buf) > 0:
+			ev.err = err
+			return ev.buf, nil
+		case err != nil:
+			return nil, err
+		}
+		if blank(line) && len(bytes.TrimSpace(ev.buf)) > 0 {
+			return ev.buf, nil
+		}
+	}
+}
+
+func blank(line []byte) bool {
+	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
+}
+
+// eventID returns the id of an event, or the one before when it has none.
+func eventID(event []byte, before string) string {
+	for line := range strings.Lines(string(event)) {
+		if rest, ok := strings.CutPrefix(line, "id:"); ok {
+			return strings.TrimSpace(rest)
+		}
+	}
+	return before
+}
+
+// drainLimit bounds what is read of an answer that nobody wants, to keep its
+// connection.
+const drainLimit = 16 << 10
+
+func drain(rd io.Reader) { _, _ = io.CopyN(io.Discard, rd, drainLimit) }
--- /dev/null
+++ b/core/forward/forward.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/balance"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/event"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/retry"
+	"skylarkstand/core/route"
+)
+
+// Parts are what a forwarder decides by.
+type Parts struct {
+	InForce *route.InForce
+	Fleet   *fleet.Fleet
+	Canary  *canary.Guard
+	// Age tells how long ago the entry's news were known to be the newest.
+	Age func() time.Duration
+	// Repeats returns the window of repeats for a service.
+	Repeats func() *retry.Window
+}
+
+// Forwarder is safe for concurrent use.
+type Forwarder struct {
+	deps   core.Deps
+	access core.Access
+	parts  Parts
+	draw   func() float64
+
+	mu      sync.Mutex
+	picker  *balance.Picker
+	windows map[core.ServiceID]*retry.Window
+	meters  meters
+}
+
+// Option changes a Forwarder at construction.
+type Option func(*Forwarder)
+
+// Draw sets the random numbers, from 0 to 1, that choices are drawn by. It is
+// called with a lock held.
+func Draw(fn func() float64) Option { return func(fw *Forwarder) { fw.draw = fn } }
+
+// New returns a forwarder.
+func New(deps core.Deps, access core.Access, pa Parts, opts ...Option) *Forwarder {
+	fw := &Forwarder{
+		deps: deps, access: access, parts: pa, draw: rand.Float64,
+		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
+		meters: newMeters(deps.Metrics),
+	}
+	for _, opt := range opts {
+		opt(fw)
+	}
+	return fw
+}
+
+// staleAfter is the age of the news above which a key or route that is not
+// known may just not have been heard of. It is well above the pause between two
+// confirmations of a quiet store.
+const staleAfter = 7 * time.Second
+
+// comeBack is when a caller finds an entry that knows more than this one now.
+const comeBack = 500 * time.Millisecond
+
+// Forward runs an exchange and returns its answer once its first piece is
+// there. Errors are *core.Failure.
+func (fw *Forwarder) Forward(ctx context.Context, ex *core.Exchange) (*Answer, error) {
+	jb, fl := fw.admit(ex)
+	if fl != nil {
+		fw.refused(ex, fl)
+		return nil, fl
+	}
+	ans, fl := jb.run(ctx)
+	if fl != nil {
+		jb.cancel()
+		jb.log(fl)
+		return nil, fl
+	}
+	return ans, nil
+}
+
+// admit finds the route, the workspace and the service of an exchange.
+func (fw *Forwarder) admit(ex *core.Exchange) (*job, *core.Failure) {
+	tb := fw.parts.InForce.Current()
+	if tb == nil {
+		return nil, core.Refuse(core.CodeNoConfig, comeBack, "no configuration is known yet")
+	}
+	rt := tb.Find(ex.Host, ex.Path)
+	if rt == nil {
+		return nil, fw.unknown(core.CodeUnknownRoute, "no route leads there")
+	}
+	jb := &job{fw: fw, ex: ex, tb: tb, rt: rt, priority: rt.Priority}
+	if !rt.Public && tb.Keyed() {
+		ws := tb.Workspace(ex.Key)
+		if ws == nil {
+			return nil, fw.unknown(core.CodeUnauthorized, "the key belongs to no workspace")
+		}
+		jb.workspace = ws.ID
+		if ws.Ranked {
+			jb.priority = ws.Priority
+		}
+	}
+	jb.service = rt.Choose(fw.place(ex))
+	return jb, nil
+}
+
+// unknown refuses what the configuration in force does not have. While newer
+// ones may be on their way here, that is no final word: a caller with a new key
+// would be told for good that it has none.
+func (fw *Forwarder) unknown(code core.Code, text string) *core.Failure {
+	if age := fw.parts.Age(); age > staleAfter {
+		return core.Refuse(core.CodeStaleConfig, comeBack, "%s, by a configuration that was confirmed %s ago", text, age.Round(time.Millisecond))
+	}
+	return core.Refuse(code, 0, "%s", text)
+}
+
+// place draws a number from 0 to 1, the same for all requests of a session, so
+// that a route that is split between services keeps sessions together.
+func (fw *Forwarder) place(ex *core.Exchange) float64 {
+	if ex.Session != "" {
+		return canary.Place(ex.Session)
+	}
+	return rand.Float64()
+}
+
+func (fw *Forwarder) refused(ex *core.Exchange, fl *core.Failure) {
+	fw.meters.ended(fl.Code, 0)
+	event.Log(fw.deps.Log, event.ExchangeRefused, "request", ex.ID, "host", ex.Host, "path", ex.Path,
+		"code", fl.Code, "ran", fl.Ran, "message", fl.Message, "retry-after", fl.RetryAfter, "configuration", fw.version())
+}
+
+func (fw *Forwarder) version() route.Version {
+	if tb := fw.parts.InForce.Current(); tb != nil {
+		return tb.Version
+	}
+	return 0
+}
+
+// window returns the repeats of a service. The caller holds the lock.
+func (fw *Forwarder) window(sv core.ServiceID) *retry.Window {
+	wi := fw.windows[sv]
+	if wi == nil {
+		wi = fw.parts.Repeats()
+		fw.windows[sv] = wi
+	}
+	return wi
+}
+
+// Gone drops what is known of an upstream that left.
+func (fw *Forwarder) Gone(id core.UpstreamID) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.picker.Forget(id)
+}
--- /dev/null
+++ b/core/forward/job.go
@@ -0,0 +1,247 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/balance"
+	"skylarkstand/core/event"
+	"skylarkstand/core/retry"
+	"skylarkstand/core/route"
+)
+
+// job is one exchange on its way.
+type job struct {
+	fw        *Forwarder
+	ex        *core.Exchange
+	tb        *route.Table
+	rt        *route.Route
+	workspace core.WorkspaceID
+	service   core.ServiceID
+	priority  int
+
+	cancel context.CancelFunc
+	// tried are the upstreams that were asked, runs how many may have run it,
+	// and sends how many attempts left this entry.
+	tried []core.UpstreamID
+	runs  int
+	sends int
+	// stage is the place in the cascade, from the smallest model.
+	stage int
+	// ran is set once the work may have run.
+	ran bool
+	// last is the newest failed attempt, for the answer and the log.
+	last string
+}
+
+// maxSends bounds the attempts that reach no upstream, or are refused, beside
+// those that run: a pool that is gone must not be tried for as long as the
+// caller waits.
+const maxSends = 6
+
+// run makes attempts until one is answered.
+func (jb *job) run(ctx context.Context) (*Answer, *core.Failure) {
+	left, bounded := jb.left(time.Now())
+	if bounded {
+		ctx, jb.cancel = context.WithTimeoutCause(ctx, left, errOverdue)
+	} else {
+		ctx, jb.cancel = context.WithCancel(ctx)
+	}
+	jb.fw.arrived(jb)
+	for {
+		at, fl := jb.begin(jb.ex.Resume)
+		if fl != nil {
+			return nil, fl
+		}
+		ans, ve := jb.accept(ctx, at, at.run(ctx))
+		if ans != nil {
+			return ans, nil
+		}
+		if fl := jb.goOn(ctx, at, ve); fl != nil {
+			return nil, fl
+		}
+	}
+}
+
+// errOverdue ends the context of a job whose time is up.
+var errOverdue = errors.New("the time is up")
+
+// left returns the time until the caller's deadline or the route's timeout.
+func (jb *job) left(now time.Time) (time.Duration, bool) {
+	limit := jb.rt.Timeout
+	if dl := jb.ex.Deadline; dl > 0 && (limit <= 0 || dl < limit) {
+		limit = dl
+	}
+	return limit - now.Sub(jb.ex.Arrived), limit > 0
+}
+
+// accept turns a good attempt into the answer, and a failed one into it when
+// nothing better can come. Otherwise it returns what the attempt came to: the
+// body may break after a good header.
+func (jb *job) accept(ctx context.Context, at *attempt, ve verdict) (*Answer, verdict) {
+	take := ve == taken || ve == unsure && !jb.climb(ctx) || ve == failed && !jb.mayRepeat(ctx)
+	if !take {
+		at.drop(ve)
+		return nil, ve
+	}
+	if ans := jb.answer(ctx, at); ans != nil {
+		return ans, ve
+	}
+	return nil, lost
+}
+
+// goOn decides after a failed attempt whether another follows; it returns the
+// failure when none does.
+func (jb *job) goOn(ctx context.Context, at *attempt, ve verdict) *core.Failure {
+	if ve.ran() {
+		jb.ran = true
+	}
+	jb.last = at.why
+	if ctx.Err() != nil {
+		return jb.overdue(ctx)
+	}
+	switch ve {
+	case unsure, failed:
+		return nil // Allowed by accept.
+	case lost:
+		if !jb.mayRepeat(ctx) {
+			return jb.give(core.CodeOutcomeLost, 0, "the upstream's answer was lost: "+at.why)
+		}
+	case refused:
+		if jb.sends >= maxSends || !jb.spend(retry.Retry) {
+			return jb.give(core.CodeOverloaded, jb.comeBack(), "the upstreams take no more work")
+		}
+	case stranger, unreached:
+		if jb.sends >= maxSends {
+			return jb.give(core.CodeNoUpstream, jb.comeBack(), "no upstream can be reached")
+		}
+	}
+	return nil
+}
+
+// mayRepeat reports whether work that may have run can run once more, and takes
+// it from the budget.
+func (jb *job) mayRepeat(ctx context.Context) bool {
+	if !jb.rt.Repeat.Repeatable() || jb.runs >= jb.attempts() || ctx.Err() != nil {
+		return false
+	}
+	if left, bounded := jb.left(time.Now()); bounded && left < 2*leastLeft {
+		return false
+	}
+	return jb.others() && jb.spend(retry.Retry)
+}
+
+// climb reports whether the next model of the cascade should answer, and moves
+// there.
+func (jb *job) climb(ctx context.Context) bool {
+	if jb.runs >= jb.attempts() || ctx.Err() != nil || !jb.spend(retry.Climb) {
+		return false
+	}
+	jb.stage = len(jb.rt.Cascade) - 1
+	// The largest model may run where the smaller one did.
+	jb.tried = nil
+	return true
+}
+
+func (jb *job) attempts() int { return max(jb.rt.MaxAttempts, 1) }
+
+func (jb *job) spend(pu retry.Purpose) bool {
+	fw := jb.fw
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.window(jb.service).Spend(time.Now(), pu)
+}
+
+// others reports whether there is an upstream that was not asked.
+func (jb *job) others() bool {
+	return len(jb.fw.parts.Fleet.Serving(jb.service, time.Now())) > len(jb.tried)
+}
+
+// model returns the model of the present stage; empty leaves the caller's.
+func (jb *job) model() core.ModelID {
+	if !jb.ex.AnyModel || len(jb.rt.Cascade) == 0 {
+		return ""
+	}
+	return jb.rt.Cascade[min(jb.stage, len(jb.rt.Cascade)-1)]
+}
+
+// mayClimb reports whether a larger model is there.
+func (jb *job) mayClimb() bool {
+	return jb.ex.AnyModel && jb.stage < len(jb.rt.Cascade)-1
+}
+
+// request is what the choice of an upstream depends on.
+func (jb *job) request() balance.Request {
+	return balance.Request{
+		Service: jb.service, Model: jb.model(), Parts: jb.ex.Parts, Prompt: jb.ex.Prompt,
+		Engine: len(jb.ex.Parts) > 0 || jb.ex.Prompt > 0, Pool: jb.rt.ID, Tried: jb.tried,
+		Once: !jb.rt.Repeat.Repeatable(),
+	}
+}
+
+// begin chooses the upstream of the next attempt.
+func (jb *job) begin(after string) (*attempt, *core.Failure) {
+	now := time.Now()
+	left, bounded := jb.left(now)
+	if bounded && left < leastLeft {
+		return nil, jb.give(core.CodeDeadline, comeBack, "the time was up before an upstream was asked")
+	}
+	fw, rq := jb.fw, jb.request()
+	hosts := fw.parts.Fleet.Serving(jb.service, now)
+	hosts = fw.parts.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), hosts, fw.parts.Age() < staleAfter)
+	fw.mu.Lock()
+	ho, ok := fw.picker.Pick(now, hosts, rq, fw.draw)
+	if !ok {
+		fw.mu.Unlock()
+		return nil, jb.give(core.CodeNoUpstream, jb.comeBack(), "no upstream takes this work now")
+	}
+	usual, known := fw.picker.Usual(rq)
+	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
+	at.patience = patience(jb.rt, usual, known, left)
+	at.flight = fw.picker.Sent(now, ho, rq)
+	fw.mu.Unlock()
+	fw.parts.Canary.Sent(now, jb.ex.Session, ho)
+	jb.tried = append(jb.tried, ho.ID)
+	jb.sends++
+	jb.runs++
+	if jb.runs >= jb.attempts() {
+		at.patience = 0
+	}
+	return at, nil
+}
+
+// comeBack is the time after which a caller should try again: soon, but spread,
+// so that those who were refused together do not come back together.
+func (jb *job) comeBack() time.Duration {
+	const least, spread = 300 * time.Millisecond, 500 * time.Millisecond
+	return least + time.Duration(jb.fw.drawn()*float64(spread))
+}
+
+// give returns the failure of a job that ends without an answer.
+func (jb *job) give(code core.Code, back time.Duration, text string) *core.Failure {
+	if !jb.ran {
+		return core.Refuse(code, back, "%s", text)
+	}
+	return &core.Failure{Code: code, Ran: core.RanUnknown, Message: text}
+}
+
+// overdue is the failure of a job whose time is up or whose caller is gone.
+func (jb *job) overdue(ctx context.Context) *core.Failure {
+	if errors.Is(context.Cause(ctx), errOverdue) {
+		return jb.give(core.CodeDeadline, comeBack, "no answer came in time")
+	}
+	return jb.give(core.CodeCallerGone, 0, "the caller is gone")
+}
+
+// log writes the one line about the end of an exchange.
+func (jb *job) log(fl *core.Failure) {
+	now := time.Now()
+	took := now.Sub(jb.ex.Arrived)
+	jb.fw.meters.ended(fl.Code, took)
+	event.Log(jb.fw.deps.Log, event.ExchangeFailed, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
+		"service", jb.service, "model", jb.model(), "code", fl.Code, "ran", fl.Ran, "message", fl.Message, "last", jb.last,
+		"attempts", jb.sends, "took", took, "retry-after", fl.RetryAfter, "configuration", jb.tb.Version,
+		"news-age", jb.fw.parts.Age())
+}
--- /dev/null
+++ b/core/forward/judge.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"net/http"
+
+	"skylarkstand/core"
+	"skylarkstand/core/balance"
+)
+
+// verdict is what an attempt came to.
+type verdict int
+
+const (
+	// taken: the upstream's answer, a success or its own refusal of the content.
+	taken verdict = iota
+	// failed: the upstream's own failure. It ran the work.
+	failed
+	// refused: the upstream vouches that it did not run the work.
+	refused
+	// stranger: the address belongs to another upstream now. Not run.
+	stranger
+	// unreached: nothing left. Not run.
+	unreached
+	// lost: no answer, or none that can be the upstream's. It may have run.
+	lost
+	// unsure: a success whose model doubts it, and a larger one is there.
+	unsure
+)
+
+// ran reports whether the work may have run.
+func (ve verdict) ran() bool { return ve == taken || ve == failed || ve == lost || ve == unsure }
+
+// outcome is what a verdict says about the upstream.
+func (ve verdict) outcome() balance.Outcome {
+	switch ve {
+	case taken, unsure:
+		return balance.Good
+	case refused:
+		return balance.Refused
+	case stranger, unreached:
+		return balance.Unreached
+	default:
+		return balance.Failed
+	}
+}
+
+// judge classifies a reply by its header.
+//
+// A success without the upstream's proof, or with an encoding that nobody asked
+// for, comes from something else on the way: a caller would take foreign bytes
+// for its answer. It is a failed attempt that may have run.
+func judge(re *core.Reply) verdict {
+	switch {
+	case re.Stranger:
+		return stranger
+	case re.NotRun:
+		return refused
+	case !re.Sealed || re.Header.Get("Content-Encoding") != "":
+		return lost
+	case re.Status >= http.StatusInternalServerError:
+		return failed
+	default:
+		return taken
+	}
+}
+
+// sureFrom is the confidence from which an answer of a smaller model is given.
+//
+// Every answer that is dropped costs its reading, and the larger model costs
+// ten times as much; one that is given although it is poor is worth little to
+// its caller. Trials with callers' mixes at both deployments had their best
+// result between 40 and 70, with little between them, and the lower figure
+// better under twice the load.
+const sureFrom = 55
+
+// doubtful reports whether a larger model should answer instead.
+func doubtful(re *core.Reply) bool {
+	return re.Confidence != core.NoConfidence && re.Confidence < sureFrom
+}
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -25,6 +25,11 @@
 	Model   ModelID   `json:"model,omitempty"`
 	Version VersionID `json:"version,omitempty"`
 	Service ServiceID `json:"service,omitempty"`
+	// Slots is how many calls an upstream runs at once, 0 when it is not known.
+	Slots int `json:"slots,omitempty"`
+	// Born is when this incarnation of an upstream started, in milliseconds
+	// since 1970 by its own clock. An id may come back with another one.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Serves returns the model version of an engine's host.
--- a/core/ids.go
+++ b/core/ids.go
@@ -38,6 +38,9 @@
 // SessionID names a caller's session, within its workspace.
 type SessionID string
 
+// APIKey is what a caller proves its workspace with.
+type APIKey string
+
 // Zone is an availability zone.
 type Zone string
 
--- /dev/null
+++ b/core/mirror/follow.go
@@ -0,0 +1,198 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+)
+
+// News is another entry's copy, as far as it is newer.
+type News struct {
+	// Newer says that Items replace the copy that was asked about.
+	Newer    bool
+	Items    []core.Item
+	Revision core.Revision
+	// Age is how long ago the copy was known to be the newest.
+	Age time.Duration
+}
+
+// Siblings are the other entries.
+type Siblings interface {
+	// Ask returns the best news that another entry has over a revision.
+	Ask(ctx context.Context, after core.Revision) (News, error)
+}
+
+// Follower is the duty that keeps a mirror. It implements suture's Service.
+type Follower struct {
+	deps core.Deps
+	mi   *Mirror
+	feed core.Feed
+	sibs Siblings
+
+	mu sync.Mutex
+	// since is when the store began not to answer; zero while it answers.
+	since time.Time
+	// back is when it last answered again.
+	back time.Time
+	// trouble wakes the one who asks siblings.
+	trouble chan struct{}
+}
+
+const (
+	// waitTime is how long a watch waits. Each costs a call; a watch that goes
+	// silent is found one waitTime and a little later, which must be well below
+	// the time in which a change has to be in force while the store is in
+	// trouble.
+	waitTime = 4 * time.Second
+	// pauseFirst and pauseMost bound the pause after a call that failed. A
+	// store that is down is asked by each entry a few times a second, so that
+	// its return is noticed soon; that is far below its rates.
+	pauseFirst = 100 * time.Millisecond
+	pauseMost  = 400 * time.Millisecond
+	// askEvery is the pause between two questions to siblings while the store
+	// does not answer, and askLimit bounds one.
+	askEvery = 400 * time.Millisecond
+	askLimit = 700 * time.Millisecond
+	// doubtFor is how long after the store's trouble a removal may still be a
+	// lapsed lease: upstreams write themselves back within two seconds.
+	doubtFor = 4 * time.Second
+)
+
+// NewFollower returns the duty that keeps mi up to date from feed, and from the
+// siblings while that does not answer.
+func NewFollower(deps core.Deps, mi *Mirror, feed core.Feed, sibs Siblings) *Follower {
+	return &Follower{deps: deps, mi: mi, feed: feed, sibs: sibs, trouble: make(chan struct{}, 1)}
+}
+
+// Serve implements suture's Service.
+func (fo *Follower) Serve(ctx context.Context) error {
+	go fo.askSiblings(ctx)
+	pause, listed := pauseFirst, false
+	for ctx.Err() == nil {
+		err := fo.step(ctx, &listed)
+		if err == nil {
+			fo.answered()
+			pause = pauseFirst
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, core.ErrCompacted) {
+			listed = false
+			continue
+		}
+		fo.failed(err)
+		sleep(ctx, pause)
+		pause = min(2*pause, pauseMost)
+	}
+	return ctx.Err()
+}
+
+// step makes one call: a listing first, and a watch from then on.
+func (fo *Follower) step(ctx context.Context, listed *bool) error {
+	asked := time.Now()
+	if !*listed {
+		items, rev, err := fo.feed.Snapshot(ctx)
+		if err != nil {
+			return err
+		}
+		if fo.mi.Replace(items, rev, asked) {
+			event.Log(fo.deps.Log, event.MirrorListed, "revision", rev, "keys", len(items))
+		}
+		*listed = true
+		return nil
+	}
+	changes, rev, err := fo.feed.Changes(ctx, fo.mi.Revision(), waitTime)
+	if err != nil {
+		return err
+	}
+	fo.mi.Apply(changes, rev, time.Now())
+	return nil
+}
+
+func (fo *Follower) failed(err error) {
+	fo.mu.Lock()
+	first := fo.since.IsZero()
+	if first {
+		fo.since = time.Now()
+	}
+	fo.mu.Unlock()
+	if first {
+		event.Log(fo.deps.Log, event.StoreDown, "error", err, "revision", fo.mi.Revision())
+	}
+	fo.deps.Metrics.Counter("store-watch-failed").Inc(1)
+	select {
+	case fo.trouble <- struct{}{}:
+	default:
+	}
+}
+
+func (fo *Follower) answered() {
+	fo.mu.Lock()
+	since := fo.since
+	if !since.IsZero() {
+		fo.since, fo.back = time.Time{}, time.Now()
+	}
+	fo.mu.Unlock()
+	if !since.IsZero() {
+		event.Log(fo.deps.Log, event.StoreBack, "away", time.Since(since), "revision", fo.mi.Revision())
+	}
+}
+
+// Doubtful reports whether a removal that is heard of now may be a lease that
+// ran out in the store's own trouble.
+func (fo *Follower) Doubtful(now time.Time) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return !fo.since.IsZero() || !fo.back.IsZero() && now.Sub(fo.back) < doubtFor
+}
+
+// askSiblings asks the other entries for news while the store does not answer.
+//
+// The store may turn this host away, or be cut off from it, while it serves the
+// others and takes changes from the operators. A key that was taken away would
+// go on working here for as long as that lasts.
+func (fo *Follower) askSiblings(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-fo.trouble:
+		}
+		fo.ask(ctx)
+		sleep(ctx, askEvery)
+	}
+}
+
+func (fo *Follower) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	asked := time.Now()
+	ne, err := fo.sibs.Ask(ctx, fo.mi.Revision())
+	if err != nil {
+		fo.deps.Metrics.Counter("siblings-silent").Inc(1)
+		return
+	}
+	heard := asked.Add(-ne.Age)
+	if !ne.Newer {
+		fo.mi.Apply(nil, ne.Revision, heard)
+		return
+	}
+	if fo.mi.Replace(ne.Items, ne.Revision, heard) {
+		event.Log(fo.deps.Log, event.MirrorBySibling, "revision", ne.Revision, "age", ne.Age, "keys", len(ne.Items))
+	}
+}
+
+func sleep(ctx context.Context, du time.Duration) {
+	ti := time.NewTimer(du)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	}
+}
--- /dev/null
+++ b/core/retry/window.go
@@ -0,0 +1,94 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Window bounds the repeats at one service by the requests for it: repeats are
+// all arrivals there beyond the first of each request, also those of a cascade
+// that climbs. It is safe for concurrent use.
+//
+// All entries share one bound and cannot ask one another for each repeat. Each
+// keeps to the ratio of its own requests and to its part of the slack, so that
+// the sum keeps to the bound whatever the others do.
+type Window struct {
+	ratio, slack float64
+	bucket       time.Duration
+
+	mu sync.Mutex
+	// epoch is the first time seen. Times are counted from it, by the steady
+	// clock, since the time of day may jump.
+	epoch   time.Time
+	buckets [buckets]bucket
+	head    int64
+}
+
+// buckets is how finely the window slides.
+const buckets = 20
+
+type bucket struct{ requests, repeats float64 }
+
+// Purpose says what a repeat is for.
+type Purpose int
+
+// The purposes. A climb gives way first: its request has an answer already.
+const (
+	Retry Purpose = iota
+	Climb
+)
+
+const (
+	// retryPart and climbPart are the parts of the bound that are used. The
+	// rest is for requests that were counted here and left the sliding window
+	// of the bound a moment sooner.
+	retryPart = 0.85
+	climbPart = 0.75
+)
+
+// NewWindow returns a window of a length, with a ratio of repeats to requests
+// and this entry's part of the slack.
+func NewWindow(length time.Duration, ratio, slack float64) *Window {
+	return &Window{ratio: ratio, slack: slack, bucket: length / buckets}
+}
+
+// Arrived counts a request.
+func (wi *Window) Arrived(now time.Time) {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	wi.at(now).requests++
+}
+
+// Spend takes a repeat, or reports that there is none left.
+func (wi *Window) Spend(now time.Time, pu Purpose) bool {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	cur := wi.at(now)
+	var sum bucket
+	for _, bu := range wi.buckets {
+		sum.requests += bu.requests
+		sum.repeats += bu.repeats
+	}
+	part := retryPart
+	if pu == Climb {
+		part = climbPart
+	}
+	if sum.repeats+1 > part*(wi.ratio*sum.requests+wi.slack) {
+		return false
+	}
+	cur.repeats++
+	return true
+}
+
+// at returns the bucket of a time, with those since the last one cleared.
+func (wi *Window) at(now time.Time) *bucket {
+	if wi.epoch.IsZero() {
+		wi.epoch = now
+	}
+	index := max(int64(now.Sub(wi.epoch)/wi.bucket), wi.head)
+	for i := max(wi.head, index-buckets) + 1; i <= index; i++ {
+		wi.buckets[i%buckets] = bucket{}
+	}
+	wi.head = index
+	return &wi.buckets[wi.head%buckets]
+}
--- a/core/store.go
+++ b/core/store.go
@@ -32,6 +32,8 @@
 	// ErrUnavailable: the store refused or could not be reached; the call
 	// certainly did not take effect.
 	ErrUnavailable = errors.New("store: unavailable")
+	// ErrCompacted: the history that a watch asked for is gone.
+	ErrCompacted = errors.New("store: history gone")
 	// ErrUncertain: the reply was lost. The write may have taken effect, now
 	// or later; only reading the key back tells.
 	ErrUncertain = errors.New("store: outcome uncertain")
@@ -61,5 +63,23 @@
 	Renew(ctx context.Context, lease LeaseID) error
 }
 
+// Change is a key that was written, or removed when Gone. A removed key has the
+// revision of its removal.
+type Change struct {
+	Item
+	Gone bool
+}
+
+// Feed is the store as one row of changes, for who keeps a copy of it.
+type Feed interface {
+	// Snapshot returns all keys and a revision from which Changes goes on. A
+	// key may be newer than that.
+	Snapshot(ctx context.Context) ([]Item, Revision, error)
+	// Changes returns what was changed after a revision, and the revision that
+	// it reaches. It waits for a change, for so long at most, and then returns
+	// none. Errors: ErrCompacted, ErrUnavailable.
+	Changes(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
+}
+
 // MaxValue is the largest value that the store holds, in bytes.
 const MaxValue = 1 << 20
--- /dev/null
+++ b/io/front/refuse.go
@@ -0,0 +1,73 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// problem is what a caller gets in place of an answer.
+type problem struct {
+	Code    core.Code `json:"code"`
+	Message string    `json:"message"`
+	// Ran is "not-run", "ran" or "unknown".
+	Ran core.Ran `json:"ran"`
+	// RetryAfter is in seconds; 0 when trying again will not help.
+	RetryAfter float64        `json:"retry-after"`
+	Request    core.RequestID `json:"request-id"`
+}
+
+// refusals are the statuses of failures that were not run and that the caller
+// can mend. All other failures that were not run are 503, by which a caller may
+// send even work that must not run twice.
+var refusals = map[core.Code]int{
+	core.CodeBadRequest:    http.StatusBadRequest,
+	core.CodeUnauthorized:  http.StatusUnauthorized,
+	core.CodeNotAllowed:    http.StatusForbidden,
+	core.CodeUnknownRoute:  http.StatusNotFound,
+	core.CodeTooLarge:      http.StatusRequestEntityTooLarge,
+	core.CodeHeaderTooLong: http.StatusRequestHeaderFieldsTooLarge,
+}
+
+// status is what a failure is told by. Work that may have run is never told by
+// a status that promises the opposite.
+func status(fl *core.Failure) int {
+	if fl.Ran != core.NotRun {
+		if fl.Code == core.CodeDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	if st, ok := refusals[fl.Code]; ok {
+		return st
+	}
+	return http.StatusServiceUnavailable
+}
+
+func asFailure(err error) *core.Failure {
+	var fl *core.Failure
+	if errors.As(err, &fl) {
+		return fl
+	}
+	return core.Lost("%v", err)
+}
+
+// refuse answers with a failure, at once, and with the time to come back.
+func (sv *Server) refuse(w http.ResponseWriter, id core.RequestID, fl *core.Failure) {
+	hd := w.Header()
+	hd.Set("Content-Type", "application/json")
+	if fl.RetryAfter > 0 {
+		hd.Set("Retry-After", seconds(fl.RetryAfter))
+	}
+	w.WriteHeader(status(fl))
+	_ = json.NewEncoder(w).Encode(problem{fl.Code, fl.Message, fl.Ran, fl.RetryAfter.Seconds(), id})
+}
+
+// seconds may have a fraction; callers that read whole seconds round it up.
+func seconds(du time.Duration) string {
+	return strconv.FormatFloat(du.Seconds(), 'f', 2, 64)
+}
