Wait for an engine by what it has to read, not by the route's aim alone

Cause: attempts were given up after 0.45 of the aim (0.9 s, 1.8 s), which the longest prompts need at any upstream. Each was sent again, and counted against the new version, which was rolled back wrongly (3 of 13). Ruled out: failing upstreams, whose attempts had no other failure.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -219,13 +219,20 @@
 // Reported notes the load that a refusal reports.
 func (pk *Picker) Reported(now time.Time, fl *Flight, lo core.Load) { fl.peer.report(now, lo) }
 
-// Usual returns the usual time from sending to the header of an answer, and
-// whether enough were seen to rely on it.
-func (pk *Picker) Usual(rq Request) (time.Duration, bool) {
+// Usual returns the usual time from sending to the header of an answer, or 0
+// while too few were seen to rely on it.
+func (pk *Picker) Usual(rq Request) time.Duration {
 	pl := pk.pool(rq)
-	return pl.usual(0), pl.count >= trusted
+	if pl.count < trusted {
+		return 0
+	}
+	return pl.usual(0)
 }
 
+// Read returns the expected time to read the prompts that wait at the upstream,
+// with the flight's own.
+func (fl *Flight) Read() time.Duration { return fl.peer.pending }
+
 // Ended notes the end of an attempt.
 func (pk *Picker) Ended(now time.Time, fl *Flight, out Outcome) {
 	if fl.ended {
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -197,10 +197,9 @@
 		fw.mu.Unlock()
 		return nil, jb.give(core.CodeNoUpstream, jb.comeBack(), "no upstream takes this work now")
 	}
-	usual, known := fw.picker.Usual(rq)
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
-	at.patience = patience(jb.rt, usual, known, left)
 	at.flight = fw.picker.Sent(now, ho, rq)
+	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.flight.Read(), left)
 	fw.mu.Unlock()
 	fw.parts.Canary.Sent(now, jb.ex.Session, ho)
 	jb.tried = append(jb.tried, ho.ID)
--- a/core/forward/patience.go
+++ b/core/forward/patience.go
@@ -15,6 +15,10 @@
 	// patienceUsual bounds it from below by the usual time to an answer: under
 	// load all upstreams are slow, and giving up on them would only add work.
 	patienceUsual = 4
+	// patienceRead bounds it from below by the time that the upstream needs to
+	// read this prompt and those before it. The longest prompts take six times
+	// the usual, at any upstream.
+	patienceRead = 4
 	// patienceLeft is the part of the time left beyond which there is no use
 	// in giving an attempt up.
 	patienceLeft = 0.7
@@ -28,19 +32,18 @@
 )
 
 // patience returns how long an attempt may take to its header before another
-// upstream is asked; 0 is to the end.
+// upstream is asked; 0 is to the end. Usual is the route's usual time to a
+// header, 0 when it is not known, and read the expected time for the prompts at
+// the upstream.
 //
 // Some upstreams take a request and never answer it, with their health check
 // good, and some lose power with the request in hand. The caller's connection
 // would wait for its deadline. Work that may not run twice has to wait.
-func patience(rt *route.Route, usual time.Duration, known bool, left time.Duration) time.Duration {
+func patience(rt *route.Route, usual, read, left time.Duration) time.Duration {
 	if !rt.Repeat.Repeatable() || rt.Aim <= 0 {
 		return 0
 	}
-	wait := time.Duration(patienceAim * float64(rt.Aim))
-	if known {
-		wait = max(wait, patienceUsual*usual)
-	}
+	wait := max(time.Duration(patienceAim*float64(rt.Aim)), patienceUsual*usual, patienceRead*read)
 	if wait > time.Duration(patienceLeft*float64(left)) {
 		return 0
 	}
