Close kept connections at a stop without cutting off a request that arrives

Ruled out: the peek at the socket, which always told the truth. Now what becomes idle during the stop is closed as well.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -110,7 +110,7 @@
 	}
 	hs := gw.srv.HTTP()
 	served := make(chan error, 1)
-	go func() { served <- hs.Serve(li) }()
+	go func() { served <- hs.Serve(front.Listen(li)) }()
 	event.Log(gw.deps.Log, event.Started, "role", "gateway", "listen", gw.set.Listen, "process", gw.deps.Self,
 		"zone", gw.deps.Zone, "store", gw.set.Store)
 	select {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,7 +6,7 @@
 //
 //	sv := front.New(deps, codec, fw, limits)
 //	hs := sv.HTTP()
-//	go hs.Serve(listener)
+//	go hs.Serve(front.Listen(listener))
 //	sv.Leave()                 // answers close their connections from now on
 package front
 
@@ -14,10 +14,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,14 +38,16 @@
 	fw    *forward.Forwarder
 	inf   *route.InForce
 
-	leaving atomic.Bool
+	// leaving has answers close their connections, closing has connections
+	// closed that come to be idle.
+	leaving, closing atomic.Bool
 	flying  atomic.Int64
 	idle    idlers
 }
 
 // New returns a server that passes exchanges to fw.
 func New(deps core.Deps, codec Codec, fw *forward.Forwarder, inf *route.InForce) *Server {
-	return &Server{deps: deps, codec: codec, fw: fw, inf: inf, idle: idlers{timers: map[net.Conn]*time.Timer{}}}
+	return &Server{deps: deps, codec: codec, fw: fw, inf: inf, idle: idlers{timers: map[*conn]*time.Timer{}}}
 }
 
 const (
@@ -82,9 +82,6 @@
 func (sv *Server) ServeHTTP(w http.ResponseWriter, rq *http.Request) {
 	sv.flying.Add(1)
 	defer sv.flying.Add(-1)
-	if sv.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	ex, fl := sv.read(w, rq)
 	if fl != nil {
 		event.Log(sv.deps.Log, event.ExchangeRefused, "path", rq.URL.Path, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
@@ -104,6 +101,14 @@
 	}
 }
 
+// announce tells a caller to send its next request elsewhere, when this process
+// is leaving as the answer begins.
+func (sv *Server) announce(hd http.Header) {
+	if sv.leaving.Load() {
+		hd.Set("Connection", "close")
+	}
+}
+
 // read takes in a request within the limits of the configuration.
 func (sv *Server) read(w http.ResponseWriter, rq *http.Request) (*core.Exchange, *core.Failure) {
 	arrived := time.Now()
@@ -163,6 +168,7 @@
 	if _, ok := hd["Content-Type"]; !ok {
 		hd["Content-Type"] = nil
 	}
+	sv.announce(hd)
 	if n := ans.Length(); n >= 0 {
 		hd.Set("Content-Length", strconv.Itoa(n))
 	}
@@ -187,51 +193,6 @@
 	}
 }
 
-// idlers closes connections that stay unused for longer than the configuration
-// allows. net/http's own limit is set once, and the configuration changes.
-type idlers struct {
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (sv *Server) connState(nc net.Conn, st http.ConnState) {
-	id := &sv.idle
-	id.mu.Lock()
-	defer id.mu.Unlock()
-	switch st {
-	case http.StateIdle:
-		if sv.leaving.Load() {
-			nc.Close()
-			return
-		}
-		id.timers[nc] = time.AfterFunc(sv.idleLimit(), func() { nc.Close() })
-	case http.StateActive, http.StateClosed, http.StateHijacked:
-		if ti := id.timers[nc]; ti != nil {
-			ti.Stop()
-			delete(id.timers, nc)
-		}
-	}
-}
-
-func (sv *Server) idleLimit() time.Duration {
-	if tb := sv.inf.Current(); tb != nil && tb.Limits.Idle > 0 {
-		return tb.Limits.Idle
-	}
-	return idleLimit
-}
-
-// CloseIdle closes the connections that carry no request now.
-func (sv *Server) CloseIdle() {
-	id := &sv.idle
-	id.mu.Lock()
-	defer id.mu.Unlock()
-	for nc, ti := range id.timers {
-		ti.Stop()
-		nc.Close()
-		delete(id.timers, nc)
-	}
-}
-
 // Drain waits until no exchange is under way, or the context ends. It reports
 // how many were left.
 func (sv *Server) Drain(ctx context.Context) int64 {
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,162 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/forward"
+	"skylarkstand/core/route"
+	"skylarkstand/io/front"
+)
+
+// plain is a codec that takes paths for routes and knows no keys.
+type plain struct{}
+
+func (plain) Exchange(rq *http.Request, body []byte, arrived time.Time) (*core.Exchange, *core.Failure) {
+	return &core.Exchange{
+		ID: "r1", Host: rq.Host, Path: rq.URL.Path, Target: rq.RequestURI, Method: rq.Method,
+		Header: http.Header{}, Body: body, Arrived: arrived,
+	}, nil
+}
+
+// echo answers with the body of the call.
+type echo struct{}
+
+func (echo) Call(_ context.Context, ca *core.Call) (*core.Reply, error) {
+	return &core.Reply{
+		Status: http.StatusOK, Header: http.Header{}, Sealed: true, Confidence: core.NoConfidence,
+		Body: io.NopCloser(strings.NewReader("whole: " + string(ca.Body))),
+	}, nil
+}
+
+// serve starts a front on loopback and returns it with a connection to it.
+func serve(t *testing.T, ac core.Access, lim route.Limits) (*front.Server, net.Conn) {
+	t.Helper()
+	tb, err := route.New(route.Document{
+		Version:  1,
+		Routes:   []route.Route{{ID: "r", Host: "desk.example", Prefix: "/claim/", Splits: []route.Split{{Service: "desk", Weight: 1}}, MaxAttempts: 1}},
+		Services: []route.Service{{ID: "desk"}}, Limits: lim,
+	})
+	assert.NilError(t, err)
+	inf := route.NewInForce()
+	inf.Adopt(tb)
+	fl := fleet.New()
+	fl.Put(core.Host{ID: "desk-1", Addr: "desk-1", Service: "desk", Slots: 4, Version: "v1"})
+	fw := forward.New(core.NewDeps(), ac, forward.Parts{
+		InForce: inf, Fleet: fl, Canary: canary.New(),
+		Age:     func() time.Duration { return 0 },
+		Repeats: forward.NewWindows(10*time.Second, 1, 10),
+	})
+	sv := front.New(core.NewDeps(), plain{}, fw, inf)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	hs := sv.HTTP()
+	go func() { _ = hs.Serve(front.Listen(li)) }()
+	t.Cleanup(func() { hs.Close() })
+	nc, err := net.Dial("tcp", li.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { nc.Close() })
+	assert.NilError(t, nc.SetDeadline(time.Now().Add(20*time.Second)))
+	return sv, nc
+}
+
+func send(t *testing.T, nc net.Conn, text string) {
+	t.Helper()
+	_, err := nc.Write([]byte(text))
+	assert.NilError(t, err)
+}
+
+func receive(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	rs, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	return rs, string(body)
+}
+
+const request = "POST /claim/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n\r\nlamp"
+
+// A planned stop closes the kept connections that nobody uses. A caller's next
+// request is arriving on one of them at that moment, half of it read. Were it
+// closed, the caller would have sent a whole request and got neither an answer
+// nor a refusal, and could not send a claim again.
+func TestStopSparesARequestThatArrives(t *testing.T) {
+	sv, nc := serve(t, echo{}, route.Limits{})
+	br := bufio.NewReader(nc)
+	send(t, nc, request)
+	receive(t, br)
+	send(t, nc, request[:20])
+	for !sv.Arriving() {
+		time.Sleep(time.Millisecond)
+	}
+	sv.Leave()
+	sv.CloseIdle()
+	send(t, nc, request[20:])
+	rs, body := receive(t, br)
+	assert.Equal(t, body, "whole: lamp")
+	assert.Assert(t, rs.Close, "the caller is told to go elsewhere with its next request")
+}
+
+// The same stop with connections that are really unused: they must be closed,
+// or their callers send requests to a process that is about to end.
+func TestStopClosesUnusedConnections(t *testing.T) {
+	sv, nc := serve(t, echo{}, route.Limits{})
+	br := bufio.NewReader(nc)
+	send(t, nc, request)
+	receive(t, br)
+	for sv.Unused() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	sv.Leave()
+	sv.CloseIdle()
+	_, err := br.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// held answers once it is let go.
+type held struct{ started, free chan struct{} }
+
+func (he held) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	re, err := echo{}.Call(ctx, ca)
+	pr, pw := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(pw, "begun ")
+		close(he.started)
+		<-he.free
+		_, _ = io.WriteString(pw, "ended")
+		pw.Close()
+	}()
+	re.Body = pr
+	return re, err
+}
+
+// An answer is under way when a planned stop begins, so that its header has not
+// told the caller to go elsewhere. If its connection stays open afterwards, the
+// caller sends its next request on it, to a process that ends before it can
+// answer.
+func TestStopClosesAConnectionAfterItsAnswer(t *testing.T) {
+	he := held{make(chan struct{}), make(chan struct{})}
+	sv, nc := serve(t, he, route.Limits{})
+	br := bufio.NewReader(nc)
+	send(t, nc, request)
+	<-he.started
+	sv.Leave()
+	sv.CloseIdle()
+	close(he.free)
+	_, body := receive(t, br)
+	assert.Equal(t, body, "begun ended")
+	_, err := br.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -59,6 +59,7 @@
 // refuse answers with a failure, at once, and with the time to come back.
 func (sv *Server) refuse(w http.ResponseWriter, id core.RequestID, fl *core.Failure) {
 	hd := w.Header()
+	sv.announce(hd)
 	hd.Set("Content-Type", "application/json")
 	if fl.RetryAfter > 0 {
 		hd.Set("Retry-After", seconds(fl.RetryAfter))
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -62,11 +62,12 @@
 // quiet reports whether an idle connection is open and brings nothing. What
 // arrives without a request belongs to none, and would be taken for the answer
 // to the next.
-func (co *conn) quiet() bool {
-	if co.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := co.Conn.(syscall.Conn)
+func (co *conn) quiet() bool { return co.br.Buffered() == 0 && Quiet(co.Conn) }
+
+// Quiet reports whether a connection is open and the kernel holds no bytes of
+// it that were not read. One that cannot be asked counts as quiet.
+func Quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -75,11 +76,10 @@
 		return false
 	}
 	quiet := false
-	err = rc.Read(func(fd uintptr) bool {
+	err = rc.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
