Notice the store's return within a second, and ask siblings all the while

Ruled out: the store's own delay, since two other entries had the change after 0.8 s. While the store is away, watches are short and siblings are asked every 0.4 s; TestChangeAfterASilentStore failed before.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -43,11 +43,18 @@
 }
 
 const (
-	// waitTime is how long a watch waits. Each costs a call; a watch that goes
-	// silent is found one waitTime and a little later, which must be well below
-	// the time in which a change has to be in force while the store is in
-	// trouble.
-	waitTime = 4 * time.Second
+	// waitTime is how long a watch waits. Each costs a call; a connection that
+	// goes silent for good is found one waitTime and a little later, and a
+	// change must be in force within three seconds, plus four after such harm.
+	waitTime = 2500 * time.Millisecond
+	// probeTime is how long a watch waits while the store is in trouble: its
+	// return must not be noticed only when a long watch that was asked in vain
+	// has run out.
+	probeTime = time.Millisecond
+	// gather is the pause after a watch that brought changes. Upstreams change
+	// in groups, as at a roll-out, and each watch that is asked anew costs a
+	// call; a tenth of a second is little of the time that a change has.
+	gather = 100 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a call that failed. A
 	// store that is down is asked by each entry a few times a second, so that
 	// its return is noticed soon; that is far below its rates.
@@ -107,11 +114,18 @@
 		*listed = true
 		return nil
 	}
-	changes, rev, err := fo.feed.Changes(ctx, fo.mi.Revision(), waitTime)
+	wait := waitTime
+	if fo.away() {
+		wait = probeTime
+	}
+	changes, rev, err := fo.feed.Changes(ctx, fo.mi.Revision(), wait)
 	if err != nil {
 		return err
 	}
-	fo.mi.Apply(changes, rev, time.Now())
+	fo.mi.Apply(changes, rev, asked)
+	if len(changes) > 0 {
+		sleep(ctx, gather)
+	}
 	return nil
 }
 
@@ -132,6 +146,13 @@
 	}
 }
 
+// away reports whether the store does not answer now.
+func (fo *Follower) away() bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return !fo.since.IsZero()
+}
+
 func (fo *Follower) answered() {
 	fo.mu.Lock()
 	since := fo.since
@@ -164,8 +185,10 @@
 			return
 		case <-fo.trouble:
 		}
-		fo.ask(ctx)
-		sleep(ctx, askEvery)
+		for fo.away() && ctx.Err() == nil {
+			fo.ask(ctx)
+			sleep(ctx, askEvery)
+		}
 	}
 }
 
