--- /dev/null
+++ b/core/forward/world_test.go
@@ -0,0 +1,208 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/forward"
+	"skylarkstand/core/retry"
+	"skylarkstand/core/route"
+)
+
+// act is what an upstream does with a call.
+type act func(ctx context.Context, ca *core.Call) (*core.Reply, error)
+
+// world is a route to four upstreams that do what a test says.
+type world struct {
+	t  *testing.T
+	fw *forward.Forwarder
+	// acts are played in the order of the calls; the last one goes on.
+	acts []act
+
+	mu    sync.Mutex
+	calls []core.Call
+	age   time.Duration
+}
+
+// desk, draft and the others are the routes of the world.
+var routes = []route.Route{
+	{ID: "lookup", Prefix: "/lookup/", Repeat: core.Idempotent, MaxAttempts: 2, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
+	{ID: "claim", Prefix: "/claim/", MaxAttempts: 1, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
+	{ID: "draft", Prefix: "/draft/", Stream: true, Repeat: core.Resumable, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second, Gap: 800 * time.Millisecond, Cascade: []core.ModelID{"small", "large"}},
+	{ID: "chat", Prefix: "/chat/", Stream: true, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second},
+}
+
+// newWorld returns a world. It is made inside a bubble of its own time.
+func newWorld(t *testing.T, acts ...act) *world {
+	t.Helper()
+	wo := &world{t: t, acts: acts}
+	doc := route.Document{
+		Version:    3,
+		Services:   []route.Service{{ID: "pool"}},
+		Workspaces: []route.Workspace{{ID: "school", Keys: []core.APIKey{"key"}}},
+	}
+	for _, rt := range routes {
+		rt.Host, rt.Splits = "a.example", []route.Split{{Service: "pool", Weight: 1}}
+		doc.Routes = append(doc.Routes, rt)
+	}
+	tb, err := route.New(doc)
+	assert.NilError(t, err)
+	inf := route.NewInForce()
+	inf.Adopt(tb)
+	fl := fleet.New()
+	for i := range 4 {
+		fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8})
+	}
+	wo.fw = forward.New(core.NewDeps(), wo, forward.Parts{
+		InForce: inf, Fleet: fl, Canary: canary.New(),
+		Age:     func() time.Duration { return wo.age },
+		Repeats: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, 20) },
+	}, forward.Draw(func() float64 { return 0.5 }))
+	return wo
+}
+
+// Call implements core.Access.
+func (wo *world) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	wo.mu.Lock()
+	n := len(wo.calls)
+	wo.calls = append(wo.calls, *ca)
+	wo.mu.Unlock()
+	return wo.acts[min(n, len(wo.acts)-1)](ctx, ca)
+}
+
+// ask sends a request and returns the whole answer, or the failure.
+func (wo *world) ask(ctx context.Context, path string) (int, string, error) {
+	ex := &core.Exchange{
+		ID: "r1", Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: "key",
+		Header: http.Header{}, Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
+	}
+	ans, err := wo.fw.Forward(ctx, ex)
+	if err != nil {
+		return 0, "", err
+	}
+	defer ans.Close()
+	var sb strings.Builder
+	for {
+		piece, err := ans.Next()
+		if errors.Is(err, io.EOF) {
+			return ans.Status(), sb.String(), nil
+		}
+		if err != nil {
+			return ans.Status(), sb.String(), err
+		}
+		sb.Write(piece)
+	}
+}
+
+// body is what an upstream sends, and how it ends.
+type body struct {
+	io.Reader
+	ctx   context.Context
+	end   error
+	pause time.Duration
+}
+
+func (bo *body) Read(p []byte) (int, error) {
+	if bo.pause > 0 {
+		select {
+		case <-bo.ctx.Done():
+			return 0, bo.ctx.Err()
+		case <-time.After(bo.pause):
+		}
+	}
+	n, err := bo.Reader.Read(p)
+	if errors.Is(err, io.EOF) && bo.end != nil {
+		err = bo.end
+	}
+	return n, err
+}
+
+func (bo *body) Close() error { return nil }
+
+var errReset = errors.New("connection reset")
+
+func reply(status int, text string) *core.Reply {
+	return &core.Reply{
+		Status: status, Header: http.Header{}, Sealed: true, Confidence: core.NoConfidence,
+		Body: &body{Reader: strings.NewReader(text), ctx: context.Background()},
+	}
+}
+
+// answers replies with a whole answer.
+func answers(status int, text string) act {
+	return func(context.Context, *core.Call) (*core.Reply, error) { return reply(status, text), nil }
+}
+
+// breaks replies with the beginning of an answer.
+func breaks(text string) act {
+	return func(context.Context, *core.Call) (*core.Reply, error) {
+		re := reply(http.StatusOK, text)
+		re.Body = &body{Reader: strings.NewReader(text), end: errReset}
+		return re, nil
+	}
+}
+
+// stalls replies with the beginning of an answer and then nothing more.
+func stalls(text string) act {
+	return func(ctx context.Context, _ *core.Call) (*core.Reply, error) {
+		re := reply(http.StatusOK, text)
+		rest := &body{Reader: strings.NewReader(""), ctx: ctx, pause: time.Hour}
+		re.Body = io.NopCloser(io.MultiReader(strings.NewReader(text), rest))
+		return re, nil
+	}
+}
+
+// sure is an answer with a confidence.
+func sure(confidence int, text string) act {
+	return func(context.Context, *core.Call) (*core.Reply, error) {
+		re := reply(http.StatusOK, text)
+		re.Confidence = confidence
+		return re, nil
+	}
+}
+
+// full refuses without running.
+func full(context.Context, *core.Call) (*core.Reply, error) {
+	re := reply(http.StatusServiceUnavailable, "full")
+	re.NotRun = true
+	return re, nil
+}
+
+// forged is a success without the upstream's proof.
+func forged(context.Context, *core.Call) (*core.Reply, error) {
+	re := reply(http.StatusOK, "somebody else's")
+	re.Sealed = false
+	return re, nil
+}
+
+// away cannot be reached; cut lost the connection after the call was sent.
+func away(context.Context, *core.Call) (*core.Reply, error) {
+	return nil, core.Refuse(core.CodeNoUpstream, 0, "refused")
+}
+
+func cut(context.Context, *core.Call) (*core.Reply, error) { return nil, core.Lost("reset") }
+
+// mute takes the call and never answers.
+func mute(ctx context.Context, _ *core.Call) (*core.Reply, error) {
+	<-ctx.Done()
+	return nil, core.Lost("%v", ctx.Err())
+}
+
+// play runs a test in a bubble of its own time.
+func play(t *testing.T, fn func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, fn)
+}
