Choose models by confidence and pressure, the middle one where it has proved to suffice

Cause: at a fixed threshold of 55 every doubtful answer went to the largest model, which takes an engine ten times as long, so that a burst or the loss of a few engines made all answers late.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -204,6 +204,7 @@
 		return
 	}
 	fl.begun = true
+	fl.peer.heard = now
 	took := now.Sub(fl.sent)
 	if rq.Engine {
 		pk.read(rq.Model).learn(took, fl.cost, fl.peer.pending)
@@ -229,6 +230,13 @@
 	return pl.usual(0)
 }
 
+// Heard notes that a piece of an answer came.
+func (pk *Picker) Heard(now time.Time, fl *Flight) { fl.peer.heard = now }
+
+// Alive reports whether anything came from the flight's upstream, of any
+// attempt, since a time.
+func (pk *Picker) Alive(fl *Flight, since time.Time) bool { return fl.peer.heard.After(since) }
+
 // Read returns the expected time to read the prompts that wait at the upstream,
 // with the flight's own.
 func (fl *Flight) Read() time.Duration { return fl.peer.pending }
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -17,6 +17,8 @@
 	// others is what an answer reported beside the own attempts, at a time.
 	others   float64
 	reported time.Time
+	// heard is when anything last came of any attempt there.
+	heard time.Time
 	// fails follows the share of attempts that failed, at the time last.
 	fails float64
 	last  time.Time
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -52,6 +52,7 @@
 		ans.held, ans.err = ans.readWhole()
 	}
 	if ans.err == nil || errors.Is(ans.err, io.EOF) {
+		ans.first()
 		return ans
 	}
 	at.why = ans.err.Error()
@@ -59,6 +60,17 @@
 	return nil
 }
 
+// first lets the choice of models learn how long the caller waited.
+func (ans *Answer) first() {
+	jb, fw := ans.jb, ans.jb.fw
+	if ans.ev == nil || len(jb.rt.Cascade) < 2 {
+		return
+	}
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.ladder(jb.service).Begun(time.Since(jb.ex.Arrived), jb.rt.Aim)
+}
+
 // Status is the HTTP status of the answer.
 func (ans *Answer) Status() int { return ans.status }
 
@@ -145,7 +157,7 @@
 	for {
 		piece, err := ans.read()
 		if err == nil {
-			ans.at.pieces++
+			ans.at.heard()
 			return piece, nil
 		}
 		if errors.Is(err, io.EOF) || !ans.resume(err) {
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"skylarkstand/core"
@@ -45,8 +47,7 @@
 func (at *attempt) run(ctx context.Context) verdict {
 	at.ctx, at.cancel = context.WithCancelCause(ctx)
 	if at.patience > 0 {
-		ti := time.AfterFunc(at.patience, func() { at.cancel(errSilent) })
-		defer ti.Stop()
+		defer at.watch()()
 	}
 	re, err := at.jb.fw.access.Call(at.ctx, at.call())
 	if err != nil {
@@ -55,7 +56,7 @@
 	at.reply, at.began = re, time.Now()
 	at.header()
 	ve := judge(re)
-	if ve == taken && at.jb.mayClimb() && re.Status < 300 && doubtful(re) {
+	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.doubts(re) {
 		ve = unsure
 	}
 	if ve != taken {
@@ -64,6 +65,54 @@
 	return ve
 }
 
+// watch gives the attempt up when its header takes too long, and returns the
+// clean-up. An upstream that sends pieces of other answers meanwhile is busy and
+// not gone; it is given longer, since another one would only begin anew.
+func (at *attempt) watch() func() {
+	var ti *time.Timer
+	var mu sync.Mutex
+	stopped := false
+	check := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		now := time.Now()
+		if stopped {
+			return
+		}
+		if now.Sub(at.sent) < patienceBusy*at.patience && at.alive(now.Add(-at.patience/2)) {
+			ti.Reset(at.patience / 2)
+			return
+		}
+		at.cancel(errSilent)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	ti = time.AfterFunc(at.patience, check)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		ti.Stop()
+	}
+}
+
+// alive reports whether the upstream sent anything since a time.
+func (at *attempt) alive(since time.Time) bool {
+	fw := at.jb.fw
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.Alive(at.flight, since)
+}
+
+// heard notes a piece of the answer.
+func (at *attempt) heard() {
+	at.pieces++
+	fw := at.jb.fw
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.picker.Heard(time.Now(), at.flight)
+}
+
 func (at *attempt) call() *core.Call {
 	jb := at.jb
 	ca := &core.Call{
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -13,6 +13,7 @@
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/tier"
 )
 
 // Parts are what a forwarder decides by.
@@ -36,6 +37,7 @@
 	mu      sync.Mutex
 	picker  *balance.Picker
 	windows map[core.ServiceID]*retry.Window
+	ladders map[core.ServiceID]*tier.Ladder
 	meters  meters
 }
 
@@ -51,6 +53,7 @@
 	fw := &Forwarder{
 		deps: deps, access: access, parts: pa, draw: rand.Float64,
 		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
+		ladders: map[core.ServiceID]*tier.Ladder{},
 		meters: newMeters(deps.Metrics),
 	}
 	for _, opt := range opts {
@@ -151,6 +154,16 @@
 	return wi
 }
 
+// ladder returns the choice of models of a service. The caller holds the lock.
+func (fw *Forwarder) ladder(sv core.ServiceID) *tier.Ladder {
+	la := fw.ladders[sv]
+	if la == nil {
+		la = tier.New()
+		fw.ladders[sv] = la
+	}
+	return la
+}
+
 // Gone drops what is known of an upstream that left.
 func (fw *Forwarder) Gone(id core.UpstreamID) {
 	fw.mu.Lock()
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -28,8 +28,11 @@
 	tried []core.UpstreamID
 	runs  int
 	sends int
-	// stage is the place in the cascade, from the smallest model.
-	stage int
+	// stage is the place in the cascade, from the smallest model, and next the
+	// one that should answer instead of a doubtful answer. doubted is the place
+	// and the confidence of the answer that was dropped last.
+	stage, next int
+	doubted     *doubted
 	// ran is set once the work may have run.
 	ran bool
 	// last is the newest failed attempt, for the answer and the log.
@@ -133,14 +136,37 @@
 	return jb.others() && jb.spend(retry.Retry)
 }
 
-// climb reports whether the next model of the cascade should answer, and moves
-// there.
+// doubted is an answer that its model was not sure of.
+type doubted struct{ stage, confidence int }
+
+// doubts reports whether a larger model should answer in place of a reply.
+func (jb *job) doubts(re *core.Reply) bool {
+	if !jb.ex.AnyModel || re.Confidence == core.NoConfidence || len(jb.rt.Cascade) < 2 {
+		return false
+	}
+	fw := jb.fw
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	la := fw.ladder(jb.service)
+	if jb.doubted != nil {
+		la.Climbed(jb.doubted.stage, jb.doubted.confidence, jb.stage, re.Confidence)
+		jb.doubted = nil
+	}
+	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence)
+	if climb {
+		jb.next = next
+		jb.doubted = &doubted{jb.stage, re.Confidence}
+	}
+	return climb
+}
+
+// climb reports whether the larger model may be asked, and moves there.
 func (jb *job) climb(ctx context.Context) bool {
 	if jb.runs >= jb.attempts() || ctx.Err() != nil || !jb.spend(retry.Climb) {
 		return false
 	}
-	jb.stage = len(jb.rt.Cascade) - 1
-	// The largest model may run where the smaller one did.
+	jb.stage = jb.next
+	// The larger model may run where the smaller one did.
 	jb.tried = nil
 	return true
 }
@@ -167,11 +193,6 @@
 	return jb.rt.Cascade[min(jb.stage, len(jb.rt.Cascade)-1)]
 }
 
-// mayClimb reports whether a larger model is there.
-func (jb *job) mayClimb() bool {
-	return jb.ex.AnyModel && jb.stage < len(jb.rt.Cascade)-1
-}
-
 // request is what the choice of an upstream depends on.
 func (jb *job) request() balance.Request {
 	return balance.Request{
--- a/core/forward/judge.go
+++ b/core/forward/judge.go
@@ -63,17 +63,3 @@
 		return taken
 	}
 }
-
-// sureFrom is the confidence from which an answer of a smaller model is given.
-//
-// Every answer that is dropped costs its reading, and the larger model costs
-// ten times as much; one that is given although it is poor is worth little to
-// its caller. Trials with callers' mixes at both deployments had their best
-// result between 40 and 70, with little between them, and the lower figure
-// better under twice the load.
-const sureFrom = 55
-
-// doubtful reports whether a larger model should answer instead.
-func doubtful(re *core.Reply) bool {
-	return re.Confidence != core.NoConfidence && re.Confidence < sureFrom
-}
--- a/core/forward/patience.go
+++ b/core/forward/patience.go
@@ -19,6 +19,9 @@
 	// read this prompt and those before it. The longest prompts take six times
 	// the usual, at any upstream.
 	patienceRead = 4
+	// patienceBusy is how many times as long an upstream is given that answers
+	// others meanwhile.
+	patienceBusy = 4
 	// patienceLeft is the part of the time left beyond which there is no use
 	// in giving an attempt up.
 	patienceLeft = 0.7
