--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -37,11 +37,11 @@
 	surePressed = 12.0
 	// relaxed and pressed are the pressures between which the threshold moves:
 	// at the lower one, two in a hundred first events come late.
-	relaxed = 0.18
-	pressed = 0.55
+	relaxed = 0.12
+	pressed = 0.35
 	// follow weighs the newest answer in the pressure: the last two seconds of
 	// an entry with ten requests a second.
-	follow = 1.0 / 24
+	follow = 1.0 / 10
 	// oddest bounds what one answer says.
 	oddest = 2.0
 )
