--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -93,7 +93,10 @@
 	// homeShare is the part of a prompt that is taken as kept at the upstream
 	// that rendezvous hashing prefers for it. Other entries send the same
 	// prompts there, of which this one hears nothing.
-	homeShare = 0.6
+	homeShare = 0.9
+	// readExternal weighs the reading of a prompt above its own wait: while an
+	// engine reads, all others there wait too.
+	readExternal = 2.5
 	// fullCost keeps attempts from an upstream whose places are all taken
 	// while another has one.
 	fullCost = 3 * time.Second
@@ -159,7 +162,7 @@
 		if ho.ID == fi.home {
 			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
 		}
-		cost += pe.pending + scale(fi.read, fresh) + time.Duration(load*float64(batchCost))
+		cost += pe.pending + time.Duration(readExternal*float64(scale(fi.read, fresh))) + time.Duration(load*float64(batchCost))
 	} else {
 		cost += time.Duration(load * float64(fi.pool.usual(placeCost)) / float64(max(ho.Slots, 1)))
 	}
