Mend a panic when nobody answers the resumption of a stream

On the way: an upstream that could not be reached for a resumption counted as a lost attempt of the request and of its version.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -245,4 +245,3 @@
 	raw, err := json.Marshal(feed.Member{ID: deps.Self, Addr: set.Siblings, Zone: deps.Zone})
 	return raw, eris.Wrap(err, "register")
 }
-
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -73,7 +73,7 @@
 	// all and sent count this entry's requests for the service, and those to
 	// the new version, since the order.
 	all, sent int
-	evidence evidence
+	evidence  evidence
 	// bad is why this entry holds the version for bad; empty is not.
 	bad string
 }
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -9,7 +9,6 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
-	"skylarkstand/core/retry"
 )
 
 // Answer is an exchange's answer. It belongs to one goroutine.
@@ -19,9 +18,10 @@
 	at  *attempt
 	// status and header are those of the first attempt that the caller got
 	// something of.
-	status int
-	header http.Header
-	ev     *events
+	status     int
+	header     http.Header
+	confidence int
+	ev         *events
 	// held is the first piece, which was read before the answer was accepted.
 	held []byte
 	err  error
@@ -44,7 +44,10 @@
 // answer makes the attempt's reply the answer. It returns nil when the body
 // breaks before anything of it can be passed on and another attempt may follow.
 func (jb *job) answer(ctx context.Context, at *attempt) *Answer {
-	ans := &Answer{jb: jb, ctx: ctx, at: at, status: at.reply.Status, header: at.reply.Header, last: at.after}
+	ans := &Answer{
+		jb: jb, ctx: ctx, at: at, status: at.reply.Status, header: at.reply.Header,
+		confidence: at.reply.Confidence, last: at.after,
+	}
 	if jb.rt.Stream && at.reply.Status < http.StatusMultipleChoices {
 		ans.ev = newEvents(at.reply.Body)
 		ans.held, ans.err = ans.event()
@@ -185,14 +188,14 @@
 	if jb.rt.Repeat != core.Resumable || ans.ctx.Err() != nil || ans.sent == 0 {
 		return false // Nothing was passed on: a new attempt begins anew.
 	}
-	for jb.mayRepeat(ans.ctx) {
+	for ve := lost; jb.mayRepeat(ans.ctx); {
 		ans.at.why = cause.Error()
-		ans.at.drop(lost)
+		ans.at.drop(ve)
 		at, fl := jb.begin(ans.last)
 		if fl != nil {
 			return false
 		}
-		ve := at.run(ans.ctx)
+		ve = at.run(ans.ctx)
 		ans.at = at
 		if (ve == taken || ve == unsure) && at.reply.Status == ans.status {
 			event.Log(jb.fw.deps.Log, event.StreamResumed, "request", jb.ex.ID, "upstream", at.to.ID, "after", ans.last, "cause", cause.Error())
@@ -200,9 +203,6 @@
 			return true
 		}
 		cause = errors.New(at.why)
-		if ve == refused && !jb.spend(retry.Retry) {
-			return false
-		}
 	}
 	return false
 }
@@ -233,7 +233,7 @@
 	jb.fw.meters.ended(code, took)
 	event.Log(jb.fw.deps.Log, event.ExchangeEnded, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
 		"service", jb.service, "upstream", ans.at.to.ID, "version", ans.at.to.Version, "model", jb.model(),
-		"session", jb.ex.Session, "status", ans.status, "confidence", ans.at.reply.Confidence, "attempts", jb.sends, "last", jb.last,
+		"session", jb.ex.Session, "status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "last", jb.last,
 		"code", code, "bytes", ans.sent, "first", ans.at.began.Sub(jb.ex.Arrived), "took", took, "configuration", jb.tb.Version)
 	return err
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -54,7 +54,7 @@
 		deps: deps, access: access, parts: pa, draw: rand.Float64,
 		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
 		ladders: map[core.ServiceID]*tier.Ladder{},
-		meters: newMeters(deps.Metrics),
+		meters:  newMeters(deps.Metrics),
 	}
 	for _, opt := range opts {
 		opt(fw)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -41,8 +41,8 @@
 	// leaving has answers close their connections, closing has connections
 	// closed that come to be idle.
 	leaving, closing atomic.Bool
-	flying  atomic.Int64
-	idle    idlers
+	flying           atomic.Int64
+	idle             idlers
 }
 
 // New returns a server that passes exchanges to fw.
