Go on answering to the end of a planned stop

Cause: a stop closed its listener after 2.3 s. Ruled out: slow starts, ready 25 ms after the process begins.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -82,7 +82,28 @@
 	srv      *front.Server
 	admin    metricsPage
 
+	stop *stopClock
+}
+
+// stopClock tells the parts of a process how far its planned stop is.
+type stopClock struct {
 	leaving atomic.Bool
+	// ends is when the process must have ended, in nanoseconds since epoch; 0
+	// until the stop has been noticed.
+	ends  atomic.Int64
+	epoch time.Time
+}
+
+func newStopClock() *stopClock { return &stopClock{epoch: time.Now()} }
+
+// noticed notes that callers who still come have nowhere else to go, and when
+// the process ends.
+func (sc *stopClock) noticed(ends time.Time) { sc.ends.Store(int64(ends.Sub(sc.epoch))) }
+
+// left returns how long the process still serves, once its stop was noticed.
+func (sc *stopClock) left() (time.Duration, bool) {
+	ends := sc.ends.Load()
+	return time.Until(sc.epoch.Add(time.Duration(ends))), ends != 0
 }
 
 // run serves until the context ends and then stops as planned.
@@ -118,7 +139,7 @@
 		return eris.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	gw.drain(li)
+	gw.drain()
 	event.Log(gw.deps.Log, event.Stopped)
 	return nil
 }
@@ -158,7 +179,7 @@
 // configuration and upstreams are known, and not once the process leaves. A
 // store that is away later does not count: what is known goes on to be right.
 func (gw *gatewayProcess) ready(w http.ResponseWriter, _ *http.Request) {
-	if gw.leaving.Load() || gw.inf.Current() == nil || gw.fleet.Len() == 0 {
+	if gw.stop.leaving.Load() || gw.inf.Current() == nil || gw.fleet.Len() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -174,21 +195,22 @@
 
 // drain stops as planned. Until the balancer has noticed, connections are
 // accepted as before; each answer closes its connection, so that callers go
-// elsewhere without being cut off. Then idle connections are closed and what
-// is under way ends, within the drain limit.
-func (gw *gatewayProcess) drain(li net.Listener) {
-	began := time.Now()
-	gw.leaving.Store(true)
+// elsewhere without being cut off. Then idle connections are closed, what
+// cannot end in time is refused, and what is under way ends within the drain
+// limit. The listener stays open to the end: when all entries stop at once, a
+// caller that finds nobody cannot be told when to come back.
+func (gw *gatewayProcess) drain() {
+	ends := time.Now().Add(time.Duration(gw.set.DrainLimit) - killMargin)
+	gw.stop.leaving.Store(true)
 	gw.srv.Leave()
 	event.Log(gw.deps.Log, event.Stopping, "under-way", gw.srv.Flying())
-	limit := time.Duration(gw.set.DrainLimit) - killMargin
-	time.Sleep(min(unnoticed, limit))
-	li.Close()
+	time.Sleep(min(unnoticed, time.Until(ends)))
+	gw.stop.noticed(ends)
 	gw.srv.CloseIdle()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	if left := gw.srv.Drain(ctx); left > 0 {
-		event.Log(gw.deps.Log, event.DrainCut, "under-way", left, "after", time.Since(began))
+		event.Log(gw.deps.Log, event.DrainCut, "under-way", left)
 	}
 }
 
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -101,12 +101,13 @@
 // stay below it whichever of them use theirs.
 const slackParts = 24
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access, sc *stopClock) *forward.Forwarder {
 	re := set.Repeats
 	return forward.New(deps, ac, forward.Parts{
 		InForce: inf, Fleet: fl, Canary: gu,
-		Age:     func() time.Duration { return mi.Age(time.Now()) },
-		Repeats: forward.NewWindows(time.Duration(re.Window), re.Ratio, re.Slack/slackParts),
+		Age:      func() time.Duration { return mi.Age(time.Now()) },
+		Repeats:  forward.NewWindows(time.Duration(re.Window), re.Ratio, re.Slack/slackParts),
+		Stopping: sc.left,
 	})
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -103,7 +103,8 @@
 	siblings := newSiblings(deps, client, appMembers)
 	follower := newFollower(deps, mirrorMirror, store, siblings)
 	upstreams := platform.NewUpstreams(client)
-	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams)
+	appStopClock := newStopClock()
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams, appStopClock)
 	feed := newFeed(deps, layout, inForce, fleet, guard, follower, forwarder, client, appMembers)
 	registrar, err := newRegistrar(set, deps, store)
 	if err != nil {
@@ -127,6 +128,7 @@
 		recorder: recorder,
 		srv:      server,
 		admin:    appMetricsPage,
+		stop:     appStopClock,
 	}
 	return appGatewayProcess, func() {
 		cleanup2()
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -25,6 +25,9 @@
 	Age func() time.Duration
 	// Repeats returns the window of repeats for a service.
 	Repeats func() *retry.Window
+	// Stopping returns how long the process still serves, once a planned stop
+	// has been going on for long enough to be noticed; nil is never.
+	Stopping func() (left time.Duration, stopping bool)
 }
 
 // Forwarder is safe for concurrent use.
@@ -108,10 +111,32 @@
 			jb.priority = ws.Priority
 		}
 	}
+	if fl := fw.stopping(rt); fl != nil {
+		return nil, fl
+	}
 	jb.service = rt.Choose(fw.place(ex))
 	return jb, nil
 }
 
+// restart is the time from the end of a process to the readiness of the one
+// that takes its place.
+const restart = time.Second
+
+// stopping refuses what might not end before a process that stops. Callers come
+// here at that time only when there is no other entry to go to, as when all are
+// stopped one after the other. What certainly ends in time is served; the rest
+// is told when somebody will be back, which a closed listener could not say.
+func (fw *Forwarder) stopping(rt *route.Route) *core.Failure {
+	if fw.parts.Stopping == nil {
+		return nil
+	}
+	left, stopping := fw.parts.Stopping()
+	if !stopping || !rt.Stream && rt.Timeout > 0 && rt.Timeout < left {
+		return nil
+	}
+	return core.Refuse(core.CodeLeaving, max(left, 0)+restart, "the process is stopping")
+}
+
 // unknown refuses what the configuration in force does not have. While newer
 // ones may be on their way here, that is no final word: a caller with a new key
 // would be told for good that it has none.
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -206,3 +206,36 @@
 		})
 	}
 }
+
+// All entries are stopped one after the other, so that callers find only ones
+// that stop. What ends in time for sure must be served; for the rest, a caller
+// that found nobody listening would use up its one retry at once, where it could
+// come back to the restarted process.
+func TestRequestsDuringAStop(t *testing.T) {
+	for _, sc := range []struct {
+		testName string
+		path     string
+		left     time.Duration
+		served   bool
+	}{
+		{"a claim that ends in time", "/claim/1", 5 * time.Second, true},
+		{"a claim that might not", "/claim/1", 2 * time.Second, false},
+		{"a stream", "/draft/1", 5 * time.Second, false},
+		{"no stop", "/draft/1", 0, true},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				wo := newWorld(t, answers(http.StatusOK, "done"))
+				wo.left = sc.left
+				_, _, err := wo.ask(t.Context(), sc.path)
+				assert.Equal(t, err == nil, sc.served, "%v", err)
+				var fl *core.Failure
+				if errors.As(err, &fl) {
+					assert.Equal(t, fl.Ran, core.NotRun)
+					assert.Assert(t, fl.RetryAfter > sc.left, "back when a new process is there")
+					assert.Equal(t, len(wo.calls), 0)
+				}
+			})
+		})
+	}
+}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -247,8 +247,15 @@
 	return &core.Failure{Code: code, Ran: core.RanUnknown, Message: text}
 }
 
+// ErrStopping ends the context of requests that a planned stop cannot wait for
+// any longer.
+var ErrStopping = errors.New("the process is stopping")
+
 // overdue is the failure of a job whose time is up or whose caller is gone.
 func (jb *job) overdue(ctx context.Context) *core.Failure {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return jb.give(core.CodeLeaving, restart, "the process ended before an answer came")
+	}
 	if errors.Is(context.Cause(ctx), errOverdue) {
 		return jb.give(core.CodeDeadline, comeBack, "no answer came in time")
 	}
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -35,6 +35,8 @@
 	mu    sync.Mutex
 	calls []core.Call
 	age   time.Duration
+	// left is how long the process still serves; 0 is no stop.
+	left time.Duration
 }
 
 // desk, draft and the others are the routes of the world.
@@ -68,8 +70,9 @@
 	}
 	wo.fw = forward.New(core.NewDeps(), wo, forward.Parts{
 		InForce: inf, Fleet: fl, Canary: canary.New(),
-		Age:     func() time.Duration { return wo.age },
-		Repeats: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, 20) },
+		Age:      func() time.Duration { return wo.age },
+		Repeats:  func() *retry.Window { return retry.NewWindow(10*time.Second, 1, 20) },
+		Stopping: func() (time.Duration, bool) { return wo.left, wo.left > 0 },
 	}, forward.Draw(func() float64 { return 0.5 }))
 	return wo
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -43,11 +44,16 @@
 	leaving, closing atomic.Bool
 	flying           atomic.Int64
 	idle             idlers
+	// base ends the requests under way, when a stop cannot wait any longer.
+	base   context.Context
+	giveUp context.CancelCauseFunc
 }
 
 // New returns a server that passes exchanges to fw.
 func New(deps core.Deps, codec Codec, fw *forward.Forwarder, inf *route.InForce) *Server {
-	return &Server{deps: deps, codec: codec, fw: fw, inf: inf, idle: idlers{timers: map[*conn]*time.Timer{}}}
+	sv := &Server{deps: deps, codec: codec, fw: fw, inf: inf, idle: idlers{timers: map[*conn]*time.Timer{}}}
+	sv.base, sv.giveUp = context.WithCancelCause(context.Background())
+	return sv
 }
 
 const (
@@ -68,7 +74,7 @@
 func (sv *Server) HTTP() *http.Server {
 	return &http.Server{
 		Handler: sv, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: headerBytes,
-		ConnState: sv.connState, ErrorLog: nil,
+		ConnState: sv.connState, BaseContext: func(net.Listener) context.Context { return sv.base },
 	}
 }
 
@@ -193,18 +199,35 @@
 	}
 }
 
-// Drain waits until no exchange is under way, or the context ends. It reports
-// how many were left.
+// lastWords is what requests that a stop gives up on have to be answered in.
+const lastWords = 200 * time.Millisecond
+
+// Drain waits until no exchange is under way, or the context ends. Those that
+// are left then get their final answer, if they have none of it yet. It reports
+// how many they were.
 func (sv *Server) Drain(ctx context.Context) int64 {
-	const every = 20 * time.Millisecond
+	if sv.await(ctx) {
+		return 0
+	}
+	left := sv.Flying()
+	sv.giveUp(forward.ErrStopping)
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	sv.await(last)
+	return left
+}
+
+// await reports whether no exchange is under way before the context ends.
+func (sv *Server) await(ctx context.Context) bool {
+	const every = 10 * time.Millisecond
 	ti := time.NewTicker(every)
 	defer ti.Stop()
 	for sv.Flying() > 0 {
 		select {
 		case <-ctx.Done():
-			return sv.Flying()
+			return false
 		case <-ti.C:
 		}
 	}
-	return 0
+	return true
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -160,3 +161,52 @@
 	_, err := br.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// mute takes a call and never answers.
+type mute struct{ started chan struct{} }
+
+func (mu mute) Call(ctx context.Context, _ *core.Call) (*core.Reply, error) {
+	close(mu.started)
+	<-ctx.Done()
+	return nil, core.Lost("%v", ctx.Err())
+}
+
+// A planned stop has waited for as long as it may, and an upstream has still not
+// answered. The caller must get its final answer then, that the outcome of its
+// claim is not known; were the process simply to end, it would see a connection
+// that breaks and could not tell that from a fault on the way.
+func TestStopGivesTheFinalAnswer(t *testing.T) {
+	mu := mute{make(chan struct{})}
+	sv, nc := serve(t, mu, route.Limits{})
+	br := bufio.NewReader(nc)
+	send(t, nc, request)
+	<-mu.started
+	sv.Leave()
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, sv.Drain(over), int64(1))
+	rs, body := receive(t, br)
+	assert.Equal(t, rs.StatusCode, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(body, `"ran":"unknown"`), body)
+}
+
+// Callers send headers and bodies beyond the configuration's limits. They must
+// hear which, and the process must not hold what it will refuse.
+func TestLimits(t *testing.T) {
+	for _, sc := range []struct {
+		testName, header, body string
+		status                 int
+	}{
+		{"within", "X-Note: short\r\n", "lamp", http.StatusOK},
+		{"long header", "X-Note: " + strings.Repeat("n", 600) + "\r\n", "lamp", http.StatusRequestHeaderFieldsTooLarge},
+		{"long body", "", strings.Repeat("lamp", 100), http.StatusRequestEntityTooLarge},
+		{"two hosts", "Host: other.example\r\n", "lamp", http.StatusBadRequest},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			_, nc := serve(t, echo{}, route.Limits{HeaderBytes: 500, BodyBytes: 100})
+			send(t, nc, fmt.Sprintf("POST /claim/1 HTTP/1.1\r\nHost: desk.example\r\n%sContent-Length: %d\r\n\r\n%s", sc.header, len(sc.body), sc.body))
+			rs, _ := receive(t, bufio.NewReader(nc))
+			assert.Equal(t, rs.StatusCode, sc.status)
+		})
+	}
+}
