Bound the exposure to a bad version by the steps alone, and pool the evidence of all entries

One that is slow was compared with the loaded old version by means, and its answers counted only at their end (0 of 8 slow at a pace of 60 ms where idle engines have 13). Now the last step begins so late that the bound holds whatever shows; slowness is judged by the pace of the first eight pieces against the median; entries ask one another each second while a roll-out goes on, also for how long it has been going on, which a restarted one did not know (8 of 30 roll-outs of good versions were late).

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -78,7 +78,9 @@
 	feed     *feed.Feed
 	follower *mirror.Follower
 	reg      *register.Registrar
+	guard    *canary.Guard
 	recorder *canary.Recorder
+	pooler   *canary.Pooler
 	srv      *front.Server
 	admin    metricsPage
 
@@ -115,6 +117,7 @@
 	sup.Add(gw.follower)
 	sup.Add(gw.reg)
 	sup.Add(gw.recorder)
+	sup.Add(gw.pooler)
 	done := sup.ServeBackground(duties)
 	defer func() { <-done }()
 	defer stop()
@@ -150,6 +153,7 @@
 	ready.HandleFunc("GET "+gw.set.ReadinessPath, gw.ready)
 	sibs := http.NewServeMux()
 	sibs.Handle("GET "+sibling.Path, sibling.Handler(gw.mirror))
+	sibs.Handle("GET "+sibling.ReportsPath, sibling.Reports(gw.guard))
 	closeReady, err := serveAside(gw.set.Readiness, ready)
 	if err != nil {
 		return nil, err
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -55,7 +55,7 @@
 func newFleet() *fleet.Fleet { return fleet.New() }
 
 func newGuard(set settings.Gateway) *canary.Guard {
-	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)))
+	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)), canary.Exposure(set.Exposure))
 }
 
 func newCodec() front.Codec { return platform.Callers{} }
@@ -132,3 +132,7 @@
 func newRecorder(deps core.Deps, gu *canary.Guard, st *platform.Store, la platform.Layout, me *members) *canary.Recorder {
 	return canary.NewRecorder(deps, gu, st, la, feed.PrefixSteps, func(sv core.ServiceID) int { return me.rank(deps.Self, sv) })
 }
+
+func newPooler(gu *canary.Guard, si *sibling.Siblings) *canary.Pooler {
+	return canary.NewPooler(gu, si)
+}
--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -35,6 +35,9 @@
 	// SessionGap is how long after its last request a session counts as under
 	// way.
 	SessionGap Duration `json:"session-gap,omitempty"`
+	// Exposure is the part of a service's requests that a bad version may get
+	// in the time of its roll-out.
+	Exposure float64 `json:"exposure,omitempty"`
 	// Repeats bounds the arrivals at a service beyond the first of each
 	// request.
 	Repeats Repeats `json:"repeats"`
@@ -60,7 +63,7 @@
 // DefaultGateway returns a gateway's settings before the file is read.
 func DefaultGateway() Gateway {
 	return Gateway{
-		ReadinessPath: "/readyz", SessionGap: Duration(5 * time.Second),
+		ReadinessPath: "/readyz", SessionGap: Duration(5 * time.Second), Exposure: 0.1,
 		Repeats:    Repeats{Window: Duration(10 * time.Second), Ratio: 0.5, Slack: 20},
 		DrainLimit: Duration(30 * time.Second), LogLevel: "info",
 	}
@@ -112,6 +115,9 @@
 		fa.add("regions", "does not name the region of zone %q; add it", set.Zone)
 	}
 	fa.some("session-gap", set.SessionGap, "sessions would change between versions")
+	if set.Exposure <= 0 || set.Exposure > 1 {
+		fa.add("exposure", "%g is not a part of all requests; give more than 0 and at most 1", set.Exposure)
+	}
 	fa.some("repeats.window", set.Repeats.Window, "the bound on repeats would be none")
 	if set.Repeats.Ratio < 0 || set.Repeats.Slack < 0 {
 		fa.add("repeats", "ratio %g and slack %g must not be below 0", set.Repeats.Ratio, set.Repeats.Slack)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -113,6 +113,7 @@
 		return nil, nil, err
 	}
 	recorder := newRecorder(deps, guard, store, layout, appMembers)
+	pooler := newPooler(guard, siblings)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
 	appMetricsPage := appProcess.Page
@@ -125,7 +126,9 @@
 		feed:     feed,
 		follower: follower,
 		reg:      registrar,
+		guard:    guard,
 		recorder: recorder,
+		pooler:   pooler,
 		srv:      server,
 		admin:    appMetricsPage,
 		stop:     appStopClock,
--- a/core/canary/doc.go
+++ b/core/canary/doc.go
@@ -8,9 +8,14 @@
 // all entries work out alike without asking one another; sessions that are
 // under way stay where they are. Each entry bounds what it sends to the new
 // version by its own traffic, so that the bound holds over all entries also
-// while they cannot hear one another. In the second half of the time that the
-// operators gave, the share widens step by step, and when the old version has
-// nothing left to do, the roll-out is complete.
+// while they cannot hear one another. Near the end of the time that the
+// operators gave, the share widens to all requests, late enough that even a
+// version whose fault never shows keeps to the bound, and when the old version
+// has nothing left to do, the roll-out is complete.
+//
+// Entries tell one another their evidence while a roll-out goes on, since each
+// alone sees little of the first step, and how long it has been going on, which
+// one that was restarted could not know. Without an answer each goes on alone.
 //
 // The steps and the verdict are kept in the store. Any entry may take the next
 // step or roll back, by compare-and-swap, so that no entry's loss halts a
@@ -88,26 +93,40 @@
 	from float64
 }
 
-// steps are those of every roll-out. The first is small: of forty requests a
-// second it sends two or three to the new version, which shows a version that
-// fails half of its requests within three seconds. Sessions may move from the
-// second half of the time on; the margin above 0.5 is for entries that hear of
-// the order late. Then each step doubles, with time between for a version that
-// is bad only under load to show it. The last step leaves a fifth of the time
-// for what the old version is still at.
-var steps = [...]step{{0.06, 0}, {0.25, 0.53}, {0.5, 0.6}, {1, 0.67}}
-
 const (
-	// completeFrom is when a roll-out may be complete at the earliest, and
-	// completeBy when it is although the old version still runs something:
-	// streams go on at the new one.
-	completeFrom = 0.76
-	completeBy   = 0.88
-	// capShare and capSlack bound what an entry sends to the new version in
-	// the first step, by its own requests. Operators allow 0.12 and more of
-	// all, and some 30 besides.
-	capShare = 0.08
-	capSlack = 2
+	// usable is the part of the allowed exposure that a roll-out plans with. The
+	// rest is for traffic that falls in the course of it.
+	usable = 0.85
+	// trialPart is the share of the first step, as a part of the allowed
+	// exposure. At 0.15 and forty requests a second, two a second go to the new
+	// version, which shows one that fails half of them within a few seconds.
+	trialPart = 0.3
+	// widerShare and widerTime are the step between: a third of the sessions
+	// for a twenty-fifth of the time, for a version that is bad only under load
+	// or on a route that the first step has hardly met.
+	widerShare = 0.3
+	widerTime  = 0.04
+	// completeBy is when a roll-out is complete although the old version still
+	// runs something: streams then go on at the new one. Between the last step
+	// and this, short work ends.
+	completeBy = 0.95
+	// completeAfter is the least time after the last step, as a part of all.
+	completeAfter = 0.02
 	// rankDelay is how long an entry leaves the next write to those before it.
-	rankDelay = 600 * time.Millisecond
+	rankDelay = 250 * time.Millisecond
 )
+
+// plan returns the steps for an allowed exposure, the part of all requests in
+// the order's time that a bad version may get.
+//
+// A version can be bad in ways that no test shows before it carries the load.
+// So the steps alone keep to the bound: whatever part of it the first two do
+// not use is the time that is left at the last step, which moves everything. A
+// version that is found bad earlier is rolled back earlier; one that is good is
+// in use for all only shortly before its time is up, which costs nobody
+// anything.
+func plan(exposure float64) [3]step {
+	trial := trialPart * exposure
+	last := max(usable*exposure-trial-widerShare*widerTime, completeAfter+0.01)
+	return [3]step{{trial, 0}, {widerShare, 1 - last - widerTime}, {1, 1 - last}}
+}
--- a/core/canary/due.go
+++ b/core/canary/due.go
@@ -19,55 +19,53 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
-		if wr, ok := ro.due(now, time.Duration(rank(sv))*rankDelay, gu.old(ro)); ok {
+		if wr, ok := gu.due(now, ro, time.Duration(rank(sv))*rankDelay); ok {
 			out = append(out, wr)
 		}
 	}
 	return out
 }
 
-func (ro *rollout) due(now time.Time, wait time.Duration, old int) (Write, bool) {
+func (gu *Guard) due(now time.Time, ro *rollout, wait time.Duration) (Write, bool) {
 	past := now.Sub(ro.began) - wait
 	part := float64(past) / float64(max(ro.order.Duration, time.Second))
+	stood := float64(now.Sub(ro.stepped)-wait) / float64(max(ro.order.Duration, time.Second))
 	at := ro.at()
 	switch {
 	case ro.bad != "":
 		return ro.write(RolledBack, ro.bad), true
-	case ro.state() == "" && past >= 0:
-		return ro.write(InProgress, "ordered"), true
-	case ro.state() == "":
+	case past < 0:
 		return Write{}, false
-	case at+1 < len(steps):
-		return ro.next(at, part, now.Sub(ro.stepped)-wait)
-	case part >= completeBy || part >= completeFrom && old == 0:
-		if now.Sub(ro.stepped)-wait < ro.dwell(completeFrom-steps[at].from) {
-			return Write{}, false
-		}
-		return ro.write(Completed, fmt.Sprintf("%d requests were sent to it", ro.sent)), true
+	case ro.state() == "":
+		return ro.write(InProgress, "ordered"), true
+	case at < lastStep && part >= gu.steps[at+1].from && stood >= gu.dwell(at):
+		return ro.next(at), true
+	case at == lastStep && stood >= completeAfter && (part >= completeBy || gu.old(ro) == 0):
+		return ro.write(Completed, ro.shown()), true
 	}
 	return Write{}, false
 }
 
-// next takes the step after at, when its time has come and the version has
-// shown something. An entry that was restarted counts from then and so waits
-// longer, never less.
-func (ro *rollout) next(at int, part float64, stood time.Duration) (Write, bool) {
-	if part < steps[at+1].from || stood < ro.dwell(steps[at+1].from-steps[max(at, 1)].from) {
-		return Write{}, false
-	}
-	if ro.evidence.all.seen == 0 && part < completeFrom {
-		return Write{}, false // It has had no request here; another entry may know more.
+// dwell is how long a step stands at least, as a part of the order's time. An
+// entry that was restarted counts the time from then; others go on before it.
+func (gu *Guard) dwell(at int) float64 {
+	if at == 0 {
+		return 0
 	}
+	const slack = 0.9 // For clocks that differ slightly.
+	return slack * (gu.steps[at+1].from - gu.steps[at].from)
+}
+
+func (ro *rollout) next(at int) Write {
 	st := Step{Service: ro.order.Service, Order: ro.order.Revision, Step: at + 1, Revision: ro.step.Revision}
-	why := fmt.Sprintf("%d of %d answers failed or were slow", ro.evidence.all.bad, ro.evidence.all.seen)
-	return Write{Step: &st, Why: why}, true
+	return Write{Step: &st, Why: ro.shown()}
 }
 
-// dwell is a part of the order's time, a little less so that clocks that
-// differ slightly do not cost a round.
-func (ro *rollout) dwell(part float64) time.Duration {
-	const slack = 0.9
-	return time.Duration(slack * part * float64(ro.order.Duration))
+// shown is the evidence so far.
+func (ro *rollout) shown() string {
+	ev := ro.evidence.all
+	return fmt.Sprintf("%d of %d answers failed and %d of %d were slow, %d requests were sent to it",
+		ev.fails.bad, ev.fails.seen, ev.slows.bad, ev.slows.seen, ro.sent)
 }
 
 func (ro *rollout) write(st State, why string) Write {
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -17,46 +17,59 @@
 	// Neutral outcomes say nothing about the version: the caller left, or the
 	// upstream refused for want of room.
 	Neutral bool
+	// Going says that the answer goes on: only its pace is known.
+	Going bool
 	// Failed: an error, a cut, a wrong answer or none in time.
 	Failed bool
 	// First is the time to the answer's header and Piece the mean time between
-	// its pieces; 0 is unknown.
+	// its pieces; 0 is unknown. Whole says that the answer came in one piece.
 	First, Piece time.Duration
+	Whole        bool
 }
 
-// evidence compares the new version's outcomes with the old one's. For each
-// pool, and over all, it adds up how much likelier the outcomes are if the new
-// version fails a third more of its attempts than the old one does now; the sum
-// never falls below nought, so that a version that turns bad late is found as
-// soon as one that always was (a CUSUM test, Page 1954). What troubles both
-// versions, such as answers lost on the way, lifts the old one's rate and so
-// counts for little.
+// evidence compares the new version's outcomes with the old one's, for each pool
+// and over all: how many failed, and how many were slow.
 type evidence struct {
 	pools map[string]*compared
 	all   compared
 }
 
+// compared is two tests, and what is usual of times.
 type compared struct {
-	// rate follows the old version's failures, first and piece its times.
-	rate         float64
-	first, piece mean
-	sum          float64
-	bad, seen    int
+	fails, slows test
+	first, piece median
 }
 
-type mean struct {
-	val   float64
+// test adds up how much likelier the outcomes are if the new version does worse
+// by effect than the old one does now; the sum never falls below nought, so that
+// a version that turns bad late is found as soon as one that always was (a CUSUM
+// test, Page 1954). What troubles both versions, such as answers lost on the
+// way, lifts the old one's rate and so counts for little.
+type test struct {
+	rate      float64
+	sum       float64
+	bad, seen int
+}
+
+// median follows the middle of times by small steps (Robbins and Monro 1951).
+type median struct {
+	val   float64 // seconds
 	count int
 }
 
 const (
-	// rateAssumed is the failures before any were seen, rateWeight weighs the
-	// newest one: the last twenty or so count.
-	rateAssumed = 0.03
-	rateWeight  = 0.05
-	rateLeast   = 0.02
-	rateMost    = 0.6
-	// effect is the added failures that are looked for.
+	// failsAssumed and slowsAssumed are the rates before any were seen.
+	failsAssumed = 0.03
+	slowsAssumed = 0.3
+	// rateWeight weighs the newest outcome: the last twenty or so count.
+	rateWeight = 0.05
+	rateLeast  = 0.02
+	rateMost   = 0.6
+	// idleSlows bounds the slow answers that are usual of a version in its first
+	// step: its upstreams have next to no work then, while the old version's
+	// are loaded, so that what is slow there is slow by itself.
+	idleSlows = 0.2
+	// effect is the added share that is looked for.
 	effect = 0.35
 	// verdict is the sum at which the version is bad: e to the sixth, or a
 	// chance of one in 400 for a streak that began anywhere. A wrong verdict
@@ -64,21 +77,28 @@
 	verdict = 6.0
 	// leastBad keeps two chance failures in a row from settling it.
 	leastBad = 3
-	// slowBy and slowSlack say when an answer is slow against the old
-	// version's mean. A bad version is several times slower; long prompts that
-	// are slow by themselves are so at both.
-	slowBy    = 3.5
-	slowSlack = 150 * time.Millisecond
-	paceSlack = 20 * time.Millisecond
-	// timesNeeded is the old version's answers that make its mean reliable.
-	timesNeeded = 5
-	timeWeight  = 1.0 / 16
+	// slowPace is the multiple of the old version's median pause between pieces
+	// that is slow, and slowFirst that of the time to an answer in one piece.
+	// The pace of an engine hardly depends on the prompt, which its time to the
+	// first piece does; that is left out.
+	slowPace  = 1.4
+	slowFirst = 2.5
+	// overdueBy and overdueSlack say from when an attempt that has not begun
+	// counts as failed.
+	overdueBy    = 8
+	overdueSlack = time.Second
+	// timesNeeded is the old version's answers that make its median reliable.
+	timesNeeded = 8
+	// medianStep is the part by which a median follows each value.
+	medianStep = 0.08
 )
 
-func newEvidence() evidence {
-	return evidence{pools: map[string]*compared{}, all: compared{rate: rateAssumed}}
+func newCompared() compared {
+	return compared{fails: test{rate: failsAssumed}, slows: test{rate: slowsAssumed}}
 }
 
+func newEvidence() evidence { return evidence{pools: map[string]*compared{}, all: newCompared()} }
+
 // restart forgets what was held against a version, and keeps what is usual.
 func (ev *evidence) restart() {
 	ev.all.restart()
@@ -87,94 +107,161 @@
 	}
 }
 
-func (co *compared) restart() { co.sum, co.bad, co.seen = 0, 0, 0 }
+func (co *compared) restart() {
+	for _, te := range []*test{&co.fails, &co.slows} {
+		te.sum, te.bad, te.seen = 0, 0, 0
+	}
+}
 
 func (ev *evidence) pool(name string) *compared {
 	co := ev.pools[name]
 	if co == nil {
-		co = &compared{rate: rateAssumed}
+		fresh := newCompared()
+		co = &fresh
 		ev.pools[name] = co
 	}
 	return co
 }
 
-// observe takes in an outcome and returns why the new version is bad, or
-// nothing.
-func (ev *evidence) observe(ou Outcome, target bool) string {
+// usual learns from the old version.
+func (ev *evidence) usual(ou Outcome) {
 	po := ev.pool(ou.Pool)
-	bad := ou.Failed || po.slow(ou)
-	if !target {
-		po.usual(ou, bad)
-		ev.all.usual(Outcome{}, bad)
-		return ""
+	slow, timed := po.slow(ou)
+	for _, co := range []*compared{po, &ev.all} {
+		if !ou.Going {
+			co.fails.follow(ou.Failed)
+		}
+		if timed {
+			co.slows.follow(slow)
+		}
+	}
+	if !ou.Failed {
+		po.first.follow(ou.First)
+		po.piece.follow(ou.Piece)
 	}
+}
+
+// judge takes in an outcome of the new version and returns why that is bad, or
+// nothing. Idle says that its upstreams have little to do.
+func (ev *evidence) judge(ou Outcome, idle bool) string {
+	po := ev.pool(ou.Pool)
+	slow, timed := po.slow(ou)
 	for _, co := range []*compared{po, &ev.all} {
-		if co.judge(bad) {
-			return fmt.Sprintf("%d of %d answers failed or were slow, against a usual %.0f in 100", co.bad, co.seen, 100*co.rate)
+		if !ou.Going && co.fails.judge(ou.Failed, rateMost) {
+			return co.fails.why("failed")
+		}
+		most := rateMost
+		if idle {
+			most = idleSlows
+		}
+		if timed && !ou.Failed && co.slows.judge(slow, most) {
+			return co.slows.why("were slow")
 		}
 	}
 	return ""
 }
 
-// slow reports an answer that took several times what is usual.
-func (co *compared) slow(ou Outcome) bool {
-	return co.first.exceeded(ou.First, slowSlack) || co.piece.exceeded(ou.Piece, paceSlack)
+// slow reports whether an answer was slow, and whether that can be told.
+func (co *compared) slow(ou Outcome) (slow, timed bool) {
+	switch {
+	case ou.Piece > 0:
+		return co.piece.exceeded(ou.Piece, slowPace), co.piece.known()
+	case ou.Whole && ou.First > 0:
+		return co.first.exceeded(ou.First, slowFirst), co.first.known()
+	}
+	return false, false
 }
 
-func (me *mean) exceeded(val, slack time.Duration) bool {
-	return val > 0 && me.count >= timesNeeded && val.Seconds() > slowBy*me.val+slack.Seconds()
+func (me *median) known() bool { return me.count >= timesNeeded }
+
+func (me *median) exceeded(val time.Duration, by float64) bool {
+	return me.known() && val.Seconds() > by*me.val
 }
 
-func (me *mean) follow(val time.Duration) {
-	if val <= 0 {
+func (me *median) follow(val time.Duration) {
+	switch {
+	case val <= 0:
 		return
+	case me.count == 0:
+		me.val = val.Seconds()
+	case val.Seconds() > me.val:
+		me.val *= 1 + medianStep
+	default:
+		me.val /= 1 + medianStep
 	}
 	me.count++
-	me.val += max(timeWeight, 1/float64(me.count)) * (val.Seconds() - me.val)
 }
 
-// usual learns from the old version.
-func (co *compared) usual(ou Outcome, bad bool) {
+func (te *test) follow(bad bool) {
 	val := 0.0
 	if bad {
 		val = 1
 	}
-	co.rate += rateWeight * (val - co.rate)
-	co.first.follow(ou.First)
-	co.piece.follow(ou.Piece)
+	te.rate += rateWeight * (val - te.rate)
 }
 
 // judge takes in an outcome of the new version and reports the verdict.
-func (co *compared) judge(bad bool) bool {
-	usual := min(max(co.rate, rateLeast), rateMost)
+func (te *test) judge(bad bool, most float64) bool {
+	usual := min(max(te.rate, rateLeast), most)
 	worse := min(usual+effect, 0.95)
-	co.seen++
+	te.seen++
 	if bad {
-		co.bad++
-		co.sum += math.Log(worse / usual)
+		te.bad++
+		te.sum += math.Log(worse / usual)
 	} else {
-		co.sum = max(co.sum+math.Log((1-worse)/(1-usual)), 0)
+		te.sum = max(te.sum+math.Log((1-worse)/(1-usual)), 0)
 	}
-	return co.sum >= verdict && co.bad >= leastBad
+	return te.sum >= verdict && te.bad >= leastBad
+}
+
+func (te *test) why(what string) string {
+	return fmt.Sprintf("%d of %d answers %s, against a usual %.0f in 100", te.bad, te.seen, what, 100*te.rate)
 }
 
-// Ended notes the end of an attempt that was sent, with its outcome.
-func (gu *Guard) Ended(ou Outcome) {
+// Observe takes in what an attempt shows of its version: its pace while it still
+// goes on, and at the end whether it failed.
+func (gu *Guard) Observe(ou Outcome) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	ro := gu.rollout(ou.Service)
-	target := ro.order.Revision != 0 && ou.Version == ro.order.Target
-	key := versionKey{ou.Service, ou.Version}
-	if gu.flying[key]--; gu.flying[key] <= 0 {
-		delete(gu.flying, key)
-	}
 	if ou.Neutral {
 		return
 	}
-	if why := ro.evidence.observe(ou, target); why != "" && ro.bad == "" && !ro.final() {
+	ro := gu.rollout(ou.Service)
+	if ro.order.Revision == 0 || ou.Version != ro.order.Target {
+		ro.evidence.usual(ou)
+		return
+	}
+	if why := ro.evidence.judge(ou, ro.at() == 0); why != "" && ro.bad == "" && !ro.final() {
 		ro.bad = why
 	}
 }
 
+// Overdue is how long an attempt may take to its header before it counts as
+// failed, or 0 when that is not known or does not matter: only a version under
+// roll-out is judged.
+func (gu *Guard) Overdue(sv core.ServiceID, ve core.VersionID, pool string) time.Duration {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	ro := gu.rollouts[sv]
+	if ro == nil || ro.order.Revision == 0 || ve != ro.order.Target || ro.final() {
+		return 0
+	}
+	first := ro.evidence.pool(pool).first
+	if !first.known() {
+		return 0
+	}
+	return time.Duration(overdueBy*first.val*float64(time.Second)) + overdueSlack
+}
+
+// Ended notes the end of an attempt that was sent.
+func (gu *Guard) Ended(sv core.ServiceID, ve core.VersionID) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	key := versionKey{sv, ve}
+	if gu.flying[key]--; gu.flying[key] <= 0 {
+		delete(gu.flying, key)
+	}
+}
+
 // final reports whether the current order has come to its end.
 func (ro *rollout) final() bool { return ro.state() == Completed || ro.state() == RolledBack }
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -13,7 +13,8 @@
 // Guard decides on the roll-outs of all services. It is safe for concurrent
 // use.
 type Guard struct {
-	gap time.Duration
+	gap   time.Duration
+	steps [3]step
 
 	mu       sync.Mutex
 	rollouts map[core.ServiceID]*rollout
@@ -48,13 +49,25 @@
 // way.
 func SessionGap(du time.Duration) Option { return func(gu *Guard) { gu.gap = du } }
 
-// defaultGap is the users' own figure for both deployments.
-const defaultGap = 5 * time.Second
+// Exposure sets the part of a service's requests, in the time of a roll-out,
+// that a bad version may get.
+func Exposure(share float64) Option { return func(gu *Guard) { gu.steps = plan(share) } }
+
+const (
+	// defaultGap and defaultExposure are the users' own figures for both
+	// deployments.
+	defaultGap      = 5 * time.Second
+	defaultExposure = 0.15
+	// capFactor and capSlack bound what an entry sends to the new version in
+	// the first step, by its own requests and the step's share.
+	capFactor = 1.3
+	capSlack  = 2
+)
 
 // New returns a guard.
 func New(opts ...Option) *Guard {
 	gu := &Guard{
-		gap: defaultGap, rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{}, flying: map[versionKey]int{},
+		gap: defaultGap, steps: plan(defaultExposure), rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{}, flying: map[versionKey]int{},
 		stable: map[core.ServiceID]core.VersionID{},
 	}
 	for _, opt := range opts {
@@ -128,12 +141,15 @@
 	return ro.status.State
 }
 
+// lastStep moves everything.
+const lastStep = 2
+
 // at returns the step of the current order.
 func (ro *rollout) at() int {
 	if ro.step.Order != ro.order.Revision {
 		return 0
 	}
-	return min(max(ro.step.Step, 0), len(steps)-1)
+	return min(max(ro.step.Step, 0), lastStep)
 }
 
 // Choose narrows the upstreams of a service to those whose version a request
@@ -180,10 +196,11 @@
 			}
 		}
 	}
-	if draw >= steps[at].share || !fresh {
+	share := gu.steps[at].share
+	if draw >= share || !fresh {
 		return false
 	}
-	return at > 0 || float64(ro.sent) < capShare*float64(ro.all)+capSlack
+	return at > 0 || float64(ro.sent) < capFactor*share*float64(ro.all)+capSlack
 }
 
 // Place is a session's place from 0 to 1, the same at all entries.
--- /dev/null
+++ b/core/canary/pool.go
@@ -0,0 +1,138 @@
+package canary
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Report is what an entry knows of a roll-out under way.
+type Report struct {
+	Service core.ServiceID `json:"service"`
+	// Order is the revision of the order.
+	Order core.Revision `json:"order"`
+	// Elapsed is how long the order has been known, in milliseconds.
+	Elapsed int64 `json:"elapsed-ms"`
+	// Fails and Slows are the evidence over all routes.
+	Fails Tally `json:"fails"`
+	Slows Tally `json:"slows"`
+}
+
+// Tally is the evidence of one test.
+type Tally struct {
+	Sum  float64 `json:"sum"`
+	Bad  int     `json:"bad"`
+	Seen int     `json:"seen"`
+}
+
+// Entries are the other entries.
+type Entries interface {
+	// Reports returns what the others that answer know of roll-outs.
+	Reports(ctx context.Context) []Report
+}
+
+// Reports lists the roll-outs that are under way.
+func (gu *Guard) Reports(now time.Time) []Report {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	var out []Report
+	for sv, ro := range gu.rollouts {
+		if ro.order.Revision == 0 || ro.final() {
+			continue
+		}
+		all := ro.evidence.all
+		out = append(out, Report{
+			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.began).Milliseconds(),
+			Fails: all.fails.tally(), Slows: all.slows.tally(),
+		})
+	}
+	return out
+}
+
+func (te test) tally() Tally { return Tally{te.sum, te.bad, te.seen} }
+
+// pooledVerdict is the sum of the entries' sums at which a version is bad. Each
+// sum is a chance of its own, so that more is asked of them together.
+const pooledVerdict = 7.5
+
+// Pool takes in the others' reports, as of one moment.
+func (gu *Guard) Pool(now time.Time, reports []Report) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	for sv, ro := range gu.rollouts {
+		if ro.order.Revision == 0 || ro.final() {
+			continue
+		}
+		fails, slows := ro.evidence.all.fails.tally(), ro.evidence.all.slows.tally()
+		for _, re := range reports {
+			if re.Service != sv || re.Order != ro.order.Revision {
+				continue
+			}
+			if began := now.Add(-time.Duration(re.Elapsed) * time.Millisecond); began.Before(ro.began) {
+				ro.began = began
+			}
+			fails.add(re.Fails)
+			slows.add(re.Slows)
+		}
+		if ro.bad == "" {
+			ro.bad = pooled(fails, slows)
+		}
+	}
+}
+
+func (ta *Tally) add(other Tally) {
+	ta.Sum += other.Sum
+	ta.Bad += other.Bad
+	ta.Seen += other.Seen
+}
+
+// pooled returns why a version is bad by the evidence of all, or nothing.
+func pooled(fails, slows Tally) string {
+	switch {
+	case fails.Sum >= pooledVerdict && fails.Bad >= leastBad:
+		return fmt.Sprintf("%d of %d answers at all entries failed", fails.Bad, fails.Seen)
+	case slows.Sum >= pooledVerdict && slows.Bad >= leastBad:
+		return fmt.Sprintf("%d of %d answers at all entries were slow", slows.Bad, slows.Seen)
+	}
+	return ""
+}
+
+// Pooler is the duty that asks the others. It implements suture's Service.
+type Pooler struct {
+	gu  *Guard
+	ens Entries
+}
+
+const (
+	// poolEvery is how often the others are asked while a roll-out goes on. A
+	// report is 200 bytes; at four entries this is 2 kB a second over all.
+	poolEvery = time.Second
+	poolLimit = 700 * time.Millisecond
+)
+
+// NewPooler returns the duty.
+func NewPooler(gu *Guard, ens Entries) *Pooler { return &Pooler{gu: gu, ens: ens} }
+
+// Serve implements suture's Service.
+func (po *Pooler) Serve(ctx context.Context) error {
+	ti := time.NewTicker(poolEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+			if len(po.gu.Reports(time.Now())) > 0 {
+				po.ask(ctx)
+			}
+		}
+	}
+}
+
+func (po *Pooler) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, poolLimit)
+	defer cancel()
+	po.gu.Pool(time.Now(), po.ens.Reports(ctx))
+}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"skylarkstand/core"
@@ -36,6 +37,8 @@
 	pieces int
 	why    string
 	ended  bool
+	// shown is set once it was told whether the attempt failed.
+	shown atomic.Bool
 }
 
 var (
@@ -49,6 +52,7 @@
 	if at.patience > 0 {
 		defer at.watch()()
 	}
+	defer at.watchOverdue()()
 	re, err := at.jb.fw.access.Call(at.ctx, at.call())
 	if err != nil {
 		return at.fail(err)
@@ -96,6 +100,37 @@
 	}
 }
 
+// watchOverdue has an attempt at a version under roll-out count as failed while
+// its header is still awaited, and returns the clean-up. A version that hangs or
+// is many times slower is otherwise known only when its callers have given up.
+func (at *attempt) watchOverdue() func() {
+	limit := at.jb.fw.parts.Canary.Overdue(at.to.Service, at.to.Version, at.pool())
+	if limit <= 0 {
+		return func() {}
+	}
+	ti := time.AfterFunc(limit, func() { at.show(canary.Outcome{Failed: true}) })
+	return func() { ti.Stop() }
+}
+
+// pool separates what is compared between versions.
+func (at *attempt) pool() string { return at.jb.rt.ID + "/" + string(at.rq.Model) }
+
+// show hands on whether the attempt failed, the first time.
+func (at *attempt) show(ou canary.Outcome) {
+	if !at.shown.Swap(true) {
+		at.observe(ou)
+	}
+}
+
+func (at *attempt) observe(ou canary.Outcome) {
+	ou.Service, ou.Version, ou.Pool = at.to.Service, at.to.Version, at.pool()
+	at.jb.fw.parts.Canary.Observe(ou)
+}
+
+// pacePieces is how many pieces the pace of an answer is taken over, so that a
+// single late one is no matter.
+const pacePieces = 8
+
 // alive reports whether the upstream sent anything since a time.
 func (at *attempt) alive(since time.Time) bool {
 	fw := at.jb.fw
@@ -107,6 +142,11 @@
 // heard notes a piece of the answer.
 func (at *attempt) heard() {
 	at.pieces++
+	if at.pieces == pacePieces {
+		ou := at.times()
+		ou.Going = true
+		at.observe(ou)
+	}
 	fw := at.jb.fw
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
@@ -205,7 +245,8 @@
 	fw.mu.Lock()
 	fw.picker.Ended(now, at.flight, out)
 	fw.mu.Unlock()
-	fw.parts.Canary.Ended(at.evidence(ve, gone))
+	at.show(at.evidence(ve, gone))
+	fw.parts.Canary.Ended(at.to.Service, at.to.Version)
 	if ve != taken {
 		fw.meters.attemptFailed(ve)
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "upstream", at.to.ID, "address", at.to.Addr,
@@ -214,17 +255,24 @@
 	}
 }
 
-// evidence is what the attempt says about its upstream's version.
+// evidence is what the attempt's end says about its upstream's version.
 func (at *attempt) evidence(ve verdict, gone bool) canary.Outcome {
-	ou := canary.Outcome{
-		Service: at.to.Service, Version: at.to.Version, Pool: at.jb.rt.ID + "/" + string(at.rq.Model),
-		Neutral: gone || ve == refused || ve == stranger || ve == unreached,
-		Failed:  ve == failed || ve == lost,
+	ou := canary.Outcome{Whole: !at.jb.rt.Stream}
+	if ou.Whole {
+		ou = at.times()
 	}
+	ou.Neutral = gone || ve == refused || ve == stranger || ve == unreached
+	ou.Failed = ve == failed || ve == lost
+	return ou
+}
+
+// times are how long the answer took to begin and between its pieces.
+func (at *attempt) times() canary.Outcome {
+	ou := canary.Outcome{Whole: !at.jb.rt.Stream}
 	if !at.began.IsZero() {
 		ou.First = at.began.Sub(at.sent)
 	}
-	if at.pieces > 1 {
+	if at.pieces >= pacePieces {
 		ou.Piece = time.Since(at.began) / time.Duration(at.pieces)
 	}
 	return ou
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -1,7 +1,8 @@
-// Package sibling speaks with the other entries about the store's newest
-// content: an entry that the store does not answer asks those it does.
+// Package sibling speaks with the other entries. An entry that the store does
+// not answer asks those it does for the store's newest content; while a roll-out
+// goes on, entries ask one another for their evidence.
 //
-// A question costs nothing while the store is well, since none is asked. The
+// The first costs nothing while the store is well, since nobody asks. The
 // answer is the whole copy or the word that there is nothing newer, so that it
 // is right whatever the asker missed.
 //
@@ -23,6 +24,7 @@
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
+	"skylarkstand/core/canary"
 	"skylarkstand/core/mirror"
 	"skylarkstand/io/upstream"
 )
@@ -69,6 +71,21 @@
 	})
 }
 
+// ReportsPath is where an entry tells its evidence about roll-outs under way.
+const ReportsPath = "/roll-outs"
+
+// Reports serves a guard's evidence to siblings.
+func Reports(gu *canary.Guard) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(gu.Reports(time.Now()))
+	})
+}
+
+// reporters is how many siblings are asked for their evidence in one round. A
+// dozen see enough of any service together, however many there are.
+const reporters = 12
+
 // Siblings asks other entries. It implements mirror.Siblings.
 type Siblings struct {
 	cl    *upstream.Client
@@ -124,26 +141,53 @@
 }
 
 func (si *Siblings) ask(ctx context.Context, addr string, after core.Revision) (mirror.News, error) {
-	target := Path + "?after=" + strconv.FormatUint(uint64(after), 10)
+	var ms message
+	if err := si.get(ctx, addr, Path+"?after="+strconv.FormatUint(uint64(after), 10), &ms); err != nil {
+		return mirror.News{}, err
+	}
+	ne := mirror.News{Newer: ms.Newer, Revision: ms.Revision, Age: time.Duration(ms.AgeMs) * time.Millisecond}
+	for _, it := range ms.Items {
+		ne.Items = append(ne.Items, core.Item(it))
+	}
+	return ne, nil
+}
+
+// Reports implements canary.Entries. Those that do not answer are left out.
+func (si *Siblings) Reports(ctx context.Context) []canary.Report {
+	addrs := si.addrs()
+	first := si.draw(max(len(addrs), 1))
+	n := min(reporters, len(addrs))
+	got := make(chan []canary.Report, n)
+	for i := range n {
+		addr := addrs[(first+i)%len(addrs)]
+		go func() {
+			var res []canary.Report
+			if err := si.get(ctx, addr, ReportsPath, &res); err != nil {
+				res = nil // It has nothing to add; the next round asks again.
+			}
+			got <- res
+		}()
+	}
+	var out []canary.Report
+	for range n {
+		out = append(out, <-got...)
+	}
+	return out
+}
+
+// get asks a sibling and decodes its answer.
+func (si *Siblings) get(ctx context.Context, addr, target string, out any) error {
 	rs, err := si.cl.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: http.Header{}})
 	if err != nil {
-		return mirror.News{}, err
+		return err
 	}
 	defer rs.Body.Close()
 	raw, err := io.ReadAll(rs.Body)
 	if err != nil {
-		return mirror.News{}, err
+		return err
 	}
 	if rs.Status != http.StatusOK {
-		return mirror.News{}, eris.Errorf("sibling: status %d", rs.Status)
+		return eris.Errorf("sibling: status %d", rs.Status)
 	}
-	var ms message
-	if err := json.Unmarshal(raw, &ms); err != nil {
-		return mirror.News{}, eris.Wrap(err, "sibling")
-	}
-	ne := mirror.News{Newer: ms.Newer, Revision: ms.Revision, Age: time.Duration(ms.AgeMs) * time.Millisecond}
-	for _, it := range ms.Items {
-		ne.Items = append(ne.Items, core.Item(it))
-	}
-	return ne, nil
+	return eris.Wrap(json.Unmarshal(raw, out), "sibling")
 }
