Hold a roll-out in doubt, and test roll-outs over several entries without a network

No step is taken while the evidence is at a chance of one in twenty; with the time up it is rolled back. The simulated roll-outs found that a version bad on one route was held and never rolled back.

--- /dev/null
+++ b/core/canary/canary_test.go
@@ -0,0 +1,193 @@
+package canary_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+)
+
+// A new version is bad in one of the ways that versions are. Its callers get
+// errors or wait several times as long, and the more of them there are, the
+// longer it goes unnoticed; it must be found, and until then get few requests.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	half := func(rnd *rand.Rand) bool { return rnd.Float64() < 0.5 }
+	scenarios := []struct {
+		testName string
+		rate     float64
+		fault    fault
+	}{
+		{"errors", 40, func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) { return half(rnd), 1 }},
+		{"errors at a small service", 15, func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) { return half(rnd), 1 }},
+		{"errors from half-time on", 40, func(rnd *rand.Rand, _ int, since time.Duration, _ int) (bool, float64) {
+			return since > 12*time.Second && half(rnd), 1
+		}},
+		{"errors on one route", 40, func(rnd *rand.Rand, route int, _ time.Duration, _ int) (bool, float64) { return route == 1 && half(rnd), 1 }},
+		{"slow", 40, func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) {
+			if half(rnd) {
+				return false, 8
+			}
+			return false, 1
+		}},
+		{"slow at a small service", 15, func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) { return false, 4 }},
+	}
+	for _, sc := range scenarios {
+		for _, exposure := range []float64{0.15, 0.12} {
+			t.Run(fmt.Sprint(sc.testName, " ", exposure), func(t *testing.T) {
+				for seed := range uint64(12) {
+					tr := trial{seed: seed, entries: 4, rate: sc.rate, exposure: exposure, duration: 24 * time.Second, fault: sc.fault}
+					re := tr.play(t)
+					assert.Equal(t, re.state, canary.RolledBack, "seed %d: at %s after %d requests, %d bad", seed, re.at, re.sent, re.bad)
+					re.within(t, exposure)
+					assert.Assert(t, re.afterBad < 5*time.Second, "seed %d: used %s after its fiftieth bad answer", seed, re.afterBad)
+				}
+			})
+		}
+	}
+}
+
+// A version is bad only once it carries the whole load, which nobody can know
+// before. Even if nothing is ever noticed, the callers that it reaches in the
+// time of its roll-out must stay within what the operators allow.
+func TestUnnoticedBadVersionKeepsToTheBound(t *testing.T) {
+	for _, exposure := range []float64{0.15, 0.12} {
+		for _, rate := range []float64{15, 40, 110} {
+			for seed := range uint64(8) {
+				tr := trial{seed: seed, entries: 4, rate: rate, exposure: exposure, duration: 24 * time.Second}
+				re := tr.play(t)
+				re.within(t, exposure)
+			}
+		}
+	}
+}
+
+// A good version must be in use for all before its time is up, or its roll-out
+// counts as missed; and no session may change versions in the first half or go
+// back, or its answers do not fit its earlier ones. It must also hold when an
+// entry is restarted half-way, which knows neither how long the roll-out has
+// been going on nor which sessions there were.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	for _, duration := range []time.Duration{12 * time.Second, 24 * time.Second, time.Minute} {
+		for _, restart := range []time.Duration{0, duration / 2} {
+			for seed := range uint64(8) {
+				tr := trial{seed: seed, entries: 4, rate: 40, exposure: 0.15, duration: duration, restart: restart}
+				re := tr.play(t)
+				assert.Equal(t, re.state, canary.Completed, "seed %d, %s, restart %s: at %s", seed, duration, restart, re.at)
+				assert.Assert(t, re.at < duration)
+				assert.Equal(t, re.wrongMoves, 0)
+				assert.Equal(t, re.backToOld, 0)
+			}
+		}
+	}
+}
+
+// The entries can hear neither one another nor the store. What each of them
+// sends to a bad version must then be so little that all of them together keep
+// to the bound.
+func TestDeafEntriesKeepToTheBound(t *testing.T) {
+	worst := func(*rand.Rand, int, time.Duration, int) (bool, float64) { return false, 1 }
+	for seed := range uint64(8) {
+		tr := trial{seed: seed, entries: 12, rate: 60, exposure: 0.12, duration: 24 * time.Second, fault: worst, deaf: true}
+		tr.play(t).within(t, 0.12)
+	}
+}
+
+// Both versions fail alike, because answers are lost on the way. The new one is
+// not to blame; a roll-out that is taken back for it has to be done again.
+func TestTroubleOfBothIsNotHeldAgainstTheNewOne(t *testing.T) {
+	wrong := 0
+	for seed := range uint64(10) {
+		gu := canary.New()
+		now := time.Unix(1_000_000, 0)
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
+		for i := range 600 {
+			ve := v1
+			if i%10 == 0 {
+				ve = v2
+			}
+			gu.Observe(canary.Outcome{Service: service, Version: ve, Pool: "a", Failed: i > 100 && rnd.Float64() < 0.3})
+		}
+		for _, wr := range gu.Due(now, func(core.ServiceID) int { return 0 }) {
+			if wr.Status != nil && wr.Status.State == canary.RolledBack {
+				wrong++
+			}
+		}
+	}
+	assert.Assert(t, wrong <= 1, "%d of 10", wrong)
+}
+
+// Upstreams of a new version are listed a moment before the order for it is
+// known. They must get nothing until then: nobody would be watching.
+func TestNewVersionBeforeItsOrder(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	all := hosts()
+	olds := gu.Choose(now, service, "", 0, all[:1], true)
+	assert.Equal(t, olds[0].Version, v1)
+	for range 50 {
+		for _, ho := range gu.Choose(now, service, "", rand.Float64(), all, true) {
+			assert.Equal(t, ho.Version, v1)
+		}
+	}
+}
+
+// A session runs on the old version when a roll-out begins. While it goes on
+// there it must stay, whatever its hash says; and with old news no session may
+// begin on the new version, since the word that it is bad may be on its way.
+func TestSessionsStay(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	all := hosts()
+	old := core.Host{ID: "old-0", Service: service, Version: v1}
+	var joining []core.SessionID
+	for i := range 4000 {
+		if se := core.SessionID(fmt.Sprint("s", i)); canary.Place(se) < 0.03 {
+			joining = append(joining, se)
+		}
+	}
+	assert.Assert(t, len(joining) > 60)
+	for _, se := range joining[:30] {
+		gu.Sent(now, se, old)
+	}
+	gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
+	for range 2000 {
+		gu.Choose(now, service, "", 0.9, all, true) // The cap counts requests.
+	}
+	for i, se := range joining {
+		now = now.Add(10 * time.Millisecond)
+		stale := gu.Choose(now, service, se, 0, all, false)
+		assert.Equal(t, stale[0].Version, v1)
+		ups := gu.Choose(now, service, se, 0, all, true)
+		want := v2
+		if i < 30 {
+			want = v1
+		}
+		assert.Equal(t, ups[0].Version, want, "session %d", i)
+	}
+}
+
+// Operators order the same version again after it was rolled back. The old
+// verdict must not stand in its way, and an old status must not count for it.
+func TestSameVersionOrderedAgain(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	first := func(core.ServiceID) int { return 0 }
+	gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
+	for range 10 {
+		gu.Observe(canary.Outcome{Service: service, Version: v2, Pool: "a", Failed: true})
+	}
+	due := gu.Due(now, first)
+	assert.Equal(t, due[0].Status.State, canary.RolledBack)
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6})
+	assert.Equal(t, len(gu.Due(now, first)), 0)
+	gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 9})
+	due = gu.Due(now, first)
+	assert.Equal(t, due[0].Status.State, canary.InProgress)
+	assert.Equal(t, due[0].Status.Revision, core.Revision(6), "it replaces the old status")
+}
--- a/core/canary/due.go
+++ b/core/canary/due.go
@@ -38,6 +38,10 @@
 		return Write{}, false
 	case ro.state() == "":
 		return ro.write(InProgress, "ordered"), true
+	case ro.doubted() && part >= giveUpAt:
+		return ro.write(RolledBack, "its time is up in doubt: "+ro.shown()), true
+	case ro.doubted():
+		return Write{}, false
 	case at < lastStep && part >= gu.steps[at+1].from && stood >= gu.dwell(at):
 		return ro.next(at), true
 	case at == lastStep && stood >= completeAfter && (part >= completeBy || gu.old(ro) == 0):
@@ -46,6 +50,20 @@
 	return Write{}, false
 }
 
+// holdAt is the evidence against a version from which no further step is taken:
+// a chance of one in twenty for a good one, which then waits until more of its
+// answers have ended. Where few requests come, a verdict would come too late.
+const holdAt = 3.0
+
+// giveUpAt is the part of the order's time after which a version that is in
+// doubt is rolled back: it can not be completed any more.
+const giveUpAt = 0.965
+
+func (ro *rollout) doubted() bool {
+	all := &ro.evidence.all
+	return max(ro.doubt, all.fails.sum, all.slows.sum) >= holdAt
+}
+
 // dwell is how long a step stands at least, as a part of the order's time. An
 // entry that was restarted counts the time from then; others go on before it.
 func (gu *Guard) dwell(at int) float64 {
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -87,6 +87,8 @@
 	// the new version, since the order.
 	all, sent int
 	evidence  evidence
+	// doubt is the evidence of all entries together, as last heard.
+	doubt float64
 	// bad is why this entry holds the version for bad; empty is not.
 	bad string
 }
@@ -109,7 +111,7 @@
 		return
 	}
 	ro.order, ro.began, ro.stepped = or, now, now
-	ro.all, ro.sent, ro.bad = 0, 0, ""
+	ro.all, ro.sent, ro.bad, ro.doubt = 0, 0, "", 0
 	ro.evidence.restart()
 }
 
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -79,6 +79,7 @@
 		if ro.bad == "" {
 			ro.bad = pooled(fails, slows)
 		}
+		ro.doubt = max(fails.Sum, slows.Sum)
 	}
 }
 
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -129,7 +129,7 @@
 
 // pacePieces is how many pieces the pace of an answer is taken over, so that a
 // single late one is no matter.
-const pacePieces = 8
+const pacePieces = 5
 
 // alive reports whether the upstream sent anything since a time.
 func (at *attempt) alive(since time.Time) bool {
