--- a/app/gateway.go
+++ b/app/gateway.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	defer cleanup()
-	go gw.reloads(ctx, cmd.Settings)
+	gw.watchSettings(ctx, cmd.Settings)
 	return gw.run(ctx)
 }
 
@@ -222,13 +222,26 @@
 // without a signal.
 const reloadEvery = 2 * time.Second
 
-// reloads reads the settings again when the file changes or the process is told
-// to. Addresses, place and bounds are those of the start; a change of them is
-// logged, so that an operator sees what waits for the next one.
-func (gw *gatewayProcess) reloads(ctx context.Context, path string) {
+// watchSettings reads the settings again when the file changes or the process is
+// told to. Addresses, place and bounds are those of the start; a change of them
+// is logged, so that an operator sees what waits for the next one. The channel
+// is closed when the context has ended and the file is watched no more.
+//
+// The signal is listened for until the process is gone: its default action is to
+// end the process, which during a planned stop would cut off every request that
+// the stop waits for.
+func (gw *gatewayProcess) watchSettings(ctx context.Context, path string) <-chan struct{} {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gw.reloads(ctx, path, hup)
+	}()
+	return done
+}
+
+func (gw *gatewayProcess) reloads(ctx context.Context, path string, hup <-chan os.Signal) {
 	ti := time.NewTicker(reloadEvery)
 	defer ti.Stop()
 	last := modified(path)
