--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -58,7 +58,7 @@
 		ans.first()
 		return ans
 	}
-	at.why = ans.err.Error()
+	at.blame(ans.err)
 	at.drop(lost)
 	return nil
 }
@@ -189,7 +189,7 @@
 		return false // Nothing was passed on: a new attempt begins anew.
 	}
 	for ve := lost; jb.mayRepeat(ans.ctx); {
-		ans.at.why = cause.Error()
+		ans.at.blame(cause)
 		ans.at.drop(ve)
 		at, fl := jb.begin(ans.last)
 		if fl != nil {
@@ -224,7 +224,7 @@
 		}
 	default:
 		ve, code = lost, core.CodeOutcomeLost
-		ans.at.why = err.Error()
+		ans.at.blame(err)
 		if errors.Is(context.Cause(ans.ctx), errOverdue) {
 			code = core.CodeDeadline
 		}
@@ -233,7 +233,7 @@
 	jb.fw.meters.ended(code, took)
 	event.Log(jb.fw.deps.Log, event.ExchangeEnded, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
 		"service", jb.service, "upstream", ans.at.to.ID, "version", ans.at.to.Version, "model", jb.model(),
-		"session", jb.ex.Session, "status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "last", jb.last,
+		"session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output, "status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "last", jb.last,
 		"code", code, "bytes", ans.sent, "first", ans.at.began.Sub(jb.ex.Arrived), "took", took, "configuration", jb.tb.Version)
 	return err
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -180,10 +180,7 @@
 
 // fail judges a call without an answer.
 func (at *attempt) fail(err error) verdict {
-	at.why = err.Error()
-	if cause := context.Cause(at.ctx); errors.Is(cause, errSilent) {
-		at.why = cause.Error()
-	}
+	at.blame(err)
 	var fl *core.Failure
 	if errors.As(err, &fl) && fl.Ran == core.NotRun {
 		return unreached
@@ -191,6 +188,15 @@
 	return lost
 }
 
+// blame notes why the attempt brought no whole answer. What ended its context
+// says more than the error of the connection that was dropped for it.
+func (at *attempt) blame(err error) {
+	at.why = err.Error()
+	if cause := context.Cause(at.ctx); cause != nil {
+		at.why = cause.Error()
+	}
+}
+
 // header lets the choice of upstreams learn from the header of an answer.
 func (at *attempt) header() {
 	fw := at.jb.fw
