--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -122,6 +122,27 @@
 	return hosts[best], true
 }
 
+// Expect returns the least expected time to the first byte of an answer from an
+// engine: what waits there and the reading of what it does not keep.
+func (pk *Picker) Expect(now time.Time, hosts []core.Host, rq Request) time.Duration {
+	read, home := pk.read(rq.Model).get(), pk.home(hosts, rq)
+	least := time.Duration(-1)
+	for i := range hosts {
+		pe := pk.peer(&hosts[i])
+		if now.Before(pe.down) || hosts[i].Region != pk.region {
+			continue
+		}
+		fresh := rq.Prompt - pe.kept(now, rq)
+		if hosts[i].ID == home {
+			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
+		}
+		if cost := pe.pending + scale(read, fresh); least < 0 || cost < least {
+			least = cost
+		}
+	}
+	return max(least, 0)
+}
+
 // field is what all candidates of a decision share.
 type field struct {
 	pool *pool
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -152,7 +152,7 @@
 		la.Climbed(jb.doubted.stage, jb.doubted.confidence, jb.stage, re.Confidence)
 		jb.doubted = nil
 	}
-	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence)
+	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence, jb.fits)
 	if climb {
 		jb.next = next
 		jb.doubted = &doubted{jb.stage, re.Confidence}
@@ -160,6 +160,16 @@
 	return climb
 }
 
+// fits reports whether a model of the cascade would begin its answer while that
+// is still good. The forwarder's lock is held.
+func (jb *job) fits(stage int) bool {
+	now := time.Now()
+	rq := jb.request()
+	rq.Model = jb.rt.Cascade[stage]
+	hosts := jb.fw.parts.Fleet.Serving(jb.service, now)
+	return jb.rt.Aim <= 0 || now.Sub(jb.ex.Arrived)+jb.fw.picker.Expect(now, hosts, rq) <= jb.rt.Aim
+}
+
 // climb reports whether the larger model may be asked, and moves there.
 func (jb *job) climb(ctx context.Context) bool {
 	if jb.runs >= jb.attempts() || ctx.Err() != nil || !jb.spend(retry.Climb) {
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -101,18 +101,28 @@
 }
 
 // Next returns the place in a cascade of so many models that should answer
-// instead of the one at stage, or false when its answer is given.
-func (la *Ladder) Next(stages, stage, confidence int) (int, bool) {
+// instead of the one at stage, or false when its answer is given. Fits reports
+// whether a model's answer would begin while it is still good.
+//
+// An answer of the largest model to a very long prompt takes several times what
+// is good, and keeps the engine from others for as long. It is then left to the
+// largest model that fits, and where none does, the answer at hand is given.
+func (la *Ladder) Next(stages, stage, confidence int, fits func(to int) bool) (int, bool) {
 	last := stages - 1
 	if stage >= last || float64(confidence) >= la.Sure() {
 		return stage, false
 	}
 	for to := stage + 1; to < last; to++ {
-		if la.suffices(rung{stage, to}, confidence) {
+		if la.suffices(rung{stage, to}, confidence) && fits(to) {
+			return to, true
+		}
+	}
+	for to := last; to > stage; to-- {
+		if fits(to) {
 			return to, true
 		}
 	}
-	return last, true
+	return stage, false
 }
 
 // Climbed notes the confidence of a larger model where a smaller one was
