--- a/core/balance/learn.go
+++ b/core/balance/learn.go
@@ -61,8 +61,8 @@
 
 const (
 	// readAssumed is the time for a thousand tokens before any was seen: 38
-	// tokens a millisecond at the pace of a middle model.
-	readAssumed = 30 * time.Millisecond
+	// tokens a millisecond as the largest models take.
+	readAssumed = 80 * time.Millisecond
 	readWeight  = 1.0 / 32
 	// readLeast and readMost bound what is learned: an answer that waited for
 	// something else than reading must not make every prompt look dear.
--- a/core/forward/patience.go
+++ b/core/forward/patience.go
@@ -18,7 +18,7 @@
 	// patienceRead bounds it from below by the time that the upstream needs to
 	// read this prompt and those before it. The longest prompts take six times
 	// the usual, at any upstream.
-	patienceRead = 4
+	patienceRead = 5
 	// patienceBusy is how many times as long an upstream is given that answers
 	// others meanwhile.
 	patienceBusy = 4
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -37,8 +37,8 @@
 	surePressed = 12.0
 	// relaxed and pressed are the pressures between which the threshold moves:
 	// at the lower one, two in a hundred first events come late.
-	relaxed = 0.12
-	pressed = 0.35
+	relaxed = 0.2
+	pressed = 0.5
 	// follow weighs the newest answer in the pressure: the last two seconds of
 	// an entry with ten requests a second.
 	follow = 1.0 / 10
@@ -61,7 +61,7 @@
 	prior   = 6.0
 	// worthwhile is the share from which the middle model is asked: it takes a
 	// quarter of the largest one's time.
-	worthwhile = 0.5
+	worthwhile = 0.35
 	// forget bounds the weight of what was seen.
 	forget = 60.0
 )
@@ -80,7 +80,7 @@
 type share struct{ good, all float64 }
 
 // New returns a ladder.
-func New() *Ladder { return &Ladder{pressure: pressed, seen: map[rung]*[buckets]share{}} }
+func New() *Ladder { return &Ladder{pressure: (relaxed + pressed) / 2, seen: map[rung]*[buckets]share{}} }
 
 // Begun notes how long a caller waited for its first event, and how long is
 // good.
