Leave a failing engine although it keeps the prompt, and test the decisions without a network

Found by a test: an engine that failed every attempt was still chosen for the prompts that it had read, since what it kept was worth more than its failures cost; and an upstream that was the only one known was compared with itself. Tests of connections, the choice of upstreams, models, the fleet and routes.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -159,16 +159,11 @@
 		fi.home = pk.home(hosts, rq)
 		fi.read = pk.read(rq.Model).get()
 	}
-	known := 0
 	for i := range hosts {
 		if pe := pk.peers[hosts[i].ID]; pe != nil {
-			fi.badness += pe.badness(now)
-			known++
+			fi.badness += pe.badness(now) / float64(len(hosts))
 		}
 	}
-	if known > 0 {
-		fi.badness /= float64(known)
-	}
 	return fi
 }
 
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,201 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/balance"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func pool(n, slots int) []core.Host {
+	var out []core.Host
+	for i := range n {
+		zone := core.Zone([]string{"muc-a", "muc-b"}[i%2])
+		out = append(out, core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "s", Zone: zone, Region: "muc", Slots: slots})
+	}
+	return out
+}
+
+func parts(shared string, own int) []core.Part {
+	return []core.Part{{ID: shared, Tokens: 13_000}, {ID: fmt.Sprint("own-", own), Tokens: 3_000}}
+}
+
+func draft(shared string, own int) balance.Request {
+	return balance.Request{Service: "s", Model: "large", Engine: true, Parts: parts(shared, own), Prompt: 16_000, Pool: "draft"}
+}
+
+// Prompts share long beginnings. An engine that has read one answers the next
+// in a fifth of the time; sent elsewhere, it keeps another engine from its other
+// callers for a second. But when the engine that has it is full, waiting there
+// would cost more than reading it anew.
+func TestPromptsGoWhereTheyAreKept(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := pool(12, 64)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	first, ok := pk.Pick(start, hosts, draft("plan-7", 0), rnd.Float64)
+	assert.Assert(t, ok)
+	fl := pk.Sent(start, first, draft("plan-7", 0))
+	pk.Begun(start.Add(time.Second), fl, draft("plan-7", 0), nil)
+	pk.Ended(start.Add(2*time.Second), fl, balance.Good)
+	again, _ := pk.Pick(start.Add(3*time.Second), hosts, draft("plan-7", 1), rnd.Float64)
+	assert.Equal(t, again.ID, first.ID)
+
+	for i := range 40 {
+		pk.Sent(start.Add(3*time.Second), first, draft("other", i))
+	}
+	other, _ := pk.Pick(start.Add(3*time.Second), hosts, draft("plan-7", 2), rnd.Float64)
+	assert.Assert(t, other.ID != first.ID, "the engine that has it is full")
+}
+
+// Several entries see the same prompts and hear nothing of one another's. They
+// should still read each at one engine of their region.
+func TestEntriesAgreeOnAHome(t *testing.T) {
+	hosts := pool(12, 64)
+	count := map[core.UpstreamID]int{}
+	for i := range 60 {
+		shared := fmt.Sprint("plan-", i)
+		var homes []core.UpstreamID
+		for entry := range 3 {
+			pk := balance.New("muc-a", "muc")
+			rnd := rand.New(rand.NewPCG(uint64(entry), 1))
+			ho, _ := pk.Pick(start, hosts, draft(shared, entry), rnd.Float64)
+			homes = append(homes, ho.ID)
+		}
+		count[homes[0]]++
+		assert.Equal(t, len(slices.Compact(homes)), 1, "%v", homes)
+	}
+	for id, n := range count {
+		assert.Assert(t, n <= 14, "%s is home of %d of 60", id, n)
+	}
+}
+
+// An upstream fails every other call, and its health is good. Its callers get
+// errors for as long as calls go there; so they must go elsewhere within a few
+// seconds, and come back when it is sound again.
+func TestFailingUpstreamIsLeftAndTriedAgain(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		pk := balance.New("muc-a", "muc")
+		hosts := pool(3, 6)
+		rnd := rand.New(rand.NewPCG(3, 1))
+		rq := balance.Request{Service: "s", Pool: "claim", Once: once}
+		count := func(from, to int, fails bool) (sick int) {
+			for i := from; i < to; i++ {
+				now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+				ho, _ := pk.Pick(now, hosts, rq, rnd.Float64)
+				fl := pk.Sent(now, ho, rq)
+				out := balance.Good
+				if ho.ID == "up-0" {
+					sick++
+					if fails && rnd.Float64() < 0.5 {
+						out = balance.Failed
+					}
+				}
+				if out == balance.Good {
+					pk.Begun(now.Add(40*time.Millisecond), fl, rq, nil)
+				}
+				pk.Ended(now.Add(40*time.Millisecond), fl, out)
+			}
+			return sick
+		}
+		count(0, 100, false)
+		sick := count(100, 400, true)
+		assert.Assert(t, sick < 90, "once %v: %d of 300 calls went to it", once, sick)
+		sound := count(400, 900, false)
+		assert.Assert(t, sound > 100, "once %v: %d of 500 after it was well", once, sound)
+	}
+}
+
+// A host loses power. Each call that is sent there waits for the whole time that
+// a connection may take to open; after the first, calls must go elsewhere, and
+// one must find out later whether it is back.
+func TestUnreachedUpstreamRests(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := pool(3, 6)
+	rnd := rand.New(rand.NewPCG(4, 1))
+	rq := balance.Request{Service: "s", Pool: "claim"}
+	asked := 0
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		ho, _ := pk.Pick(now, hosts, rq, rnd.Float64)
+		fl := pk.Sent(now, ho, rq)
+		if ho.ID == "up-0" {
+			asked++
+			pk.Ended(now, fl, balance.Unreached)
+			continue
+		}
+		pk.Begun(now, fl, rq, nil)
+		pk.Ended(now, fl, balance.Good)
+	}
+	assert.Assert(t, asked >= 2 && asked <= 8, "%d of 200 in ten seconds", asked)
+}
+
+// A pool of three with six places each gets calls of several entries. The one
+// that others use must be left to them, by the load that it reports.
+func TestReportedLoadCounts(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := pool(3, 6)
+	rnd := rand.New(rand.NewPCG(5, 1))
+	rq := balance.Request{Service: "s", Pool: "claim"}
+	for i := range hosts {
+		fl := pk.Sent(start, hosts[i], rq)
+		load := core.Load{Running: 1, Slots: 6}
+		if i == 0 {
+			load = core.Load{Running: 6, Queued: 4, Slots: 6}
+		}
+		pk.Begun(start.Add(20*time.Millisecond), fl, rq, &load)
+		pk.Ended(start.Add(20*time.Millisecond), fl, balance.Good)
+	}
+	for range 20 {
+		ho, _ := pk.Pick(start.Add(100*time.Millisecond), hosts, rq, rnd.Float64)
+		assert.Assert(t, ho.ID != "up-0")
+	}
+}
+
+// Another region has idle upstreams. The way there is paid by volume and costs
+// its callers a round trip, so calls stay while the own region has room, and
+// cross when it has none.
+func TestRegionsCrossOnlyWhenFull(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := append(pool(2, 6), core.Host{ID: "far", Service: "s", Zone: "nue-a", Region: "nue", Slots: 6})
+	rnd := rand.New(rand.NewPCG(6, 1))
+	rq := balance.Request{Service: "s", Pool: "claim"}
+	went := map[core.UpstreamID]int{}
+	for range 18 {
+		ho, _ := pk.Pick(start, hosts, rq, rnd.Float64)
+		pk.Sent(start, ho, rq)
+		went[ho.ID]++
+	}
+	assert.Equal(t, went["far"], 6, "%v", went)
+	_, ok := pk.Pick(start, hosts, balance.Request{Service: "s", Tried: []core.UpstreamID{"up-0", "up-1", "far"}}, rnd.Float64)
+	assert.Assert(t, !ok)
+}
+
+// An upstream comes back under the id that it had, after a crash. What was held
+// against it, and what it was thought to keep, died with its old start.
+func TestNewStartIsANewUpstream(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	ho := core.Host{ID: "up-0", Service: "s", Zone: "muc-a", Region: "muc", Slots: 64, Born: 1}
+	other := core.Host{ID: "up-1", Service: "s", Zone: "muc-a", Region: "muc", Slots: 64, Born: 1}
+	rnd := rand.New(rand.NewPCG(7, 1))
+	for i := range 20 {
+		fl := pk.Sent(start, ho, draft("plan", i))
+		pk.Ended(start, fl, balance.Failed)
+	}
+	got, _ := pk.Pick(start, []core.Host{ho, other}, draft("plan", 99), rnd.Float64)
+	assert.Equal(t, got.ID, other.ID)
+	ho.Born = 2
+	counts := map[core.UpstreamID]int{}
+	for i := range 20 {
+		got, _ := pk.Pick(start, []core.Host{ho, other}, draft(fmt.Sprint("p", i), i), rnd.Float64)
+		counts[got.ID]++
+	}
+	assert.Assert(t, counts[ho.ID] > 5, "%v", counts)
+}
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -105,7 +105,8 @@
 		cost += fullCost
 	}
 	worse := max(pe.badness(now)-fi.badness-failMargin, 0)
-	unit := failCost
+	// What fails has to be read again elsewhere, whatever was kept here.
+	unit := failCost + time.Duration(readExternal*float64(scale(fi.read, rq.Prompt)))
 	if rq.Once {
 		unit = failCostOnce
 	}
