--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -147,8 +147,8 @@
 type field struct {
 	pool *pool
 	home core.UpstreamID
-	// badness is the mean of the candidates' failures, shunned the candidates
-	// that are avoided.
+	// badness is the least of the candidates' failures: what fails everywhere
+	// speaks against none of them.
 	badness float64
 	read    time.Duration
 }
@@ -160,8 +160,9 @@
 		fi.read = pk.read(rq.Model).get()
 	}
 	for i := range hosts {
-		if pe := pk.peers[hosts[i].ID]; pe != nil {
-			fi.badness += pe.badness(now) / float64(len(hosts))
+		bad := pk.peer(&hosts[i]).badness(now)
+		if i == 0 || bad < fi.badness {
+			fi.badness = bad
 		}
 	}
 	return fi
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -45,8 +45,8 @@
 	// run again and for work that cannot.
 	failCost     = 1500 * time.Millisecond
 	failCostOnce = 6 * time.Second
-	// failMargin is the failures above the pool's mean that are ignored. Some
-	// routes fail for reasons of their own at any upstream.
+	// failMargin is the failures above the best candidate's that are ignored, as
+	// chance.
 	failMargin = 0.12
 	// downFirst and downMost bound how long an upstream rests that could not
 	// be reached. A crashed one is back after some seconds.
