--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -277,6 +277,37 @@
 // store or host list, as in "entry-1-store".
 func (fl *Fleet) Relay(name string) *Relay { return fl.relays[name] }
 
+// StartGateway starts a gateway before a store at an address, and waits until it
+// is ready. The settings are added to the least that it needs; none in extra
+// takes another's place.
+func (fl *Fleet) StartGateway(name, store string, pl Place, extra map[string]any) (*Process, error) {
+	set := map[string]any{
+		"store": store, "zone": pl.Zone, "regions": map[core.Zone]core.Region{pl.Zone: pl.Region},
+		"readiness-path": "/ready", "drain-limit": "4s",
+	}
+	for _, field := range []string{"listen", "readiness", "siblings", "admin"} {
+		addr, err := Addr()
+		if err != nil {
+			return nil, err
+		}
+		set[field] = addr
+	}
+	for field, val := range extra {
+		set[field] = val
+	}
+	path, err := fl.writeSettings(name, set)
+	if err != nil {
+		return nil, err
+	}
+	pr, err := fl.Start(name, "skylarkstand", "gateway", "--settings", path)
+	if err != nil {
+		return nil, err
+	}
+	pr.Addr = set["listen"].(string)
+	pr.URL = "http://" + set["readiness"].(string)
+	return pr, fl.await(pr, "/ready")
+}
+
 func (fl *Fleet) writeSettings(name string, set map[string]any) (string, error) {
 	raw, err := json.MarshalIndent(set, "", "  ")
 	if err != nil {
