--- a/app/gateway.go
+++ b/app/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -119,8 +120,6 @@
 	sup.Add(gw.recorder)
 	sup.Add(gw.pooler)
 	done := sup.ServeBackground(duties)
-	defer func() { <-done }()
-	defer stop()
 
 	defer serveAdmin(gw.set.Admin, http.Handler(gw.admin))()
 	closeAsides, err := gw.serveAsides()
@@ -143,6 +142,10 @@
 	case <-ctx.Done():
 	}
 	gw.drain()
+	stop()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		return err
+	}
 	event.Log(gw.deps.Log, event.Stopped)
 	return nil
 }
@@ -176,7 +179,7 @@
 	}
 	hs := &http.Server{Handler: ha, ReadHeaderTimeout: headerLimit}
 	go func() { _ = hs.Serve(li) }()
-	return func() { hs.Close() }, nil
+	return func() { _ = hs.Close() }, nil
 }
 
 // ready tells the balancer whether new connections may come: not before a
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -27,7 +27,9 @@
 		{"errors from half-time on", 40, func(rnd *rand.Rand, _ int, since time.Duration, _ int) (bool, float64) {
 			return since > 12*time.Second && half(rnd), 1
 		}},
-		{"errors on one route", 40, func(rnd *rand.Rand, route int, _ time.Duration, _ int) (bool, float64) { return route == 1 && half(rnd), 1 }},
+		{"errors on one route", 40, func(rnd *rand.Rand, route int, _ time.Duration, _ int) (bool, float64) {
+			return route == 1 && half(rnd), 1
+		}},
 		{"slow", 40, func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) {
 			if half(rnd) {
 				return false, 8
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -32,14 +32,13 @@
 
 // result is what came of it.
 type result struct {
-	state       canary.State
-	at          time.Duration
-	sent, all   int
-	bad         int
-	afterBad    time.Duration // from the fiftieth bad answer to the last request
-	wrongMoves  int           // sessions that changed versions in the first half
-	backToOld   int           // sessions that went back without a roll-back
-	firstHalves int
+	state      canary.State
+	at         time.Duration
+	sent, all  int
+	bad        int
+	afterBad   time.Duration // from the fiftieth bad answer to the last request
+	wrongMoves int           // sessions that changed versions in the first half
+	backToOld  int           // sessions that went back without a roll-back
 }
 
 const (
--- a/core/mirror/follow_test.go
+++ b/core/mirror/follow_test.go
@@ -14,6 +14,9 @@
 	"skylarkstand/core/mirror"
 )
 
+// configuration is the key that the tests write.
+const configuration = "op/config"
+
 // shop is a store that can go silent, turn away, and drop its history.
 type shop struct {
 	mu      sync.Mutex
@@ -25,7 +28,8 @@
 	calls   int
 }
 
-func (sh *shop) put(key, val string) {
+func (sh *shop) put(val string) {
+	const key = configuration
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.rev++
@@ -130,11 +134,12 @@
 	})
 }
 
-func holds(t *testing.T, mi *mirror.Mirror, want string) {
+// holdsTwo checks that the second value has arrived.
+func holdsTwo(t *testing.T, mi *mirror.Mirror) {
 	t.Helper()
-	it, ok := mi.Get("op/config")
+	it, ok := mi.Get(configuration)
 	assert.Assert(t, ok)
-	assert.Equal(t, string(it.Value), want)
+	assert.Equal(t, string(it.Value), "two")
 }
 
 // The store goes silent for seven seconds: calls to it hang. An operator's
@@ -144,14 +149,14 @@
 func TestChangeAfterASilentStore(t *testing.T) {
 	for _, silence := range []time.Duration{3 * time.Second, 7 * time.Second, 7300 * time.Millisecond, 9900 * time.Millisecond} {
 		sh := new(shop)
-		sh.put("op/config", "one")
+		sh.put("one")
 		follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
 			sh.set(func() { sh.silent = true })
 			time.Sleep(silence)
 			sh.set(func() { sh.silent = false })
-			sh.put("op/config", "two")
+			sh.put("two")
 			time.Sleep(2500 * time.Millisecond)
-			holds(t, mi, "two")
+			holdsTwo(t, mi)
 		})
 	}
 }
@@ -161,14 +166,14 @@
 // process did not ask another entry.
 func TestSiblingHasTheNews(t *testing.T) {
 	sh := new(shop)
-	sh.put("op/config", "one")
+	sh.put("one")
 	other := mirror.New()
 	follow(t, sh, sister{other}, func(mi *mirror.Mirror, fo *mirror.Follower) {
 		sh.set(func() { sh.busy = true })
 		time.Sleep(4 * time.Second)
-		other.Replace([]core.Item{{Key: "op/config", Value: []byte("two"), Revision: 7}}, 7, time.Now())
+		other.Replace([]core.Item{{Key: configuration, Value: []byte("two"), Revision: 7}}, 7, time.Now())
 		time.Sleep(time.Second)
-		holds(t, mi, "two")
+		holdsTwo(t, mi)
 		assert.Assert(t, fo.Doubtful(time.Now()), "a removal now may be the store's own trouble")
 	})
 }
@@ -178,12 +183,12 @@
 // newest revision would never hear of it.
 func TestHistoryGone(t *testing.T) {
 	sh := new(shop)
-	sh.put("op/config", "one")
+	sh.put("one")
 	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
 		sh.set(func() { sh.compact = true })
-		sh.put("op/config", "two")
+		sh.put("two")
 		time.Sleep(3500 * time.Millisecond)
-		holds(t, mi, "two")
+		holdsTwo(t, mi)
 	})
 }
 
@@ -193,17 +198,17 @@
 func TestOlderCopyIsPassedOver(t *testing.T) {
 	mi := mirror.New()
 	now := time.Now()
-	mi.Replace([]core.Item{{Key: "op/config", Value: []byte("two"), Revision: 9}}, 9, now)
-	assert.Assert(t, !mi.Replace([]core.Item{{Key: "op/config", Value: []byte("one"), Revision: 4}}, 8, now))
-	mi.Apply([]core.Change{{Item: core.Item{Key: "op/config", Value: []byte("one"), Revision: 4}}}, 9, now)
-	holds(t, mi, "two")
+	mi.Replace([]core.Item{{Key: configuration, Value: []byte("two"), Revision: 9}}, 9, now)
+	assert.Assert(t, !mi.Replace([]core.Item{{Key: configuration, Value: []byte("one"), Revision: 4}}, 8, now))
+	mi.Apply([]core.Change{{Item: core.Item{Key: configuration, Value: []byte("one"), Revision: 4}}}, 9, now)
+	holdsTwo(t, mi)
 }
 
 // A quiet store is watched by calls that wait. Each costs, so there must be
 // few: one in two and a half seconds.
 func TestQuietStoreCostsFewCalls(t *testing.T) {
 	sh := new(shop)
-	sh.put("op/config", "one")
+	sh.put("one")
 	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
 		before := mi.Age(time.Now())
 		time.Sleep(time.Minute)
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -80,7 +80,9 @@
 type share struct{ good, all float64 }
 
 // New returns a ladder.
-func New() *Ladder { return &Ladder{pressure: (relaxed + pressed) / 2, seen: map[rung]*[buckets]share{}} }
+func New() *Ladder {
+	return &Ladder{pressure: (relaxed + pressed) / 2, seen: map[rung]*[buckets]share{}}
+}
 
 // Begun notes how long a caller waited for its first event, and how long is
 // good.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -78,13 +78,21 @@
 	assert.NilError(t, err)
 }
 
-func receive(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+// answer is what a caller got, and whether its connection ends with it.
+type answer struct {
+	status int
+	body   string
+	closes bool
+}
+
+func receive(t *testing.T, br *bufio.Reader) answer {
 	t.Helper()
 	rs, err := http.ReadResponse(br, nil)
 	assert.NilError(t, err)
+	defer rs.Body.Close()
 	body, err := io.ReadAll(rs.Body)
 	assert.NilError(t, err)
-	return rs, string(body)
+	return answer{rs.StatusCode, string(body), rs.Close}
 }
 
 const request = "POST /claim/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n\r\nlamp"
@@ -105,9 +113,9 @@
 	sv.Leave()
 	sv.CloseIdle()
 	send(t, nc, request[20:])
-	rs, body := receive(t, br)
-	assert.Equal(t, body, "whole: lamp")
-	assert.Assert(t, rs.Close, "the caller is told to go elsewhere with its next request")
+	got := receive(t, br)
+	assert.Equal(t, got.body, "whole: lamp")
+	assert.Assert(t, got.closes, "the caller is told to go elsewhere with its next request")
 }
 
 // The same stop with connections that are really unused: they must be closed,
@@ -156,8 +164,7 @@
 	sv.Leave()
 	sv.CloseIdle()
 	close(he.free)
-	_, body := receive(t, br)
-	assert.Equal(t, body, "begun ended")
+	assert.Equal(t, receive(t, br).body, "begun ended")
 	_, err := br.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
@@ -185,9 +192,9 @@
 	over, cancel := context.WithCancel(t.Context())
 	cancel()
 	assert.Equal(t, sv.Drain(over), int64(1))
-	rs, body := receive(t, br)
-	assert.Equal(t, rs.StatusCode, http.StatusBadGateway)
-	assert.Assert(t, strings.Contains(body, `"ran":"unknown"`), body)
+	got := receive(t, br)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(got.body, `"ran":"unknown"`), got.body)
 }
 
 // Callers send headers and bodies beyond the configuration's limits. They must
@@ -205,8 +212,7 @@
 		t.Run(sc.testName, func(t *testing.T) {
 			_, nc := serve(t, echo{}, route.Limits{HeaderBytes: 500, BodyBytes: 100})
 			send(t, nc, fmt.Sprintf("POST /claim/1 HTTP/1.1\r\nHost: desk.example\r\n%sContent-Length: %d\r\n\r\n%s", sc.header, len(sc.body), sc.body))
-			rs, _ := receive(t, bufio.NewReader(nc))
-			assert.Equal(t, rs.StatusCode, sc.status)
+			assert.Equal(t, receive(t, bufio.NewReader(nc)).status, sc.status)
 		})
 	}
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -135,7 +135,7 @@
 func (co *conn) read(rq *Request) (*Response, error) {
 	strays := 0
 	for {
-		rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
+		rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method}) //nolint:bodyclose // The caller closes it.
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -150,7 +150,9 @@
 			if strays > maxStrays {
 				return nil, ErrStray
 			}
-			if _, err := io.Copy(io.Discard, rs.Body); err != nil {
+			_, err := io.Copy(io.Discard, rs.Body)
+			rs.Body.Close()
+			if err != nil {
 				return nil, err
 			}
 			continue
