--- a/core/forward/patience.go
+++ b/core/forward/patience.go
@@ -12,6 +12,10 @@
 	// another upstream is asked. Less than half leaves the second attempt the
 	// time to be good still.
 	patienceAim = 0.45
+	// patienceStream is that part for streams. Their first event takes seconds
+	// when the engine reads long prompts, and what was read is lost when they are
+	// given up; an engine without power is found by its connections.
+	patienceStream = 0.9
 	// patienceUsual bounds it from below by the usual time to an answer: under
 	// load all upstreams are slow, and giving up on them would only add work.
 	patienceUsual = 4
@@ -46,7 +50,11 @@
 	if !rt.Repeat.Repeatable() || rt.Aim <= 0 {
 		return 0
 	}
-	wait := max(time.Duration(patienceAim*float64(rt.Aim)), patienceUsual*usual, patienceRead*read)
+	part := patienceAim
+	if rt.Stream {
+		part = patienceStream
+	}
+	wait := max(time.Duration(part*float64(rt.Aim)), patienceUsual*usual, patienceRead*read)
 	if wait > time.Duration(patienceLeft*float64(left)) {
 		return 0
 	}
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -53,8 +53,9 @@
 	probeTime = time.Millisecond
 	// gather is the pause after a watch that brought changes. Upstreams change
 	// in groups, as at a roll-out, and each watch that is asked anew costs a
-	// call; a tenth of a second is little of the time that a change has.
-	gather = 100 * time.Millisecond
+	// call; half a second is little of the three that a change has, and mostly
+	// none of them, since a quiet store answers at once.
+	gather = 500 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a call that failed. A
 	// store that is down is asked by each entry a few times a second, so that
 	// its return is noticed soon; that is far below its rates.
