--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -63,8 +63,12 @@
 	peers  map[core.UpstreamID]*peer
 	pools  map[poolKey]*pool
 	reads  map[core.ModelID]*rate
+	// meanRead follows the time that a prompt needs.
+	meanRead float64
 }
 
+func (pk *Picker) usualRead() time.Duration { return time.Duration(pk.meanRead) }
+
 // New returns a picker for an entry's place.
 func New(zo core.Zone, re core.Region) *Picker {
 	return &Picker{
@@ -179,7 +183,7 @@
 		if ho.ID == fi.home {
 			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
 		}
-		cost += pe.pending + time.Duration(readExternal*float64(scale(fi.read, fresh))) + time.Duration(load*float64(batchCost))
+		cost += pe.pending + pe.waiting(now, pk.usualRead()) + time.Duration(readExternal*float64(scale(fi.read, fresh))) + time.Duration(load*float64(batchCost))
 	} else {
 		cost += time.Duration(load * float64(fi.pool.usual(placeCost)) / float64(max(ho.Slots, 1)))
 	}
@@ -213,8 +217,10 @@
 		fl.cost = scale(pk.read(rq.Model).get(), rq.Prompt-pe.kept(now, rq))
 		pe.keep(now, rq)
 		pe.pending += fl.cost
+		pk.meanRead += (float64(fl.cost) - pk.meanRead) / 32
 	}
 	pe.own++
+	pe.unbegun++
 	return fl
 }
 
@@ -224,6 +230,7 @@
 		return
 	}
 	fl.begun = true
+	fl.peer.unbegun--
 	fl.peer.heard = now
 	took := now.Sub(fl.sent)
 	if rq.Engine {
@@ -270,6 +277,7 @@
 	pe := fl.peer
 	pe.own--
 	if !fl.begun {
+		pe.unbegun--
 		pe.pending = max(pe.pending-fl.cost, 0)
 	}
 	pe.ended(now, out)
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -12,8 +12,10 @@
 	born int64
 	// own counts this entry's attempts there, pending is the time that the
 	// prompts among them need that were not begun.
-	own     int
-	pending time.Duration
+	own, unbegun int
+	pending      time.Duration
+	// queued is what an answer reported to wait there beside the own attempts.
+	queued float64
 	// others is what an answer reported beside the own attempts, at a time.
 	others   float64
 	reported time.Time
@@ -35,6 +37,8 @@
 	// reportHalf is the age at which a report of others' load counts half:
 	// answers take a second or two.
 	reportHalf = 1500 * time.Millisecond
+	// queueHalf is the age at which a report of a queue counts half.
+	queueHalf = 400 * time.Millisecond
 	// failWeight weighs the newest outcome. Four failures in a row lift an
 	// upstream from sound to 0.68.
 	failWeight = 0.25
@@ -90,9 +94,16 @@
 
 func (pe *peer) report(now time.Time, lo core.Load) {
 	pe.others = max(float64(lo.Running+lo.Queued-pe.own), 0)
+	pe.queued = max(float64(lo.Queued-pe.unbegun), 0)
 	pe.reported = now
 }
 
+// waiting is the time that others' prompts need that wait there, each the usual
+// one. A report of it is old as soon as an engine has read a prompt.
+func (pe *peer) waiting(now time.Time, usual time.Duration) time.Duration {
+	return time.Duration(pe.queued * fade(now.Sub(pe.reported), queueHalf) * float64(usual))
+}
+
 func (pe *peer) badness(now time.Time) float64 { return pe.fails * fade(now.Sub(pe.last), failHalf) }
 
 // avoid is what an upstream's health speaks against it, in time.
