--- a/app/gateway.go
+++ b/app/gateway.go
@@ -82,6 +82,7 @@
 	guard    *canary.Guard
 	recorder *canary.Recorder
 	pooler   *canary.Pooler
+	sharer   *sibling.Sharer
 	srv      *front.Server
 	admin    metricsPage
 
@@ -119,6 +120,7 @@
 	sup.Add(gw.reg)
 	sup.Add(gw.recorder)
 	sup.Add(gw.pooler)
+	sup.Add(gw.sharer)
 	done := sup.ServeBackground(duties)
 
 	defer serveAdmin(gw.set.Admin, http.Handler(gw.admin))()
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -77,6 +77,17 @@
 	return out
 }
 
+// near lists the addresses of the other entries of a region.
+func (me *members) near(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) []string {
+	var out []string
+	for _, mb := range me.list() {
+		if mb.ID != self && regions[mb.Zone] == re {
+			out = append(out, mb.Addr)
+		}
+	}
+	return out
+}
+
 // rank is the process's place among the entries for a service.
 func (me *members) rank(self core.ProcessID, sv core.ServiceID) int {
 	list := me.list()
@@ -136,3 +147,7 @@
 func newPooler(gu *canary.Guard, si *sibling.Siblings) *canary.Pooler {
 	return canary.NewPooler(gu, si)
 }
+
+func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, me *members) *sibling.Sharer {
+	return sibling.NewSharer(deps.Self, set.Siblings, fw, func() []string { return me.near(deps.Self, set.Regions, deps.Region) })
+}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -114,6 +114,7 @@
 	}
 	recorder := newRecorder(deps, guard, store, layout, appMembers)
 	pooler := newPooler(guard, siblings)
+	sharer := newSharer(set, deps, forwarder, appMembers)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
 	appMetricsPage := appProcess.Page
@@ -129,6 +130,7 @@
 		guard:    guard,
 		recorder: recorder,
 		pooler:   pooler,
+		sharer:   sharer,
 		srv:      server,
 		admin:    appMetricsPage,
 		stop:     appStopClock,
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -63,6 +63,8 @@
 	peers  map[core.UpstreamID]*peer
 	pools  map[poolKey]*pool
 	reads  map[core.ModelID]*rate
+	// told is what other entries have at upstreams.
+	told map[uint64]told
 	// meanRead follows the time that a prompt needs.
 	meanRead float64
 }
@@ -74,6 +76,7 @@
 	return &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reads: map[core.ModelID]*rate{},
+		told: map[uint64]told{},
 	}
 }
 
@@ -140,7 +143,8 @@
 		if hosts[i].ID == home {
 			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
 		}
-		if cost := pe.pending + scale(read, fresh); least < 0 || cost < least {
+		_, pending := pk.work(now, pe)
+		if cost := pending + scale(read, fresh); least < 0 || cost < least {
 			least = cost
 		}
 	}
@@ -177,13 +181,13 @@
 func (pk *Picker) cost(now time.Time, ho *core.Host, rq Request, fi field) time.Duration {
 	pe := pk.peer(ho)
 	cost := pk.distance(ho) + pe.avoid(now, fi, rq)
-	load := pe.load(now)
+	load, pending := pk.work(now, pe)
 	if rq.Engine {
 		fresh := rq.Prompt - pe.kept(now, rq)
 		if ho.ID == fi.home {
 			fresh = min(fresh, rq.Prompt-core.Tokens(homeShare*float64(shared(rq.Parts))))
 		}
-		cost += pe.pending + pe.waiting(now, pk.usualRead()) + time.Duration(readExternal*float64(scale(fi.read, fresh))) + time.Duration(load*float64(batchCost))
+		cost += pending + time.Duration(readExternal*float64(scale(fi.read, fresh))) + time.Duration(load*float64(batchCost))
 	} else {
 		cost += time.Duration(load * float64(fi.pool.usual(placeCost)) / float64(max(ho.Slots, 1)))
 	}
@@ -193,6 +197,16 @@
 	return time.Duration(float64(cost) * pe.slowness(fi.pool))
 }
 
+// work is the calls at an upstream, and the time that the prompts need that
+// wait there: the own ones, and the others' as they tell, or else as the
+// upstream reported.
+func (pk *Picker) work(now time.Time, pe *peer) (load float64, pending time.Duration) {
+	if own, wait, known := pk.others(now, pe.hash); known {
+		return float64(pe.own) + own, pe.pending + wait
+	}
+	return pe.load(now), pe.pending + pe.waiting(now, pk.usualRead())
+}
+
 // scale is the time to read so many tokens, at a time for a thousand.
 func scale(thousand time.Duration, tok core.Tokens) time.Duration {
 	return time.Duration(float64(thousand) * float64(max(tok, 0)) / 1000)
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -10,6 +10,7 @@
 // peer is what is known of one upstream.
 type peer struct {
 	born int64
+	hash uint64
 	// own counts this entry's attempts there, pending is the time that the
 	// prompts among them need that were not begun.
 	own, unbegun int
@@ -72,7 +73,7 @@
 func (pk *Picker) peer(ho *core.Host) *peer {
 	pe := pk.peers[ho.ID]
 	if pe == nil || pe.born != ho.Born {
-		pe = &peer{born: ho.Born, ratio: 1, cache: newCache()}
+		pe = &peer{born: ho.Born, hash: HashOf(ho.ID), ratio: 1, cache: newCache()}
 		pk.peers[ho.ID] = pe
 	}
 	return pe
--- /dev/null
+++ b/core/balance/shares.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkstand/core"
+)
+
+// Share is what one entry has at one upstream.
+type Share struct {
+	// Upstream is the hash of the upstream's id, see [HashOf].
+	Upstream uint64
+	// Own counts the entry's attempts there, Pending is the time that the
+	// prompts among them need that were not begun.
+	Own     int
+	Pending time.Duration
+}
+
+// HashOf returns the hash that names an upstream in a share.
+func HashOf(id core.UpstreamID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// shareLife is how long another entry's shares count. They come every
+// [ShareEvery]; three in a row may be lost.
+const shareLife = 1200 * time.Millisecond
+
+// ShareEvery is how often entries tell one another what they have where. An
+// engine begins a prompt every 50 ms; what is older than a few of them misleads.
+const ShareEvery = 250 * time.Millisecond
+
+// told is the shares of one entry.
+type told struct {
+	at     time.Time
+	shares map[uint64]Share
+}
+
+// Shares lists what this entry has at upstreams now.
+func (pk *Picker) Shares() []Share {
+	var out []Share
+	for id, pe := range pk.peers {
+		if pe.own > 0 {
+			out = append(out, Share{Upstream: HashOf(id), Own: pe.own, Pending: pe.pending})
+		}
+	}
+	return out
+}
+
+// Told takes in another entry's shares.
+//
+// With many entries before a pool, each of them hears an upstream's load only
+// with its own few answers, seconds apart; all of them take the upstream that
+// looked idle then. What the others have there at this moment is known best by
+// themselves.
+func (pk *Picker) Told(now time.Time, from uint64, shares []Share) {
+	to := told{at: now, shares: make(map[uint64]Share, len(shares))}
+	for _, sh := range shares {
+		to.shares[sh.Upstream] = sh
+	}
+	pk.told[from] = to
+	for id, old := range pk.told {
+		if now.Sub(old.at) > shareLife {
+			delete(pk.told, id)
+		}
+	}
+}
+
+// others adds up what the other entries told of an upstream, and reports
+// whether any of them told anything lately.
+func (pk *Picker) others(now time.Time, hash uint64) (own float64, pending time.Duration, known bool) {
+	for _, to := range pk.told {
+		if now.Sub(to.at) > shareLife {
+			continue
+		}
+		known = true
+		sh := to.shares[hash]
+		own += float64(sh.Own)
+		pending += sh.Pending
+	}
+	return own, pending, known
+}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -195,3 +195,17 @@
 	defer fw.mu.Unlock()
 	fw.picker.Forget(id)
 }
+
+// Shares lists what this entry has at upstreams now.
+func (fw *Forwarder) Shares() []balance.Share {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.Shares()
+}
+
+// Told takes in what another entry has at upstreams.
+func (fw *Forwarder) Told(from uint64, shares []balance.Share) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.picker.Told(time.Now(), from, shares)
+}
