--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -63,6 +63,10 @@
 	peers  map[core.UpstreamID]*peer
 	pools  map[poolKey]*pool
 	reads  map[core.ModelID]*rate
+	// hashed are the peers by the hash of their ids; recent is what has been
+	// sent to engines since it was told.
+	hashed map[uint64]*peer
+	recent []Kept
 	// told is what other entries have at upstreams.
 	told map[uint64]told
 	// meanRead follows the time that a prompt needs.
@@ -76,7 +80,7 @@
 	return &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reads: map[core.ModelID]*rate{},
-		told: map[uint64]told{},
+		told: map[uint64]told{}, hashed: map[uint64]*peer{},
 	}
 }
 
@@ -229,7 +233,7 @@
 	fl := &Flight{peer: pe, pool: pk.pool(rq), sent: now}
 	if rq.Engine {
 		fl.cost = scale(pk.read(rq.Model).get(), rq.Prompt-pe.kept(now, rq))
-		pe.keep(now, rq)
+		pk.keep(now, pe, rq)
 		pe.pending += fl.cost
 		pk.meanRead += (float64(fl.cost) - pk.meanRead) / 32
 	}
@@ -296,24 +300,3 @@
 	}
 	pe.ended(now, out)
 }
-
-// Own returns how many attempts of this entry are at the upstreams of a list,
-// and how many places they have.
-func (pk *Picker) Own(hosts []core.Host) (own, places int) {
-	for i := range hosts {
-		if pe := pk.peers[hosts[i].ID]; pe != nil {
-			own += pe.own
-		}
-		places += hosts[i].Slots
-	}
-	return own, places
-}
-
-// Load returns the estimated calls of all entries at the upstreams of a list.
-func (pk *Picker) Load(now time.Time, hosts []core.Host) (running float64, places int) {
-	for i := range hosts {
-		running += pk.peer(&hosts[i]).load(now)
-		places += hosts[i].Slots
-	}
-	return running, places
-}
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -52,17 +52,24 @@
 	return sum
 }
 
-// keep notes that the upstream reads a prompt.
-func (pe *peer) keep(now time.Time, rq Request) {
-	if len(pe.cache)+len(rq.Parts) > maxKept {
-		pe.cache.evict(now)
-	}
+// keep notes that an upstream reads a prompt, for this entry and the others.
+func (pk *Picker) keep(now time.Time, pe *peer, rq Request) {
 	chain(rq.Model, rq.Parts, func(hash uint64, _ core.Part) bool {
-		pe.cache[hash] = now
+		pe.keepRow(now, hash)
+		if len(pk.recent) < maxRecent {
+			pk.recent = append(pk.recent, Kept{Upstream: pe.hash, Parts: hash})
+		}
 		return true
 	})
 }
 
+func (pe *peer) keepRow(now time.Time, hash uint64) {
+	if len(pe.cache) >= maxKept {
+		pe.cache.evict(now)
+	}
+	pe.cache[hash] = now
+}
+
 // evict drops what is older than half of what is kept, roughly.
 func (ca cache) evict(now time.Time) {
 	for _, age := range []time.Duration{keptFor, keptFor / 4, 0} {
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -74,13 +74,16 @@
 	pe := pk.peers[ho.ID]
 	if pe == nil || pe.born != ho.Born {
 		pe = &peer{born: ho.Born, hash: HashOf(ho.ID), ratio: 1, cache: newCache()}
-		pk.peers[ho.ID] = pe
+		pk.peers[ho.ID], pk.hashed[pe.hash] = pe, pe
 	}
 	return pe
 }
 
 // Forget drops what is known of an upstream that is gone.
-func (pk *Picker) Forget(id core.UpstreamID) { delete(pk.peers, id) }
+func (pk *Picker) Forget(id core.UpstreamID) {
+	delete(pk.peers, id)
+	delete(pk.hashed, HashOf(id))
+}
 
 // load is the calls at the upstream: the own ones, and the others' as they
 // were reported, fading with age.
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -18,6 +18,21 @@
 	Pending time.Duration
 }
 
+// Kept is a row of parts that an engine has read since the last telling.
+type Kept struct {
+	// Upstream is the hash of its id, Parts that of the row with its model.
+	Upstream, Parts uint64
+}
+
+// Load is what an entry tells the others.
+type Load struct {
+	Shares []Share
+	Kept   []Kept
+}
+
+// maxRecent bounds the rows of parts that wait to be told.
+const maxRecent = 64
+
 // HashOf returns the hash that names an upstream in a share.
 func HashOf(id core.UpstreamID) uint64 { return xxhash.Sum64String(string(id)) }
 
@@ -35,26 +50,34 @@
 	shares map[uint64]Share
 }
 
-// Shares lists what this entry has at upstreams now.
-func (pk *Picker) Shares() []Share {
+// Load returns what this entry has at upstreams now, and what it has sent there
+// since the last time.
+func (pk *Picker) Load() Load {
 	var out []Share
 	for id, pe := range pk.peers {
 		if pe.own > 0 {
 			out = append(out, Share{Upstream: HashOf(id), Own: pe.own, Pending: pe.pending})
 		}
 	}
-	return out
+	recent := pk.recent
+	pk.recent = nil
+	return Load{Shares: out, Kept: recent}
 }
 
-// Told takes in another entry's shares.
+// Told takes in what another entry told.
 //
 // With many entries before a pool, each of them hears an upstream's load only
 // with its own few answers, seconds apart; all of them take the upstream that
 // looked idle then. What the others have there at this moment is known best by
 // themselves.
-func (pk *Picker) Told(now time.Time, from uint64, shares []Share) {
-	to := told{at: now, shares: make(map[uint64]Share, len(shares))}
-	for _, sh := range shares {
+func (pk *Picker) Told(now time.Time, from uint64, lo Load) {
+	to := told{at: now, shares: make(map[uint64]Share, len(lo.Shares))}
+	for _, ke := range lo.Kept {
+		if pe := pk.hashed[ke.Upstream]; pe != nil {
+			pe.keepRow(now, ke.Parts)
+		}
+	}
+	for _, sh := range lo.Shares {
 		to.shares[sh.Upstream] = sh
 	}
 	pk.told[from] = to
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -196,16 +196,16 @@
 	fw.picker.Forget(id)
 }
 
-// Shares lists what this entry has at upstreams now.
-func (fw *Forwarder) Shares() []balance.Share {
+// Load returns what this entry tells the others of its work at upstreams.
+func (fw *Forwarder) Load() balance.Load {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	return fw.picker.Shares()
+	return fw.picker.Load()
 }
 
-// Told takes in what another entry has at upstreams.
-func (fw *Forwarder) Told(from uint64, shares []balance.Share) {
+// Told takes in what another entry told.
+func (fw *Forwarder) Told(from uint64, lo balance.Load) {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.picker.Told(time.Now(), from, shares)
+	fw.picker.Told(time.Now(), from, lo)
 }
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -16,10 +16,10 @@
 
 // Loads are what entries have at upstreams.
 type Loads interface {
-	// Shares lists what this entry has.
-	Shares() []balance.Share
-	// Told takes in what another one has.
-	Told(from uint64, shares []balance.Share)
+	// Load returns what this entry has to tell.
+	Load() balance.Load
+	// Told takes in what another one told.
+	Told(from uint64, lo balance.Load)
 }
 
 // Sharer is the duty that tells the entries of the own region what this one has
@@ -38,16 +38,21 @@
 	return &Sharer{self: self, addr: addr, ld: ld, addrs: addrs}
 }
 
-// A datagram is a version, the hash of its sender's process, and the shares: the
-// upstream's hash, its attempts, and its pending time in pendingUnit.
+// A datagram is a version, the hash of its sender's process, the number of
+// shares, and the shares: the upstream's hash, its attempts, and its pending time
+// in pendingUnit. The rest are rows of parts that engines have read: the
+// upstream's hash and the row's.
 const (
-	format      = 1
-	headSize    = 1 + 8
+	format      = 2
+	headSize    = 1 + 8 + 1
 	shareSize   = 8 + 2 + 2
+	keptSize    = 8 + 8
 	pendingUnit = 10 * time.Millisecond
-	// maxShares keeps a datagram below the usual packet; more upstreams than
-	// that have an attempt of one entry only at sizes where a part will do.
-	maxShares = 110
+	// maxShares and maxKept keep a datagram below the usual packet of 1,500
+	// bytes; more upstreams than that have an attempt of one entry only at sizes
+	// where a part will do.
+	maxShares = 64
+	maxKept   = 40
 	maxUnits  = 1<<16 - 1
 )
 
@@ -74,11 +79,11 @@
 // send tells the siblings. Nothing is told when nothing is known to differ from
 // nothing: an idle entry is forgotten by the others within a second.
 func (sh *Sharer) send(pc net.PacketConn) {
-	shares := sh.ld.Shares()
-	if len(shares) == 0 {
+	lo := sh.ld.Load()
+	if len(lo.Shares) == 0 && len(lo.Kept) == 0 {
 		return
 	}
-	data := encode(xxhash.Sum64String(string(sh.self)), shares)
+	data := encode(xxhash.Sum64String(string(sh.self)), lo)
 	for _, addr := range sh.addrs() {
 		if to, err := net.ResolveUDPAddr("udp", addr); err == nil {
 			_, _ = pc.WriteTo(data, to) // A lost datagram is made up for by the next.
@@ -86,37 +91,49 @@
 	}
 }
 
-func encode(self uint64, shares []balance.Share) []byte {
-	shares = shares[:min(len(shares), maxShares)]
-	data := make([]byte, 0, headSize+len(shares)*shareSize)
+func encode(self uint64, lo balance.Load) []byte {
+	shares, kept := lo.Shares[:min(len(lo.Shares), maxShares)], lo.Kept[:min(len(lo.Kept), maxKept)]
+	data := make([]byte, 0, headSize+len(shares)*shareSize+len(kept)*keptSize)
 	data = append(data, format)
 	data = binary.BigEndian.AppendUint64(data, self)
+	data = append(data, byte(len(shares)))
 	for _, sr := range shares {
 		data = binary.BigEndian.AppendUint64(data, sr.Upstream)
 		data = binary.BigEndian.AppendUint16(data, uint16(min(sr.Own, maxUnits)))
 		data = binary.BigEndian.AppendUint16(data, uint16(min(sr.Pending/pendingUnit, maxUnits)))
 	}
+	for _, ke := range kept {
+		data = binary.BigEndian.AppendUint64(data, ke.Upstream)
+		data = binary.BigEndian.AppendUint64(data, ke.Parts)
+	}
 	return data
 }
 
 // decode returns false for a datagram that no sibling of this release sent.
-func decode(data []byte) (from uint64, shares []balance.Share, ok bool) {
-	if len(data) < headSize || data[0] != format || (len(data)-headSize)%shareSize != 0 {
-		return 0, nil, false
+func decode(data []byte) (from uint64, lo balance.Load, ok bool) {
+	if len(data) < headSize || data[0] != format {
+		return 0, lo, false
 	}
 	from = binary.BigEndian.Uint64(data[1:])
-	for rest := data[headSize:]; len(rest) > 0; rest = rest[shareSize:] {
-		shares = append(shares, balance.Share{
-			Upstream: binary.BigEndian.Uint64(rest),
-			Own:      int(binary.BigEndian.Uint16(rest[8:])),
-			Pending:  time.Duration(binary.BigEndian.Uint16(rest[10:])) * pendingUnit,
+	shares, rest := int(data[9])*shareSize, data[headSize:]
+	if len(rest) < shares || (len(rest)-shares)%keptSize != 0 {
+		return 0, lo, false
+	}
+	for row := rest[:shares]; len(row) > 0; row = row[shareSize:] {
+		lo.Shares = append(lo.Shares, balance.Share{
+			Upstream: binary.BigEndian.Uint64(row),
+			Own:      int(binary.BigEndian.Uint16(row[8:])),
+			Pending:  time.Duration(binary.BigEndian.Uint16(row[10:])) * pendingUnit,
 		})
 	}
-	return from, shares, true
+	for row := rest[shares:]; len(row) > 0; row = row[keptSize:] {
+		lo.Kept = append(lo.Kept, balance.Kept{Upstream: binary.BigEndian.Uint64(row), Parts: binary.BigEndian.Uint64(row[8:])})
+	}
+	return from, lo, true
 }
 
 func (sh *Sharer) receive(pc net.PacketConn) {
-	buf := make([]byte, headSize+maxShares*shareSize)
+	buf := make([]byte, headSize+maxShares*shareSize+maxKept*keptSize)
 	for {
 		n, _, err := pc.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -125,8 +142,8 @@
 		if err != nil {
 			continue
 		}
-		if from, shares, ok := decode(buf[:n]); ok {
-			sh.ld.Told(from, shares)
+		if from, lo, ok := decode(buf[:n]); ok {
+			sh.ld.Told(from, lo)
 		}
 	}
 }
