--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -104,7 +104,7 @@
 	// homeShare is the part of a prompt that is taken as kept at the upstream
 	// that rendezvous hashing prefers for it. Other entries send the same
 	// prompts there, of which this one hears nothing.
-	homeShare = 0.9
+	homeShare = 0.4
 	// readExternal weighs the reading of a prompt above its own wait: while an
 	// engine reads, all others there wait too.
 	readExternal = 2.5
