--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -129,7 +129,6 @@
 			cl.Forget(ho.Addr)
 			fw.Gone(ho.ID)
 		},
-		Adopted: func(*route.Table) {},
 	})
 	me.list = fd.Members
 	return fd
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -198,7 +198,7 @@
 	if ho.Slots > 0 && load >= float64(ho.Slots) {
 		cost += fullCost
 	}
-	return time.Duration(float64(cost) * pe.slowness(fi.pool))
+	return time.Duration(float64(cost) * pe.slowness())
 }
 
 // work is the calls at an upstream, and the time that the prompts need that
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -162,6 +162,6 @@
 }
 
 // slowness is the factor on an upstream's expected time.
-func (pe *peer) slowness(_ *pool) float64 {
+func (pe *peer) slowness() float64 {
 	return max(pe.ratio/ratioMargin, 1)
 }
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -78,8 +78,6 @@
 	After string
 	// Connections bounds those to the upstream; 0 is no bound.
 	Connections int
-	// Fresh asks for a new connection, after a kept one was found dead.
-	Fresh bool
 }
 
 // NoConfidence is a reply's confidence when it says none.
@@ -97,8 +95,6 @@
 	NotRun bool
 	// Stranger says that the address belongs to another upstream by now.
 	Stranger bool
-	// Leaving says that the upstream closes the connection after this answer.
-	Leaving bool
 	// Confidence is the model's own opinion of its answer, from 0 to 100, or
 	// [NoConfidence].
 	Confidence int
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -65,8 +65,6 @@
 	Doubtful func(now time.Time) bool
 	// Gone is called for an upstream that is not listed any more.
 	Gone func(core.Host)
-	// Adopted is called for a configuration that was put in force.
-	Adopted func(*route.Table)
 }
 
 // Feed is called by the mirror, one batch of changes at a time.
@@ -213,7 +211,6 @@
 	}
 	if fd.pa.InForce.Adopt(tb) {
 		event.Log(fd.deps.Log, event.ConfigAdopted, "version", tb.Version, "routes", len(doc.Routes), "workspaces", len(doc.Workspaces))
-		fd.pa.Adopted(tb)
 	}
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -75,12 +75,6 @@
 	ID core.ServiceID
 	// MaxConnections bounds the connections to one upstream, of all entries.
 	MaxConnections int
-	// Slots is how many calls an engine batches; 0 for a plain service.
-	Slots int
-	// Cache is the memory of an engine for prompts, in tokens.
-	Cache core.Tokens
-	// Costs are the prices of an engine's models for 1,000 generated tokens.
-	Costs map[core.ModelID]float64
 }
 
 // Workspace is a customer with its keys.
@@ -166,16 +160,6 @@
 // Service returns a service, or nil.
 func (tb *Table) Service(id core.ServiceID) *Service { return tb.services[id] }
 
-// Services lists the services.
-func (tb *Table) Services() []core.ServiceID {
-	out := make([]core.ServiceID, 0, len(tb.services))
-	for id := range tb.services {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Workspace returns the workspace that holds a key, or nil.
 func (tb *Table) Workspace(key core.APIKey) *Workspace { return tb.keys[key] }
 
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -96,9 +96,6 @@
 	la.pressure += follow * (min(float64(took)/float64(aim), oddest) - la.pressure)
 }
 
-// Pressure is the mean time to the first event as a part of what is good.
-func (la *Ladder) Pressure() float64 { return la.pressure }
-
 // Sure is the confidence from which an answer is given now.
 func (la *Ladder) Sure() float64 {
 	part := min(max((la.pressure-relaxed)/(pressed-relaxed), 0), 1)
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -72,9 +72,6 @@
 	return len(line), nil
 }
 
-// Dropped counts the lines that were not written.
-func (lw *Writer) Dropped() int64 { return lw.dropped.Load() }
-
 func (lw *Writer) take(now time.Time) bool {
 	lw.mu.Lock()
 	defer lw.mu.Unlock()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -61,8 +61,6 @@
 	Body                 []byte
 	// Connections bounds those to the address; 0 is no bound.
 	Connections int
-	// Fresh asks for a new connection.
-	Fresh bool
 	// Mine tells the answer to this request from others by its header; nil
 	// takes the first.
 	Mine func(http.Header) bool
@@ -158,10 +156,8 @@
 
 // take returns an idle connection that is still good, or a new one.
 func (cl *Client) take(ctx context.Context, addr string, rq *Request) (*conn, error) {
-	if !rq.Fresh {
-		if co := cl.takeIdle(addr); co != nil {
-			return co, nil
-		}
+	if co := cl.takeIdle(addr); co != nil {
+		return co, nil
 	}
 	if !cl.reserve(addr, rq.Connections) {
 		return nil, &Error{Err: ErrNoConnection}
