Add up the evidence of all entries by route, and begin the last steps a little sooner

Entries now add up sums that may fall, for each route, so that one that is bad on a single route still shows.

--- a/core/canary/doc.go
+++ b/core/canary/doc.go
@@ -96,11 +96,11 @@
 const (
 	// usable is the part of the allowed exposure that a roll-out plans with. The
 	// rest is for traffic that falls in the course of it.
-	usable = 0.85
+	usable = 0.9
 	// trialPart is the share of the first step, as a part of the allowed
-	// exposure. At 0.15 and forty requests a second, two a second go to the new
-	// version, which shows one that fails half of them within a few seconds.
-	trialPart = 0.3
+	// exposure. At 0.15 and forty requests a second, one a second goes to the new
+	// version; all entries together see one that fails half of them within ten.
+	trialPart = 0.22
 	// widerShare and widerTime are the step between: a third of the sessions
 	// for a twenty-fifth of the time, for a version that is bad only under load
 	// or on a route that the first step has hardly met.
@@ -113,7 +113,10 @@
 	// completeAfter is the least time after the last step, as a part of all.
 	completeAfter = 0.02
 	// rankDelay is how long an entry leaves the next write to those before it.
+	// The list may hold entries that are gone, so that nobody waits for more than
+	// rankMost of them.
 	rankDelay = 250 * time.Millisecond
+	rankMost  = 4
 )
 
 // plan returns the steps for an allowed exposure, the part of all requests in
--- a/core/canary/due.go
+++ b/core/canary/due.go
@@ -19,7 +19,7 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
-		if wr, ok := gu.due(now, ro, time.Duration(rank(sv))*rankDelay); ok {
+		if wr, ok := gu.due(now, ro, time.Duration(min(rank(sv), rankMost))*rankDelay); ok {
 			out = append(out, wr)
 		}
 	}
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -46,8 +46,12 @@
 // test, Page 1954). What troubles both versions, such as answers lost on the
 // way, lifts the old one's rate and so counts for little.
 type test struct {
-	rate      float64
-	sum       float64
+	rate float64
+	sum  float64
+	// drift is the sum with a lower end below nought, for the entries to add up:
+	// of sums that never fall below it, many entries' chance outcomes alone would
+	// make a verdict.
+	drift     float64
 	bad, seen int
 }
 
@@ -75,6 +79,9 @@
 	// chance of one in 400 for a streak that began anywhere. A wrong verdict
 	// costs a roll-out that is ordered again; a late one costs callers.
 	verdict = 6.0
+	// leastDrift bounds what good answers of before can outweigh, to three or
+	// four of them: a version may turn bad late.
+	leastDrift = -1.5
 	// leastBad keeps two chance failures in a row from settling it.
 	leastBad = 3
 	// slowPace is the multiple of the old version's median pause between pieces
@@ -109,7 +116,7 @@
 
 func (co *compared) restart() {
 	for _, te := range []*test{&co.fails, &co.slows} {
-		te.sum, te.bad, te.seen = 0, 0, 0
+		te.sum, te.drift, te.bad, te.seen = 0, 0, 0, 0
 	}
 }
 
@@ -205,12 +212,13 @@
 	usual := min(max(te.rate, rateLeast), most)
 	worse := min(usual+effect, 0.95)
 	te.seen++
+	weight := math.Log((1 - worse) / (1 - usual))
 	if bad {
 		te.bad++
-		te.sum += math.Log(worse / usual)
-	} else {
-		te.sum = max(te.sum+math.Log((1-worse)/(1-usual)), 0)
+		weight = math.Log(worse / usual)
 	}
+	te.sum = max(te.sum+weight, 0)
+	te.drift = max(te.drift+weight, leastDrift)
 	return te.sum >= verdict && te.bad >= leastBad
 }
 
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -15,7 +15,16 @@
 	Order core.Revision `json:"order"`
 	// Elapsed is how long the order has been known, in milliseconds.
 	Elapsed int64 `json:"elapsed-ms"`
-	// Fails and Slows are the evidence over all routes.
+	// Pools holds the evidence by route and model, and over all of them under
+	// [overAll].
+	Pools map[string]Tallies `json:"pools"`
+}
+
+// overAll names the evidence over all routes.
+const overAll = ""
+
+// Tallies is the evidence of both tests.
+type Tallies struct {
 	Fails Tally `json:"fails"`
 	Slows Tally `json:"slows"`
 }
@@ -42,20 +51,32 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
-		all := ro.evidence.all
 		out = append(out, Report{
-			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.began).Milliseconds(),
-			Fails: all.fails.tally(), Slows: all.slows.tally(),
+			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.began).Milliseconds(), Pools: ro.evidence.tallies(),
 		})
 	}
 	return out
 }
 
-func (te test) tally() Tally { return Tally{te.sum, te.bad, te.seen} }
+// tallies returns the evidence of the pools that the new version had answers in.
+func (ev *evidence) tallies() map[string]Tallies {
+	out := map[string]Tallies{overAll: ev.all.tallies()}
+	for name, co := range ev.pools {
+		if co.fails.seen+co.slows.seen > 0 {
+			out[name] = co.tallies()
+		}
+	}
+	return out
+}
+
+func (co *compared) tallies() Tallies { return Tallies{co.fails.tally(), co.slows.tally()} }
+
+func (te test) tally() Tally { return Tally{te.drift, te.bad, te.seen} }
 
-// pooledVerdict is the sum of the entries' sums at which a version is bad. Each
-// sum is a chance of its own, so that more is asked of them together.
-const pooledVerdict = 7.5
+// pooledVerdict is the sum of the entries' evidence at which a version is bad. A
+// little more is asked of them together than of one alone, since each begins
+// with what its first few answers happen to be.
+const pooledVerdict = 7.0
 
 // Pool takes in the others' reports, at a moment after they were made.
 func (gu *Guard) Pool(now time.Time, reports []Report) {
@@ -65,7 +86,7 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
-		fails, slows := ro.evidence.all.fails.tally(), ro.evidence.all.slows.tally()
+		sums := ro.evidence.tallies()
 		for _, re := range reports {
 			if re.Service != sv || re.Order != ro.order.Revision {
 				continue
@@ -73,13 +94,20 @@
 			if began := now.Add(-time.Duration(re.Elapsed) * time.Millisecond); began.Before(ro.began) {
 				ro.began = began
 			}
-			fails.add(re.Fails)
-			slows.add(re.Slows)
+			for name, ta := range re.Pools {
+				sum := sums[name]
+				sum.Fails.add(ta.Fails)
+				sum.Slows.add(ta.Slows)
+				sums[name] = sum
+			}
 		}
-		if ro.bad == "" {
-			ro.bad = pooled(fails, slows)
+		ro.doubt = 0
+		for _, sum := range sums {
+			if ro.bad == "" {
+				ro.bad = pooled(sum.Fails, sum.Slows)
+			}
+			ro.doubt = max(ro.doubt, sum.Fails.Sum, sum.Slows.Sum)
 		}
-		ro.doubt = max(fails.Sum, slows.Sum)
 	}
 }
 
