Give work that runs at most once to the largest model at once

Found in reading: a doubtful answer of a stream that may not go on elsewhere was dropped and a larger model asked, which ran it twice. No route of today's sites is of that kind. TestCascadeOfWorkThatRunsOnce failed with two calls. Also: names in the soak and the jobs that stood for two things.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -115,6 +115,10 @@
 		return nil, fl
 	}
 	jb.service = rt.Choose(fw.place(ex))
+	if !rt.Repeat.Repeatable() {
+		// A doubtful answer could not be asked for again.
+		jb.stage = max(len(rt.Cascade)-1, 0)
+	}
 	return jb, nil
 }
 
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -140,6 +140,18 @@
 	}
 }
 
+// A chat may run at most once, and its small model doubts the answer. Asking a
+// larger one would run it twice, so the largest must have it from the start.
+func TestCascadeOfWorkThatRunsOnce(t *testing.T) {
+	play(t, func(t *testing.T) {
+		wo := newWorld(t, sure(2, "data: hm\n\n"))
+		_, _, err := wo.ask(t.Context(), "/chat/1")
+		assert.NilError(t, err)
+		assert.Equal(t, len(wo.calls), 1)
+		assert.Equal(t, wo.calls[0].Model, core.ModelID("large"))
+	})
+}
+
 // An upstream takes a lookup and never answers, with its health check good. The
 // caller of work that may run again must be answered by another one, in time;
 // that of a claim hears at the route's timeout that its outcome is unknown, and
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -114,11 +114,11 @@
 		}
 	case refused:
 		if jb.sends >= maxSends || !jb.spend(retry.Retry) {
-			return jb.give(core.CodeOverloaded, jb.comeBack(), "the upstreams take no more work")
+			return jb.give(core.CodeOverloaded, jb.backoff(), "the upstreams take no more work")
 		}
 	case stranger, unreached:
 		if jb.sends >= maxSends {
-			return jb.give(core.CodeNoUpstream, jb.comeBack(), "no upstream can be reached")
+			return jb.give(core.CodeNoUpstream, jb.backoff(), "no upstream can be reached")
 		}
 	}
 	return nil
@@ -141,7 +141,7 @@
 
 // doubts reports whether a larger model should answer in place of a reply.
 func (jb *job) doubts(re *core.Reply) bool {
-	if !jb.ex.AnyModel || re.Confidence == core.NoConfidence || len(jb.rt.Cascade) < 2 {
+	if !jb.ex.AnyModel || re.Confidence == core.NoConfidence || len(jb.rt.Cascade) < 2 || !jb.rt.Repeat.Repeatable() {
 		return false
 	}
 	fw := jb.fw
@@ -226,7 +226,7 @@
 	ho, ok := fw.picker.Pick(now, hosts, rq, fw.draw)
 	if !ok {
 		fw.mu.Unlock()
-		return nil, jb.give(core.CodeNoUpstream, jb.comeBack(), "no upstream takes this work now")
+		return nil, jb.give(core.CodeNoUpstream, jb.backoff(), "no upstream takes this work now")
 	}
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
 	at.flight = fw.picker.Sent(now, ho, rq)
@@ -242,9 +242,9 @@
 	return at, nil
 }
 
-// comeBack is the time after which a caller should try again: soon, but spread,
+// backoff is the time after which a caller should try again: soon, but spread,
 // so that those who were refused together do not come back together.
-func (jb *job) comeBack() time.Duration {
+func (jb *job) backoff() time.Duration {
 	const least, spread = 300 * time.Millisecond, 500 * time.Millisecond
 	return least + time.Duration(jb.fw.drawn()*float64(spread))
 }
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -44,7 +44,7 @@
 	{ID: "lookup", Prefix: "/lookup/", Repeat: core.Idempotent, MaxAttempts: 2, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
 	{ID: "claim", Prefix: "/claim/", MaxAttempts: 1, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
 	{ID: "draft", Prefix: "/draft/", Stream: true, Repeat: core.Resumable, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second, Gap: 800 * time.Millisecond, Cascade: []core.ModelID{"small", "large"}},
-	{ID: "chat", Prefix: "/chat/", Stream: true, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second},
+	{ID: "chat", Prefix: "/chat/", Stream: true, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second, Cascade: []core.ModelID{"small", "large"}},
 }
 
 // newWorld returns a world. It is made inside a bubble of its own time.
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -55,8 +55,8 @@
 	got
 }
 
-// bench is a world whose parts can be broken.
-type bench struct {
+// beaten is a world whose parts are broken at random.
+type beaten struct {
 	*world
 	rnd    *rand.Rand
 	relays []*fleet.Relay // before the upstreams
@@ -70,7 +70,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	be := newBench(t, seed)
+	be := newBeaten(t, seed)
 	ctx, cancel := context.WithTimeout(t.Context(), soakTime)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -90,9 +90,9 @@
 	be.check()
 }
 
-func newBench(t *testing.T, seed uint64) *bench {
+func newBeaten(t *testing.T, seed uint64) *beaten {
 	t.Helper()
-	be := &bench{world: newWorld(t, 0), rnd: rand.New(rand.NewPCG(seed, 1)), version: 10}
+	be := &beaten{world: newWorld(t, 0), rnd: rand.New(rand.NewPCG(seed, 1)), version: 10}
 	for _, ru := range append(append([]*runner.Runner{}, be.desks...), be.lms...) {
 		re, cleanup, err := fleet.NewRelay(be.addrs[ru.ID()])
 		assert.NilError(t, err)
@@ -114,7 +114,7 @@
 }
 
 // start starts a gateway at new addresses in the place of one that has ended.
-func (be *bench) start(i int) {
+func (be *beaten) start(i int) {
 	be.mu.Lock()
 	be.starts++
 	name := fmt.Sprint("gateway-", i, "-", be.starts)
@@ -128,14 +128,14 @@
 	be.gws[i] = gw
 }
 
-func (be *bench) gateway(i int) *fleet.Process {
+func (be *beaten) gateway(i int) *fleet.Process {
 	be.mu.Lock()
 	defer be.mu.Unlock()
 	return be.gws[i]
 }
 
 // caller sends requests until the context ends, over kept connections.
-func (be *bench) caller(ctx context.Context, n int, rnd *rand.Rand) {
+func (be *beaten) caller(ctx context.Context, n int, rnd *rand.Rand) {
 	cl := &http.Client{Transport: &http.Transport{}}
 	defer cl.CloseIdleConnections()
 	kinds := []string{"claim", "lookup", "draft"}
@@ -151,7 +151,7 @@
 	}
 }
 
-func (be *bench) one(cl *http.Client, gw *fleet.Process, id, kind, body string) got {
+func (be *beaten) one(cl *http.Client, gw *fleet.Process, id, kind, body string) got {
 	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
 	defer cancel()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gw.Addr+"/"+kind+"/"+id, strings.NewReader(body))
@@ -178,7 +178,7 @@
 }
 
 // harm breaks something, and mends something that was broken before.
-func (be *bench) harm() {
+func (be *beaten) harm() {
 	modes := []runner.Mode{runner.Fail, runner.Full, runner.Break, runner.Slow, runner.Answer}
 	all := append(append([]*runner.Runner{}, be.desks...), be.lms...)
 	re, st := be.relays[be.rnd.IntN(len(be.relays))], be.stores[be.rnd.IntN(len(be.stores))]
@@ -225,7 +225,7 @@
 }
 
 // calm mends everything.
-func (be *bench) calm() {
+func (be *beaten) calm() {
 	for _, re := range append(append([]*fleet.Relay{}, be.relays...), be.stores...) {
 		re.Restore()
 	}
@@ -236,7 +236,7 @@
 }
 
 // check holds what callers were told against what upstreams ran.
-func (be *bench) check() {
+func (be *beaten) check() {
 	t := be.t
 	be.configure(be.version+1, "key-1", "key-last")
 	for i := range be.gws {
