Tell callers to come back later when nothing is known yet

Only the store's return helps, and that takes seconds. Ruled out: slow starts; the store answered 1.6 s after the processes were up.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -70,6 +70,11 @@
 // confirmations of a quiet store.
 const staleAfter = 7 * time.Second
 
+// storeBack is when a process that knows no configuration may have one: only
+// the store, or another entry that hears it, can give it, and outages of the
+// store last for seconds. A caller that comes back sooner uses up its retries.
+const storeBack = 2 * time.Second
+
 // comeBack is when a caller finds an entry that knows more than this one now.
 const comeBack = 500 * time.Millisecond
 
@@ -94,7 +99,7 @@
 func (fw *Forwarder) admit(ex *core.Exchange) (*job, *core.Failure) {
 	tb := fw.parts.InForce.Current()
 	if tb == nil {
-		return nil, core.Refuse(core.CodeNoConfig, comeBack, "no configuration is known yet")
+		return nil, core.Refuse(core.CodeNoConfig, storeBack, "no configuration is known yet")
 	}
 	rt := tb.Find(ex.Host, ex.Path)
 	if rt == nil {
