Leave an upstream at once whose address has another one

Cause: upstreams that crash behind a cut from the store and start again under new ids keep their addresses, and the list goes on naming the old ones. Ruled out: climbs, which had their part. Such an upstream now rests for ten seconds, and its refusals draw on the budget.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -42,6 +42,8 @@
 	// Abandoned: the caller left or another answer was taken; it says nothing
 	// about the upstream.
 	Abandoned
+	// Replaced: another upstream has the address by now.
+	Replaced
 	// Overdue: no answer came in the time that is usual.
 	Overdue
 )
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -137,6 +137,31 @@
 	assert.Assert(t, asked >= 2 && asked <= 8, "%d of 200 in ten seconds", asked)
 }
 
+// Upstreams crash behind a cut from the store and start again under new ids at
+// their addresses, so that the list goes on naming the old ones. Each call sent
+// there is refused by the new one; a second must not follow, or a whole service
+// gets more arrivals than its callers' requests allow.
+func TestReplacedUpstreamIsLeft(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := pool(3, 6)
+	rnd := rand.New(rand.NewPCG(4, 1))
+	rq := balance.Request{Service: "s", Pool: "claim"}
+	asked := 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		ho, _ := pk.Pick(now, hosts, rq, rnd.Float64)
+		fl := pk.Sent(now, ho, rq)
+		if ho.ID == "up-0" {
+			asked++
+			pk.Ended(now, fl, balance.Replaced)
+			continue
+		}
+		pk.Begun(now, fl, rq, nil)
+		pk.Ended(now, fl, balance.Good)
+	}
+	assert.Equal(t, asked, 1)
+}
+
 // A pool of three with six places each gets calls of several entries. The one
 // that others use must be left to them, by the load that it reports.
 func TestReportedLoadCounts(t *testing.T) {
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -58,6 +58,10 @@
 	downFirst = 400 * time.Millisecond
 	downMost  = 3 * time.Second
 	downCost  = 20 * time.Second
+	// replacedFor is how long nothing is sent to an upstream whose address has
+	// another one by now. It is gone for good; only the list is late, by as much
+	// as a cut between it and the store lasts.
+	replacedFor = 10 * time.Second
 	// fullFor is how long a refusal for want of room counts.
 	fullFor = 250 * time.Millisecond
 	// ratioWeight weighs the newest answer in an upstream's pace, oddest
@@ -141,6 +145,9 @@
 		rest := min(downFirst<<min(pe.away-1, 4), downMost)
 		pe.down = now.Add(rest)
 		return
+	case Replaced:
+		pe.down = now.Add(replacedFor)
+		return
 	case Failed, Overdue:
 		bad = 1
 	case Good:
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -116,7 +116,12 @@
 		if jb.sends >= maxSends || !jb.spend(retry.Retry) {
 			return jb.give(core.CodeOverloaded, jb.backoff(), "the upstreams take no more work")
 		}
-	case stranger, unreached:
+	case stranger:
+		// Whoever has the address counts this as an arrival.
+		if jb.sends >= maxSends || !jb.spend(retry.Retry) {
+			return jb.give(core.CodeNoUpstream, jb.backoff(), "the upstreams that are listed are others by now")
+		}
+	case unreached:
 		if jb.sends >= maxSends {
 			return jb.give(core.CodeNoUpstream, jb.backoff(), "no upstream can be reached")
 		}
--- a/core/forward/judge.go
+++ b/core/forward/judge.go
@@ -37,7 +37,9 @@
 		return balance.Good
 	case refused:
 		return balance.Refused
-	case stranger, unreached:
+	case stranger:
+		return balance.Replaced
+	case unreached:
 		return balance.Unreached
 	default:
 		return balance.Failed
