Log the two errors that were passed over in silence

Found in reading the change: a roll-out's write that could not be encoded was dropped without a line, and an entry whose registration failed only counted it. Both now log store-write-late with the key and the error.

--- a/core/canary/recorder.go
+++ b/core/canary/recorder.go
@@ -64,7 +64,11 @@
 
 func (re *Recorder) record(ctx context.Context, wr Write) {
 	key, value, prev, err := re.encode(wr)
-	if err != nil || time.Now().Before(re.rest[key]) {
+	if err != nil {
+		event.Log(re.deps.Log, event.StoreWriteLate, "key", key, "error", err, "why", wr.Why)
+		return
+	}
+	if time.Now().Before(re.rest[key]) {
 		return
 	}
 	var rev core.Revision
--- a/core/register/register.go
+++ b/core/register/register.go
@@ -49,6 +49,7 @@
 		if err := re.step(ctx); err != nil {
 			pause = again
 			if ctx.Err() == nil {
+				event.Log(re.deps.Log, event.StoreWriteLate, "key", re.key, "error", err)
 				re.deps.Metrics.Counter("register-failed").Inc(1)
 			}
 		}
