Tell a request's story from logs alone

Each line says its process; each attempt has a line when it begins, with what the choice went by (candidates, load and its age, failures, kept prompt, time and budget left), and one when its answer is not used; the end of a request says why no other attempt followed. What an entry makes of an upstream or a version is a line when it changes. skylarkstand explain puts the lines of all entries in order, with what they believed and how others fared, and says what is missing.

The log has a ceiling for each event, keeps the last quarter of its bound for warnings and counts what it left out by event.

--- a/app/app.go
+++ b/app/app.go
@@ -46,6 +46,7 @@
 	Order     *orderCmd     `arg:"subcommand:order" help:"give an engine an order through its agent"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
 	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
+	Explain   *explainCmd   `arg:"subcommand:explain" help:"tell the story of one request from logs"`
 	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
 }
 
@@ -61,6 +62,7 @@
   skylarkstand check routing.json
   skylarkstand diff routing.json --store http://127.0.0.1:9200
   skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
+  skylarkstand explain 2a05daab3234778d gateway-1.log gateway-2.log
   skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known,
--- /dev/null
+++ b/app/explain.go
@@ -0,0 +1,48 @@
+package app
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+	"skylarkstand/core/story"
+)
+
+type explainCmd struct {
+	Request string   `arg:"positional,required" help:"the request's id"`
+	Files   []string `arg:"positional" help:"logs of gateways; standard input without any"`
+}
+
+// run prints a request's story. It fails when no line has the id.
+func (cmd *explainCmd) run(context.Context) error {
+	var lo story.Log
+	if len(cmd.Files) == 0 {
+		if err := lo.Read("standard input", os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range cmd.Files {
+		if err := readLog(&lo, name); err != nil {
+			return err
+		}
+	}
+	st := lo.Tell(core.RequestID(cmd.Request))
+	if err := st.Write(os.Stdout); err != nil {
+		return err
+	}
+	if len(st.Lines) == 0 {
+		return eris.Errorf("nothing is known of the request %s", cmd.Request)
+	}
+	return nil
+}
+
+func readLog(lo *story.Log, name string) error {
+	fi, err := os.Open(name)
+	if err != nil {
+		return &exitError{ExitUsage, eris.Wrap(err, "log")}
+	}
+	defer fi.Close()
+	return lo.Read(name, fi)
+}
--- a/app/gateway.go
+++ b/app/gateway.go
@@ -83,6 +83,7 @@
 	recorder *canary.Recorder
 	pooler   *canary.Pooler
 	sharer   *sibling.Sharer
+	gauges   *gauges
 	srv      *front.Server
 	admin    metricsPage
 
@@ -121,6 +122,7 @@
 	sup.Add(gw.recorder)
 	sup.Add(gw.pooler)
 	sup.Add(gw.sharer)
+	sup.Add(gw.gauges)
 	done := sup.ServeBackground(duties)
 
 	defer serveAdmin(gw.set.Admin, http.Handler(gw.admin))()
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -13,6 +14,7 @@
 	"skylarkstand/core/feed"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
+	"skylarkstand/core/meter"
 	"skylarkstand/core/mirror"
 	"skylarkstand/core/register"
 	"skylarkstand/core/rendezvous"
@@ -29,15 +31,13 @@
 // without waiting for whoever reads.
 func newGatewayProcess(set settings.Gateway) (process, func()) {
 	scope, page, closeScope := metrics.New("gateway")
-	lw, closeLog := logline.New(os.Stdout)
 	var lv slog.Level
 	if lv.UnmarshalText([]byte(set.LogLevel)) != nil {
 		lv = slog.LevelInfo
 	}
-	deps := core.Deps{
-		Self: core.ProcessID(core.NewID()), Zone: set.Zone, Region: set.Regions[set.Zone],
-		Log: slog.New(slog.NewJSONHandler(lw, &slog.HandlerOptions{Level: lv})), Metrics: scope,
-	}
+	self := core.ProcessID(core.NewID())
+	lg, closeLog := logline.New(os.Stdout, lv, slog.String("process", string(self)), slog.String("zone", string(set.Zone)))
+	deps := core.Deps{Self: self, Zone: set.Zone, Region: set.Regions[set.Zone], Log: lg, Metrics: scope}
 	return process{Deps: deps, Page: page}, func() {
 		closeScope()
 		closeLog()
@@ -46,8 +46,28 @@
 
 func newUpstreamClient() (*upstream.Client, func()) { return upstream.New() }
 
-func newPlatformStore(set settings.Gateway, cl *upstream.Client) *platform.Store {
-	return platform.NewStore(set.Store, cl)
+func newPlatformStore(set settings.Gateway, deps core.Deps, cl *upstream.Client) *platform.Store {
+	return platform.NewStore(set.Store, cl, platform.Observe(func(call string, took time.Duration, err error) {
+		meter.StoreCallTime.Record(deps.Metrics, took, call, storeOutcome(err))
+	}))
+}
+
+// storeOutcome names the outcome of a store's call in metrics.
+func storeOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, core.ErrConflict):
+		return "conflict"
+	case errors.Is(err, core.ErrNotFound):
+		return "not-found"
+	case errors.Is(err, core.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, core.ErrUncertain):
+		return "uncertain"
+	default:
+		return "unavailable"
+	}
 }
 
 func newLayout(set settings.Gateway) platform.Layout { return platform.Layout{Regions: set.Regions} }
--- /dev/null
+++ b/app/gauges.go
@@ -0,0 +1,74 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/forward"
+	"skylarkstand/core/meter"
+	"skylarkstand/core/mirror"
+	"skylarkstand/core/route"
+	"skylarkstand/io/front"
+)
+
+// gaugesEvery is how often the gauges are set. Collectors come every 15 s or so.
+const gaugesEvery = 5 * time.Second
+
+// gauges is the duty that shows a gateway's state in its metrics. It implements
+// suture's Service.
+type gauges struct {
+	scope  tally.Scope
+	inf    *route.InForce
+	fleet  *fleet.Fleet
+	guard  *canary.Guard
+	mirror *mirror.Mirror
+	fw     *forward.Forwarder
+	srv    *front.Server
+}
+
+func newGauges(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, fw *forward.Forwarder, srv *front.Server) *gauges {
+	return &gauges{deps.Metrics, inf, fl, gu, mi, fw, srv}
+}
+
+// Serve implements suture's Service.
+func (ga *gauges) Serve(ctx context.Context) error {
+	ti := time.NewTicker(gaugesEvery)
+	defer ti.Stop()
+	for {
+		ga.set(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+		}
+	}
+}
+
+func (ga *gauges) set(now time.Time) {
+	meter.InFlight.Set(ga.scope, float64(ga.srv.Flying()))
+	if tb := ga.inf.Current(); tb != nil {
+		meter.NewsAge.Set(ga.scope, ga.mirror.Age(now).Seconds())
+		meter.ConfigVersion.Set(ga.scope, float64(tb.Version))
+	}
+	for sv, share := range ga.guard.Shares() {
+		meter.RollOutShare.Set(ga.scope, share, string(sv))
+	}
+	for sv, left := range ga.fw.RepeatsLeft() {
+		meter.RepeatsLeft.Set(ga.scope, left, string(sv))
+	}
+	for sv, co := range ga.fleet.Counts(now) {
+		ga.upstreams(sv, "serving", co.Serving)
+		ga.upstreams(sv, "leaving", co.Leaving)
+		ga.upstreams(sv, "doubtful", co.Doubtful)
+		ga.upstreams(sv, "avoided", ga.fw.Avoided(sv))
+	}
+}
+
+func (ga *gauges) upstreams(sv core.ServiceID, state string, n int) {
+	meter.Upstreams.Set(ga.scope, float64(n), string(sv), state)
+}
--- a/app/guard_duty.go
+++ b/app/guard_duty.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core/chain"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 	"skylarkstand/core/rollout"
 	"skylarkstand/io/peer"
 )
@@ -120,7 +121,7 @@
 		if !gd.told[ha.Version] {
 			gd.told[ha.Version] = true
 			event.Log(gd.deps.Log, event.RollOutHalted, "version", ha.Version.String(), "why", ha.Why, "reached", ha.Reached)
-			gd.deps.Metrics.Counter("roll-outs-halted").Inc(1)
+			meter.RollOutsHalted.Inc(gd.deps.Metrics)
 			gd.mesh.TellHalt(ha, gd.inf.Number())
 		}
 		gd.recordOne(ctx, ha)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -98,7 +98,7 @@
 	layout := newLayout(set)
 	guard := newGuard(set)
 	client, cleanup2 := newUpstreamClient()
-	store := newPlatformStore(set, client)
+	store := newPlatformStore(set, deps, client)
 	appMembers := newMembers()
 	siblings := newSiblings(deps, client, appMembers)
 	follower := newFollower(deps, mirrorMirror, store, siblings)
@@ -117,6 +117,7 @@
 	sharer := newSharer(set, deps, forwarder, appMembers)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
+	appGauges := newGauges(deps, inForce, fleet, guard, mirrorMirror, forwarder, server)
 	appMetricsPage := appProcess.Page
 	appGatewayProcess := &gatewayProcess{
 		set:      set,
@@ -131,6 +132,7 @@
 		recorder: recorder,
 		pooler:   pooler,
 		sharer:   sharer,
+		gauges:   appGauges,
 		srv:      server,
 		admin:    appMetricsPage,
 		stop:     appStopClock,
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -56,8 +56,28 @@
 	cost  time.Duration
 	begun bool
 	ended bool
+	basis Basis
 }
 
+// Basis is what a choice went by.
+type Basis struct {
+	// Candidates is how many upstreams there were.
+	Candidates int
+	// Own counts the entry's calls at the chosen one, Others those of the other
+	// entries as far as they are known, by a word that is LoadAge old; below 0 is
+	// none.
+	Own     int
+	Others  float64
+	LoadAge time.Duration
+	// Kept is how much of the prompt is thought to be in its memory.
+	Kept core.Tokens
+	// Failing is the recent share of failures there.
+	Failing float64
+}
+
+// Basis returns what the choice of the flight's upstream went by.
+func (fl *Flight) Basis() Basis { return fl.basis }
+
 // Picker chooses. It belongs to one goroutine at a time.
 type Picker struct {
 	zone   core.Zone
@@ -232,8 +252,9 @@
 // Sent notes that an attempt goes to an upstream.
 func (pk *Picker) Sent(now time.Time, ho core.Host, rq Request) *Flight {
 	pe := pk.peer(&ho)
-	fl := &Flight{peer: pe, pool: pk.pool(rq), sent: now}
+	fl := &Flight{peer: pe, pool: pk.pool(rq), sent: now, basis: pk.basis(now, pe)}
 	if rq.Engine {
+		fl.basis.Kept = pe.kept(now, rq)
 		fl.cost = scale(pk.read(rq.Model).get(), rq.Prompt-pe.kept(now, rq))
 		pk.keep(now, pe, rq)
 		pe.pending += fl.cost
@@ -244,6 +265,21 @@
 	return fl
 }
 
+func (pk *Picker) basis(now time.Time, pe *peer) Basis {
+	ba := Basis{Own: pe.own, LoadAge: -1, Failing: pe.badness(now)}
+	load, _ := pk.work(now, pe)
+	ba.Others = max(load-float64(pe.own), 0)
+	for _, to := range pk.told {
+		if age := now.Sub(to.at); ba.LoadAge < 0 || age < ba.LoadAge {
+			ba.LoadAge = age
+		}
+	}
+	if ba.LoadAge < 0 && !pe.reported.IsZero() {
+		ba.LoadAge = now.Sub(pe.reported)
+	}
+	return ba
+}
+
 // Begun notes the header of an answer, with the load that it reports or nil.
 func (pk *Picker) Begun(now time.Time, fl *Flight, rq Request, lo *core.Load) {
 	if fl.begun {
@@ -288,10 +324,11 @@
 // with the flight's own.
 func (fl *Flight) Read() time.Duration { return fl.peer.pending }
 
-// Ended notes the end of an attempt.
-func (pk *Picker) Ended(now time.Time, fl *Flight, out Outcome) {
+// Ended notes the end of an attempt, and returns what it changes about the
+// upstream, with its recent share of failures.
+func (pk *Picker) Ended(now time.Time, fl *Flight, out Outcome) (Turn, float64) {
 	if fl.ended {
-		return
+		return Same, 0
 	}
 	fl.ended = true
 	pe := fl.peer
@@ -301,4 +338,16 @@
 		pe.pending = max(pe.pending-fl.cost, 0)
 	}
 	pe.ended(now, out)
+	return pe.turn(now), pe.badness(now)
+}
+
+// Avoided counts the upstreams of a list that work is kept from.
+func (pk *Picker) Avoided(hosts []core.Host) int {
+	sum := 0
+	for i := range hosts {
+		if pe := pk.peers[hosts[i].ID]; pe != nil && pe.avoided {
+			sum++
+		}
+	}
+	return sum
 }
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -32,6 +32,41 @@
 	full  time.Time
 	ratio float64
 	cache cache
+	// avoided is whether the upstream counts as avoided, for whoever asks why
+	// work goes elsewhere.
+	avoided bool
+}
+
+// Turn is a change of what an entry makes of an upstream.
+type Turn int
+
+// The turns.
+const (
+	// Same: no change.
+	Same Turn = iota
+	// Avoided: work is kept from it from now on, while others are there.
+	Avoided
+	// Trusted: it is as good as the others again.
+	Trusted
+)
+
+// avoidedFrom is the share of failures from which an upstream counts as
+// avoided: three in a row, or half of the last ones. It then seems slower by
+// half a second and more, which is above what load alone makes of any.
+const avoidedFrom = 0.5
+
+// turn notes whether the upstream is avoided after an outcome.
+func (pe *peer) turn(now time.Time) Turn {
+	was := pe.avoided
+	pe.avoided = now.Before(pe.down) || pe.badness(now) >= avoidedFrom
+	switch {
+	case pe.avoided == was:
+		return Same
+	case pe.avoided:
+		return Avoided
+	default:
+		return Trusted
+	}
 }
 
 const (
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -89,8 +89,10 @@
 	evidence  evidence
 	// doubt is the evidence of all entries together, as last heard.
 	doubt float64
-	// bad is why this entry holds the version for bad; empty is not.
-	bad string
+	// bad is why this entry holds the version for bad; empty is not. Told is set
+	// once that was handed out by Held.
+	bad  string
+	told bool
 }
 
 func (gu *Guard) rollout(sv core.ServiceID) *rollout {
@@ -111,7 +113,7 @@
 		return
 	}
 	ro.order, ro.began, ro.stepped = or, now, now
-	ro.all, ro.sent, ro.bad, ro.doubt = 0, 0, "", 0
+	ro.all, ro.sent, ro.bad, ro.told, ro.doubt = 0, 0, "", false, 0
 	ro.evidence.restart()
 }
 
@@ -282,6 +284,47 @@
 	}
 }
 
+// Held is a version that an entry has come to hold for bad.
+type Held struct {
+	Service core.ServiceID
+	Version core.VersionID
+	Why     string
+}
+
+// Held returns the versions that this entry holds for bad since the last call.
+func (gu *Guard) Held() []Held {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	var out []Held
+	for sv, ro := range gu.rollouts {
+		if ro.bad != "" && !ro.told {
+			ro.told = true
+			out = append(out, Held{sv, ro.order.Target, ro.bad})
+		}
+	}
+	return out
+}
+
+// Shares returns the part of the new sessions that a version under roll-out may
+// get, by service; 1 once it is completed, 0 when it is bad.
+func (gu *Guard) Shares() map[core.ServiceID]float64 {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	out := map[core.ServiceID]float64{}
+	for sv, ro := range gu.rollouts {
+		switch {
+		case ro.order.Revision == 0:
+		case ro.bad != "" || ro.state() == RolledBack:
+			out[sv] = 0
+		case ro.state() == Completed:
+			out[sv] = 1
+		default:
+			out[sv] = gu.steps[ro.at()].share
+		}
+	}
+	return out
+}
+
 // old counts this entry's attempts at versions that a roll-out replaces.
 func (gu *Guard) old(ro *rollout) int {
 	sum := 0
--- a/core/canary/recorder.go
+++ b/core/canary/recorder.go
@@ -55,6 +55,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ti.C:
+			for _, he := range re.gu.Held() {
+				event.Log(re.deps.Log, event.CanaryHeld, "service", he.Service, "version", he.Version, "why", he.Why)
+			}
 			for _, wr := range re.gu.Due(now, re.rank) {
 				re.record(ctx, wr)
 			}
--- a/core/claim/bucket.go
+++ b/core/claim/bucket.go
@@ -8,6 +8,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 // bucket writes one bucket of the store, one write at a time. What is below
@@ -224,7 +225,7 @@
 	} else {
 		rev, err = bu.tbl.store.Swap(ctx, string(bu.path), bu.rev, raw)
 	}
-	bu.tbl.deps.Metrics.Counter("claim-writes").Inc(1)
+	meter.ClaimWrites.Inc(bu.tbl.deps.Metrics)
 	switch {
 	case err == nil:
 		bu.rev, bu.val, bu.doubt = rev, val, false
--- a/core/dispatch/judge.go
+++ b/core/dispatch/judge.go
@@ -7,6 +7,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/cascade"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 	"skylarkstand/core/rollout"
 )
 
@@ -62,7 +63,7 @@
 	select {
 	case places <- struct{}{}:
 	default:
-		jd.deps.Metrics.Counter("ratings-skipped").Inc(1)
+		meter.RatingsSkipped.Inc(jd.deps.Metrics)
 		return nil
 	}
 	came := make(chan core.Quality, 1)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -19,7 +19,7 @@
 	ReloadRefused = &Event{106, "reload-refused", slog.LevelError,
 		"The settings file has faults; the settings in force stay.", "Mend the file; the line names all faults."}
 	LogDropped = &Event{107, "log-dropped", slog.LevelWarn,
-		"Log lines were dropped because more were written than the bound; `lines` counts them.", "Nothing; the counters have every request."}
+		"Lines of the event `of` were left out, because it had more than its ceiling or whoever reads the log does not keep up; `lines` counts them.", "Nothing; the counters have every request."}
 	DrainCut = &Event{104, "drain-cut", slog.LevelError,
 		"A planned stop ran out of its time and cut work off.", "Raise `drain-limit` above the longest answer."}
 	LinkUp = &Event{200, "link-up", slog.LevelInfo,
@@ -72,6 +72,14 @@
 		"An upstream's line of the list is new or has changed.", "Nothing."}
 	UpstreamGone = &Event{349, "upstream-gone", slog.LevelInfo,
 		"An upstream's line is gone. While `doubtful`, the store's own trouble may be the cause and it is used for a little longer.", "Nothing."}
+	UpstreamAvoided = &Event{350, "upstream-avoided", slog.LevelWarn,
+		"This entry keeps work from an upstream while others are there: `why` is the outcome that decided it, `failing` the recent share of failures.",
+		"Look at the upstream when other entries avoid it too."}
+	UpstreamTrusted = &Event{351, "upstream-trusted", slog.LevelInfo,
+		"An upstream that was avoided gave a whole answer and is used as the others.", "Nothing."}
+	CanaryHeld = &Event{352, "canary-held", slog.LevelWarn,
+		"This entry holds a version under roll-out for bad and sends it nothing new; `why` is the evidence.",
+		"Look at the version."}
 	HaltPending = &Event{342, "halt-pending", slog.LevelWarn,
 		"A halt could not be written into the configuration yet; it holds in this process and is tried again.",
 		"Look at the store."}
@@ -113,16 +121,22 @@
 		"A bill could not be written before the process ended, or had no room to wait.",
 		"Keep the line: it is the bill. The agent's copy is filed when the store answers; file the line by hand only if `skylarkstand bill --list` lacks its request an hour later."}
 	ExchangeEnded = &Event{510, "exchange-ended", slog.LevelInfo,
-		"An exchange ended with an upstream's answer, whole unless a code is given.", "Nothing."}
+		"An exchange ended with an upstream's whole answer.", "Nothing."}
+	ExchangeCut = &Event{516, "exchange-cut", slog.LevelWarn,
+		"An answer was broken off after a part of it was passed on; `code` and `message` say why, `no-repeat` why it was not resumed. Its caller sees the connection end.",
+		"Follow the request's id to its `attempt-ended` lines."}
 	ExchangeFailed = &Event{511, "exchange-failed", slog.LevelWarn,
-		"An exchange ended without an upstream's answer; `ran` is what its caller was told, `last` the last attempt's failure.",
+		"An exchange ended without an upstream's answer; `ran` is what its caller was told, `last` the last attempt's failure, `no-repeat` why no other attempt followed.",
 		"Follow the request's id to its `attempt-ended` lines."}
-	ExchangeRefused = &Event{512, "exchange-refused", slog.LevelInfo,
+	ExchangeRefused = &Event{512, "exchange-refused", slog.LevelWarn,
 		"An exchange was refused before an upstream was chosen: no route, no key, no configuration, or too large.",
 		"Compare `configuration` with the newest one when the caller should have been let in."}
 	AttemptEnded = &Event{513, "attempt-ended", slog.LevelInfo,
 		"An attempt's answer was not used: `verdict` and `why` say what came of it.",
 		"Look at the upstream when it repeats there."}
+	AttemptBegun = &Event{515, "attempt-begun", slog.LevelInfo,
+		"An upstream was chosen and is called: of `candidates`, with `own` calls of this entry there, `others` by the reports, `load-age` old; `kept` tokens of the prompt are thought to be in its memory and `read` is the expected wait for the prompts there; `patience` is when another one is asked, `left` the caller's time, `repeats-left` the budget.",
+		"Nothing."}
 	StreamResumed = &Event{514, "stream-resumed", slog.LevelInfo,
 		"A stream that broke goes on at another upstream, after the event that its caller has.", "Nothing."}
 	RatingsAway = &Event{540, "ratings-away", slog.LevelWarn,
@@ -137,10 +151,10 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, CanaryHeld,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished,
-		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, RatingsAway,
+		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, AttemptBegun, ExchangeCut, RatingsAway,
 	}
 }
--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/claim"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 const (
@@ -140,7 +141,7 @@
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeLimit)
 	defer cancel()
 	if err := ex.claims.Finish(sctx, req, an); err != nil {
-		ex.deps.Metrics.Counter("claims-unfinished").Inc(1)
+		meter.ClaimsUnfinished.Inc(ex.deps.Metrics)
 		event.Log(ex.deps.Log, event.ClaimUnfinished, "attempt", at.ID, "error", err)
 	}
 	return newStored(an), nil
@@ -189,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeLimit)
 	defer cancel()
 	if err := ex.claims.Release(ctx, req); err != nil {
-		ex.deps.Metrics.Counter("claims-unreleased").Inc(1)
+		meter.ClaimsUnreleased.Inc(ex.deps.Metrics)
 	}
 	return cause
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -112,6 +112,30 @@
 	return list
 }
 
+// Count is how many upstreams of a service are in each state.
+type Count struct{ Serving, Leaving, Doubtful int }
+
+// Counts returns the upstreams by service.
+func (fl *Fleet) Counts(now time.Time) map[core.ServiceID]Count {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.expire(now)
+	out := map[core.ServiceID]Count{}
+	for _, me := range fl.members {
+		co := out[me.host.Service]
+		switch {
+		case !me.gone.IsZero():
+			co.Doubtful++
+		case me.host.Leaving:
+			co.Leaving++
+		default:
+			co.Serving++
+		}
+		out[me.host.Service] = co
+	}
+	return out
+}
+
 // expire drops the members whose grace has ended.
 func (fl *Fleet) expire(now time.Time) {
 	if fl.next.IsZero() || now.Before(fl.next) {
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -163,7 +163,14 @@
 			ans.at.heard()
 			return piece, nil
 		}
-		if errors.Is(err, io.EOF) || !ans.resume(err) {
+		if errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		ok := ans.resume(err)
+		if ans.sent > 0 {
+			ans.jb.fw.meters.resumed(ok)
+		}
+		if !ok {
 			return nil, err
 		}
 	}
@@ -185,8 +192,15 @@
 // one sends, so that one is dropped first.
 func (ans *Answer) resume(cause error) bool {
 	jb := ans.jb
-	if jb.rt.Repeat != core.Resumable || ans.ctx.Err() != nil || ans.sent == 0 {
+	switch {
+	case ans.sent == 0:
 		return false // Nothing was passed on: a new attempt begins anew.
+	case jb.rt.Repeat != core.Resumable:
+		jb.noRepeat = "the route's streams are not resumed"
+		return false
+	case ans.ctx.Err() != nil:
+		jb.noRepeat = context.Cause(ans.ctx).Error()
+		return false
 	}
 	for ve := lost; jb.mayRepeat(ans.ctx); {
 		ans.at.blame(cause)
@@ -231,13 +245,28 @@
 	}
 	ans.at.end(ve)
 	jb.fw.meters.ended(code, took)
-	event.Log(jb.fw.deps.Log, event.ExchangeEnded, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
-		"service", jb.service, "upstream", ans.at.to.ID, "version", ans.at.to.Version, "model", jb.model(),
-		"session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output, "status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "last", jb.last,
-		"code", code, "bytes", ans.sent, "first", ans.at.began.Sub(jb.ex.Arrived), "took", took, "configuration", jb.tb.Version)
+	ans.log(code, took)
 	return err
 }
 
+// log writes the one line about the end of an exchange that had an answer.
+func (ans *Answer) log(code core.Code, took time.Duration) {
+	jb, at := ans.jb, ans.at
+	first := at.began.Sub(jb.ex.Arrived)
+	jb.fw.meters.answered(jb.service, at.sent.Sub(jb.ex.Arrived), first)
+	attrs := []any{
+		"request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace, "service", jb.service, "upstream", at.to.ID,
+		"version", at.to.Version, "model", jb.model(), "session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output,
+		"status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "bytes", ans.sent, "first", first, "took", took,
+		"configuration", jb.tb.Version,
+	}
+	if code == "" {
+		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
+		return
+	}
+	event.Log(jb.fw.deps.Log, event.ExchangeCut, append(attrs, "code", code, "message", ans.err.Error(), "last", jb.last, "no-repeat", jb.noRepeat)...)
+}
+
 // Close gives the answer up if it has not ended.
 func (ans *Answer) Close() {
 	if !ans.done {
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,9 @@
 
 // attempt is one call of an upstream, from its choice to its end.
 type attempt struct {
-	jb     *job
+	jb *job
+	// number counts the request's attempts from 1.
+	number int
 	to     core.Host
 	rq     balance.Request
 	flight *balance.Flight
@@ -27,16 +30,19 @@
 	// no bound.
 	left    time.Duration
 	bounded bool
-	// patience is how long the header may take; 0 is to the end.
-	patience time.Duration
+	// patience is how long the header may take; 0 is to the end. Read is the
+	// expected wait for the prompts at the upstream.
+	patience, read time.Duration
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	reply  *core.Reply
 	began  time.Time
 	pieces int
-	why    string
-	ended  bool
+	// heardAt is when the last piece came.
+	heardAt time.Time
+	why     string
+	ended   bool
 	// shown is set once it was told whether the attempt failed.
 	shown atomic.Bool
 }
@@ -63,8 +69,12 @@
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.doubts(re) {
 		ve = unsure
 	}
-	if ve != taken {
-		at.why = fmt.Sprintf("status %d, confidence %d", re.Status, re.Confidence)
+	switch ve {
+	case taken:
+	case unsure:
+		at.why = fmt.Sprintf("confidence %d, below the %.0f that suffices now", re.Confidence, at.jb.sure)
+	default:
+		at.why = fmt.Sprintf("status %d", re.Status)
 	}
 	return ve
 }
@@ -141,7 +151,12 @@
 
 // heard notes a piece of the answer.
 func (at *attempt) heard() {
+	now := time.Now()
+	if at.pieces > 0 {
+		at.jb.fw.meters.gaps.RecordDuration(now.Sub(at.heardAt))
+	}
 	at.pieces++
+	at.heardAt = now
 	if at.pieces == pacePieces {
 		ou := at.times()
 		ou.Going = true
@@ -150,7 +165,7 @@
 	fw := at.jb.fw
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.picker.Heard(time.Now(), at.flight)
+	fw.picker.Heard(now, at.flight)
 }
 
 func (at *attempt) call() *core.Call {
@@ -249,16 +264,42 @@
 	}
 	fw := jb.fw
 	fw.mu.Lock()
-	fw.picker.Ended(now, at.flight, out)
+	turn, failing := fw.picker.Ended(now, at.flight, out)
 	fw.mu.Unlock()
 	at.show(at.evidence(ve, gone))
 	fw.parts.Canary.Ended(at.to.Service, at.to.Version)
+	fw.meters.attempt(ve)
 	if ve != taken {
-		fw.meters.attemptFailed(ve)
-		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "upstream", at.to.ID, "address", at.to.Addr,
-			"version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.why,
+		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
+			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.why,
 			"took", now.Sub(at.sent), "pieces", at.pieces)
 	}
+	at.logTurn(turn, ve, failing)
+}
+
+// logBegin logs the choice of the upstream with what it went by.
+func (at *attempt) logBegin(candidates int, repeats float64) {
+	jb, ba := at.jb, at.flight.Basis()
+	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
+		"version", at.to.Version, "model", at.rq.Model, "configuration", jb.tb.Version, "news-age", jb.fw.parts.Age(),
+		"candidates", candidates, "own", ba.Own, "others", round(ba.Others), "load-age", ba.LoadAge, "failing", round(ba.Failing),
+		"kept", ba.Kept, "read", at.read, "patience", at.patience, "left", at.left, "repeats-left", round(repeats))
+}
+
+// round cuts what is estimated to two places, for the log.
+func round(val float64) float64 { return math.Round(100*val) / 100 }
+
+// logTurn logs what the attempt's end changed about its upstream.
+func (at *attempt) logTurn(turn balance.Turn, ve verdict, failing float64) {
+	lg := at.jb.fw.deps.Log
+	switch turn {
+	case balance.Avoided:
+		event.Log(lg, event.UpstreamAvoided, "upstream", at.to.ID, "address", at.to.Addr, "verdict", ve.String(),
+			"why", at.why, "failing", round(failing), "request", at.jb.ex.ID)
+	case balance.Trusted:
+		event.Log(lg, event.UpstreamTrusted, "upstream", at.to.ID, "failing", round(failing))
+	case balance.Same:
+	}
 }
 
 // evidence is what the attempt's end says about its upstream's version.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -205,6 +205,25 @@
 	fw.picker.Forget(id)
 }
 
+// RepeatsLeft returns the repeats that this entry may still make, by service.
+func (fw *Forwarder) RepeatsLeft() map[core.ServiceID]float64 {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	out := make(map[core.ServiceID]float64, len(fw.windows))
+	for sv, wi := range fw.windows {
+		out[sv] = wi.Left(time.Now(), retry.Retry)
+	}
+	return out
+}
+
+// Avoided counts the upstreams of a service that this entry keeps work from.
+func (fw *Forwarder) Avoided(sv core.ServiceID) int {
+	hosts := fw.parts.Fleet.Serving(sv, time.Now())
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.Avoided(hosts)
+}
+
 // Load returns what this entry tells the others of its work at upstreams.
 func (fw *Forwarder) Load() balance.Load {
 	fw.mu.Lock()
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -33,10 +33,14 @@
 	// and the confidence of the answer that was dropped last.
 	stage, next int
 	doubted     *doubted
+	// sure is the confidence that sufficed when an answer was doubted last.
+	sure float64
 	// ran is set once the work may have run.
 	ran bool
-	// last is the newest failed attempt, for the answer and the log.
-	last string
+	// last is the newest failed attempt, and noRepeat why no other followed, for
+	// the log.
+	last     string
+	noRepeat string
 }
 
 // maxSends bounds the attempts that reach no upstream, or are refused, beside
@@ -132,13 +136,24 @@
 // mayRepeat reports whether work that may have run can run once more, and takes
 // it from the budget.
 func (jb *job) mayRepeat(ctx context.Context) bool {
-	if !jb.rt.Repeat.Repeatable() || jb.runs >= jb.attempts() || ctx.Err() != nil {
-		return false
-	}
-	if left, bounded := jb.left(time.Now()); bounded && left < 2*leastLeft {
-		return false
+	left, bounded := jb.left(time.Now())
+	switch {
+	case !jb.rt.Repeat.Repeatable():
+		jb.noRepeat = "the work may run once only"
+	case jb.runs >= jb.attempts():
+		jb.noRepeat = "the route's attempts are used up"
+	case ctx.Err() != nil:
+		jb.noRepeat = context.Cause(ctx).Error()
+	case bounded && left < 2*leastLeft:
+		jb.noRepeat = "the time is nearly up"
+	case !jb.others():
+		jb.noRepeat = "there is no upstream that was not asked"
+	case !jb.spend(retry.Retry):
+		jb.noRepeat = "the budget for repeats is used up"
+	default:
+		jb.noRepeat = ""
 	}
-	return jb.others() && jb.spend(retry.Retry)
+	return jb.noRepeat == ""
 }
 
 // doubted is an answer that its model was not sure of.
@@ -159,7 +174,7 @@
 	}
 	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence, jb.fits)
 	if climb {
-		jb.next = next
+		jb.next, jb.sure = next, la.Sure()
 		jb.doubted = &doubted{jb.stage, re.Confidence}
 	}
 	return climb
@@ -191,8 +206,10 @@
 func (jb *job) spend(pu retry.Purpose) bool {
 	fw := jb.fw
 	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	return fw.window(jb.service).Spend(time.Now(), pu)
+	ok := fw.window(jb.service).Spend(time.Now(), pu)
+	fw.mu.Unlock()
+	fw.meters.repeat(pu, ok)
+	return ok
 }
 
 // others reports whether there is an upstream that was not asked.
@@ -235,15 +252,19 @@
 	}
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
 	at.flight = fw.picker.Sent(now, ho, rq)
-	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.flight.Read(), left)
+	at.read = at.flight.Read()
+	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.read, left)
+	repeats := fw.window(jb.service).Left(now, retry.Retry)
 	fw.mu.Unlock()
 	fw.parts.Canary.Sent(now, jb.ex.Session, ho)
 	jb.tried = append(jb.tried, ho.ID)
 	jb.sends++
 	jb.runs++
+	at.number = jb.sends
 	if jb.runs >= jb.attempts() {
 		at.patience = 0
 	}
+	at.logBegin(len(hosts), repeats)
 	return at, nil
 }
 
@@ -284,6 +305,6 @@
 	jb.fw.meters.ended(fl.Code, took)
 	event.Log(jb.fw.deps.Log, event.ExchangeFailed, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
 		"service", jb.service, "model", jb.model(), "code", fl.Code, "ran", fl.Ran, "message", fl.Message, "last", jb.last,
-		"attempts", jb.sends, "took", took, "retry-after", fl.RetryAfter, "configuration", jb.tb.Version,
+		"no-repeat", jb.noRepeat, "attempts", jb.sends, "took", took, "retry-after", fl.RetryAfter, "configuration", jb.tb.Version,
 		"news-age", jb.fw.parts.Age())
 }
--- a/core/forward/meters.go
+++ b/core/forward/meters.go
@@ -2,25 +2,25 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"skylarkstand/core"
+	"skylarkstand/core/meter"
 	"skylarkstand/core/retry"
 )
 
-// meters are the counters and histograms of exchanges.
+// meters count what exchanges come to.
 type meters struct {
 	scope tally.Scope
-	took  tally.Histogram
+	// took and gaps are recorded often.
+	took, gaps tally.Histogram
 }
 
-// latencies are the bounds of the histograms: doubling from 5 ms to 40 s.
-var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-
 func newMeters(scope tally.Scope) meters {
-	return meters{scope: scope, took: scope.Histogram("exchange-time", latencies)}
+	return meters{scope: scope, took: meter.ExchangeTime.Histogram(scope), gaps: meter.GapTime.Histogram(scope)}
 }
 
 // ended counts an exchange by its code, which is empty for an answer.
@@ -28,14 +28,32 @@
 	if code == "" {
 		code = "answered"
 	}
-	me.scope.Tagged(map[string]string{"code": string(code)}).Counter("exchanges").Inc(1)
+	meter.Exchanges.Inc(me.scope, string(code))
 	if took > 0 {
 		me.took.RecordDuration(took)
 	}
 }
 
-func (me meters) attemptFailed(ve verdict) {
-	me.scope.Tagged(map[string]string{"verdict": ve.String()}).Counter("attempts-failed").Inc(1)
+// answered records when an answer began, and when its attempt was sent.
+func (me meters) answered(sv core.ServiceID, wait, first time.Duration) {
+	meter.WaitTime.Record(me.scope, wait, string(sv))
+	meter.FirstByteTime.Record(me.scope, first, string(sv))
+}
+
+func (me meters) attempt(ve verdict) { meter.Attempts.Inc(me.scope, ve.String()) }
+
+// repeat counts a question to the budget.
+func (me meters) repeat(pu retry.Purpose, granted bool) {
+	meter.Repeats.Inc(me.scope, pu.String(), strconv.FormatBool(granted))
+}
+
+// resumed counts a stream that broke.
+func (me meters) resumed(ok bool) {
+	outcome := "no"
+	if ok {
+		outcome = "yes"
+	}
+	meter.Resumptions.Inc(me.scope, outcome)
 }
 
 // String names a verdict in logs and metrics.
--- a/core/ledger/writer.go
+++ b/core/ledger/writer.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/chain"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 // Writer is the ledger of one entry process. It is safe for concurrent use.
@@ -112,7 +113,7 @@
 }
 
 func (wr *Writer) lose(raw []byte) {
-	wr.deps.Metrics.Counter("bills-lost").Inc(1)
+	meter.BillsLost.Inc(wr.deps.Metrics)
 	event.Log(wr.deps.Log, event.BillLost, "bill", string(raw))
 }
 
@@ -135,7 +136,7 @@
 			event.Log(wr.deps.Log, event.SegmentLate, "error", err)
 		}
 		cancel()
-		wr.deps.Metrics.Gauge("ledger-waiting-bytes").Update(float64(wr.queue.size()))
+		meter.LedgerWaitingBytes.Set(wr.deps.Metrics, float64(wr.queue.size()))
 		wait = wr.interval()
 	}
 }
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -8,6 +8,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 // News is another entry's copy, as far as it is newer.
@@ -140,7 +141,7 @@
 	if first {
 		event.Log(fo.deps.Log, event.StoreDown, "error", err, "revision", fo.mi.Revision())
 	}
-	fo.deps.Metrics.Counter("store-watch-failed").Inc(1)
+	meter.StoreWatchFailed.Inc(fo.deps.Metrics)
 	select {
 	case fo.trouble <- struct{}{}:
 	default:
@@ -199,7 +200,7 @@
 	asked := time.Now()
 	ne, err := fo.sibs.Ask(ctx, fo.mi.Revision())
 	if err != nil {
-		fo.deps.Metrics.Counter("siblings-silent").Inc(1)
+		meter.SiblingsSilent.Inc(fo.deps.Metrics)
 		return
 	}
 	heard := asked.Add(-ne.Age)
--- a/core/register/register.go
+++ b/core/register/register.go
@@ -16,6 +16,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 const (
@@ -50,7 +51,7 @@
 			pause = again
 			if ctx.Err() == nil {
 				event.Log(re.deps.Log, event.StoreWriteLate, "key", re.key, "error", err)
-				re.deps.Metrics.Counter("register-failed").Inc(1)
+				meter.RegisterFailed.Inc(re.deps.Metrics)
 			}
 		}
 		ti := time.NewTimer(pause)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -38,6 +38,9 @@
 	Climb
 )
 
+// String names a purpose in logs and metrics.
+func (pu Purpose) String() string { return [...]string{"retry", "climb"}[pu] }
+
 const (
 	// retryPart and climbPart are the parts of the bound that are used. The
 	// rest is for requests that were counted here and left the sliding window
@@ -64,6 +67,22 @@
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
 	cur := wi.at(now)
+	if wi.left(pu) < 1 {
+		return false
+	}
+	cur.repeats++
+	return true
+}
+
+// Left returns how many repeats there are now.
+func (wi *Window) Left(now time.Time, pu Purpose) float64 {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	wi.at(now)
+	return max(wi.left(pu), 0)
+}
+
+func (wi *Window) left(pu Purpose) float64 {
 	var sum bucket
 	for _, bu := range wi.buckets {
 		sum.requests += bu.requests
@@ -73,11 +92,7 @@
 	if pu == Climb {
 		part = climbPart
 	}
-	if sum.repeats+1 > part*(wi.ratio*sum.requests+wi.slack) {
-		return false
-	}
-	cur.repeats++
-	return true
+	return part*(wi.ratio*sum.requests+wi.slack) - sum.repeats
 }
 
 // at returns the bucket of a time, with those since the last one cleared.
--- a/io/agent/answer.go
+++ b/io/agent/answer.go
@@ -9,6 +9,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 	"skylarkstand/io/frame"
 	protocol "skylarkstand/io/link"
 )
@@ -76,7 +77,7 @@
 			return fr, nil
 		}
 		event.Log(an.ln.deps.Log, event.ForeignFrame, "upstream", an.ln.host.ID, "attempt", an.id)
-		an.ln.deps.Metrics.Counter("foreign-frames").Inc(1)
+		meter.ForeignFrames.Inc(an.ln.deps.Metrics)
 	}
 }
 
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -10,6 +10,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 // errorBody is what a caller gets in place of an answer.
@@ -68,7 +69,7 @@
 func (srv *Server) refuse(w http.ResponseWriter, id core.RequestID, err error) {
 	fl := asFailure(err)
 	event.Log(srv.deps.Log, event.RequestFailed, "request", id, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
-	srv.deps.Metrics.Tagged(map[string]string{"code": string(fl.Code), "ran": string(fl.Ran)}).Counter("requests-failed").Inc(1)
+	meter.RequestsFailed.Inc(srv.deps.Metrics, string(fl.Code), string(fl.Ran))
 	status, ok := statuses[fl.Code]
 	if !ok {
 		status = http.StatusBadGateway
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -9,6 +9,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/meter"
 )
 
 // stream is an answer as server-sent events.
@@ -89,7 +90,7 @@
 	}
 	if !bytes.Contains(data, sm.id) {
 		event.Log(sm.eng.deps.Log, event.ForeignFrame, "peer", "engine")
-		sm.eng.deps.Metrics.Counter("foreign-events").Inc(1)
+		meter.ForeignEvents.Inc(sm.eng.deps.Metrics)
 		return
 	}
 	sm.count(data)
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -4,119 +4,86 @@
 // A process that waits for whoever reads its output stops serving when that
 // one stops reading; one that logs all it is asked to adds to an overload what
 // it has left of its processor. Lines go through a bounded ring to one writer.
-// What finds the ring full, or the second's bound used up, is dropped and
-// counted, and the count is logged.
+// Each event has a ceiling a second, and all together have one; the last quarter
+// of the ring and of the bound is kept for warnings, so that the requests that
+// end badly are told of before those that end well. What is left out is counted
+// by event, and the counts are logged once a second.
+//
+// Times are written as seconds.
 //
 // # Usage
 //
-//	lw, cleanup := logline.New(os.Stdout)
-//	lg := slog.New(slog.NewJSONHandler(lw, nil))
+//	lg, cleanup := logline.New(os.Stdout, slog.LevelInfo, slog.String("process", id))
 //	defer cleanup()                        // writes what waits
 package logline
 
 import (
-	"fmt"
+	"context"
 	"io"
-	"sync"
-	"sync/atomic"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
 	"time"
-)
 
-const (
-	// ring is how many lines wait: a tenth of a second's at the bound.
-	ring = 256
-	// perSecond bounds the lines of a second. A busy entry serves 60 requests a
-	// second with two or three lines each.
-	perSecond = 2000
-	// flushEvery bounds how late a line is written. Lines that come together
-	// share a system call.
-	flushEvery = 50 * time.Millisecond
-	// lineSize is a usual line, for the first allocation of a buffer.
-	lineSize = 512
+	"skylarkstand/core/event"
 )
 
-// Writer implements io.Writer. Each write is a line.
-type Writer struct {
-	out     io.Writer
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Int64
-	free    sync.Pool
-
-	mu     sync.Mutex
-	second time.Time
-	count  int
+// New returns a logger to out whose lines all have the given attributes, and the
+// clean-up that writes what waits.
+func New(out io.Writer, lv slog.Level, attrs ...slog.Attr) (*slog.Logger, func()) {
+	wr := newWriter(out)
+	ha := slog.NewJSONHandler(wr, &slog.HandlerOptions{Level: lv, ReplaceAttr: seconds}).WithAttrs(attrs)
+	wr.tell = func(left map[string]int) { tell(wr, ha, left) }
+	go wr.run()
+	return slog.New(&handler{ha, wr}), wr.close
 }
 
-// New returns a writer to out, and the clean-up that writes what waits.
-func New(out io.Writer) (*Writer, func()) {
-	lw := &Writer{out: out, lines: make(chan []byte, ring), done: make(chan struct{})}
-	lw.free.New = func() any { return make([]byte, 0, lineSize) }
-	go lw.run()
-	return lw, lw.close
+// seconds renders durations as seconds, to the microsecond.
+func seconds(_ []string, at slog.Attr) slog.Attr {
+	if at.Value.Kind() == slog.KindDuration {
+		at.Value = slog.Float64Value(math.Round(at.Value.Duration().Seconds()*1e6) / 1e6)
+	}
+	return at
 }
 
-// Write implements io.Writer. It does not block and returns no error.
-func (lw *Writer) Write(line []byte) (int, error) {
-	if !lw.take(time.Now()) {
-		lw.dropped.Add(1)
-		return len(line), nil
-	}
-	bu, _ := lw.free.Get().([]byte)
-	bu = append(bu[:0], line...)
-	select {
-	case lw.lines <- bu:
-	default:
-		lw.dropped.Add(1)
-	}
-	return len(line), nil
+// handler passes on the lines that the writer admits.
+type handler struct {
+	slog.Handler
+	wr *writer
 }
 
-func (lw *Writer) take(now time.Time) bool {
-	lw.mu.Lock()
-	defer lw.mu.Unlock()
-	if now.Sub(lw.second) >= time.Second {
-		lw.second, lw.count = now, 0
+// Handle implements slog.Handler.
+func (ha *handler) Handle(ctx context.Context, re slog.Record) error {
+	if !ha.wr.admit(time.Now(), re.Level, re.Message, event.Ceiling(re.Message)) {
+		ha.wr.leave(re.Message, 1)
+		return nil
 	}
-	lw.count++
-	return lw.count <= perSecond
+	return ha.Handler.Handle(ctx, re)
 }
 
-// run writes lines, those that come within a short time together.
-func (lw *Writer) run() {
-	defer close(lw.done)
-	var buf []byte
-	var told int64
-	for line := range lw.lines {
-		buf = append(buf[:0], line...)
-		lw.put(line)
-		open := true
-		for wait := time.After(flushEvery); open; {
-			select {
-			case line, ok := <-lw.lines:
-				if !ok {
-					open = false
-					continue
-				}
-				buf = append(buf, line...)
-				lw.put(line)
-			case <-wait:
-				open = false
-			}
-		}
-		if n := lw.dropped.Load(); n > told {
-			buf = fmt.Appendf(buf, "{\"level\":\"WARN\",\"msg\":\"log-dropped\",\"event\":107,\"lines\":%d}\n", n-told)
-			told = n
-		}
-		_, _ = lw.out.Write(buf)
-	}
+// WithAttrs implements slog.Handler.
+func (ha *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &handler{ha.Handler.WithAttrs(attrs), ha.wr}
 }
 
-func (lw *Writer) put(line []byte) {
-	lw.free.Put(line[:0]) //nolint:staticcheck // The slice header is small beside the line it saves.
+// WithGroup implements slog.Handler.
+func (ha *handler) WithGroup(name string) slog.Handler {
+	return &handler{ha.Handler.WithGroup(name), ha.wr}
 }
 
-func (lw *Writer) close() {
-	close(lw.lines)
-	<-lw.done
+// tell logs how many lines of each event were left out. It is called by the
+// writer's own goroutine, so the lines have to find room in the ring: they have
+// the last quarter, and what does not fit is counted again.
+func tell(wr *writer, ha slog.Handler, left map[string]int) {
+	for _, name := range slices.Sorted(maps.Keys(left)) {
+		ev, now := event.LogDropped, time.Now()
+		if !wr.admit(now, ev.Level, ev.Name, event.Ceiling(ev.Name)) {
+			wr.leave(name, left[name])
+			continue
+		}
+		re := slog.NewRecord(now, ev.Level, ev.Name, 0)
+		re.Add("event", ev.Number, "of", name, "lines", left[name])
+		_ = ha.Handle(context.Background(), re) // The writer returns no error.
+	}
 }
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
@@ -21,6 +22,8 @@
 // clean-up.
 func New(role string) (tally.Scope, http.Handler, func()) {
 	reg := prometheus.NewRegistry()
+	// They cost nothing until the page is read.
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	rep := tallyprom.NewReporter(tallyprom.Options{Registerer: reg, Gatherer: reg})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "skylarkstand", Tags: map[string]string{"role": role},
