Do not blame upstreams for callers that leave, and say who ended an answer

Cause: an answer whose caller could not be written to was closed before its server had noticed the end of the connection, so that the attempt counted as lost by its upstream, and against a version under roll-out. Ruled out: connections that the upstreams dropped; their lines have no caller that left at the time.

Closing an answer now ends its attempt as abandoned. The line of a cut answer has the code of what ended it: caller-gone, leaving, deadline, or outcome-unknown when the upstream broke off.

Tests: what the lines of a failing exchange say, and that upstreams of callers that leave are not avoided (red before).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -342,10 +342,10 @@
 }
 
 // Avoided counts the upstreams of a list that work is kept from.
-func (pk *Picker) Avoided(hosts []core.Host) int {
+func (pk *Picker) Avoided(now time.Time, hosts []core.Host) int {
 	sum := 0
 	for i := range hosts {
-		if pe := pk.peers[hosts[i].ID]; pe != nil && pe.avoided {
+		if pe := pk.peers[hosts[i].ID]; pe != nil && pe.avoids(now) {
 			sum++
 		}
 	}
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -51,14 +51,19 @@
 )
 
 // avoidedFrom is the share of failures from which an upstream counts as
-// avoided: three in a row, or half of the last ones. It then seems slower by
-// half a second and more, which is above what load alone makes of any.
-const avoidedFrom = 0.5
+// avoided: that after one failure of a sound one. It then seems slower by 0.2 s,
+// which is more than the load of a calm pool makes of any.
+const avoidedFrom = failWeight
+
+// avoids reports whether work is kept from the upstream.
+func (pe *peer) avoids(now time.Time) bool {
+	return now.Before(pe.down) || pe.badness(now) >= avoidedFrom
+}
 
 // turn notes whether the upstream is avoided after an outcome.
 func (pe *peer) turn(now time.Time) Turn {
 	was := pe.avoided
-	pe.avoided = now.Before(pe.down) || pe.badness(now) >= avoidedFrom
+	pe.avoided = pe.avoids(now)
 	switch {
 	case pe.avoided == was:
 		return Same
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -199,7 +199,7 @@
 		jb.noRepeat = "the route's streams are not resumed"
 		return false
 	case ans.ctx.Err() != nil:
-		jb.noRepeat = context.Cause(ans.ctx).Error()
+		jb.noRepeat = reason(ans.ctx)
 		return false
 	}
 	for ve := lost; jb.mayRepeat(ans.ctx); {
@@ -236,12 +236,15 @@
 		if ans.status >= http.StatusInternalServerError {
 			ve = failed
 		}
+	case errors.Is(err, errCallerGone):
+		// The server may not have noticed yet. Without this the upstream would be
+		// blamed for an answer that nobody wanted.
+		ans.at.cancel(nil)
+		ve, code = lost, core.CodeCallerGone
+		ans.at.blame(err)
 	default:
-		ve, code = lost, core.CodeOutcomeLost
+		ve, code = lost, ended(ans.ctx)
 		ans.at.blame(err)
-		if errors.Is(context.Cause(ans.ctx), errOverdue) {
-			code = core.CodeDeadline
-		}
 	}
 	ans.at.end(ve)
 	jb.fw.meters.ended(code, took)
@@ -264,13 +267,15 @@
 		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
 		return
 	}
-	event.Log(jb.fw.deps.Log, event.ExchangeCut, append(attrs, "code", code, "message", ans.err.Error(), "last", jb.last, "no-repeat", jb.noRepeat)...)
+	event.Log(jb.fw.deps.Log, event.ExchangeCut, append(attrs, "code", code, "message", at.why, "last", jb.last, "no-repeat", jb.noRepeat)...)
 }
 
+var errCallerGone = errors.New("the caller left before the end")
+
 // Close gives the answer up if it has not ended.
 func (ans *Answer) Close() {
 	if !ans.done {
-		_ = ans.finish(core.Lost("the caller left before the end"))
+		_ = ans.finish(errCallerGone)
 	}
 	if ans.at.reply != nil {
 		ans.at.reply.Body.Close()
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -207,8 +207,8 @@
 // says more than the error of the connection that was dropped for it.
 func (at *attempt) blame(err error) {
 	at.why = err.Error()
-	if cause := context.Cause(at.ctx); cause != nil {
-		at.why = cause.Error()
+	if at.ctx.Err() != nil {
+		at.why = reason(at.ctx)
 	}
 }
 
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -218,10 +218,11 @@
 
 // Avoided counts the upstreams of a service that this entry keeps work from.
 func (fw *Forwarder) Avoided(sv core.ServiceID) int {
-	hosts := fw.parts.Fleet.Serving(sv, time.Now())
+	now := time.Now()
+	hosts := fw.parts.Fleet.Serving(sv, now)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	return fw.picker.Avoided(hosts)
+	return fw.picker.Avoided(now, hosts)
 }
 
 // Load returns what this entry tells the others of its work at upstreams.
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -143,7 +143,7 @@
 	case jb.runs >= jb.attempts():
 		jb.noRepeat = "the route's attempts are used up"
 	case ctx.Err() != nil:
-		jb.noRepeat = context.Cause(ctx).Error()
+		jb.noRepeat = reason(ctx)
 	case bounded && left < 2*leastLeft:
 		jb.noRepeat = "the time is nearly up"
 	case !jb.others():
@@ -289,13 +289,38 @@
 
 // overdue is the failure of a job whose time is up or whose caller is gone.
 func (jb *job) overdue(ctx context.Context) *core.Failure {
-	if errors.Is(context.Cause(ctx), ErrStopping) {
-		return jb.give(core.CodeLeaving, restart, "the process ended before an answer came")
+	switch code := ended(ctx); code {
+	case core.CodeLeaving:
+		return jb.give(code, restart, "the process ended before an answer came")
+	case core.CodeDeadline:
+		return jb.give(code, comeBack, "no answer came in time")
+	default:
+		return jb.give(core.CodeCallerGone, 0, reason(ctx))
 	}
-	if errors.Is(context.Cause(ctx), errOverdue) {
-		return jb.give(core.CodeDeadline, comeBack, "no answer came in time")
+}
+
+// ended is the code of what ended a job's context; while nothing did, the
+// upstream broke off.
+func ended(ctx context.Context) core.Code {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrStopping):
+		return core.CodeLeaving
+	case errors.Is(cause, errOverdue):
+		return core.CodeDeadline
+	case cause != nil:
+		return core.CodeCallerGone
+	default:
+		return core.CodeOutcomeLost
+	}
+}
+
+// reason tells what ended a job's context. net/http cancels it when the caller's
+// connection ends.
+func reason(ctx context.Context) string {
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause.Error()
 	}
-	return jb.give(core.CodeCallerGone, 0, "the caller is gone")
+	return "the caller is gone"
 }
 
 // log writes the one line about the end of an exchange.
--- /dev/null
+++ b/core/forward/log_test.go
@@ -0,0 +1,123 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+)
+
+// A user complains of a request. Its lines say, by its id alone, which upstreams
+// were asked, what came of each, how it ended, and why nothing more was tried.
+func TestLinesTellWhatWasDecided(t *testing.T) {
+	failing := answers(http.StatusInternalServerError, "broken")
+	scenarios := []struct {
+		testName string
+		path     string
+		acts     []act
+		begun    int
+		verdicts []string
+		end      line
+	}{
+		{"lookup answered at once", "/lookup/1", []act{answers(200, "done")}, 1, nil, line{Msg: "exchange-ended"}},
+		{"lookup answered by the second", "/lookup/1", []act{failing, answers(200, "done")}, 2, []string{"failed"}, line{Msg: "exchange-ended"}},
+		{"lookup lost twice", "/lookup/1", []act{cut}, 2, []string{"lost", "lost"},
+			line{Msg: "exchange-failed", Code: "outcome-unknown", Ran: "unknown", NoRepeat: "the route's attempts are used up"}},
+		{"claim lost", "/claim/1", []act{cut}, 1, []string{"lost"},
+			line{Msg: "exchange-failed", Code: "outcome-unknown", Ran: "unknown", NoRepeat: "the work may run once only"}},
+		{"claim refused by all", "/claim/1", []act{full}, 4, []string{"refused", "refused", "refused", "refused"},
+			line{Msg: "exchange-failed", Code: "no-upstream", Ran: "not-run"}},
+		{"chat that breaks off", "/chat/1", []act{breaks("id: 1\ndata: a\n\n")}, 1, []string{"lost"},
+			line{Msg: "exchange-cut", Code: "outcome-unknown", Message: "connection reset", NoRepeat: "the route's streams are not resumed"}},
+		{"unknown route", "/nowhere", nil, 0, nil, line{Msg: "exchange-refused", Code: "unknown-route", Ran: "not-run"}},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				wo := newWorld(t, sc.acts...)
+				_, _, _ = wo.ask(t.Context(), sc.path) // The log is what is checked.
+				begun := wo.lines("attempt-begun")
+				assert.Equal(t, len(begun), sc.begun)
+				for i, li := range begun {
+					assert.Equal(t, li.Attempt, i+1)
+					assert.Equal(t, li.Candidate, 4)
+				}
+				var verdicts []string
+				for _, li := range wo.lines("attempt-ended") {
+					verdicts = append(verdicts, li.Verdict)
+				}
+				assert.DeepEqual(t, verdicts, sc.verdicts)
+				ends := wo.lines("exchange-ended", "exchange-cut", "exchange-failed", "exchange-refused")
+				assert.Equal(t, len(ends), 1)
+				end := ends[0]
+				assert.Equal(t, end.Request, "r1")
+				assert.Equal(t, end.Msg, sc.end.Msg)
+				assert.Equal(t, end.Code, sc.end.Code)
+				assert.Equal(t, end.Ran, sc.end.Ran)
+				assert.Equal(t, end.NoRepeat, sc.end.NoRepeat)
+				if sc.end.Message != "" {
+					assert.Equal(t, end.Message, sc.end.Message)
+				}
+			})
+		})
+	}
+}
+
+// An upstream loses one call after the other. The entry turns to others and says
+// so once, and once more when the upstream has answered again.
+func TestLinesTellWhichUpstreamIsAvoided(t *testing.T) {
+	play(t, func(t *testing.T) {
+		bad := true
+		wo := newWorld(t, nil)
+		wo.acts[0] = func(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+			if bad && ca.To.ID == "up-0" {
+				return cut(ctx, ca)
+			}
+			return answers(http.StatusOK, "done")(ctx, ca)
+		}
+		ask := func() {
+			_, _, err := wo.ask(t.Context(), "/lookup/1")
+			assert.NilError(t, err)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for range 200 {
+			ask()
+		}
+		bad = false
+		for range 200 {
+			ask()
+		}
+		var told []string
+		for _, li := range wo.lines("upstream-avoided", "upstream-trusted") {
+			assert.Equal(t, li.Upstream, "up-0")
+			told = append(told, li.Msg)
+		}
+		assert.Assert(t, len(told) >= 2 && told[0] == "upstream-avoided", "%v", told)
+		assert.Equal(t, told[len(told)-1], "upstream-trusted")
+	})
+}
+
+// Callers leave in the middle of their answers, and their server notices only
+// when it writes. The upstream did nothing wrong: were it blamed, work would go
+// elsewhere, and a version under roll-out would be rolled back.
+func TestUpstreamIsNotBlamedForCallersThatLeave(t *testing.T) {
+	play(t, func(t *testing.T) {
+		wo := newWorld(t, stalls("id: 1\ndata: a\n\n"))
+		for range 12 {
+			ans, err := wo.fw.Forward(t.Context(), &core.Exchange{
+				ID: "r1", Host: "a.example", Path: "/draft/1", Key: "key", Header: http.Header{}, Arrived: time.Now(),
+			})
+			assert.NilError(t, err)
+			ans.Close()
+		}
+		assert.Equal(t, len(wo.lines("upstream-avoided")), 0)
+		for _, li := range wo.lines("exchange-cut") {
+			assert.Equal(t, li.Code, "caller-gone")
+		}
+		assert.Equal(t, len(wo.lines("exchange-cut")), 12)
+	})
+}
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -1,11 +1,15 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -37,6 +41,8 @@
 	age   time.Duration
 	// left is how long the process still serves; 0 is no stop.
 	left time.Duration
+	// log is the lines that were written.
+	log bytes.Buffer
 }
 
 // desk, draft and the others are the routes of the world.
@@ -68,7 +74,9 @@
 	for i := range 4 {
 		fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8})
 	}
-	wo.fw = forward.New(core.NewDeps(), wo, forward.Parts{
+	deps := core.NewDeps()
+	deps.Log = slog.New(slog.NewJSONHandler(&wo.log, nil))
+	wo.fw = forward.New(deps, wo, forward.Parts{
 		InForce: inf, Fleet: fl, Canary: canary.New(),
 		Age:      func() time.Duration { return wo.age },
 		Repeats:  func() *retry.Window { return retry.NewWindow(10*time.Second, 1, 20) },
@@ -209,3 +217,30 @@
 	t.Helper()
 	synctest.Test(t, fn)
 }
+
+// line is what the tests read of a log line.
+type line struct {
+	Msg       string `json:"msg"`
+	Request   string `json:"request"`
+	Attempt   int    `json:"attempt"`
+	Upstream  string `json:"upstream"`
+	Verdict   string `json:"verdict"`
+	Code      string `json:"code"`
+	Ran       string `json:"ran"`
+	Message   string `json:"message"`
+	NoRepeat  string `json:"no-repeat"`
+	Candidate int    `json:"candidates"`
+}
+
+// lines returns what was logged with one of some events.
+func (wo *world) lines(events ...string) []line {
+	var out []line
+	for row := range bytes.Lines(wo.log.Bytes()) {
+		var li line
+		assert.NilError(wo.t, json.Unmarshal(row, &li))
+		if slices.Contains(events, li.Msg) {
+			out = append(out, li)
+		}
+	}
+	return out
+}
