Refuse what engines would begin much too late, and give refused callers turns

Cause: nothing bounded the engines' queues.

core/shed lets a request in while the least expected wait is below three times the tightest aim of its service, a little less for what is less urgent and for a workspace that sends many times what the others do; each refused caller gets a turn of its own at the pace at which requests are let in.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -177,6 +177,22 @@
 	return max(least, 0)
 }
 
+// Wait returns the least time that a prompt would wait at an engine before it is
+// read.
+func (pk *Picker) Wait(now time.Time, hosts []core.Host) time.Duration {
+	least := time.Duration(-1)
+	for i := range hosts {
+		pe := pk.peer(&hosts[i])
+		if now.Before(pe.down) {
+			continue
+		}
+		if _, pending := pk.work(now, pe); least < 0 || pending < least {
+			least = pending
+		}
+	}
+	return max(least, 0)
+}
+
 // field is what all candidates of a decision share.
 type field struct {
 	pool *pool
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -13,6 +13,7 @@
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/shed"
 	"skylarkstand/core/tier"
 )
 
@@ -41,6 +42,7 @@
 	picker  *balance.Picker
 	windows map[core.ServiceID]*retry.Window
 	ladders map[core.ServiceID]*tier.Ladder
+	gates   map[core.ServiceID]*shed.Gate
 	meters  meters
 }
 
@@ -56,8 +58,8 @@
 	fw := &Forwarder{
 		deps: deps, access: access, parts: pa, draw: rand.Float64,
 		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
-		ladders: map[core.ServiceID]*tier.Ladder{},
-		meters:  newMeters(deps.Metrics),
+		ladders: map[core.ServiceID]*tier.Ladder{}, gates: map[core.ServiceID]*shed.Gate{},
+		meters: newMeters(deps.Metrics),
 	}
 	for _, opt := range opts {
 		opt(fw)
@@ -120,6 +122,9 @@
 		return nil, fl
 	}
 	jb.service = rt.Choose(fw.place(ex))
+	if fl := fw.saturated(jb); fl != nil {
+		return nil, fl
+	}
 	if !rt.Repeat.Repeatable() {
 		// A doubtful answer could not be asked for again.
 		jb.stage = max(len(rt.Cascade)-1, 0)
@@ -146,6 +151,38 @@
 	return core.Refuse(core.CodeLeaving, max(left, 0)+restart, "the process is stopping")
 }
 
+// saturated refuses what engines would begin too late. Plain services turn away
+// themselves what they have no room for.
+func (fw *Forwarder) saturated(jb *job) *core.Failure {
+	sv := jb.tb.Service(jb.service)
+	if sv == nil || jb.ex.Prompt == 0 {
+		return nil
+	}
+	now := time.Now()
+	hosts := fw.parts.Fleet.Serving(jb.service, now)
+	fw.mu.Lock()
+	wait := fw.picker.Wait(now, hosts)
+	back, ok := fw.gate(jb.service).Offer(now, shed.Request{
+		Wait: wait, Aim: sv.Aim(), Workspace: jb.workspace, Urgent: jb.priority <= sv.First(), Draw: fw.draw(),
+	})
+	fw.mu.Unlock()
+	if ok {
+		return nil
+	}
+	return core.Refuse(core.CodeOverloaded, back, "the %d upstreams are busy for %s at least", len(hosts), wait.Round(time.Millisecond))
+}
+
+// gate returns what lets the requests of a service in. The caller holds the
+// lock.
+func (fw *Forwarder) gate(sv core.ServiceID) *shed.Gate {
+	ga := fw.gates[sv]
+	if ga == nil {
+		ga = shed.New()
+		fw.gates[sv] = ga
+	}
+	return ga
+}
+
 // unknown refuses what the configuration in force does not have. While newer
 // ones may be on their way here, that is no final word: a caller with a new key
 // would be told for good that it has none.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -73,10 +74,28 @@
 // Service is a pool of upstreams.
 type Service struct {
 	ID core.ServiceID
+	// aim is the tightest of the routes that lead here, 0 without any, and first
+	// the priority of those that go first.
+	aim   time.Duration
+	first int
 	// MaxConnections bounds the connections to one upstream, of all entries.
 	MaxConnections int
 }
 
+// Aim returns the tightest aim of the routes that lead to the service; 0 is none.
+func (sv *Service) Aim() time.Duration { return sv.aim }
+
+// First returns the priority of the routes to the service that go first.
+func (sv *Service) First() int { return sv.first }
+
+// learn notes a route that leads to the service.
+func (sv *Service) learn(rt *Route) {
+	if rt.Aim > 0 && (sv.aim == 0 || rt.Aim < sv.aim) {
+		sv.aim = rt.Aim
+	}
+	sv.first = min(sv.first, rt.Priority)
+}
+
 // Workspace is a customer with its keys.
 type Workspace struct {
 	ID   core.WorkspaceID
@@ -108,8 +127,9 @@
 		Version: doc.Version, Limits: doc.Limits, hosts: map[string][]*Route{},
 		services: map[core.ServiceID]*Service{}, keys: map[core.APIKey]*Workspace{},
 	}
-	for i := range doc.Services {
-		tb.services[doc.Services[i].ID] = &doc.Services[i]
+	for _, sv := range doc.Services {
+		sv.aim, sv.first = 0, math.MaxInt
+		tb.services[sv.ID] = &sv
 	}
 	for i := range doc.Workspaces {
 		for _, key := range doc.Workspaces[i].Keys {
@@ -122,6 +142,9 @@
 			return nil, err
 		}
 		tb.hosts[rt.Host] = append(tb.hosts[rt.Host], rt)
+		for _, sp := range rt.Splits {
+			tb.services[sp.Service].learn(rt)
+		}
 	}
 	for _, rts := range tb.hosts {
 		slices.SortStableFunc(rts, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
