Explain three failed requests by the page, and mend what it lacked

What came up: a stop at whose end an answer is cut blamed the upstream (a line upstream-avoided right before stopped; the attempt now ends as abandoned, with a test that was red); reasons began with a code twice; a refusal said nothing of how many others came, so a story counts what else came to the entry and what was refused.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -207,6 +207,9 @@
 // says more than the error of the connection that was dropped for it.
 func (at *attempt) blame(err error) {
 	at.why = err.Error()
+	if fl := (*core.Failure)(nil); errors.As(err, &fl) {
+		at.why = fl.Message
+	}
 	if at.ctx.Err() != nil {
 		at.why = reason(at.ctx)
 	}
@@ -255,7 +258,7 @@
 	at.ended = true
 	jb, now := at.jb, time.Now()
 	out := ve.outcome()
-	gone := errors.Is(context.Cause(at.ctx), context.Canceled) && ve == lost
+	gone := ve == lost && given(context.Cause(at.ctx))
 	if gone {
 		out = balance.Abandoned
 	}
@@ -277,6 +280,12 @@
 	at.logTurn(turn, ve, failing)
 }
 
+// given reports whether an attempt was given up for reasons that say nothing
+// about its upstream: the caller left, or this process stops.
+func given(cause error) bool {
+	return errors.Is(cause, context.Canceled) || errors.Is(cause, ErrStopping)
+}
+
 // logBegin logs the choice of the upstream with what it went by.
 func (at *attempt) logBegin(candidates int, repeats float64) {
 	jb, ba := at.jb, at.flight.Basis()
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -205,7 +205,7 @@
 func (fw *Forwarder) refused(ex *core.Exchange, fl *core.Failure) {
 	fw.meters.ended(fl.Code, 0)
 	event.Log(fw.deps.Log, event.ExchangeRefused, "request", ex.ID, "host", ex.Host, "path", ex.Path,
-		"code", fl.Code, "ran", fl.Ran, "message", fl.Message, "retry-after", fl.RetryAfter, "configuration", fw.version())
+		"code", fl.Code, "ran", fl.Ran, "message", fl.Message, "retry-after", fl.RetryAfter, "configuration", fw.version(), "news-age", fw.parts.Age())
 }
 
 func (fw *Forwarder) version() route.Version {
--- a/core/forward/log_test.go
+++ b/core/forward/log_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/core"
+	"skylarkstand/core/forward"
 )
 
 // A user complains of a request. Its lines say, by its id alone, which upstreams
@@ -121,3 +122,19 @@
 		assert.Equal(t, len(wo.lines("exchange-cut")), 12)
 	})
 }
+
+// A planned stop gives up the answers that are still under way at its end. Their
+// upstreams did nothing wrong, and the last lines of the log must not say so.
+func TestUpstreamIsNotBlamedForAStop(t *testing.T) {
+	play(t, func(t *testing.T) {
+		wo := newWorld(t, stalls("id: 1\ndata: a\n\n"))
+		ctx, stop := context.WithCancelCause(t.Context())
+		time.AfterFunc(300*time.Millisecond, func() { stop(forward.ErrStopping) })
+		_, _, err := wo.ask(ctx, "/draft/1")
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(wo.lines("upstream-avoided")), 0)
+		cuts := wo.lines("exchange-cut")
+		assert.Equal(t, len(cuts), 1)
+		assert.Equal(t, cuts[0].Code, "leaving")
+	})
+}
--- a/core/story/page.go
+++ b/core/story/page.go
@@ -22,7 +22,7 @@
 	for i := range st.Lines {
 		st.line(&sb, &st.Lines[i])
 	}
-	st.neighbours(&sb)
+	st.others(&sb)
 	if len(st.Missing) == 0 {
 		sb.WriteString("nothing is missing\n")
 	}
@@ -52,12 +52,20 @@
 	sb.WriteByte('\n')
 }
 
-func (st *Story) neighbours(sb *strings.Builder) {
+// others tells how other requests fared at the same entries and upstreams.
+func (st *Story) others(sb *strings.Builder) {
+	for _, tr := range st.Entries {
+		tally(sb, short(tr.Process), tr.Begun, tr.Refused, " refused as ")
+	}
 	for _, ne := range st.Neighbours {
-		fmt.Fprintf(sb, "others at %s around that time: %d attempts begun", ne.Upstream, ne.Begun)
-		for _, ve := range slices.Sorted(maps.Keys(ne.Ended)) {
-			fmt.Fprintf(sb, ", %d %s", ne.Ended[ve], ve)
-		}
-		sb.WriteByte('\n')
+		tally(sb, ne.Upstream, ne.Begun, ne.Ended, " ")
+	}
+}
+
+func tally(sb *strings.Builder, where string, begun int, counts map[string]int, word string) {
+	fmt.Fprintf(sb, "others at %s around that time: %d attempts begun", where, begun)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(sb, ", %d%s%s", counts[name], word, name)
 	}
+	sb.WriteByte('\n')
 }
--- a/core/story/story.go
+++ b/core/story/story.go
@@ -32,10 +32,20 @@
 	// Neighbours tells how the attempts of other requests ended at the
 	// request's upstreams around its time.
 	Neighbours []Neighbour
+	// Entries tells what else came to the request's entries around its time.
+	Entries []Traffic
 	// Missing says what is not known, and why.
 	Missing []string
 }
 
+// Traffic is what else came to an entry.
+type Traffic struct {
+	Process string
+	// Begun counts attempts, Refused the requests that were turned away, by code.
+	Begun   int
+	Refused map[string]int
+}
+
 // Neighbour is what came of other requests' attempts at an upstream.
 type Neighbour struct {
 	Upstream string
@@ -78,6 +88,7 @@
 	st.Lines = append(st.Lines, lo.standing(sc)...)
 	slices.SortStableFunc(st.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	st.Neighbours = lo.neighbours(id, sc)
+	st.Entries = lo.traffic(id, sc)
 	st.Missing = lo.missing(sc, own)
 	return st
 }
@@ -183,6 +194,32 @@
 	return out
 }
 
+// traffic counts what else came to the request's entries.
+func (lo *Log) traffic(id core.RequestID, sc scene) []Traffic {
+	found := map[string]*Traffic{}
+	for who := range sc.processes {
+		found[who] = &Traffic{Process: who, Refused: map[string]int{}}
+	}
+	for i := range lo.lines {
+		li := &lo.lines[i]
+		if li.Get("request") == string(id) || !sc.near(li) {
+			continue
+		}
+		switch li.Event {
+		case event.AttemptBegun.Name:
+			found[li.who()].Begun++
+		case event.ExchangeRefused.Name:
+			found[li.who()].Refused[li.Get("code")]++
+		}
+	}
+	var out []Traffic
+	for _, tr := range found {
+		out = append(out, *tr)
+	}
+	slices.SortFunc(out, func(a, b Traffic) int { return cmp.Compare(a.Process, b.Process) })
+	return out
+}
+
 // nothing says why no line has the id.
 func (lo *Log) nothing() []string {
 	out := []string{"no line has this id: the request did not come to any of these processes, or its lines were left out"}
