Bound the headers of entries' callers

Cause: entries took net/http's own bound, so that 2,000 headers of 500 bytes were read into memory for each connection.

--- a/app/entry.go
+++ b/app/entry.go
@@ -75,7 +75,7 @@
 	done := sup.ServeBackground(duties)
 
 	defer serveAdmin(en.set.Admin, en.admin)()
-	hs := &http.Server{Handler: en.srv, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	hs := callerServer(en.set, en.srv)
 	served := make(chan error, 1)
 	go func() { served <- hs.Serve(li) }()
 	event.Log(en.deps.Log, event.Started, "role", "entry", "listen", li.Addr().String(), "process", en.deps.Self)
@@ -94,6 +94,17 @@
 	return nil
 }
 
+// slop is what net/http allows a header beyond its bound.
+const slop = 4096
+
+// callerServer returns the server for callers. It refuses a header beyond the
+// bound with 431 before it has read the whole of it.
+func callerServer(set settings.Entry, ha http.Handler) *http.Server {
+	return &http.Server{
+		Handler: ha, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: max(set.MaxHeader-slop, 1),
+	}
+}
+
 // serveAdmin serves the page of operators and collectors, if there is an
 // address for it, and returns the clean-up.
 func serveAdmin(addr string, ha http.Handler) func() {
--- a/app/settings/load.go
+++ b/app/settings/load.go
@@ -38,6 +38,7 @@
 	fa.present("region", string(set.Region))
 	fa.present("pin-secret", set.PinSecret)
 	fa.atLeast("max-body", set.MaxBody, 1, "every request would be refused")
+	fa.atLeast("max-header", int64(set.MaxHeader), 1, "every request would be refused")
 	fa.atLeast("max-in-flight", set.MaxInFlight, 1, "every request would be refused")
 	fa.some("max-wait", set.MaxWait, "every request would be refused while its pool is full")
 	fa.atLeast("max-queue", int64(set.MaxQueue), 1, "every request would be refused while its pool is full")
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -39,6 +39,8 @@
 	PinSecret string `json:"pin-secret"`
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64 `json:"max-body,omitempty"`
+	// MaxHeader bounds a caller's request header, in bytes; a longer one gets 431.
+	MaxHeader int `json:"max-header,omitempty"`
 	// MaxInFlight bounds the requests in the process.
 	MaxInFlight int64 `json:"max-in-flight,omitempty"`
 	// MaxWait bounds the wait for a full pool of a request without a deadline.
@@ -120,10 +122,14 @@
 // upstream.
 const defaultProcessors = 4
 
+// defaultHeader is above what browsers and gateways before an entry send, which
+// commonly stop at 8 kB. Each connection may hold as much in memory.
+const defaultHeader = 32 << 10
+
 // DefaultEntry returns an entry's settings before the file is read.
 func DefaultEntry() Entry {
 	return Entry{
-		MaxBody: 4 << 20, MaxInFlight: 4096, Freshness: Duration(20 * time.Second),
+		MaxBody: 4 << 20, MaxHeader: defaultHeader, MaxInFlight: 4096, Freshness: Duration(20 * time.Second),
 		MaxWait: Duration(30 * time.Second), MaxQueue: 4096, CrossingBudget: placement.DefaultCrossing,
 		LedgerWrites: 100, LedgerPace: Duration(2 * time.Second), DrainLimit: Duration(time.Minute), Processors: defaultProcessors, LogLevel: "info",
 	}
