Give callers of one key the answer that another agent stores

Cause: a caller whose key another agent had taken was told at once that the outcome is not known (502), although that agent stored the answer a moment later. Callers of one key that come together reach all agents of a service: 53 of 200 heard 502 while the operation ran once. Ruled out: a lost claim or a paused agent; there was no fault.

Such a caller now waits up to five seconds and looks every half second; all that wait for a bucket share a read. A claim that the other gives back is taken over. When that agent is gone they hear 502 after the five seconds.

--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -32,6 +32,13 @@
 	// retryUnknown is told when another attempt has the key. Asking again with
 	// the same key is safe and brings the answer once it is stored.
 	retryUnknown = 2 * time.Second
+	// otherWait is how long a caller waits for the answer of another agent's
+	// attempt. Most operations take less; when that agent is gone, it is what its
+	// callers wait in vain.
+	otherWait = 5 * time.Second
+	// otherPause is the pause between two looks. All callers that wait for a bucket
+	// of claims share one read.
+	otherPause = 500 * time.Millisecond
 )
 
 // atMostOnce reports whether the attempt's operation may run at most once.
@@ -61,7 +68,7 @@
 		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
 		Digest: digest(at.Body), Attempt: at.ID,
 	}
-	out, err := ex.claims.Claim(ctx, req)
+	out, err := ex.claim(ctx, req)
 	if err != nil {
 		return nil, refuseClaim(err)
 	}
@@ -75,6 +82,29 @@
 	}
 }
 
+// claim takes the key, or waits a little for the answer that another agent is
+// about to store.
+//
+// Callers of one key that come at once reach several agents. One of them runs
+// the operation, which mostly takes less than a second; those at the others had
+// their answer a moment later, and were told that its outcome is not known: with
+// 200 callers of one key at three agents, 53. A claim that the other agent gives
+// back meanwhile is taken over here.
+func (ex *Executor) claim(ctx context.Context, req claim.Request) (claim.Outcome, error) {
+	until := time.Now().Add(otherWait)
+	for {
+		out, err := ex.claims.Claim(ctx, req)
+		if err != nil || out.State != claim.Claimed || out.Owner == ex.deps.Self || time.Now().After(until) {
+			return out, err
+		}
+		select {
+		case <-ctx.Done():
+			return out, nil
+		case <-time.After(otherPause):
+		}
+	}
+}
+
 // refuseClaim is always "not run": the claim of this attempt, written or not,
 // is never told as owned afterwards, and nothing runs without that. The table
 // releases what was written of it.
--- a/core/execute/claimed_test.go
+++ b/core/execute/claimed_test.go
@@ -58,6 +58,8 @@
 	st *fakestore.Store
 	bo *booking
 	ex *execute.Executor
+	// inf is the configuration of the agents.
+	inf *declaration.InForce
 }
 
 func newBench(t *testing.T) *bench {
@@ -74,6 +76,7 @@
 	inf := declaration.NewInForce()
 	_, err = inf.Adopt(raw)
 	assert.NilError(t, err)
+	be.inf = inf
 	be.ex = execute.New(deps, core.Host{ID: "booking-1", Service: "booking"}, inf, be.bo, tbl, execute.Slots(1), execute.Queue(1))
 	return be
 }
@@ -101,6 +104,56 @@
 	return told{"", string(data)}
 }
 
+// beside is another agent of the same service over the same store.
+func (be *bench) beside() *bench {
+	other := newBench(be.t)
+	other.st, other.bo = be.st, be.bo
+	tbl, cleanup := claim.New(core.NewDeps(), be.st)
+	be.t.Cleanup(cleanup)
+	other.ex = execute.New(core.NewDeps(), core.Host{ID: "booking-2", Service: "booking"}, other.inf, be.bo, tbl, execute.Slots(1), execute.Queue(1))
+	return other
+}
+
+// Many callers send one booking with one key at once, and reach two agents. One
+// of these runs it. The callers at the other one get the same answer, and not
+// the word that its outcome is unknown, which would have a clerk look into each.
+func TestCallersAtAnotherAgentGetTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := newBench(t)
+		two := one.beside()
+		one.bo.hold = time.Second
+		got := make(chan told)
+		for i := range 40 {
+			be := []*bench{one, two}[i%2]
+			go func() { got <- be.told("key") }()
+		}
+		for range 40 {
+			assert.Equal(t, <-got, told{"", "booked"})
+		}
+		assert.Equal(t, one.bo.runs, 1)
+	})
+}
+
+// The agent that took a key is paused with its host. Callers at the other agent
+// hear after a few seconds that the outcome is not known, and nothing runs
+// twice.
+func TestCallersDoNotWaitForAPausedAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := newBench(t)
+		two := one.beside()
+		one.bo.hold = time.Hour
+		first := make(chan told)
+		go func() { first <- one.told("key") }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		assert.Equal(t, two.told("key"), told{core.RanUnknown, "outcome-unknown"})
+		took := time.Since(began)
+		assert.Assert(t, took > 4*time.Second && took < 7*time.Second, "%s", took)
+		assert.Equal(t, <-first, told{"", "booked"})
+		assert.Equal(t, one.bo.runs, 1)
+	})
+}
+
 // A caller sends one booking again and again: while it runs, after its answer
 // was lost, after the service could not be reached, while the store is down.
 // It must see one booking at most, and "not run" only when there is none.
