Let engines read short prompts before long ones

Cause: engines read in the order of rank and arrival, and all calls of a route had one rank. Ruled out: the choice of the engine (the long prompt comes after the short one was placed, or from another entry).

The rank adds a step each at 150, 500 and 1,500 ms of reading; one long prompt in four keeps its place, so that the longest are still read.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -75,6 +75,9 @@
 	Failing float64
 }
 
+// Cost returns the time that the flight's own prompt takes to be read.
+func (fl *Flight) Cost() time.Duration { return fl.cost }
+
 // Basis returns what the choice of the flight's upstream went by.
 func (fl *Flight) Basis() Basis { return fl.basis }
 
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -30,6 +30,8 @@
 	// no bound.
 	left    time.Duration
 	bounded bool
+	// rank is the place in the upstream's queue.
+	rank int
 	// patience is how long the header may take; 0 is to the end. Read is the
 	// expected wait for the prompts at the upstream.
 	patience, read time.Duration
@@ -172,7 +174,7 @@
 	jb := at.jb
 	ca := &core.Call{
 		Exchange: jb.ex, To: at.to, Workspace: jb.workspace, Model: at.rq.Model,
-		After: at.after, Priority: jb.priority, Connections: jb.connections(),
+		After: at.after, Priority: at.rank, Connections: jb.connections(),
 	}
 	if at.bounded {
 		ca.Left = max(at.left-time.Since(at.sent), time.Millisecond)
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -254,6 +254,7 @@
 	at.flight = fw.picker.Sent(now, ho, rq)
 	at.read = at.flight.Read()
 	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.read, left)
+	at.rank = balance.Rank(jb.priority, at.flight.Cost(), fw.draw())
 	repeats := fw.window(jb.service).Left(now, retry.Retry)
 	fw.mu.Unlock()
 	fw.parts.Canary.Sent(now, jb.ex.Session, ho)
