--- a/core/balance/rank_test.go
+++ b/core/balance/rank_test.go
@@ -18,9 +18,9 @@
 }
 
 // readAll reads prompts by rank and arrival, one after the other, for a while,
-// and returns how many of the short and of the long ones began within an aim,
-// and how many long ones were read at all.
-func readAll(ranked bool) (short, long, longRead int) {
+// and returns how many of the short ones began within an aim, and how many long
+// ones were read at all.
+func readAll(ranked bool) (short, longRead int) {
 	const every, lasts, aim = 50 * time.Millisecond, 30 * time.Second, 4 * time.Second
 	rn := rand.New(rand.NewPCG(7, 7))
 	var come []waiting
@@ -48,18 +48,14 @@
 		wt := queue[0]
 		queue = queue[1:]
 		now += wt.read
-		isLong := wt.read > time.Second
-		if isLong {
+		switch {
+		case wt.read > time.Second:
 			longRead++
-		}
-		switch inTime := now-wt.came <= aim; {
-		case inTime && isLong:
-			long++
-		case inTime:
+		case now-wt.came <= aim:
 			short++
 		}
 	}
-	return short, long, longRead
+	return short, longRead
 }
 
 // Twice as many prompts come as an engine can read, one in twenty of them
@@ -67,8 +63,8 @@
 // late. With ranks most of the short ones begin in time, and long ones are
 // still read.
 func TestShortPromptsGoBeforeLongOnes(t *testing.T) {
-	short, _, longRead := readAll(false)
-	rankedShort, _, rankedLong := readAll(true)
+	short, longRead := readAll(false)
+	rankedShort, rankedLong := readAll(true)
 	assert.Assert(t, rankedShort > 2*short, "%d short ones in time, %d without ranks", rankedShort, short)
 	assert.Assert(t, rankedLong*4 >= longRead, "%d long ones read, %d without ranks", rankedLong, longRead)
 }
