--- a/app/operating_test.go
+++ b/app/operating_test.go
@@ -82,3 +82,25 @@
 	}
 	return sb.String()
 }
+
+// An on-call engineer follows the page while a user waits. Its commands must run
+// as they stand.
+func TestPageForOnCallEngineersRuns(t *testing.T) {
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "skylarkstand").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	ran := 0
+	for _, block := range regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(string(page), -1) {
+		for line := range strings.Lines(block[1]) {
+			cmd := exec.Command("bash", "-c", line)
+			cmd.Dir, cmd.Env = "..", append(os.Environ(), "PATH="+dir+":"+os.Getenv("PATH"))
+			out, err := cmd.CombinedOutput()
+			assert.NilError(t, err, "%s%s", line, out)
+			assert.Assert(t, strings.Contains(string(out), "exchange-failed"), "%s%s", line, out)
+			ran++
+		}
+	}
+	assert.Assert(t, ran >= 2)
+}
