--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -61,11 +61,9 @@
 
 // Basis is what a choice went by.
 type Basis struct {
-	// Candidates is how many upstreams there were.
-	Candidates int
-	// Own counts the entry's calls at the chosen one, Others those of the other
-	// entries as far as they are known, by a word that is LoadAge old; below 0 is
-	// none.
+	// Own counts the entry's calls at the upstream, Others those of the other
+	// entries as far as they are known, by a word that is LoadAge old, or
+	// [NoLoad].
 	Own     int
 	Others  float64
 	LoadAge time.Duration
@@ -75,6 +73,9 @@
 	Failing float64
 }
 
+// NoLoad is the age of a load that nobody has told.
+const NoLoad = -time.Second
+
 // Cost returns the time that the flight's own prompt takes to be read.
 func (fl *Flight) Cost() time.Duration { return fl.cost }
 
@@ -285,15 +286,15 @@
 }
 
 func (pk *Picker) basis(now time.Time, pe *peer) Basis {
-	ba := Basis{Own: pe.own, LoadAge: -1, Failing: pe.badness(now)}
+	ba := Basis{Own: pe.own, LoadAge: NoLoad, Failing: pe.badness(now)}
 	load, _ := pk.work(now, pe)
 	ba.Others = max(load-float64(pe.own), 0)
 	for _, to := range pk.told {
-		if age := now.Sub(to.at); ba.LoadAge < 0 || age < ba.LoadAge {
+		if age := now.Sub(to.at); ba.LoadAge == NoLoad || age < ba.LoadAge {
 			ba.LoadAge = age
 		}
 	}
-	if ba.LoadAge < 0 && !pe.reported.IsZero() {
+	if ba.LoadAge == NoLoad && !pe.reported.IsZero() {
 		ba.LoadAge = now.Sub(pe.reported)
 	}
 	return ba
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -243,7 +243,7 @@
 		ve, code = lost, core.CodeCallerGone
 		ans.at.blame(err)
 	default:
-		ve, code = lost, ended(ans.ctx)
+		ve, code = lost, endCode(ans.ctx)
 		ans.at.blame(err)
 	}
 	ans.at.end(ve)
@@ -270,6 +270,7 @@
 	event.Log(jb.fw.deps.Log, event.ExchangeCut, append(attrs, "code", code, "message", at.why, "last", jb.last, "no-repeat", jb.noRepeat)...)
 }
 
+// errCallerGone ends an answer that its caller did not wait for.
 var errCallerGone = errors.New("the caller left before the end")
 
 // Close gives the answer up if it has not ended.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -260,7 +260,7 @@
 	at.ended = true
 	jb, now := at.jb, time.Now()
 	out := ve.outcome()
-	gone := ve == lost && given(context.Cause(at.ctx))
+	gone := ve == lost && blameless(context.Cause(at.ctx))
 	if gone {
 		out = balance.Abandoned
 	}
@@ -282,9 +282,9 @@
 	at.logTurn(turn, ve, failing)
 }
 
-// given reports whether an attempt was given up for reasons that say nothing
+// blameless reports whether an attempt was given up for reasons that say nothing
 // about its upstream: the caller left, or this process stops.
-func given(cause error) bool {
+func blameless(cause error) bool {
 	return errors.Is(cause, context.Canceled) || errors.Is(cause, ErrStopping)
 }
 
@@ -294,7 +294,7 @@
 	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 		"version", at.to.Version, "model", at.rq.Model, "configuration", jb.tb.Version, "news-age", jb.fw.parts.Age(),
 		"candidates", candidates, "own", ba.Own, "others", round(ba.Others), "load-age", ba.LoadAge, "failing", round(ba.Failing),
-		"kept", ba.Kept, "read", at.read, "patience", at.patience, "left", at.left, "repeats-left", round(repeats))
+		"kept", ba.Kept, "read", at.read, "rank", at.rank, "patience", at.patience, "left", at.left, "repeats-left", round(repeats))
 }
 
 // round cuts what is estimated to two places, for the log.
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -290,7 +290,7 @@
 
 // overdue is the failure of a job whose time is up or whose caller is gone.
 func (jb *job) overdue(ctx context.Context) *core.Failure {
-	switch code := ended(ctx); code {
+	switch code := endCode(ctx); code {
 	case core.CodeLeaving:
 		return jb.give(code, restart, "the process ended before an answer came")
 	case core.CodeDeadline:
@@ -300,9 +300,9 @@
 	}
 }
 
-// ended is the code of what ended a job's context; while nothing did, the
+// endCode is the code of what ended a job's context; while nothing did, the
 // upstream broke off.
-func ended(ctx context.Context) core.Code {
+func endCode(ctx context.Context) core.Code {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ErrStopping):
 		return core.CodeLeaving
