Log a claim that could not be given back

Cause: a release that the store did not take was counted and said nowhere, so that a key that stays refused could not be explained. It has an event now, claim-unreleased, with the attempt and the error. Nothing else changes.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -115,6 +115,8 @@
 		"A bucket or segment of claims cannot be read; its keys are refused, not run.", "Look at the store: something else wrote under `claims/`."}
 	ClaimUnfinished = &Event{421, "claim-unfinished", slog.LevelWarn,
 		"The answer of an at-most-once operation is not stored yet; it is tried again in the background.", "Look at the store."}
+	ClaimUnreleased = &Event{422, "claim-unreleased", slog.LevelWarn,
+		"A claim of work that did not run could not be given back at once; its key is refused until the store has it.", "Look at the store."}
 	RequestFailed = &Event{500, "request-failed", slog.LevelDebug,
 		"A request ended without an answer.", "Nothing; the code tells the caller."}
 	BillLost = &Event{501, "bill-lost", slog.LevelError,
@@ -154,7 +156,7 @@
 		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, CanaryHeld,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
-		ClaimsBroken, ClaimUnfinished,
+		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
 		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, AttemptBegun, ExchangeCut, RatingsAway,
 	}
 }
--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -221,6 +221,7 @@
 	defer cancel()
 	if err := ex.claims.Release(ctx, req); err != nil {
 		meter.ClaimsUnreleased.Inc(ex.deps.Metrics)
+		event.Log(ex.deps.Log, event.ClaimUnreleased, "attempt", req.Attempt, "error", err)
 	}
 	return cause
 }
