Have one body for failures that callers read

io/caller and io/front each had a type with the same five fields and the same conversion; core.Problem and Failure.Problem take their place. The JSON is the same: the tests of both packages read it as before and pass unchanged.

--- a/core/failure.go
+++ b/core/failure.go
@@ -76,3 +76,19 @@
 func Lost(format string, args ...any) *Failure {
 	return &Failure{Code: CodeOutcomeLost, Ran: RanUnknown, Message: fmt.Sprintf(format, args...)}
 }
+
+// Problem is a failure as callers read it, in JSON.
+type Problem struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Ran is "not-run", "ran" or "unknown".
+	Ran Ran `json:"ran"`
+	// RetryAfter is in seconds; 0 when trying again will not help.
+	RetryAfter float64   `json:"retry-after"`
+	Request    RequestID `json:"request-id"`
+}
+
+// Problem renders a failure for the caller of a request.
+func (fl *Failure) Problem(id RequestID) Problem {
+	return Problem{Code: fl.Code, Message: fl.Message, Ran: fl.Ran, RetryAfter: fl.RetryAfter.Seconds(), Request: id}
+}
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -15,17 +15,7 @@
 
 // errorBody is what a caller gets in place of an answer.
 type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Code    core.Code `json:"code"`
-	Message string    `json:"message"`
-	// Ran is "not-run", "ran" or "unknown".
-	Ran core.Ran `json:"ran"`
-	// RetryAfter is in seconds; 0 when trying again will not help.
-	RetryAfter float64        `json:"retry-after"`
-	RequestID  core.RequestID `json:"request-id"`
+	Error core.Problem `json:"error"`
 }
 
 // statuses maps failure codes to HTTP. Others are 502.
@@ -58,12 +48,6 @@
 	return errInternal
 }
 
-func detail(fl *core.Failure, id core.RequestID) errorBody {
-	return errorBody{errorDetail{
-		Code: fl.Code, Message: fl.Message, Ran: fl.Ran, RetryAfter: fl.RetryAfter.Seconds(), RequestID: id,
-	}}
-}
-
 // refuse answers a request with a failure, at once: an answer held back would
 // only hide from the client when to come back.
 func (srv *Server) refuse(w http.ResponseWriter, id core.RequestID, err error) {
@@ -80,7 +64,7 @@
 		hd.Set("Retry-After", retryAfter(fl.RetryAfter))
 	}
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(detail(fl, id))
+	_ = json.NewEncoder(w).Encode(errorBody{fl.Problem(id)})
 }
 
 // retryAfter is in whole seconds, rounded up: coming back early would be
@@ -94,7 +78,7 @@
 func (srv *Server) breakOff(w http.ResponseWriter, id core.RequestID, err error) {
 	fl := asFailure(err)
 	event.Log(srv.deps.Log, event.RequestFailed, "request", id, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
-	raw, err := json.Marshal(detail(fl, id))
+	raw, err := json.Marshal(errorBody{fl.Problem(id)})
 	if err != nil {
 		return
 	}
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -10,17 +10,6 @@
 	"skylarkstand/core"
 )
 
-// problem is what a caller gets in place of an answer.
-type problem struct {
-	Code    core.Code `json:"code"`
-	Message string    `json:"message"`
-	// Ran is "not-run", "ran" or "unknown".
-	Ran core.Ran `json:"ran"`
-	// RetryAfter is in seconds; 0 when trying again will not help.
-	RetryAfter float64        `json:"retry-after"`
-	Request    core.RequestID `json:"request-id"`
-}
-
 // refusals are the statuses of failures that were not run and that the caller
 // can mend. All other failures that were not run are 503, by which a caller may
 // send even work that must not run twice.
@@ -65,7 +54,7 @@
 		hd.Set("Retry-After", seconds(fl.RetryAfter))
 	}
 	w.WriteHeader(status(fl))
-	_ = json.NewEncoder(w).Encode(problem{fl.Code, fl.Message, fl.Ran, fl.RetryAfter.Seconds(), id})
+	_ = json.NewEncoder(w).Encode(fl.Problem(id))
 }
 
 // seconds may have a fraction; callers that read whole seconds round it up.
