Admit and answer in one place for chats and calls

Both handlers repeated the deadline, the admission, the clean-up and the relay. They differ in what they ask and in the version that a chat tells, which they hand in. Tests of io/caller pass unchanged.

--- a/io/caller/handlers.go
+++ b/io/caller/handlers.go
@@ -9,6 +9,8 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"skylarkstand/core"
+	"skylarkstand/core/admission"
+	"skylarkstand/core/declaration"
 	"skylarkstand/core/dispatch"
 	"skylarkstand/core/session"
 )
@@ -38,6 +40,19 @@
 	if err != nil {
 		return err
 	}
+	return srv.answer(w, rq, id, po, ws, dr, func(ctx context.Context) (*dispatch.Outcome, error) {
+		out, err := srv.dis.Chat(ctx, dr)
+		if err == nil {
+			srv.tellVersion(w.Header(), pin, rq.Header.Get(HeaderSession) != "", out)
+		}
+		return out, err
+	})
+}
+
+// answer admits a request to its pool, asks for its outcome and passes that on.
+func (srv *Server) answer(w http.ResponseWriter, rq *http.Request, id core.RequestID, po admission.Pool, ws *declaration.Workspace,
+	dr *dispatch.Request, ask func(context.Context) (*dispatch.Outcome, error),
+) error {
 	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
 	defer cancel()
 	ad, err := srv.admit(ctx, po, ws, dr)
@@ -45,12 +60,11 @@
 		return err
 	}
 	defer ad.leave()
-	out, err := srv.dis.Chat(ctx, dr)
+	out, err := ask(ctx)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	srv.tellVersion(w.Header(), pin, rq.Header.Get(HeaderSession) != "", out)
 	return srv.relay(w, id, out, dr.Stream, ad)
 }
 
@@ -102,17 +116,5 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := withDeadline(rq.Context(), dr.Deadline)
-	defer cancel()
-	ad, err := srv.admit(ctx, po, ws, dr)
-	if err != nil {
-		return err
-	}
-	defer ad.leave()
-	out, err := srv.dis.Call(ctx, dr)
-	if err != nil {
-		return err
-	}
-	defer out.Close()
-	return srv.relay(w, id, out, dr.Stream, ad)
+	return srv.answer(w, rq, id, po, ws, dr, func(ctx context.Context) (*dispatch.Outcome, error) { return srv.dis.Call(ctx, dr) })
 }
