--- a/app/apply.go
+++ b/app/apply.go
@@ -32,16 +32,23 @@
 }
 
 func (cmd *applyCmd) run(ctx context.Context) error {
-	doc, err := cmd.read()
+	pub, pr, err := proposal(ctx, cmd.storeArgs, cmd.fileArgs, cmd.Base)
 	if err != nil {
 		return err
 	}
-	pub := publish.New(cmd.open())
-	base, err := baseOf(ctx, pub, cmd.Base)
+	return cmd.apply(ctx, pub, cmd.name(), pr)
+}
+
+// proposal reads the files and finds the generation that they are to replace:
+// the one given, or else the newest.
+func proposal(ctx context.Context, sa storeArgs, fa fileArgs, given *uint64) (*publish.Publisher, publish.Proposal, error) {
+	doc, err := fa.read()
 	if err != nil {
-		return err
+		return nil, publish.Proposal{}, err
 	}
-	return cmd.apply(ctx, pub, cmd.name(), publish.Proposal{Document: doc, Base: base})
+	pub := publish.New(sa.open())
+	base, err := baseOf(ctx, pub, given)
+	return pub, publish.Proposal{Document: doc, Base: base}, err
 }
 
 // apply shows a change, puts it in force and says truthfully what became of
--- a/app/diff.go
+++ b/app/diff.go
@@ -17,16 +17,11 @@
 }
 
 func (cmd *diffCmd) run(ctx context.Context) error {
-	doc, err := cmd.read()
+	pub, pr, err := proposal(ctx, cmd.storeArgs, cmd.fileArgs, cmd.Base)
 	if err != nil {
 		return err
 	}
-	pub := publish.New(cmd.open())
-	base, err := baseOf(ctx, pub, cmd.Base)
-	if err != nil {
-		return err
-	}
-	res, err := pub.Prepare(ctx, publish.Proposal{Document: doc, Base: base})
+	res, err := pub.Prepare(ctx, pr)
 	if errors.Is(err, publish.ErrSame) {
 		fmt.Printf("nothing changes: generation %d says the same\n", res.Before.Number)
 		return nil
