--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -113,27 +113,34 @@
 	}
 }
 
-// A host loses power. Each call that is sent there waits for the whole time that
-// a connection may take to open; after the first, calls must go elsewhere, and
-// one must find out later whether it is back.
-func TestUnreachedUpstreamRests(t *testing.T) {
+// asks makes calls of a pool of three, one each 50 ms, of which the first
+// upstream ends each in the same bad way. It returns how many went there.
+func asks(calls int, bad balance.Outcome) int {
 	pk := balance.New("muc-a", "muc")
 	hosts := pool(3, 6)
 	rnd := rand.New(rand.NewPCG(4, 1))
 	rq := balance.Request{Service: "s", Pool: "claim"}
 	asked := 0
-	for i := range 200 {
+	for i := range calls {
 		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
 		ho, _ := pk.Pick(now, hosts, rq, rnd.Float64)
 		fl := pk.Sent(now, ho, rq)
 		if ho.ID == "up-0" {
 			asked++
-			pk.Ended(now, fl, balance.Unreached)
+			pk.Ended(now, fl, bad)
 			continue
 		}
 		pk.Begun(now, fl, rq, nil)
 		pk.Ended(now, fl, balance.Good)
 	}
+	return asked
+}
+
+// A host loses power. Each call that is sent there waits for the whole time that
+// a connection may take to open; after the first, calls must go elsewhere, and
+// one must find out later whether it is back.
+func TestUnreachedUpstreamRests(t *testing.T) {
+	asked := asks(200, balance.Unreached)
 	assert.Assert(t, asked >= 2 && asked <= 8, "%d of 200 in ten seconds", asked)
 }
 
@@ -142,24 +149,7 @@
 // there is refused by the new one; a second must not follow, or a whole service
 // gets more arrivals than its callers' requests allow.
 func TestReplacedUpstreamIsLeft(t *testing.T) {
-	pk := balance.New("muc-a", "muc")
-	hosts := pool(3, 6)
-	rnd := rand.New(rand.NewPCG(4, 1))
-	rq := balance.Request{Service: "s", Pool: "claim"}
-	asked := 0
-	for i := range 100 {
-		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
-		ho, _ := pk.Pick(now, hosts, rq, rnd.Float64)
-		fl := pk.Sent(now, ho, rq)
-		if ho.ID == "up-0" {
-			asked++
-			pk.Ended(now, fl, balance.Replaced)
-			continue
-		}
-		pk.Begun(now, fl, rq, nil)
-		pk.Ended(now, fl, balance.Good)
-	}
-	assert.Equal(t, asked, 1)
+	assert.Equal(t, asks(100, balance.Replaced), 1)
 }
 
 // A pool of three with six places each gets calls of several entries. The one
