--- a/core/execute/claimed_test.go
+++ b/core/execute/claimed_test.go
@@ -52,8 +52,8 @@
 func (re *reply) Close()                   {}
 func (re *reply) ReplayOf() core.AttemptID { return "" }
 
-// bench is one agent beside the booking service.
-type bench struct {
+// rig is one agent beside the booking service.
+type rig struct {
 	t  *testing.T
 	st *fakestore.Store
 	bo *booking
@@ -62,10 +62,10 @@
 	inf *declaration.InForce
 }
 
-func newBench(t *testing.T) *bench {
-	be := &bench{t: t, st: fakestore.New(), bo: &booking{}}
+func newRig(t *testing.T) *rig {
+	ri := &rig{t: t, st: fakestore.New(), bo: &booking{}}
 	deps := core.NewDeps()
-	tbl, cleanup := claim.New(deps, be.st)
+	tbl, cleanup := claim.New(deps, ri.st)
 	t.Cleanup(cleanup)
 	gen := declaration.Generation{Number: 1, Document: declaration.Document{
 		Services:   []declaration.Service{{ID: "booking", Operations: []declaration.Operation{{ID: "survey", AtMostOnce: true}}}},
@@ -76,9 +76,9 @@
 	inf := declaration.NewInForce()
 	_, err = inf.Adopt(raw)
 	assert.NilError(t, err)
-	be.inf = inf
-	be.ex = execute.New(deps, core.Host{ID: "booking-1", Service: "booking"}, inf, be.bo, tbl, execute.Slots(1), execute.Queue(1))
-	return be
+	ri.inf = inf
+	ri.ex = execute.New(deps, core.Host{ID: "booking-1", Service: "booking"}, inf, ri.bo, tbl, execute.Slots(1), execute.Queue(1))
+	return ri
 }
 
 // told is what a caller was told: an answer, or a code and whether it ran.
@@ -87,30 +87,30 @@
 	text string
 }
 
-func (be *bench) call(ctx context.Context, key string) told {
+func (ri *rig) call(ctx context.Context, key string) told {
 	at := &core.Attempt{
 		ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: "survey",
 		IdempotencyKey: key, Generation: 1, Body: []byte("{}"),
 	}
-	ans, err := be.ex.Run(ctx, at)
+	ans, err := ri.ex.Run(ctx, at)
 	if err != nil {
 		var fl *core.Failure
-		assert.Assert(be.t, errors.As(err, &fl), "%v", err)
+		assert.Assert(ri.t, errors.As(err, &fl), "%v", err)
 		return told{fl.Ran, string(fl.Code)}
 	}
 	defer ans.Close()
 	data, err := ans.Next()
-	assert.NilError(be.t, err)
+	assert.NilError(ri.t, err)
 	return told{"", string(data)}
 }
 
 // beside is another agent of the same service over the same store.
-func (be *bench) beside() *bench {
-	other := newBench(be.t)
-	other.st, other.bo = be.st, be.bo
-	tbl, cleanup := claim.New(core.NewDeps(), be.st)
-	be.t.Cleanup(cleanup)
-	other.ex = execute.New(core.NewDeps(), core.Host{ID: "booking-2", Service: "booking"}, other.inf, be.bo, tbl, execute.Slots(1), execute.Queue(1))
+func (ri *rig) beside() *rig {
+	other := newRig(ri.t)
+	other.st, other.bo = ri.st, ri.bo
+	tbl, cleanup := claim.New(core.NewDeps(), ri.st)
+	ri.t.Cleanup(cleanup)
+	other.ex = execute.New(core.NewDeps(), core.Host{ID: "booking-2", Service: "booking"}, other.inf, ri.bo, tbl, execute.Slots(1), execute.Queue(1))
 	return other
 }
 
@@ -119,13 +119,13 @@
 // the word that its outcome is unknown, which would have a clerk look into each.
 func TestCallersAtAnotherAgentGetTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		one := newBench(t)
+		one := newRig(t)
 		two := one.beside()
 		one.bo.hold = time.Second
 		got := make(chan told)
 		for i := range 40 {
-			be := []*bench{one, two}[i%2]
-			go func() { got <- be.told("key") }()
+			ri := []*rig{one, two}[i%2]
+			go func() { got <- ri.told("key") }()
 		}
 		for range 40 {
 			assert.Equal(t, <-got, told{"", "booked"})
@@ -139,7 +139,7 @@
 // twice.
 func TestCallersDoNotWaitForAPausedAgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		one := newBench(t)
+		one := newRig(t)
 		two := one.beside()
 		one.bo.hold = time.Hour
 		first := make(chan told)
@@ -160,104 +160,104 @@
 func TestRunsUnderClaim(t *testing.T) {
 	scenarios := []struct {
 		testName string
-		run      func(be *bench) []told
+		run      func(ri *rig) []told
 		want     []told
 		runs     int
 	}{
-		{"again after the answer", func(be *bench) []told {
-			return []told{be.told("key"), be.told("key"), be.told("key")}
+		{"again after the answer", func(ri *rig) []told {
+			return []told{ri.told("key"), ri.told("key"), ri.told("key")}
 		}, []told{{"", "booked"}, {"", "booked"}, {"", "booked"}}, 1},
-		{"again while it runs", func(be *bench) []told {
-			be.bo.hold = time.Minute
+		{"again while it runs", func(ri *rig) []told {
+			ri.bo.hold = time.Minute
 			first := make(chan told)
-			go func() { first <- be.told("key") }()
+			go func() { first <- ri.told("key") }()
 			time.Sleep(time.Second)
-			second := be.told("key")
+			second := ri.told("key")
 			return []told{<-first, second}
 		}, []told{{"", "booked"}, {"", "booked"}}, 1},
-		{"the service lost the call", func(be *bench) []told {
-			be.bo.err = core.Lost("broken off")
-			first := be.told("key")
-			be.bo.err = nil
-			return []told{first, be.told("key")}
+		{"the service lost the call", func(ri *rig) []told {
+			ri.bo.err = core.Lost("broken off")
+			first := ri.told("key")
+			ri.bo.err = nil
+			return []told{first, ri.told("key")}
 		}, []told{{core.RanUnknown, "outcome-unknown"}, {core.RanUnknown, "outcome-unknown"}}, 1},
-		{"the service could not be reached", func(be *bench) []told {
-			be.bo.err = core.Refuse(core.CodeNoUpstream, time.Second, "no way there")
-			first := be.told("key")
-			be.bo.err = nil
-			return []told{first, be.told("key")}
+		{"the service could not be reached", func(ri *rig) []told {
+			ri.bo.err = core.Refuse(core.CodeNoUpstream, time.Second, "no way there")
+			first := ri.told("key")
+			ri.bo.err = nil
+			return []told{first, ri.told("key")}
 		}, []told{{core.NotRun, "no-upstream"}, {"", "booked"}}, 1},
-		{"the store is down and comes back", func(be *bench) []told {
-			be.st.Set(fakestore.Faults{Down: true})
-			first := be.told("key")
-			be.st.Set(fakestore.Faults{})
-			return []told{first, be.told("key")}
+		{"the store is down and comes back", func(ri *rig) []told {
+			ri.st.Set(fakestore.Faults{Down: true})
+			first := ri.told("key")
+			ri.st.Set(fakestore.Faults{})
+			return []told{first, ri.told("key")}
 		}, []told{{core.NotRun, "store-unavailable"}, {"", "booked"}}, 1},
-		{"the store goes down while the service works", func(be *bench) []told {
-			be.bo.hold = time.Second
-			time.AfterFunc(time.Second/2, func() { be.st.Set(fakestore.Faults{Down: true}) })
-			time.AfterFunc(time.Minute, func() { be.st.Set(fakestore.Faults{}) })
-			first := be.told("key")
-			second := be.told("key")
+		{"the store goes down while the service works", func(ri *rig) []told {
+			ri.bo.hold = time.Second
+			time.AfterFunc(time.Second/2, func() { ri.st.Set(fakestore.Faults{Down: true}) })
+			time.AfterFunc(time.Minute, func() { ri.st.Set(fakestore.Faults{}) })
+			first := ri.told("key")
+			second := ri.told("key")
 			time.Sleep(2 * time.Minute)
-			return []told{first, second, be.told("key")}
+			return []told{first, second, ri.told("key")}
 		}, []told{{"", "booked"}, {core.NotRun, "store-unavailable"}, {"", "booked"}}, 1},
-		{"the caller gives up before its claim stands", func(be *bench) []told {
-			be.st.Set(fakestore.Faults{Latency: time.Second})
-			ctx, cancel := context.WithTimeout(be.t.Context(), time.Second/2)
+		{"the caller gives up before its claim stands", func(ri *rig) []told {
+			ri.st.Set(fakestore.Faults{Latency: time.Second})
+			ctx, cancel := context.WithTimeout(ri.t.Context(), time.Second/2)
 			defer cancel()
-			first := be.call(ctx, "key")
-			be.st.Set(fakestore.Faults{})
+			first := ri.call(ctx, "key")
+			ri.st.Set(fakestore.Faults{})
 			time.Sleep(10 * time.Second)
-			return []told{first, be.told("key")}
+			return []told{first, ri.told("key")}
 		}, []told{{core.NotRun, "deadline"}, {"", "booked"}}, 1},
-		{"a burst fills the queue", func(be *bench) []told {
-			be.bo.hold = time.Minute
+		{"a burst fills the queue", func(ri *rig) []told {
+			ri.bo.hold = time.Minute
 			for _, key := range []string{"runs", "waits"} {
-				go be.told(key)
+				go ri.told(key)
 				time.Sleep(time.Second)
 			}
-			before := be.st.Counts()
-			third := be.told("key")
-			assert.Equal(be.t, be.st.Counts(), before)
+			before := ri.st.Counts()
+			third := ri.told("key")
+			assert.Equal(ri.t, ri.st.Counts(), before)
 			time.Sleep(time.Hour)
-			return []told{third, be.told("key")}
+			return []told{third, ri.told("key")}
 		}, []told{{core.NotRun, "overloaded"}, {"", "booked"}}, 3},
-		{"the upstream leaves while the claim is written", func(be *bench) []told {
-			be.st.Set(fakestore.Faults{Latency: time.Second})
-			time.AfterFunc(time.Second/2, be.ex.Leave)
-			return []told{be.told("key")}
+		{"the upstream leaves while the claim is written", func(ri *rig) []told {
+			ri.st.Set(fakestore.Faults{Latency: time.Second})
+			time.AfterFunc(time.Second/2, ri.ex.Leave)
+			return []told{ri.told("key")}
 		}, []told{{core.NotRun, "leaving"}}, 0},
-		{"no key", func(be *bench) []told { return []told{be.told("")} }, []told{{core.NotRun, "bad-request"}}, 0},
+		{"no key", func(ri *rig) []told { return []told{ri.told("")} }, []told{{core.NotRun, "bad-request"}}, 0},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				be := newBench(t)
-				got := sc.run(be)
+				ri := newRig(t)
+				got := sc.run(ri)
 				assert.Equal(t, len(got), len(sc.want))
 				for i := range got {
 					assert.Equal(t, got[i], sc.want[i])
 				}
-				assert.Equal(t, be.bo.runs, sc.runs)
-				assert.Equal(t, be.ex.Load().Running, 0)
+				assert.Equal(t, ri.bo.runs, sc.runs)
+				assert.Equal(t, ri.ex.Load().Running, 0)
 			})
 		})
 	}
 }
 
-func (be *bench) told(key string) told { return be.call(context.Background(), key) }
+func (ri *rig) told(key string) told { return ri.call(context.Background(), key) }
 
 // An attempt owns its claim and then stands still for two days, paused with its
 // host or behind a call that hangs. The others have dropped its claim by then
 // and the key may have run elsewhere, so it must not call when it goes on.
 func TestPausedBeyondRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		be := newBench(t)
-		be.bo.hold = 50 * time.Hour
-		go be.told("hangs")
+		ri := newRig(t)
+		ri.bo.hold = 50 * time.Hour
+		go ri.told("hangs")
 		time.Sleep(time.Minute)
-		assert.Equal(t, be.told("waits"), told{core.NotRun, "deadline"})
-		assert.Equal(t, be.bo.runs, 1)
+		assert.Equal(t, ri.told("waits"), told{core.NotRun, "deadline"})
+		assert.Equal(t, ri.bo.runs, 1)
 	})
 }
--- a/test/measure/path.go
+++ b/test/measure/path.go
@@ -28,15 +28,15 @@
 
 // measureFirstByte uses one-chunk answers, so that the path's own cost shows.
 func measureFirstByte() error {
-	be, cleanup, err := newBench("first-byte", "--first", "1ms", "--pace", "0s", "--words", "1")
+	ri, cleanup, err := newRig("first-byte", "--first", "1ms", "--pace", "0s", "--words", "1")
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	be.openLoop(be.entry.URL, pathRate, time.Second, false) // Warms connections.
-	be.openLoop(be.engine.URL, pathRate, time.Second, false)
-	direct, _, _ := be.openLoop(be.engine.URL, pathRate, pathTime, false)
-	through, _, failed := be.openLoop(be.entry.URL, pathRate, pathTime, false)
+	ri.openLoop(ri.entry.URL, pathRate, time.Second, false) // Warms connections.
+	ri.openLoop(ri.engine.URL, pathRate, time.Second, false)
+	direct, _, _ := ri.openLoop(ri.engine.URL, pathRate, pathTime, false)
+	through, _, failed := ri.openLoop(ri.entry.URL, pathRate, pathTime, false)
 	added := func(q float64) float64 { return millis(through, q) - millis(direct, q) }
 	figure.Plain("direct-first-byte-p50", millis(direct, 50), "ms")
 	figure.Plain("direct-first-byte-p99", millis(direct, 99), "ms")
@@ -44,7 +44,7 @@
 	figure.AtMost("added-first-byte-p99", added(99), "ms", 3)
 	figure.AtMost("first-byte-failed", float64(failed), "requests", 0)
 
-	rate, bad := be.closedLoop(be.entry.URL, 256, pathTime, false)
+	rate, bad := ri.closedLoop(ri.entry.URL, 256, pathTime, false)
 	figure.AtLeast("requests-per-second", rate, "1/s", 5000)
 	figure.AtMost("requests-failed", float64(bad), "requests", 0)
 	return nil
@@ -52,19 +52,19 @@
 
 // measureTokens uses long streams.
 func measureTokens() error {
-	be, cleanup, err := newBench("tokens", "--first", "1ms", "--pace", "10ms", "--words", "100")
+	ri, cleanup, err := newRig("tokens", "--first", "1ms", "--pace", "10ms", "--words", "100")
 	if err != nil {
 		return err
 	}
 	defer cleanup()
 	const streams = 100
-	_, direct, _ := be.openLoop(be.engine.URL, streams, 4*time.Second, true)
-	before, err := pathUsage(be)
+	_, direct, _ := ri.openLoop(ri.engine.URL, streams, 4*time.Second, true)
+	before, err := pathUsage(ri)
 	if err != nil {
 		return err
 	}
-	_, through, failed := be.openLoop(be.entry.URL, streams, 4*time.Second, true)
-	after, err := pathUsage(be)
+	_, through, failed := ri.openLoop(ri.entry.URL, streams, 4*time.Second, true)
+	after, err := pathUsage(ri)
 	if err != nil {
 		return err
 	}
@@ -79,18 +79,18 @@
 // measureTokenBurst lets the engine send as fast as it can: tokens then arrive
 // together and are relayed together, as in a prompt's speculative decoding.
 func measureTokenBurst() error {
-	be, cleanup, err := newBench("burst", "--first", "1ms", "--pace", "0s", "--words", "400")
+	ri, cleanup, err := newRig("burst", "--first", "1ms", "--pace", "0s", "--words", "400")
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	before, err := pathUsage(be)
+	before, err := pathUsage(ri)
 	if err != nil {
 		return err
 	}
 	const lasts = 4 * time.Second
-	rate, _ := be.closedLoop(be.entry.URL, 16, lasts, true)
-	after, err := pathUsage(be)
+	rate, _ := ri.closedLoop(ri.entry.URL, 16, lasts, true)
+	after, err := pathUsage(ri)
 	if err != nil {
 		return err
 	}
@@ -99,48 +99,48 @@
 }
 
 // pathUsage is the processor time of entry and agent together.
-func pathUsage(be *bench) (time.Duration, error) {
-	en, err := be.entry.Usage()
+func pathUsage(ri *rig) (time.Duration, error) {
+	en, err := ri.entry.Usage()
 	if err != nil {
 		return 0, err
 	}
-	ag, err := be.agent.Usage()
+	ag, err := ri.agent.Usage()
 	return en.Processor + ag.Processor, err
 }
 
 // measureIdle looks at processes that have nothing to do.
 func measureIdle() error {
-	be, cleanup, err := newBenchWith("idle", true, nil)
+	ri, cleanup, err := newRigWith("idle", true, nil)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
 	const idle = 10 * time.Second
 	time.Sleep(time.Second)
-	en, err := be.entry.Usage()
+	en, err := ri.entry.Usage()
 	if err != nil {
 		return err
 	}
-	ag, err := be.agent.Usage()
+	ag, err := ri.agent.Usage()
 	if err != nil {
 		return err
 	}
-	reads, writes, err := storeCounts(be.fl)
+	reads, writes, err := storeCounts(ri.fl)
 	if err != nil {
 		return err
 	}
-	passed := be.fl.Relay("desk-1").Passed()
+	passed := ri.fl.Relay("desk-1").Passed()
 	time.Sleep(idle)
-	passed = be.fl.Relay("desk-1").Passed() - passed
-	en2, err := be.entry.Usage()
+	passed = ri.fl.Relay("desk-1").Passed() - passed
+	en2, err := ri.entry.Usage()
 	if err != nil {
 		return err
 	}
-	ag2, err := be.agent.Usage()
+	ag2, err := ri.agent.Usage()
 	if err != nil {
 		return err
 	}
-	reads2, writes2, err := storeCounts(be.fl)
+	reads2, writes2, err := storeCounts(ri.fl)
 	if err != nil {
 		return err
 	}
--- a/test/measure/rig.go
+++ b/test/measure/rig.go
@@ -17,9 +17,9 @@
 	"skylarkstand/test/fleet"
 )
 
-// bench is one engine with its agent and one entry, and a way to ask the
+// rig is one engine with its agent and one entry, and a way to ask the
 // engine directly for comparison.
-type bench struct {
+type rig struct {
 	fl     *fleet.Fleet
 	entry  *fleet.Process
 	agent  *fleet.Process
@@ -31,28 +31,28 @@
 // is measured and not its bounds.
 var wide = map[string]any{"slots": 8192, "queue": 8192}
 
-func newBench(name string, engineArgs ...string) (*bench, func(), error) {
-	return newBenchWith(name, false, engineArgs)
+func newRig(name string, engineArgs ...string) (*rig, func(), error) {
+	return newRigWith(name, false, engineArgs)
 }
 
-// newBenchWith puts relays before agents and the platform if asked to, so that
+// newRigWith puts relays before agents and the platform if asked to, so that
 // bytes on links can be counted.
-func newBenchWith(name string, relayed bool, engineArgs []string) (*bench, func(), error) {
+func newRigWith(name string, relayed bool, engineArgs []string) (*rig, func(), error) {
 	fl, cleanup, err := fleet.New("bin", filepath.Join("out", "measure", name))
 	if err != nil {
 		return nil, nil, err
 	}
 	fl.Relayed = relayed
-	be := &bench{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
-	if err := be.start(engineArgs); err != nil {
+	ri := &rig{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
+	if err := ri.start(engineArgs); err != nil {
 		cleanup()
 		return nil, nil, err
 	}
-	return be, cleanup, nil
+	return ri, cleanup, nil
 }
 
-func (be *bench) start(engineArgs []string) error {
-	fl := be.fl
+func (ri *rig) start(engineArgs []string) error {
+	fl := ri.fl
 	fl.AgentSettings = wide
 	if err := fl.StartPlatform(nil); err != nil {
 		return err
@@ -63,26 +63,26 @@
 		return err
 	}
 	var err error
-	if be.entry, err = fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
+	if ri.entry, err = fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
 		return err
 	}
-	be.agent, be.engine = fl.Process("desk-1"), fl.Process("desk-1-engine")
+	ri.agent, ri.engine = fl.Process("desk-1"), fl.Process("desk-1-engine")
 	out, err := fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", fl.StoreURL, "--why", "measure", "--who", "measure")
 	if err != nil {
 		return fmt.Errorf("%s: %w", out, err)
 	}
 	for range 200 {
-		if re, err := fleet.Chat(be.entry.URL, "schools-key", "desk", "ready?", false, nil); err == nil && re.Status == 200 {
+		if re, err := fleet.Chat(ri.entry.URL, "schools-key", "desk", "ready?", false, nil); err == nil && re.Status == 200 {
 			return nil
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
-	return fmt.Errorf("the bench is not ready")
+	return fmt.Errorf("the entry %s gives no answer", ri.entry.URL)
 }
 
 // ask sends one request and reads its answer; it returns the time to the first
 // byte, and calls gap with the time between two reads that brought data.
-func (be *bench) ask(base string, stream bool, gap func(time.Duration)) (time.Duration, error) {
+func (ri *rig) ask(base string, stream bool, gap func(time.Duration)) (time.Duration, error) {
 	body := []byte(fmt.Sprintf(`{"model":"desk","stream":%v,"messages":[{"role":"user","content":"hello"}]}`, stream))
 	rq, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
@@ -91,7 +91,7 @@
 	rq.Header.Set("Authorization", "Bearer schools-key")
 	rq.Header.Set("X-Request-Id", core.NewID())
 	began := time.Now()
-	rs, err := be.cli.Do(rq)
+	rs, err := ri.cli.Do(rq)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +122,7 @@
 
 // openLoop sends requests at a rate for a time, whatever the answers take, and
 // records the time from when each was due to its first byte, in microseconds.
-func (be *bench) openLoop(base string, rate int, lasts time.Duration, stream bool) (first, gaps *hdrhistogram.Histogram, failed int64) {
+func (ri *rig) openLoop(base string, rate int, lasts time.Duration, stream bool) (first, gaps *hdrhistogram.Histogram, failed int64) {
 	first, gaps = hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
 	var mu sync.Mutex
 	var bad atomic.Int64
@@ -134,7 +134,7 @@
 		wg.Go(func() {
 			var own []time.Duration
 			sent := time.Now()
-			d, err := be.ask(base, stream, func(g time.Duration) { own = append(own, g) })
+			d, err := ri.ask(base, stream, func(g time.Duration) { own = append(own, g) })
 			if err != nil {
 				bad.Add(1)
 				return
@@ -153,14 +153,14 @@
 
 // closedLoop asks with a number of callers for a time and returns answers a
 // second.
-func (be *bench) closedLoop(base string, callers int, lasts time.Duration, stream bool) (float64, int64) {
+func (ri *rig) closedLoop(base string, callers int, lasts time.Duration, stream bool) (float64, int64) {
 	var done, bad atomic.Int64
 	var wg sync.WaitGroup
 	began := time.Now()
 	for range callers {
 		wg.Go(func() {
 			for time.Since(began) < lasts {
-				if _, err := be.ask(base, stream, nil); err != nil {
+				if _, err := ri.ask(base, stream, nil); err != nil {
 					bad.Add(1)
 					continue
 				}
--- a/test/slopes/path.go
+++ b/test/slopes/path.go
@@ -15,8 +15,8 @@
 	"skylarkstand/test/fleet"
 )
 
-// bench is one engine with its agent, one entry and callers.
-type bench struct {
+// rig is one engine with its agent, one entry and callers.
+type rig struct {
 	fl           *fleet.Fleet
 	entry, agent *fleet.Process
 	cli          *http.Client
@@ -25,51 +25,51 @@
 // wide are limits above anything that is offered here.
 var wide = map[string]any{"slots": 8192, "queue": 8192, "log-level": "warn"}
 
-func newBench(name string, engine ...string) (*bench, func(), error) {
+func newRig(name string, engine ...string) (*rig, func(), error) {
 	fl, cleanup, err := newFleet(name)
 	if err != nil {
 		return nil, nil, err
 	}
-	be := &bench{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
-	if err := be.start(engine); err != nil {
+	ri := &rig{fl: fl, cli: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096}}}
+	if err := ri.start(engine); err != nil {
 		cleanup()
 		return nil, nil, err
 	}
-	return be, func() {
-		be.cli.CloseIdleConnections()
+	return ri, func() {
+		ri.cli.CloseIdleConnections()
 		cleanup()
 	}, nil
 }
 
-func (be *bench) start(engine []string) error {
-	be.fl.AgentSettings = wide
-	if err := be.fl.StartEngine("desk-1", desk, place, append([]string{"--slots", "8192"}, engine...)...); err != nil {
+func (ri *rig) start(engine []string) error {
+	ri.fl.AgentSettings = wide
+	if err := ri.fl.StartEngine("desk-1", desk, place, append([]string{"--slots", "8192"}, engine...)...); err != nil {
 		return err
 	}
 	var err error
-	if be.entry, err = be.fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
+	if ri.entry, err = ri.fl.StartEntry("entry-1", place, map[string]any{"max-in-flight": 8192, "log-level": "warn"}); err != nil {
 		return err
 	}
-	be.agent = be.fl.Process("desk-1")
-	out, err := be.fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", be.fl.StoreURL, "--why", "measure", "--who", "measure")
+	ri.agent = ri.fl.Process("desk-1")
+	out, err := ri.fl.Command("apply", filepath.Join("test", "demo", "landesamt.jsonc"), "--store", ri.fl.StoreURL, "--why", "measure", "--who", "measure")
 	if err != nil {
 		return fmt.Errorf("%s: %w", out, err)
 	}
 	return poll("first answer", func() (bool, error) {
-		return be.ask(context.Background(), "#words=1", false, func() {}) == nil, nil
+		return ri.ask(context.Background(), "#words=1", false, func() {}) == nil, nil
 	})
 }
 
 // ask sends a request and reads its answer; began is called at its first byte.
-func (be *bench) ask(ctx context.Context, prompt string, stream bool, began func()) error {
+func (ri *rig) ask(ctx context.Context, prompt string, stream bool, began func()) error {
 	body := fmt.Appendf(nil, `{"model":"desk","stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, be.entry.URL+"/v1/chat/completions", bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, ri.entry.URL+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	rq.Header.Set("Authorization", "Bearer schools-key")
 	rq.Header.Set("X-Request-Id", core.NewID())
-	rs, err := be.cli.Do(rq)
+	rs, err := ri.cli.Do(rq)
 	if err != nil {
 		return err
 	}
@@ -88,12 +88,12 @@
 
 // offer sends requests at a rate, whatever the answers take, and returns the
 // processor time a second of entry and agent.
-func (be *bench) offer(rate int, lasts time.Duration, stream bool) (entry, agent float64, err error) {
-	en, err := usageOf(be.entry)
+func (ri *rig) offer(rate int, lasts time.Duration, stream bool) (entry, agent float64, err error) {
+	en, err := usageOf(ri.entry)
 	if err != nil {
 		return 0, 0, err
 	}
-	ag, err := usageOf(be.agent)
+	ag, err := usageOf(ri.agent)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -103,7 +103,7 @@
 	for i := range int(lasts.Seconds() * float64(rate)) {
 		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
 		wg.Go(func() {
-			if be.ask(context.Background(), "hello", stream, func() {}) != nil {
+			if ri.ask(context.Background(), "hello", stream, func() {}) != nil {
 				failed.Add(1)
 			}
 		})
@@ -112,11 +112,11 @@
 	if failed.Load() > 0 {
 		return 0, 0, fmt.Errorf("%d requests failed at %d a second", failed.Load(), rate)
 	}
-	en2, err := usageOf(be.entry)
+	en2, err := usageOf(ri.entry)
 	if err != nil {
 		return 0, 0, err
 	}
-	ag2, err := usageOf(be.agent)
+	ag2, err := usageOf(ri.agent)
 	return (en2.processor - en.processor) / lasts.Seconds(), (ag2.processor - ag.processor) / lasts.Seconds(), err
 }
 
@@ -134,17 +134,17 @@
 }
 
 func measureRates(re *report, kind, what string, tokens int, stream bool, rates []int) error {
-	be, cleanup, err := newBench("path-"+kind, "--first", "1ms", "--pace", "10ms", "--words", fmt.Sprint(tokens))
+	ri, cleanup, err := newRig("path-"+kind, "--first", "1ms", "--pace", "10ms", "--words", fmt.Sprint(tokens))
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	if _, _, err := be.offer(rates[0], time.Second, stream); err != nil { // Warms connections.
+	if _, _, err := ri.offer(rates[0], time.Second, stream); err != nil { // Warms connections.
 		return err
 	}
 	var entry, agent []point
 	for _, rate := range rates {
-		en, ag, err := be.offer(rate, offered, stream)
+		en, ag, err := ri.offer(rate, offered, stream)
 		if err != nil {
 			return err
 		}
@@ -158,7 +158,7 @@
 
 // measureStreams holds streams open whose tokens come slowly.
 func measureStreams(re *report) error {
-	be, cleanup, err := newBench("path-streams", "--first", "1ms", "--pace", "1s", "--words", "100")
+	ri, cleanup, err := newRig("path-streams", "--first", "1ms", "--pace", "1s", "--words", "100")
 	if err != nil {
 		return err
 	}
@@ -169,17 +169,17 @@
 	var entry, agent []point
 	for _, count := range []int{100, 500, 1000} {
 		for range count - int(open.Load()) {
-			go func() { _ = be.ask(ctx, "hello", true, func() { open.Add(1) }) }()
+			go func() { _ = ri.ask(ctx, "hello", true, func() { open.Add(1) }) }()
 		}
 		if err := poll("open streams", func() (bool, error) { return open.Load() >= int64(count), nil }); err != nil {
 			return err
 		}
 		time.Sleep(settle)
-		en, err := usageOf(be.entry)
+		en, err := usageOf(ri.entry)
 		if err != nil {
 			return err
 		}
-		ag, err := usageOf(be.agent)
+		ag, err := usageOf(ri.agent)
 		if err != nil {
 			return err
 		}
