--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -202,10 +202,14 @@
 }
 
 // window returns the repeats of a service. The caller holds the lock.
-func (fw *Forwarder) window(sv core.ServiceID) *retry.Window { return perService(fw.windows, sv, fw.parts.Repeats) }
+func (fw *Forwarder) window(sv core.ServiceID) *retry.Window {
+	return perService(fw.windows, sv, fw.parts.Repeats)
+}
 
 // ladder returns the choice of models of a service. The caller holds the lock.
-func (fw *Forwarder) ladder(sv core.ServiceID) *tier.Ladder { return perService(fw.ladders, sv, tier.New) }
+func (fw *Forwarder) ladder(sv core.ServiceID) *tier.Ladder {
+	return perService(fw.ladders, sv, tier.New)
+}
 
 // perService returns what is kept for a service, made when it is first asked for.
 func perService[V any](kept map[core.ServiceID]*V, sv core.ServiceID, fresh func() *V) *V {
