Reserve the ports of test programs in blocks

Addresses were given out after a look whether they are free, by each test program for itself, from a start by its process id. Two programs whose counters pass the same ports at one moment look at one port before either process listens there. Ruled out: outgoing connections (the kernel's range begins at 32768) and addresses given twice by one program (each port is given once). Which program had 10502 is not on record: only the failing cell's logs are kept.

Each program now holds blocks of a hundred ports by a listener on another loopback address until it ends.

--- a/test/fleet/addr.go
+++ b/test/fleet/addr.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,23 +15,70 @@
 	// connection's by the time a process listens on it.
 	firstPort = 10_000
 	ports     = 20_000
-	// portStep spreads the first port of programs that run at once.
-	portStep = 397
+	// blockPorts is how many are reserved at once. A cell of the fault matrix
+	// takes about thirty.
+	blockPorts = 100
+	blocks     = ports / blockPorts
+	// blockStep spreads the first blocks of programs that run at once.
+	blockStep = 37
+	// reserveHost is a loopback address that nothing else listens on. Holding a
+	// block's first port there keeps other programs from the whole block.
+	reserveHost = "127.0.0.2"
 )
 
-// nextPort counts the addresses that this program has given out.
-var nextPort atomic.Int64
+// addrs gives out addresses.
+//
+// Several programs of tests run at once. An address that is only looked at for
+// being free can be given to a process by one of them while the process of
+// another, which has looked as well, is still starting: that one ends with
+// "address already in use". So each program reserves blocks that no other one
+// takes addresses of, until it ends.
+type addrs struct {
+	mu sync.Mutex
+	// block is the next one to try, tried how many were.
+	block, tried int
+	// next and end are the ports that are left of the reserved block.
+	next, end int
+	held      []net.Listener
+}
+
+// given is the addresses of this program.
+var given = addrs{block: os.Getpid() * blockStep % blocks}
 
 // Addr returns a free loopback address, each one once.
-func Addr() (string, error) {
-	for range ports {
-		port := firstPort + (int64(os.Getpid())*portStep+nextPort.Add(1))%ports
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
+func Addr() (string, error) { return given.get() }
+
+func (ad *addrs) get() (string, error) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	for {
+		if ad.next == ad.end {
+			if err := ad.reserve(); err != nil {
+				return "", err
+			}
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", ad.next)
+		ad.next++
 		li, err := net.Listen("tcp", addr)
 		if err != nil {
-			continue
+			continue // Something outside of the tests has it.
 		}
 		return addr, eris.Wrap(li.Close(), "free port")
 	}
-	return "", eris.New("no free port")
+}
+
+// reserve takes the next block that no other program holds.
+func (ad *addrs) reserve() error {
+	for ad.tried < blocks {
+		first := firstPort + ad.block*blockPorts
+		ad.block, ad.tried = (ad.block+1)%blocks, ad.tried+1
+		li, err := net.Listen("tcp", fmt.Sprintf("%s:%d", reserveHost, first))
+		if err != nil {
+			continue // Another program's.
+		}
+		ad.held = append(ad.held, li)
+		ad.next, ad.end = first, first+blockPorts
+		return nil
+	}
+	return eris.New("no free port")
 }
