Keep sessions of other entries on their version when a roll-out begins

Cause: an entry knew only its own sessions, and only until the gap after their last request was sent. A session that ran on the old version at one entry and came next to another within the gap began there on the new one. Streams longer than the gap had the same effect at one entry.

Now entries tell one another their sessions of the first step with their evidence, no session joins in the first three rounds after an order, and a session goes on while one of its answers does.

TestSessionsStay expected new sessions to join in the moment of the order; it now expects that none does, and that they do three seconds later.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -161,6 +161,11 @@
 	for range 2000 {
 		gu.Choose(now, service, "", 0.9, all, true) // The cap counts requests.
 	}
+	for _, se := range joining {
+		ups := gu.Choose(now, service, se, 0, all, true)
+		assert.Equal(t, ups[0].Version, v1, "nobody knows yet which sessions the other entries have")
+	}
+	now = now.Add(3 * time.Second)
 	for i, se := range joining {
 		now = now.Add(10 * time.Millisecond)
 		stale := gu.Choose(now, service, se, 0, all, false)
@@ -174,6 +179,56 @@
 	}
 }
 
+// A session's requests come to several entries. It runs on the old version at
+// one of them when a roll-out begins, and its next request comes to another one
+// that has never heard of it. Its caller would get an answer of the new version
+// that does not fit the one before; it must stay, also when an answer takes
+// longer than the gap between the requests of a session, and for as long as it
+// goes on. Sessions that nobody knows begin on the new version.
+func TestSessionsOfOtherEntriesStay(t *testing.T) {
+	all := hosts()
+	old := core.Host{ID: "old-0", Service: service, Version: v1}
+	var joining []core.SessionID
+	for i := range 4000 {
+		if se := core.SessionID(fmt.Sprint("s", i)); canary.Place(se) < 0.03 {
+			joining = append(joining, se)
+		}
+	}
+	here, there := canary.New(), canary.New()
+	now := time.Unix(1_000_000, 0)
+	going, streaming, fresh := joining[0], joining[1], joining[2:]
+	there.Sent(now, streaming, old)
+	now = now.Add(4 * time.Second)
+	there.Sent(now, going, old)
+	there.Ended(now, going, old)
+	for _, gu := range []*canary.Guard{here, there} {
+		gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
+		for range 2000 {
+			gu.Choose(now, service, "", 0.9, all, true) // The cap counts requests.
+		}
+	}
+	stays := func(gu *canary.Guard, se core.SessionID) {
+		t.Helper()
+		assert.Equal(t, gu.Choose(now, service, se, 0, all, true)[0].Version, v1)
+	}
+	for range 5 {
+		now = now.Add(time.Second)
+		here.Pool(now, there.Reports(now))
+		there.Sent(now, going, old)
+		there.Ended(now, going, old)
+		stays(here, going)
+		stays(here, streaming)
+		stays(there, streaming)
+	}
+	there.Ended(now, streaming, old)
+	now = now.Add(4 * time.Second)
+	stays(there, streaming)
+	stays(here, streaming)
+	for _, se := range fresh {
+		assert.Equal(t, here.Choose(now, service, se, 0, all, true)[0].Version, v2)
+	}
+}
+
 // Operators order the same version again after it was rolled back. The old
 // verdict must not stand in its way, and an old status must not count for it.
 func TestSameVersionOrderedAgain(t *testing.T) {
--- a/core/canary/doc.go
+++ b/core/canary/doc.go
@@ -131,5 +131,7 @@
 func plan(exposure float64) [3]step {
 	trial := trialPart * exposure
 	last := max(usable*exposure-trial-widerShare*widerTime, completeAfter+0.01)
-	return [3]step{{trial, 0}, {widerShare, 1 - last - widerTime}, {1, 1 - last}}
+	// Nothing is sent to it in the first moments, see settle.
+	share := trial / (1 - settleMost)
+	return [3]step{{share, 0}, {widerShare, 1 - last - widerTime}, {1, 1 - last}}
 }
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -261,15 +261,5 @@
 	return time.Duration(overdueBy*first.val*float64(time.Second)) + overdueSlack
 }
 
-// Ended notes the end of an attempt that was sent.
-func (gu *Guard) Ended(sv core.ServiceID, ve core.VersionID) {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-	key := versionKey{sv, ve}
-	if gu.flying[key]--; gu.flying[key] <= 0 {
-		delete(gu.flying, key)
-	}
-}
-
 // final reports whether the current order has come to its end.
 func (ro *rollout) final() bool { return ro.state() == Completed || ro.state() == RolledBack }
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -39,7 +39,15 @@
 // pin is the version that a session was served by last.
 type pin struct {
 	version core.VersionID
-	at      time.Time
+	// at is when one of its requests was sent or ended last, and flying how many
+	// have not ended. A stream may last longer than the gap.
+	at     time.Time
+	flying int
+}
+
+// underWay reports whether the session goes on.
+func (pi pin) underWay(now time.Time, gap time.Duration) bool {
+	return pi.flying > 0 || now.Sub(pi.at) <= gap
 }
 
 // Option changes a Guard at construction.
@@ -62,6 +70,13 @@
 	// the first step, by its own requests and the step's share.
 	capFactor = 1.3
 	capSlack  = 2
+	// settle is the time after an order in which no session joins the version,
+	// and settleMost its bound as a part of the order's time. In three rounds an
+	// entry has asked three dozen others. A wait for the whole gap, 4.8 of 24 s,
+	// let a version that failed half of 15 requests a second be completed: too few
+	// of its answers came before the last step.
+	settle     = 3 * poolEvery
+	settleMost = 0.125
 )
 
 // New returns a guard.
@@ -87,6 +102,9 @@
 	// the new version, since the order.
 	all, sent int
 	evidence  evidence
+	// settled are the sessions of the first step that go on with the old version
+	// at other entries, and when that was told last.
+	settled map[core.SessionID]time.Time
 	// doubt is the evidence of all entries together, as last heard.
 	doubt float64
 	// bad is why this entry holds the version for bad; empty is not. Told is set
@@ -98,7 +116,7 @@
 func (gu *Guard) rollout(sv core.ServiceID) *rollout {
 	ro := gu.rollouts[sv]
 	if ro == nil {
-		ro = &rollout{evidence: newEvidence()}
+		ro = &rollout{evidence: newEvidence(), settled: map[core.SessionID]time.Time{}}
 		gu.rollouts[sv] = ro
 	}
 	return ro
@@ -115,6 +133,7 @@
 	ro.order, ro.began, ro.stepped = or, now, now
 	ro.all, ro.sent, ro.bad, ro.told, ro.doubt = 0, 0, "", false, 0
 	ro.evidence.restart()
+	clear(ro.settled)
 }
 
 // Status takes in a status from the store.
@@ -191,13 +210,13 @@
 	at := ro.at()
 	if se != "" {
 		draw = Place(se)
-		if pi, ok := gu.sessions[sessionKey{sv, se}]; ok && now.Sub(pi.at) <= gu.gap {
-			if pi.version == ro.order.Target {
-				return true
-			}
-			if at == 0 {
-				return false
-			}
+		pi, known := gu.sessions[sessionKey{sv, se}]
+		known = known && pi.underWay(now, gu.gap)
+		if known && pi.version == ro.order.Target {
+			return true
+		}
+		if at == 0 && (known || gu.elsewhere(now, ro, se)) {
+			return false
 		}
 	}
 	share := gu.steps[at].share
@@ -207,6 +226,38 @@
 	return at > 0 || float64(ro.sent) < capFactor*share*float64(ro.all)+capSlack
 }
 
+// elsewhere reports whether a session that this entry does not know may go on
+// with the old version at another one.
+//
+// A session's requests come to any entry. At the order nobody has heard of the
+// others' sessions yet: of 38 a second that fell into a first step of 2.6 in 100
+// at twenty entries, four met another version than in the request before, all
+// within seven seconds. So no session joins until those of before the order have
+// ended or been told of.
+func (gu *Guard) elsewhere(now time.Time, ro *rollout, se core.SessionID) bool {
+	if now.Sub(ro.began) < min(settle, time.Duration(settleMost*float64(ro.order.Duration))) {
+		return true
+	}
+	at, told := ro.settled[se]
+	return told && now.Sub(at) <= gu.gap
+}
+
+// settledHere lists the sessions of the first step that go on with the old
+// version at this entry. They are few: a thirtieth of the sessions under way.
+func (gu *Guard) settledHere(now time.Time, ro *rollout) []core.SessionID {
+	var out []core.SessionID
+	if ro.at() > 0 {
+		return nil
+	}
+	for key, pi := range gu.sessions {
+		if key.service == ro.order.Service && pi.version != ro.order.Target &&
+			Place(key.session) < gu.steps[0].share && pi.underWay(now, gu.gap) {
+			out = append(out, key.session)
+		}
+	}
+	return out
+}
+
 // Place is a session's place from 0 to 1, the same at all entries.
 func Place(se core.SessionID) float64 {
 	return float64(xxhash.Sum64String(string(se))>>11) / (1 << 53)
@@ -276,7 +327,14 @@
 	defer gu.mu.Unlock()
 	if se != "" {
 		gu.sweep(now)
-		gu.sessions[sessionKey{ho.Service, se}] = pin{ho.Version, now}
+		key := sessionKey{ho.Service, se}
+		pi := gu.sessions[key]
+		if pi.version != ho.Version {
+			pi = pin{version: ho.Version}
+		}
+		pi.at = now
+		pi.flying++
+		gu.sessions[key] = pi
 	}
 	gu.flying[versionKey{ho.Service, ho.Version}]++
 	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
@@ -284,6 +342,21 @@
 	}
 }
 
+// Ended notes the end of an attempt that was sent.
+func (gu *Guard) Ended(now time.Time, se core.SessionID, ho core.Host) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+	key := versionKey{ho.Service, ho.Version}
+	if gu.flying[key]--; gu.flying[key] <= 0 {
+		delete(gu.flying, key)
+	}
+	if pi, ok := gu.sessions[sessionKey{ho.Service, se}]; ok && pi.version == ho.Version {
+		pi.at = now
+		pi.flying = max(pi.flying-1, 0)
+		gu.sessions[sessionKey{ho.Service, se}] = pi
+	}
+}
+
 // Held is a version that an entry has come to hold for bad.
 type Held struct {
 	Service core.ServiceID
@@ -347,7 +420,7 @@
 	}
 	gu.swept = now
 	for key, pi := range gu.sessions {
-		if now.Sub(pi.at) > gu.gap {
+		if !pi.underWay(now, gu.gap) {
 			delete(gu.sessions, key)
 		}
 	}
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -18,6 +18,9 @@
 	// Pools holds the evidence by route and model, and over all of them under
 	// [overAll].
 	Pools map[string]Tallies `json:"pools"`
+	// Settled are the sessions of the first step that go on with the old version
+	// there.
+	Settled []core.SessionID `json:"settled,omitempty"`
 }
 
 // overAll names the evidence over all routes.
@@ -53,6 +56,7 @@
 		}
 		out = append(out, Report{
 			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.began).Milliseconds(), Pools: ro.evidence.tallies(),
+			Settled: gu.settledHere(now, ro),
 		})
 	}
 	return out
@@ -94,6 +98,9 @@
 			if began := now.Add(-time.Duration(re.Elapsed) * time.Millisecond); began.Before(ro.began) {
 				ro.began = began
 			}
+			for _, se := range re.Settled {
+				ro.settled[se] = now
+			}
 			for name, ta := range re.Pools {
 				sum := sums[name]
 				sum.Fails.add(ta.Fails)
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -64,9 +64,11 @@
 }
 
 type flight struct {
-	ends  time.Time
-	entry int
-	ou    canary.Outcome
+	ends    time.Time
+	entry   int
+	session core.SessionID
+	host    core.Host
+	ou      canary.Outcome
 }
 
 // play runs the trial and returns the result.
@@ -182,7 +184,7 @@
 					}
 				}
 			}
-			flights = append(flights, flight{now.Add(time.Duration(20 * float64(ou.Piece))), entry, ou})
+			flights = append(flights, flight{now.Add(time.Duration(20 * float64(ou.Piece))), entry, se, ho, ou})
 		}
 		kept := flights[:0]
 		for _, fl := range flights {
@@ -191,7 +193,7 @@
 				continue
 			}
 			gus[fl.entry].Observe(fl.ou)
-			gus[fl.entry].Ended(service, fl.ou.Version)
+			gus[fl.entry].Ended(now, fl.session, fl.host)
 		}
 		flights = kept
 	}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -271,7 +271,7 @@
 	turn, failing := fw.picker.Ended(now, at.flight, out)
 	fw.mu.Unlock()
 	at.show(at.evidence(ve, gone))
-	fw.parts.Canary.Ended(at.to.Service, at.to.Version)
+	fw.parts.Canary.Ended(now, jb.ex.Session, at.to)
 	fw.meters.attempt(ve)
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
