Let callers of an entry that starts wait for its configuration

Cause: an entry listens at once and has its configuration 10 ms later in the store's region, 160 ms in another one.

Change: for 0.7 s from its start a process lets requests wait for the first configuration; after that it refuses at once, as before. Lines of attempts and of answers tell the event they go on after, the longest pause, and what is good of both.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -26,10 +26,14 @@
 	held []byte
 	err  error
 	// last is the id of the last event that was passed on.
-	last  string
-	sent  int
-	whole []byte
-	done  bool
+	last string
+	sent int
+	// pause is the longest time between two events so far, and heardAt when the
+	// last one came, of any attempt.
+	pause   time.Duration
+	heardAt time.Time
+	whole   []byte
+	done    bool
 }
 
 const (
@@ -161,6 +165,7 @@
 		piece, err := ans.read()
 		if err == nil {
 			ans.at.heard()
+			ans.paused(time.Now())
 			return piece, nil
 		}
 		if errors.Is(err, io.EOF) {
@@ -176,6 +181,14 @@
 	}
 }
 
+// paused notes when an event came.
+func (ans *Answer) paused(now time.Time) {
+	if !ans.heardAt.IsZero() {
+		ans.pause = max(ans.pause, now.Sub(ans.heardAt))
+	}
+	ans.heardAt = now
+}
+
 // read returns the next event of the present attempt, within the time that a
 // stream may be silent.
 func (ans *Answer) read() ([]byte, error) {
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -36,6 +36,8 @@
 	access core.Access
 	parts  Parts
 	draw   func() float64
+	// started is when the process began.
+	started time.Time
 
 	mu      sync.Mutex
 	picker  *balance.Picker
@@ -55,7 +57,7 @@
 // New returns a forwarder.
 func New(deps core.Deps, access core.Access, pa Parts, opts ...Option) *Forwarder {
 	fw := &Forwarder{
-		deps: deps, access: access, parts: pa, draw: rand.Float64,
+		deps: deps, access: access, parts: pa, draw: rand.Float64, started: time.Now(),
 		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
 		ladders: map[core.ServiceID]*tier.Ladder{}, gates: map[core.ServiceID]*shed.Gate{},
 		meters: newMeters(deps.Metrics),
@@ -82,7 +84,7 @@
 // Forward runs an exchange and returns its answer once its first piece is
 // there. Errors are *core.Failure.
 func (fw *Forwarder) Forward(ctx context.Context, ex *core.Exchange) (*Answer, error) {
-	jb, fl := fw.admit(ex)
+	jb, fl := fw.admit(ctx, ex)
 	if fl != nil {
 		fw.refused(ex, fl)
 		return nil, fl
@@ -97,8 +99,8 @@
 }
 
 // admit finds the route, the workspace and the service of an exchange.
-func (fw *Forwarder) admit(ex *core.Exchange) (*job, *core.Failure) {
-	tb := fw.parts.InForce.Current()
+func (fw *Forwarder) admit(ctx context.Context, ex *core.Exchange) (*job, *core.Failure) {
+	tb := fw.table(ctx)
 	if tb == nil {
 		return nil, core.Refuse(core.CodeNoConfig, storeBack, "no configuration is known yet")
 	}
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -15,7 +15,7 @@
 	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 		"version", at.to.Version, "model", at.rq.Model, "configuration", jb.tb.Version, "news-age", jb.fw.parts.Age(),
 		"candidates", candidates, "own", ba.Own, "others", round(ba.Others), "load-age", ba.LoadAge, "failing", round(ba.Failing),
-		"kept", ba.Kept, "read", at.read, "rank", at.rank, "patience", at.patience, "left", at.left, "repeats-left", round(repeats))
+		"kept", ba.Kept, "read", at.read, "rank", at.rank, "patience", at.patience, "left", at.left, "repeats-left", round(repeats), "after", at.after)
 }
 
 // logTurn logs what the attempt's end changed about its upstream.
@@ -39,7 +39,7 @@
 		"request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace, "service", jb.service, "upstream", at.to.ID,
 		"version", at.to.Version, "model", jb.model(), "session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output,
 		"status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "bytes", ans.sent, "first", first, "took", took,
-		"configuration", jb.tb.Version,
+		"aim", jb.rt.Aim, "pause", ans.pause, "gap", jb.rt.Gap, "configuration", jb.tb.Version,
 	}
 	if code == "" {
 		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -33,6 +33,9 @@
 type world struct {
 	t  *testing.T
 	fw *forward.Forwarder
+	// inf is what is in force, and tb the configuration of the world.
+	inf *route.InForce
+	tb  *route.Table
 	// acts are played in the order of the calls; the last one goes on.
 	acts []act
 
@@ -56,7 +59,15 @@
 // newWorld returns a world. It is made inside a bubble of its own time.
 func newWorld(t *testing.T, acts ...act) *world {
 	t.Helper()
-	wo := &world{t: t, acts: acts}
+	wo := newUnconfiguredWorld(t, acts...)
+	wo.inf.Adopt(wo.tb)
+	return wo
+}
+
+// newUnconfiguredWorld returns one whose entry has no configuration yet.
+func newUnconfiguredWorld(t *testing.T, acts ...act) *world {
+	t.Helper()
+	wo := &world{t: t, acts: acts, inf: route.NewInForce()}
 	doc := route.Document{
 		Version:    3,
 		Services:   []route.Service{{ID: "pool"}},
@@ -66,10 +77,9 @@
 		rt.Host, rt.Splits = "a.example", []route.Split{{Service: "pool", Weight: 1}}
 		doc.Routes = append(doc.Routes, rt)
 	}
-	tb, err := route.New(doc)
+	var err error
+	wo.tb, err = route.New(doc)
 	assert.NilError(t, err)
-	inf := route.NewInForce()
-	inf.Adopt(tb)
 	fl := fleet.New()
 	for i := range 4 {
 		fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8})
@@ -77,7 +87,7 @@
 	deps := core.NewDeps()
 	deps.Log = slog.New(slog.NewJSONHandler(&wo.log, nil))
 	wo.fw = forward.New(deps, wo, forward.Parts{
-		InForce: inf, Fleet: fl, Canary: canary.New(),
+		InForce: wo.inf, Fleet: fl, Canary: canary.New(),
 		Age:      func() time.Duration { return wo.age },
 		Repeats:  func() *retry.Window { return retry.NewWindow(10*time.Second, 1, 20) },
 		Stopping: func() (time.Duration, bool) { return wo.left, wo.left > 0 },
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -207,10 +207,16 @@
 }
 
 // InForce holds the table that requests are decided by.
-type InForce struct{ cur atomic.Pointer[Table] }
+type InForce struct {
+	cur   atomic.Pointer[Table]
+	known chan struct{}
+}
 
 // NewInForce returns an InForce without a table.
-func NewInForce() *InForce { return new(InForce) }
+func NewInForce() *InForce { return &InForce{known: make(chan struct{})} }
+
+// Known is closed once there is a table.
+func (inf *InForce) Known() <-chan struct{} { return inf.known }
 
 // Current returns the table in force, or nil before the first.
 func (inf *InForce) Current() *Table { return inf.cur.Load() }
@@ -224,6 +230,9 @@
 			return false
 		}
 		if inf.cur.CompareAndSwap(old, tb) {
+			if old == nil {
+				close(inf.known)
+			}
 			return true
 		}
 	}
