--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"skylarkstand/core/feed"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
+	"skylarkstand/core/mechanism"
 	"skylarkstand/core/meter"
 	"skylarkstand/core/mirror"
 	"skylarkstand/core/recall"
@@ -76,8 +78,11 @@
 
 func newFleet() *fleet.Fleet { return fleet.New() }
 
-func newGuard(set settings.Gateway) *canary.Guard {
-	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)), canary.Exposure(set.Exposure))
+// newOff returns the mechanisms that are switched off; the settings were checked.
+func newOff(set settings.Gateway) (mechanism.Off, error) { return mechanism.Parse(set.Without) }
+
+func newGuard(set settings.Gateway, off mechanism.Off) *canary.Guard {
+	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)), canary.Exposure(set.Exposure), canary.Without(off))
 }
 
 func newCodec() front.Codec { return platform.Callers{} }
@@ -134,14 +139,14 @@
 	return mirror.NewFollower(deps, mi, st, si)
 }
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access, sc *stopClock, me *members) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access, sc *stopClock, me *members, off mechanism.Off) *forward.Forwarder {
 	re := set.Repeats
 	slack := func() float64 { return retry.Share(re.Slack, me.count()) }
 	return forward.New(deps, ac, forward.Parts{
 		InForce: inf, Fleet: fl, Canary: gu,
 		Age:      func() time.Duration { return mi.Age(time.Now()) },
 		Repeats:  forward.NewWindows(time.Duration(re.Window), re.Ratio, slack),
-		Stopping: sc.left,
+		Stopping: sc.left, Off: off,
 	})
 }
 
@@ -174,6 +179,15 @@
 	return sibling.NewSharer(deps.Self, set.Siblings, fw, func() []string { return me.near(deps.Self, set.Regions, deps.Region) })
 }
 
-func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder) *recall.Recaller {
+func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder, off mechanism.Off) *recall.Recaller {
+	if off.Has(mechanism.Recall) {
+		mem = noMemory{}
+	}
 	return recall.New(deps, inf, fl, mem, fw)
 }
+
+// noMemory stands for engines that tell nothing.
+type noMemory struct{}
+
+// Held implements core.Memory.
+func (noMemory) Held(context.Context, core.Host) ([]core.Held, error) { return nil, nil }
--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/tailscale/hujson"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 // Gateway is the settings of a gateway, an entry that calls upstreams without
@@ -48,6 +49,8 @@
 	Memory int64 `json:"memory,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log-level,omitempty"`
+	// Without names mechanisms that are switched off, to see what they are worth.
+	Without []string `json:"without,omitempty"`
 }
 
 // Repeats is a bound on repeats in a sliding window, over all gateways.
@@ -125,6 +128,9 @@
 	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
 	fa.atLeast("memory", set.Memory, 0, "a bound cannot be less than nothing")
 	fa.logLevel(set.LogLevel)
+	if _, err := mechanism.Parse(set.Without); err != nil {
+		fa.add("without", "%s", err)
+	}
 }
 
 // Changed lists the fields that differ, for the log of a reload.
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -96,7 +96,12 @@
 	fleet := newFleet()
 	mirrorMirror := mirror.New()
 	layout := newLayout(set)
-	guard := newGuard(set)
+	off, err := newOff(set)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	guard := newGuard(set, off)
 	client, cleanup2 := newUpstreamClient()
 	store := newPlatformStore(set, deps, client)
 	appMembers := newMembers()
@@ -104,7 +109,7 @@
 	follower := newFollower(deps, mirrorMirror, store, siblings)
 	upstreams := platform.NewUpstreams(client)
 	appStopClock := newStopClock()
-	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams, appStopClock, appMembers)
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams, appStopClock, appMembers, off)
 	feed := newFeed(deps, layout, inForce, fleet, guard, follower, forwarder, client, appMembers)
 	registrar, err := newRegistrar(set, deps, store)
 	if err != nil {
@@ -115,7 +120,7 @@
 	recorder := newRecorder(deps, guard, store, layout, appMembers)
 	pooler := newPooler(guard, siblings)
 	sharer := newSharer(set, deps, forwarder, appMembers)
-	recaller := newRecaller(deps, inForce, fleet, upstreams, forwarder)
+	recaller := newRecaller(deps, inForce, fleet, upstreams, forwarder, off)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
 	appGauges := newGauges(deps, inForce, fleet, guard, mirrorMirror, forwarder, server)
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 // Request is what a choice depends on.
@@ -95,6 +96,7 @@
 	recent []Kept
 	// told is what other entries have at upstreams.
 	told map[uint64]told
+	off  mechanism.Off
 	// meanRead follows the time that a prompt needs.
 	meanRead float64
 }
@@ -102,14 +104,24 @@
 func (pk *Picker) usualRead() time.Duration { return time.Duration(pk.meanRead) }
 
 // New returns a picker for an entry's place.
-func New(zo core.Zone, re core.Region) *Picker {
-	return &Picker{
+func New(zo core.Zone, re core.Region, opts ...Option) *Picker {
+	pk := &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reads: map[core.ModelID]*rate{},
 		told: map[uint64]told{}, hashed: map[uint64]*peer{},
 	}
+	for _, opt := range opts {
+		opt(pk)
+	}
+	return pk
 }
 
+// Option changes a Picker at construction.
+type Option func(*Picker)
+
+// Without switches mechanisms off.
+func Without(off mechanism.Off) Option { return func(pk *Picker) { pk.off = off } }
+
 const (
 	// zoneCost and regionCost are what the way to another availability zone or
 	// region is worth in time. A round trip between zones takes 3 ms, between
@@ -226,7 +238,10 @@
 // with what else speaks against it turned into time.
 func (pk *Picker) cost(now time.Time, ho *core.Host, rq Request, fi field) time.Duration {
 	pe := pk.peer(ho)
-	cost := pk.distance(ho) + pe.avoid(now, fi, rq)
+	cost := pk.distance(ho) + pe.rests(now)
+	if !pk.off.Has(mechanism.Avoidance) {
+		cost += pe.avoid(now, fi, rq)
+	}
 	load, pending := pk.work(now, pe)
 	if rq.Engine {
 		fresh := rq.Prompt - pe.kept(now, rq)
@@ -240,6 +255,9 @@
 	if ho.Slots > 0 && load >= float64(ho.Slots) {
 		cost += fullCost
 	}
+	if pk.off.Has(mechanism.Slowness) {
+		return cost
+	}
 	return time.Duration(float64(cost) * pe.slowness())
 }
 
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 	"skylarkstand/core/rendezvous"
 )
 
@@ -109,7 +110,7 @@
 // by rendezvous over the region's upstreams, of the model and the parts that
 // are shared.
 func (pk *Picker) home(hosts []core.Host, rq Request) core.UpstreamID {
-	if len(rq.Parts) < 2 {
+	if len(rq.Parts) < 2 || pk.off.Has(mechanism.PrefixHomes) {
 		return ""
 	}
 	key := string(rq.Model)
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -154,8 +154,9 @@
 
 func (pe *peer) badness(now time.Time) float64 { return pe.fails * fade(now.Sub(pe.last), failHalf) }
 
-// avoid is what an upstream's health speaks against it, in time.
-func (pe *peer) avoid(now time.Time, fi field, rq Request) time.Duration {
+// rests is what speaks against an upstream that could not be reached or had no
+// room a moment ago, in time.
+func (pe *peer) rests(now time.Time) time.Duration {
 	var cost time.Duration
 	if now.Before(pe.down) {
 		cost += downCost
@@ -163,13 +164,18 @@
 	if now.Before(pe.full) {
 		cost += fullCost
 	}
+	return cost
+}
+
+// avoid is what an upstream's failures speak against it, in time.
+func (pe *peer) avoid(now time.Time, fi field, rq Request) time.Duration {
 	worse := max(pe.badness(now)-fi.badness-failMargin, 0)
 	// What fails has to be read again elsewhere, whatever was kept here.
 	unit := failCost + time.Duration(readExternal*float64(scale(fi.read, rq.Prompt)))
 	if rq.Once {
 		unit = failCostOnce
 	}
-	return cost + time.Duration(worse*float64(unit))
+	return time.Duration(worse * float64(unit))
 }
 
 func (pe *peer) ended(now time.Time, out Outcome) {
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 // Share is what one entry has at one upstream.
@@ -71,6 +72,9 @@
 // looked idle then. What the others have there at this moment is known best by
 // themselves.
 func (pk *Picker) Told(now time.Time, from uint64, lo Load) {
+	if pk.off.Has(mechanism.ToldPrompts) {
+		lo.Kept = nil
+	}
 	to := told{at: now, shares: make(map[uint64]Share, len(lo.Shares))}
 	for _, ke := range lo.Kept {
 		if pe := pk.hashed[ke.Upstream]; pe != nil {
@@ -80,7 +84,9 @@
 	for _, sh := range lo.Shares {
 		to.shares[sh.Upstream] = sh
 	}
-	pk.told[from] = to
+	if !pk.off.Has(mechanism.ToldLoads) {
+		pk.told[from] = to
+	}
 	for id, old := range pk.told {
 		if now.Sub(old.at) > shareLife {
 			delete(pk.told, id)
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -8,11 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 // Guard decides on the roll-outs of all services. It is safe for concurrent
 // use.
 type Guard struct {
+	off   mechanism.Off
 	gap   time.Duration
 	steps [3]step
 
@@ -57,6 +59,9 @@
 // way.
 func SessionGap(du time.Duration) Option { return func(gu *Guard) { gu.gap = du } }
 
+// Without switches mechanisms off.
+func Without(off mechanism.Off) Option { return func(gu *Guard) { gu.off = off } }
+
 // Exposure sets the part of a service's requests, in the time of a roll-out,
 // that a bad version may get.
 func Exposure(share float64) Option { return func(gu *Guard) { gu.steps = plan(share) } }
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 // Report is what an entry knows of a roll-out under way.
@@ -101,6 +102,9 @@
 			for _, se := range re.Settled {
 				ro.settled[se] = now
 			}
+			if gu.off.Has(mechanism.PooledEvidence) {
+				continue
+			}
 			for name, ta := range re.Pools {
 				sum := sums[name]
 				sum.Fails.add(ta.Fails)
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -9,6 +9,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/event"
+	"skylarkstand/core/mechanism"
 )
 
 // Answer is an exchange's answer. It belongs to one goroutine.
@@ -208,7 +209,7 @@
 	switch {
 	case ans.sent == 0:
 		return false // Nothing was passed on: a new attempt begins anew.
-	case jb.rt.Repeat != core.Resumable:
+	case jb.rt.Repeat != core.Resumable || jb.off(mechanism.Resumption):
 		jb.noRepeat = "the route's streams are not resumed"
 		return false
 	case ans.ctx.Err() != nil:
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/fleet"
+	"skylarkstand/core/mechanism"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
 	"skylarkstand/core/shed"
@@ -28,6 +29,8 @@
 	// Stopping returns how long the process still serves, once a planned stop
 	// has been going on for long enough to be noticed; nil is never.
 	Stopping func() (left time.Duration, stopping bool)
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Off
 }
 
 // Forwarder is safe for concurrent use.
@@ -58,7 +61,7 @@
 func New(deps core.Deps, access core.Access, pa Parts, opts ...Option) *Forwarder {
 	fw := &Forwarder{
 		deps: deps, access: access, parts: pa, draw: rand.Float64, started: time.Now(),
-		picker: balance.New(deps.Zone, deps.Region), windows: map[core.ServiceID]*retry.Window{},
+		picker: balance.New(deps.Zone, deps.Region, balance.Without(pa.Off)), windows: map[core.ServiceID]*retry.Window{},
 		ladders: map[core.ServiceID]*tier.Ladder{}, gates: map[core.ServiceID]*shed.Gate{},
 		meters: newMeters(deps.Metrics),
 	}
@@ -175,7 +178,9 @@
 
 // gate returns what lets the requests of a service in. The caller holds the
 // lock.
-func (fw *Forwarder) gate(sv core.ServiceID) *shed.Gate { return perService(fw.gates, sv, shed.New) }
+func (fw *Forwarder) gate(sv core.ServiceID) *shed.Gate {
+	return perService(fw.gates, sv, func() *shed.Gate { return shed.New(shed.Without(fw.parts.Off)) })
+}
 
 // unknown refuses what the configuration in force does not have. While newer
 // ones may be on their way here, that is no final word: a caller with a new key
@@ -210,7 +215,7 @@
 
 // ladder returns the choice of models of a service. The caller holds the lock.
 func (fw *Forwarder) ladder(sv core.ServiceID) *tier.Ladder {
-	return perService(fw.ladders, sv, tier.New)
+	return perService(fw.ladders, sv, func() *tier.Ladder { return tier.New(tier.Without(fw.parts.Off)) })
 }
 
 // perService returns what is kept for a service, made when it is first asked for.
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -7,6 +7,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
+	"skylarkstand/core/mechanism"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
 )
@@ -82,7 +83,7 @@
 // days with trouble it makes 0.601 in place of 0.543, over the whole of them
 // 0.914 in place of 0.902.
 func (jb *job) goOnWithModel() {
-	if jb.ex.Resume == "" || !jb.ex.AnyModel || len(jb.ex.Parts) == 0 {
+	if jb.ex.Resume == "" || !jb.ex.AnyModel || len(jb.ex.Parts) == 0 || jb.off(mechanism.StreamModels) {
 		return
 	}
 	fw, now := jb.fw, time.Now()
@@ -289,7 +290,7 @@
 	at.flight = fw.picker.Sent(now, ho, rq)
 	at.read = at.flight.Read()
 	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.read, left)
-	at.rank = balance.Rank(jb.priority, at.flight.Cost(), fw.draw())
+	at.rank = balance.Rank(jb.priority, jb.rankedRead(at), fw.draw())
 	repeats := fw.window(jb.service).Left(now, retry.Retry)
 	fw.mu.Unlock()
 	fw.parts.Canary.Sent(now, jb.ex.Session, ho)
@@ -297,13 +298,23 @@
 	jb.sends++
 	jb.runs++
 	at.number = jb.sends
-	if jb.runs >= jb.attempts() {
+	if jb.runs >= jb.attempts() || jb.off(mechanism.EarlyRepeats) {
 		at.patience = 0
 	}
 	at.logBegin(len(hosts), repeats)
 	return at, nil
 }
 
+func (jb *job) off(na mechanism.Name) bool { return jb.fw.parts.Off.Has(na) }
+
+// rankedRead is the time to read an attempt's prompt that its rank goes by.
+func (jb *job) rankedRead(at *attempt) time.Duration {
+	if jb.off(mechanism.LengthRanks) {
+		return 0
+	}
+	return at.flight.Cost()
+}
+
 // backoff is the time after which a caller should try again: soon, but spread,
 // so that those who were refused together do not come back together.
 func (jb *job) backoff() time.Duration {
--- a/core/forward/start.go
+++ b/core/forward/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarkstand/core/mechanism"
 	"skylarkstand/core/route"
 )
 
@@ -24,7 +25,7 @@
 func (fw *Forwarder) table(ctx context.Context) *route.Table {
 	inf := fw.parts.InForce
 	left := startLimit - time.Since(fw.started)
-	if tb := inf.Current(); tb != nil || left <= 0 {
+	if tb := inf.Current(); tb != nil || left <= 0 || fw.parts.Off.Has(mechanism.StartWait) {
 		return tb
 	}
 	ti := time.NewTimer(left)
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/mechanism"
 )
 
 const (
@@ -78,6 +79,7 @@
 // Gate decides for one service at one entry. It belongs to one goroutine at a
 // time.
 type Gate struct {
+	off mechanism.Off
 	// turn is when the last refused caller was told to come back.
 	turn time.Time
 	// began is the start of the present span, let in the requests admitted in it,
@@ -90,9 +92,19 @@
 	rates map[core.WorkspaceID]float64
 }
 
+// Option changes a Gate at construction.
+type Option func(*Gate)
+
+// Without switches mechanisms off.
+func Without(off mechanism.Off) Option { return func(ga *Gate) { ga.off = off } }
+
 // New returns a gate.
-func New() *Gate {
-	return &Gate{sent: map[core.WorkspaceID]int{}, rates: map[core.WorkspaceID]float64{}}
+func New(opts ...Option) *Gate {
+	ga := &Gate{sent: map[core.WorkspaceID]int{}, rates: map[core.WorkspaceID]float64{}}
+	for _, opt := range opts {
+		opt(ga)
+	}
+	return ga
 }
 
 // Offer reports whether a request is let in, or else when its caller should come
@@ -104,7 +116,7 @@
 func (ga *Gate) Offer(now time.Time, rq Request) (back time.Duration, ok bool) {
 	ga.roll(now)
 	ga.sent[rq.Workspace]++
-	if rq.Aim <= 0 || rq.Wait <= ga.bound(rq) {
+	if rq.Aim <= 0 || ga.off.Has(mechanism.Gate) || rq.Wait <= ga.bound(rq) {
 		ga.letIn++
 		return 0, true
 	}
@@ -122,7 +134,7 @@
 		if !rq.Urgent {
 			part *= laterPart
 		}
-		if ga.hog(rq.Workspace) {
+		if ga.hog(rq.Workspace) && !ga.off.Has(mechanism.HogPart) {
 			part *= hogPart
 		}
 	}
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -24,7 +24,11 @@
 //	la.Climbed(stage, confidence, next, answered)  // the larger model's confidence
 package tier
 
-import "time"
+import (
+	"time"
+
+	"skylarkstand/core/mechanism"
+)
 
 const (
 	// sureRelaxed is the confidence from which an answer is given while the
@@ -72,6 +76,7 @@
 // Ladder decides for all cascades of one service. It belongs to one goroutine
 // at a time.
 type Ladder struct {
+	off      mechanism.Off
 	pressure float64
 	seen     map[rung]*[buckets]share
 }
@@ -82,9 +87,19 @@
 // share counts the answers that sufficed.
 type share struct{ good, all float64 }
 
+// Option changes a Ladder at construction.
+type Option func(*Ladder)
+
+// Without switches mechanisms off.
+func Without(off mechanism.Off) Option { return func(la *Ladder) { la.off = off } }
+
 // New returns a ladder.
-func New() *Ladder {
-	return &Ladder{pressure: (relaxed + pressed) / 2, seen: map[rung]*[buckets]share{}}
+func New(opts ...Option) *Ladder {
+	la := &Ladder{pressure: (relaxed + pressed) / 2, seen: map[rung]*[buckets]share{}}
+	for _, opt := range opts {
+		opt(la)
+	}
+	return la
 }
 
 // Begun notes how long a caller waited for its first event, and how long is
@@ -98,6 +113,9 @@
 
 // Sure is the confidence from which an answer is given now.
 func (la *Ladder) Sure() float64 {
+	if la.off.Has(mechanism.Pressure) {
+		return sureRelaxed
+	}
 	part := min(max((la.pressure-relaxed)/(pressed-relaxed), 0), 1)
 	return sureRelaxed - part*(sureRelaxed-surePressed)
 }
@@ -142,6 +160,9 @@
 }
 
 func (la *Ladder) suffices(ru rung, confidence int) bool {
+	if la.off.Has(mechanism.MiddleModels) {
+		return false
+	}
 	sh := la.share(ru, confidence)
 	before := doubted
 	if bucket(confidence) >= assumedFrom {
