--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -27,62 +27,6 @@
 	Once bool
 }
 
-// Outcome is how an attempt ended.
-type Outcome int
-
-// The outcomes.
-const (
-	// Good: a whole answer that was no error.
-	Good Outcome = iota
-	// Failed: an error of the upstream, a cut or a wrong answer.
-	Failed
-	// Refused: the upstream took no more work.
-	Refused
-	// Unreached: no connection could be opened.
-	Unreached
-	// Abandoned: the caller left or another answer was taken; it says nothing
-	// about the upstream.
-	Abandoned
-	// Replaced: another upstream has the address by now.
-	Replaced
-	// Overdue: no answer came in the time that is usual.
-	Overdue
-)
-
-// Flight is an attempt under way.
-type Flight struct {
-	peer  *peer
-	pool  *pool
-	sent  time.Time
-	cost  time.Duration
-	begun bool
-	ended bool
-	basis Basis
-}
-
-// Basis is what a choice went by.
-type Basis struct {
-	// Own counts the entry's calls at the upstream, Others those of the other
-	// entries as far as they are known, by a word that is LoadAge old, or
-	// [NoLoad].
-	Own     int
-	Others  float64
-	LoadAge time.Duration
-	// Kept is how much of the prompt is thought to be in its memory.
-	Kept core.Tokens
-	// Failing is the recent share of failures there.
-	Failing float64
-}
-
-// NoLoad is the age of a load that nobody has told.
-const NoLoad = -time.Second
-
-// Cost returns the time that the flight's own prompt takes to be read.
-func (fl *Flight) Cost() time.Duration { return fl.cost }
-
-// Basis returns what the choice of the flight's upstream went by.
-func (fl *Flight) Basis() Basis { return fl.basis }
-
 // Picker chooses. It belongs to one goroutine at a time.
 type Picker struct {
 	zone   core.Zone
@@ -287,60 +231,6 @@
 	}
 }
 
-// Sent notes that an attempt goes to an upstream.
-func (pk *Picker) Sent(now time.Time, ho core.Host, rq Request) *Flight {
-	pe := pk.peer(&ho)
-	fl := &Flight{peer: pe, pool: pk.pool(rq), sent: now, basis: pk.basis(now, pe)}
-	if rq.Engine {
-		fl.basis.Kept = pe.kept(now, rq)
-		fl.cost = scale(pk.read(rq.Model).get(), rq.Prompt-pe.kept(now, rq))
-		pk.keep(now, pe, rq)
-		pe.pending += fl.cost
-		pk.meanRead += (float64(fl.cost) - pk.meanRead) / 32
-	}
-	pe.own++
-	pe.unbegun++
-	return fl
-}
-
-func (pk *Picker) basis(now time.Time, pe *peer) Basis {
-	ba := Basis{Own: pe.own, LoadAge: NoLoad, Failing: pe.badness(now)}
-	load, _ := pk.work(now, pe)
-	ba.Others = max(load-float64(pe.own), 0)
-	for _, to := range pk.told {
-		if age := now.Sub(to.at); ba.LoadAge == NoLoad || age < ba.LoadAge {
-			ba.LoadAge = age
-		}
-	}
-	if ba.LoadAge == NoLoad && !pe.reported.IsZero() {
-		ba.LoadAge = now.Sub(pe.reported)
-	}
-	return ba
-}
-
-// Begun notes the header of an answer, with the load that it reports or nil.
-func (pk *Picker) Begun(now time.Time, fl *Flight, rq Request, lo *core.Load) {
-	if fl.begun {
-		return
-	}
-	fl.begun = true
-	fl.peer.unbegun--
-	fl.peer.heard = now
-	took := now.Sub(fl.sent)
-	if rq.Engine {
-		pk.read(rq.Model).learn(took, fl.cost, fl.peer.pending)
-	}
-	fl.peer.pending = max(fl.peer.pending-fl.cost, 0)
-	fl.peer.paced(fl.pool, took, fl.cost)
-	fl.pool.learn(took)
-	if lo != nil {
-		fl.peer.report(now, *lo)
-	}
-}
-
-// Reported notes the load that a refusal reports.
-func (pk *Picker) Reported(now time.Time, fl *Flight, lo core.Load) { fl.peer.report(now, lo) }
-
 // Usual returns the usual time from sending to the header of an answer, or 0
 // while too few were seen to rely on it.
 func (pk *Picker) Usual(rq Request) time.Duration {
@@ -351,34 +241,6 @@
 	return pl.usual(0)
 }
 
-// Heard notes that a piece of an answer came.
-func (pk *Picker) Heard(now time.Time, fl *Flight) { fl.peer.heard = now }
-
-// Alive reports whether anything came from the flight's upstream, of any
-// attempt, since a time.
-func (pk *Picker) Alive(fl *Flight, since time.Time) bool { return fl.peer.heard.After(since) }
-
-// Read returns the expected time to read the prompts that wait at the upstream,
-// with the flight's own.
-func (fl *Flight) Read() time.Duration { return fl.peer.pending }
-
-// Ended notes the end of an attempt, and returns what it changes about the
-// upstream, with its recent share of failures.
-func (pk *Picker) Ended(now time.Time, fl *Flight, out Outcome) (Turn, float64) {
-	if fl.ended {
-		return Same, 0
-	}
-	fl.ended = true
-	pe := fl.peer
-	pe.own--
-	if !fl.begun {
-		pe.unbegun--
-		pe.pending = max(pe.pending-fl.cost, 0)
-	}
-	pe.ended(now, out)
-	return pe.turn(now), pe.badness(now)
-}
-
 // Avoided counts the upstreams of a list that work is kept from.
 func (pk *Picker) Avoided(now time.Time, hosts []core.Host) int {
 	sum := 0
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -73,33 +73,6 @@
 	}
 }
 
-// goOnWithModel begins a stream that its caller has a part of with the model that
-// made that part: the largest one for which an engine keeps the whole prompt.
-//
-// The first answer was chosen already, by whichever entry. Begun with the
-// smallest model, the stream would be doubted and climb once more before its
-// caller hears anything, and the pause between two events, a second of which is
-// good, would be over: of what callers could get in the two worst seconds of 40
-// days with trouble it makes 0.601 in place of 0.543, over the whole of them
-// 0.914 in place of 0.902.
-func (jb *job) goOnWithModel() {
-	if jb.ex.Resume == "" || !jb.ex.AnyModel || len(jb.ex.Parts) == 0 || jb.off(mechanism.StreamModels) {
-		return
-	}
-	fw, now := jb.fw, time.Now()
-	hosts := fw.parts.Fleet.Serving(jb.service, now)
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	for stage := len(jb.rt.Cascade) - 1; stage > jb.stage; stage-- {
-		rq := jb.request()
-		rq.Model = jb.rt.Cascade[stage]
-		if fw.picker.KeepsWhole(now, hosts, rq) {
-			jb.stage = stage
-			return
-		}
-	}
-}
-
 // errOverdue ends the context of a job whose time is up.
 var errOverdue = errors.New("the time is up")
 
@@ -184,51 +157,6 @@
 	return jb.noRepeat == ""
 }
 
-// doubted is an answer that its model was not sure of.
-type doubted struct{ stage, confidence int }
-
-// doubts reports whether a larger model should answer in place of a reply.
-func (jb *job) doubts(re *core.Reply) bool {
-	if !jb.ex.AnyModel || re.Confidence == core.NoConfidence || len(jb.rt.Cascade) < 2 || !jb.rt.Repeat.Repeatable() {
-		return false
-	}
-	fw := jb.fw
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	la := fw.ladder(jb.service)
-	if jb.doubted != nil {
-		la.Climbed(jb.doubted.stage, jb.doubted.confidence, jb.stage, re.Confidence)
-		jb.doubted = nil
-	}
-	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence, jb.fits)
-	if climb {
-		jb.next, jb.sure = next, la.Sure()
-		jb.doubted = &doubted{jb.stage, re.Confidence}
-	}
-	return climb
-}
-
-// fits reports whether a model of the cascade would begin its answer while that
-// is still good. The forwarder's lock is held.
-func (jb *job) fits(stage int) bool {
-	now := time.Now()
-	rq := jb.request()
-	rq.Model = jb.rt.Cascade[stage]
-	hosts := jb.fw.parts.Fleet.Serving(jb.service, now)
-	return jb.rt.Aim <= 0 || now.Sub(jb.ex.Arrived)+jb.fw.picker.Expect(now, hosts, rq) <= jb.rt.Aim
-}
-
-// climb reports whether the larger model may be asked, and moves there.
-func (jb *job) climb(ctx context.Context) bool {
-	if jb.runs >= jb.attempts() || ctx.Err() != nil || !jb.spend(retry.Climb) {
-		return false
-	}
-	jb.stage = jb.next
-	// The larger model may run where the smaller one did.
-	jb.tried = nil
-	return true
-}
-
 func (jb *job) attempts() int { return max(jb.rt.MaxAttempts, 1) }
 
 func (jb *job) spend(pu retry.Purpose) bool {
@@ -245,22 +173,6 @@
 	return len(jb.fw.parts.Fleet.Serving(jb.service, time.Now())) > len(jb.tried)
 }
 
-// model returns the model of the present stage; empty leaves the caller's.
-func (jb *job) model() core.ModelID {
-	if !jb.ex.AnyModel || len(jb.rt.Cascade) == 0 {
-		return ""
-	}
-	return jb.rt.Cascade[min(jb.stage, len(jb.rt.Cascade)-1)]
-}
-
-// larger counts the models of the cascade that are larger than the present one.
-func (jb *job) larger() int {
-	if !jb.ex.AnyModel {
-		return 0
-	}
-	return max(len(jb.rt.Cascade)-1-jb.stage, 0)
-}
-
 // request is what the choice of an upstream depends on.
 func (jb *job) request() balance.Request {
 	return balance.Request{
