--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// Twenty entries share fifteen requests a second, so that each alone sees one or
+// two answers of a new version that fails half of them. Only together do they know
+// it for bad; without that two in three such versions are completed, and seven
+// times as many callers meet them.
+func TestManyEntriesFindABadVersionTogether(t *testing.T) {
+	half := func(rnd *rand.Rand, _ int, _ time.Duration, _ int) (bool, float64) { return rnd.Float64() < 0.5, 1 }
+	for seed := range uint64(12) {
+		tr := trial{seed: seed, entries: 20, rate: 15, exposure: 0.12, duration: 24 * time.Second, fault: half}
+		re := tr.play(t)
+		assert.Equal(t, re.state, canary.RolledBack, "seed %d: at %s after %d requests, %d bad", seed, re.at, re.sent, re.bad)
+		re.within(t, 0.12)
+	}
+}
+
 // A version is bad only once it carries the whole load, which nobody can know
 // before. Even if nothing is ever noticed, the callers that it reaches in the
 // time of its roll-out must stay within what the operators allow.
