Refuse what comes after the last answer of a planned stop

Cause: the listener stays open to the end of a stop, so that callers can be told when somebody is back. Once nothing was under way the process went on to end its duties, and still passed requests on; one of them was cut off with the process 45 ms after it had come.

Change: what comes after the last answer is refused as not run, and what slipped in before is waited for. The test got the answer of an upstream, 200 in place of 503, before.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -136,9 +136,9 @@
 	return jb, nil
 }
 
-// restart is the time from the end of a process to the readiness of the one
+// Restart is the time from the end of a process to the readiness of the one
 // that takes its place.
-const restart = time.Second
+const Restart = time.Second
 
 // stopping refuses what might not end before a process that stops. Callers come
 // here at that time only when there is no other entry to go to, as when all are
@@ -152,7 +152,7 @@
 	if !stopping || !rt.Stream && rt.Timeout > 0 && rt.Timeout < left {
 		return nil
 	}
-	return core.Refuse(core.CodeLeaving, max(left, 0)+restart, "the process is stopping")
+	return core.Refuse(core.CodeLeaving, max(left, 0)+Restart, "the process is stopping")
 }
 
 // saturated refuses what engines would begin too late. Plain services turn away
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -250,7 +250,7 @@
 func (jb *job) overdue(ctx context.Context) *core.Failure {
 	switch code := endCode(ctx); code {
 	case core.CodeLeaving:
-		return jb.give(code, restart, "the process ended before an answer came")
+		return jb.give(code, Restart, "the process ended before an answer came")
 	case core.CodeDeadline:
 		return jb.give(code, comeBack, "no answer came in time")
 	default:
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -42,8 +42,10 @@
 	// leaving has answers close their connections, closing has connections
 	// closed that come to be idle.
 	leaving, closing atomic.Bool
-	flying           atomic.Int64
-	idle             idlers
+	// over has requests refused that come once a stop has nothing to wait for.
+	over   atomic.Bool
+	flying atomic.Int64
+	idle   idlers
 	// base ends the requests under way, when a stop cannot wait any longer.
 	base   context.Context
 	giveUp context.CancelCauseFunc
@@ -94,6 +96,10 @@
 		sv.refuse(w, "", fl)
 		return
 	}
+	if sv.over.Load() {
+		sv.refuse(w, ex.ID, core.Refuse(core.CodeLeaving, forward.Restart, "the process has stopped"))
+		return
+	}
 	ans, err := sv.fw.Forward(rq.Context(), ex)
 	if err != nil {
 		sv.refuse(w, ex.ID, asFailure(err))
@@ -205,7 +211,14 @@
 // Drain waits until no exchange is under way, or the context ends. Those that
 // are left then get their final answer, if they have none of it yet. It reports
 // how many they were.
+//
+// What comes after the last one has ended is refused. The listener is still open
+// and the process takes a moment to end: a request that was passed on then was
+// cut off with the process, 45 ms after it had come.
 func (sv *Server) Drain(ctx context.Context) int64 {
+	if sv.await(ctx) {
+		sv.over.Store(true)
+	}
 	if sv.await(ctx) {
 		return 0
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -118,6 +118,21 @@
 	assert.Assert(t, got.closes, "the caller is told to go elsewhere with its next request")
 }
 
+// The last answer of a planned stop has ended, and the process takes a moment to
+// end. A request that comes then must be refused as not run: passed on to an
+// upstream, it would be cut off with the process, and a caller could not know
+// whether its claim had run.
+func TestRequestAfterTheLastAnswerOfAStop(t *testing.T) {
+	sv, nc := serve(t, echo{}, route.Limits{})
+	br := bufio.NewReader(nc)
+	sv.Leave()
+	assert.Equal(t, sv.Drain(t.Context()), int64(0))
+	send(t, nc, request)
+	got := receive(t, br)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+	assert.Assert(t, got.closes)
+}
+
 // The same stop with connections that are really unused: they must be closed,
 // or their callers send requests to a process that is about to end.
 func TestStopClosesUnusedConnections(t *testing.T) {
