Start no process while a test looks for a free address

A process that another goroutine starts in that moment inherits the listener, and holds the address until it executes its own program. Listening again at once failed 3,400 times in 15 s beside eight goroutines that start processes, for 1 to 10 ms.

Ruled out: another program of tests (blocks are reserved), ports of outgoing connections (from 32,768 on), a process left over (none listened).

Now the look excludes starts.

--- a/test/fleet/addr.go
+++ b/test/fleet/addr.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -59,14 +60,27 @@
 		}
 		addr := fmt.Sprintf("127.0.0.1:%d", ad.next)
 		ad.next++
-		li, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue // Something outside of the tests has it.
+		if free(addr) {
+			return addr, nil
 		}
-		return addr, eris.Wrap(li.Close(), "free port")
 	}
 }
 
+// free reports whether nothing listens at an address; something outside of the
+// tests may. No process is started meanwhile: it would inherit the listener that
+// looks, and hold the address until it executes its own program, several
+// milliseconds later on a busy machine. The process that the address is for then
+// ended with "address already in use".
+func free(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	li, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	return li.Close() == nil
+}
+
 // reserve takes the next block that no other program holds.
 func (ad *addrs) reserve() error {
 	for ad.tried < blocks {
