Watch the store for 2.5 seconds again

Cause: an answer of the store that is lost on the way is given up when the watch's wait and 0.7 s are over. With waits of five seconds a change that it told was heard 5.7 s late in place of 3.2.

That a watch which waited in vain confirms the copy up to its end stays.

TestAnswerWithTheChangeIsLost fails at five seconds. The count of calls in TestQuietStoreCostsFewCalls, written for five seconds today, is 25 a minute.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -44,12 +44,13 @@
 }
 
 const (
-	// waitTime is how long a watch waits. Each costs a call: of twenty entries in
-	// a calm minute 863 at 2.5 s. A connection that goes silent for good is found
-	// by the probes of its TCP connection within three seconds, whatever the
-	// wait; the wait bounds how old news may look while nothing changes, which
-	// must stay well below the seven seconds from which they count as stale.
-	waitTime = 5 * time.Second
+	// waitTime is how long a watch waits. Each costs a call; where the answer of one
+	// is lost on the way, its change is found when the wait and a little more are
+	// over, and it must be in force within three seconds, plus four after such
+	// harm. Twenty entries make 863 calls on a calm day, 673 at 5 s; but good
+	// versions were then late in 3 of 6 roll-outs while answers were lost, in place
+	// of 1.
+	waitTime = 2500 * time.Millisecond
 	// probeTime is how long a watch waits while the store is in trouble: its
 	// return must not be noticed only when a long watch that was asked in vain
 	// has run out.
--- a/core/mirror/follow_test.go
+++ b/core/mirror/follow_test.go
@@ -25,6 +25,8 @@
 	silent  bool
 	busy    bool
 	compact bool
+	// lose has the next answer with changes lost.
+	lose bool
 	// watches counts the calls that wait for changes.
 	watches int
 }
@@ -69,6 +71,15 @@
 	return ctx.Err()
 }
 
+// loses reports whether the answer at hand is lost, once.
+func (sh *shop) loses() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	was := sh.lose
+	sh.lose = false
+	return was
+}
+
 func (sh *shop) Snapshot(ctx context.Context) ([]core.Item, core.Revision, error) {
 	if err := sh.answer(ctx, 0); err != nil {
 		return nil, 0, err
@@ -98,6 +109,9 @@
 		switch {
 		case compact:
 			return nil, 0, core.ErrCompacted
+		case len(out) > 0 && sh.loses():
+			time.Sleep(time.Until(until) + 700*time.Millisecond)
+			return nil, 0, core.ErrUnavailable
 		case len(out) > 0 || !time.Now().Before(until):
 			return out, rev, nil
 		}
@@ -163,6 +177,20 @@
 	}
 }
 
+// The answer that tells of a change is lost on the way. Its caller cannot know; the
+// change must still be in force within four seconds, or callers meet the old
+// configuration, and a roll-out misses its time.
+func TestAnswerWithTheChangeIsLost(t *testing.T) {
+	sh := new(shop)
+	sh.put("one")
+	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
+		sh.set(func() { sh.lose = true })
+		sh.put("two")
+		time.Sleep(4 * time.Second)
+		holdsTwo(t, mi)
+	})
+}
+
 // The store turns this host away and serves the others. A key is taken away
 // meanwhile; it would go on working here for as long as that lasts, if the
 // process did not ask another entry.
@@ -219,6 +247,6 @@
 			time.Sleep(100 * time.Millisecond)
 			assert.Assert(t, mi.Age(time.Now()) < 6*time.Second, "each answer confirms the copy")
 		}
-		sh.set(func() { assert.Assert(t, sh.watches <= 15, "%d calls in a minute", sh.watches) })
+		sh.set(func() { assert.Assert(t, sh.watches <= 25, "%d calls in a minute", sh.watches) })
 	})
 }
