Log the requests that come after the last answer of a stop

Cause: found on reading the change. A request that came once nothing was under way any more was refused without a line, so that neither `explain` nor `losses` would know of it; one that could not be read had a line without its code's time to come back.

Change: both go through one function that writes the line. Measured: the test of such a request waits for its line, and would wait for ever before.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -92,12 +92,11 @@
 	defer sv.flying.Add(-1)
 	ex, fl := sv.read(w, rq)
 	if fl != nil {
-		event.Log(sv.deps.Log, event.ExchangeRefused, "path", rq.URL.Path, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
-		sv.refuse(w, "", fl)
+		sv.turnAway(w, rq, "", fl)
 		return
 	}
 	if sv.over.Load() {
-		sv.refuse(w, ex.ID, core.Refuse(core.CodeLeaving, forward.Restart, "the process has stopped"))
+		sv.turnAway(w, rq, ex.ID, core.Refuse(core.CodeLeaving, forward.Restart, "the process has stopped"))
 		return
 	}
 	ans, err := sv.fw.Forward(rq.Context(), ex)
@@ -113,6 +112,13 @@
 	}
 }
 
+// turnAway refuses a request that is not handed on, and writes its one line.
+func (sv *Server) turnAway(w http.ResponseWriter, rq *http.Request, id core.RequestID, fl *core.Failure) {
+	event.Log(sv.deps.Log, event.ExchangeRefused, "request", id, "path", rq.URL.Path, "code", fl.Code, "ran", fl.Ran,
+		"message", fl.Message, "retry-after", fl.RetryAfter)
+	sv.refuse(w, id, fl)
+}
+
 // announce tells a caller to send its next request elsewhere, when this process
 // is leaving as the answer begins.
 func (sv *Server) announce(hd http.Header) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -41,8 +42,21 @@
 	}, nil
 }
 
+// logged takes the lines of a log.
+type logged chan string
+
+func (lo logged) Write(p []byte) (int, error) {
+	lo <- string(p)
+	return len(p), nil
+}
+
 // serve starts a front on loopback and returns it with a connection to it.
 func serve(t *testing.T, ac core.Access, lim route.Limits) (*front.Server, net.Conn) {
+	t.Helper()
+	return serveLogged(t, core.NewDeps(), ac, lim)
+}
+
+func serveLogged(t *testing.T, deps core.Deps, ac core.Access, lim route.Limits) (*front.Server, net.Conn) {
 	t.Helper()
 	tb, err := route.New(route.Document{
 		Version:  1,
@@ -59,7 +73,7 @@
 		Age:     func() time.Duration { return 0 },
 		Repeats: forward.NewWindows(10*time.Second, 1, func() float64 { return 10 }),
 	})
-	sv := front.New(core.NewDeps(), plain{}, fw, inf)
+	sv := front.New(deps, plain{}, fw, inf)
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	hs := sv.HTTP()
@@ -123,7 +137,9 @@
 // upstream, it would be cut off with the process, and a caller could not know
 // whether its claim had run.
 func TestRequestAfterTheLastAnswerOfAStop(t *testing.T) {
-	sv, nc := serve(t, echo{}, route.Limits{})
+	lines, deps := make(logged, 1), core.NewDeps()
+	deps.Log = slog.New(slog.NewJSONHandler(lines, nil))
+	sv, nc := serveLogged(t, deps, echo{}, route.Limits{})
 	br := bufio.NewReader(nc)
 	sv.Leave()
 	assert.Equal(t, sv.Drain(t.Context()), int64(0))
@@ -131,6 +147,8 @@
 	got := receive(t, br)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
 	assert.Assert(t, got.closes)
+	line := <-lines
+	assert.Assert(t, strings.Contains(line, `"request":"r1"`) && strings.Contains(line, `"code":"leaving"`), line)
 }
 
 // The same stop with connections that are really unused: they must be closed,
