Take a watch's answer to be as old as its question again

Cause: found on reading the change. A watch that brought nothing was taken to confirm the copy up to the end of its wait. A store may cut a waiting watch and the way may hold up its answer: one that was given after 0.1 s and came after 2.6 s would have counted as 2.5 s younger than it is, and keys and routes that are only unheard of would be refused for good for as long.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -127,25 +127,13 @@
 	if err != nil {
 		return err
 	}
+	fo.mi.Apply(changes, rev, asked)
 	if len(changes) > 0 {
-		fo.mi.Apply(changes, rev, asked)
 		sleep(ctx, gather)
-		return nil
 	}
-	fo.mi.Apply(nil, rev, confirmed(asked, wait, time.Now()))
 	return nil
 }
 
-// confirmed is when the store knew of nothing newer, by a watch that was asked at
-// a time and brought nothing: at the end of its wait if it waited for so long, or
-// else when it was asked.
-func confirmed(asked time.Time, wait time.Duration, now time.Time) time.Time {
-	if end := asked.Add(wait); !now.Before(end) {
-		return end
-	}
-	return asked
-}
-
 func (fo *Follower) failed(err error) {
 	fo.mu.Lock()
 	first := fo.since.IsZero()
