--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// firstToJoin lists sessions that fall into the first step.
+func firstToJoin() []core.SessionID {
+	var out []core.SessionID
+	for i := range 4000 {
+		if se := core.SessionID(fmt.Sprint("s", i)); canary.Place(se) < 0.03 {
+			out = append(out, se)
+		}
+	}
+	return out
+}
+
 // A session runs on the old version when a roll-out begins. While it goes on
 // there it must stay, whatever its hash says; and with old news no session may
 // begin on the new version, since the word that it is bad may be on its way.
@@ -161,12 +172,7 @@
 	now := time.Unix(1_000_000, 0)
 	all := hosts()
 	old := core.Host{ID: "old-0", Service: service, Version: v1}
-	var joining []core.SessionID
-	for i := range 4000 {
-		if se := core.SessionID(fmt.Sprint("s", i)); canary.Place(se) < 0.03 {
-			joining = append(joining, se)
-		}
-	}
+	joining := firstToJoin()
 	assert.Assert(t, len(joining) > 60)
 	for _, se := range joining[:30] {
 		gu.Sent(now, se, old)
@@ -202,12 +208,7 @@
 func TestSessionsOfOtherEntriesStay(t *testing.T) {
 	all := hosts()
 	old := core.Host{ID: "old-0", Service: service, Version: v1}
-	var joining []core.SessionID
-	for i := range 4000 {
-		if se := core.SessionID(fmt.Sprint("s", i)); canary.Place(se) < 0.03 {
-			joining = append(joining, se)
-		}
-	}
+	joining := firstToJoin()
 	here, there := canary.New(), canary.New()
 	now := time.Unix(1_000_000, 0)
 	going, streaming, fresh := joining[0], joining[1], joining[2:]
--- /dev/null
+++ b/core/canary/versions.go
@@ -0,0 +1,65 @@
+package canary
+
+import (
+	"slices"
+
+	"skylarkstand/core"
+)
+
+// known narrows to the version that the service runs on, without a roll-out:
+// upstreams of another version may be listed before the order for it is known.
+func (gu *Guard) known(sv core.ServiceID, hosts []core.Host) []core.Host {
+	if len(hosts) == 0 {
+		return hosts
+	}
+	if ve, ok := gu.stable[sv]; ok {
+		if ups := only(hosts, ve); len(ups) > 0 {
+			return ups
+		}
+	}
+	gu.stable[sv] = most(hosts)
+	return only(hosts, gu.stable[sv])
+}
+
+// most returns the version that most upstreams run.
+func most(hosts []core.Host) core.VersionID {
+	count := map[core.VersionID]int{}
+	best := hosts[0].Version
+	for i := range hosts {
+		ve := hosts[i].Version
+		count[ve]++
+		if count[ve] > count[best] {
+			best = ve
+		}
+	}
+	return best
+}
+
+func only(hosts []core.Host, ve core.VersionID) []core.Host {
+	return filter(hosts, func(ho core.Host) bool { return ho.Version == ve })
+}
+
+func except(hosts []core.Host, ve core.VersionID) []core.Host {
+	return filter(hosts, func(ho core.Host) bool { return ho.Version != ve })
+}
+
+// filter copies only when something is left out.
+func filter(hosts []core.Host, keep func(core.Host) bool) []core.Host {
+	if !slices.ContainsFunc(hosts, func(ho core.Host) bool { return !keep(ho) }) {
+		return hosts
+	}
+	var out []core.Host
+	for _, ho := range hosts {
+		if keep(ho) {
+			out = append(out, ho)
+		}
+	}
+	return out
+}
+
+func prefer(first, second []core.Host) []core.Host {
+	if len(first) > 0 {
+		return first
+	}
+	return second
+}
--- a/core/mirror/follow_test.go
+++ b/core/mirror/follow_test.go
@@ -158,6 +158,20 @@
 	assert.Equal(t, string(it.Value), "two")
 }
 
+// hearsOfTwo changes the value while the store does harm, and checks that the
+// change arrives within a time.
+func hearsOfTwo(t *testing.T, harm func(sh *shop), within time.Duration) {
+	t.Helper()
+	sh := new(shop)
+	sh.put("one")
+	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
+		sh.set(func() { harm(sh) })
+		sh.put("two")
+		time.Sleep(within)
+		holdsTwo(t, mi)
+	})
+}
+
 // The store goes silent for seven seconds: calls to it hang. An operator's
 // change is accepted the moment it is back. A process whose watch was asked just
 // before then must not wait for it to run out; its callers would meet the old
@@ -181,14 +195,7 @@
 // change must still be in force within four seconds, or callers meet the old
 // configuration, and a roll-out misses its time.
 func TestAnswerWithTheChangeIsLost(t *testing.T) {
-	sh := new(shop)
-	sh.put("one")
-	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
-		sh.set(func() { sh.lose = true })
-		sh.put("two")
-		time.Sleep(4 * time.Second)
-		holdsTwo(t, mi)
-	})
+	hearsOfTwo(t, func(sh *shop) { sh.lose = true }, 4*time.Second)
 }
 
 // The store turns this host away and serves the others. A key is taken away
@@ -212,14 +219,7 @@
 // the gap must be found by reading all anew; a process that watched on from the
 // newest revision would never hear of it.
 func TestHistoryGone(t *testing.T) {
-	sh := new(shop)
-	sh.put("one")
-	follow(t, sh, sister{}, func(mi *mirror.Mirror, _ *mirror.Follower) {
-		sh.set(func() { sh.compact = true })
-		sh.put("two")
-		time.Sleep(3500 * time.Millisecond)
-		holdsTwo(t, mi)
-	})
+	hearsOfTwo(t, func(sh *shop) { sh.compact = true }, 3500*time.Millisecond)
 }
 
 // A sibling that is behind answers, or a listing that was asked for long ago
