Go by the store when a roll-out is completed, not by an own verdict

Cause, by the code and a test that failed first: an entry may come to hold a version for bad in the moment in which another one writes that the roll-out is completed. Its own write is refused, as it must be, but the verdict went before the status for ever: the old version's upstreams stop, and no upstream was left to it.

Ruled out: a mirror that hears nothing (it would have been refused as stale or noticed within 3.2 s), upstreams that cannot be reached (they are not avoided for ever).

Now the end of a roll-out that the store tells of holds for every entry.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -263,3 +263,29 @@
 	assert.Equal(t, due[0].Status.State, canary.InProgress)
 	assert.Equal(t, due[0].Status.Revision, core.Revision(6), "it replaces the old status")
 }
+
+// One entry comes to hold a version for bad in the moment in which another one
+// writes that its roll-out is completed: the first one's write is refused, and the
+// upstreams of the old version stop. What the store says holds for all; an entry
+// that goes by its own verdict has no upstream left and refuses every caller until
+// the next order.
+func TestVerdictThatComesAfterTheCompletion(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
+	for range 10 {
+		gu.Observe(canary.Outcome{Service: service, Version: v2, Pool: "a", Failed: true})
+	}
+	due := gu.Due(now, func(core.ServiceID) int { return 0 })
+	assert.Equal(t, due[0].Status.State, canary.RolledBack, "the entry holds it for bad")
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 6})
+	var left []core.Host
+	for _, ho := range hosts() {
+		if ho.Version == v2 {
+			left = append(left, ho)
+		}
+	}
+	assert.Assert(t, len(left) > 0)
+	assert.Equal(t, len(gu.Choose(now, service, "", 0.5, left, true)), len(left))
+	assert.Equal(t, gu.Shares()[service], 1.0)
+}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -148,6 +148,14 @@
 	return ro.status.State
 }
 
+// rejected reports whether the version gets no work. A verdict of this entry
+// counts until the store tells of the roll-out's end, which holds for all: where
+// another entry wrote first that it is completed, the old version's upstreams stop,
+// and this entry's callers would find none.
+func (ro *rollout) rejected() bool {
+	return ro.state() == RolledBack || ro.bad != "" && ro.state() != Completed
+}
+
 // lastStep moves everything.
 const lastStep = 2
 
@@ -173,10 +181,10 @@
 	target := ro.order.Target
 	ro.all++
 	switch {
-	case ro.bad != "" || ro.state() == RolledBack:
-		return except(hosts, target)
 	case ro.state() == Completed:
 		return prefer(only(hosts, target), hosts)
+	case ro.rejected():
+		return except(hosts, target)
 	}
 	ups := only(hosts, target)
 	old := except(hosts, target)
@@ -240,10 +248,10 @@
 	for sv, ro := range gu.rollouts {
 		switch {
 		case ro.order.Revision == 0:
-		case ro.bad != "" || ro.state() == RolledBack:
-			out[sv] = 0
 		case ro.state() == Completed:
 			out[sv] = 1
+		case ro.rejected():
+			out[sv] = 0
 		default:
 			out[sv] = gu.steps[ro.at()].share
 		}
