--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -93,9 +93,9 @@
 	// movedPace takes the place of slowPace once everything has moved. Engines of
 	// the new version then read all prompts anew for a second, and the old one's
 	// pace is that of engines that shared the load and kept them. By 1.4 of it 2 of
-	// 30 good versions were held for bad within 0.9 s of the last step, by 2.5 as
-	// many, by 6 none. A version that is slow is found in the steps before, or is
-	// so by eight times.
+	// 30 good versions were held for bad within a second of the last step, by 6 none
+	// of the same 30; by 2.5 it was 3 of 42, by 1.4 4 of those. A version that is
+	// slow is found in the steps before, or is so by eight times.
 	movedPace = 6.0
 	// overdueBy and overdueSlack say from when an attempt that has not begun
 	// counts as failed.
