Say why a call needs twice its usual time, and who is blamed when no other is asked

Comments only, from reading the change again: enoughTime had no reason, and that a failure is held against nobody when its repeat finds no upstream stood nowhere.

--- a/core/forward/fault.go
+++ b/core/forward/fault.go
@@ -16,11 +16,13 @@
 // upstreams were avoided 73 times, and 19 times now.
 
 // enoughTime is how many times the usual time of its route a call must have had
-// for an upstream to be blamed for not ending it.
+// for an upstream to be blamed for not ending it: the usual is a mean, which
+// sound upstreams exceed. The factor was chosen and not measured.
 const enoughTime = 2
 
 // suspected holds back what a failed attempt says of its upstream, since another
-// one is asked now: see settle.
+// one is asked now: see settle. Where that one cannot be found, nothing shows whose
+// fault it was and nobody is blamed.
 func (at *attempt) suspected() { at.jb.suspect = at }
 
 // settle returns what the end of an attempt says about its upstream, and decides
