Keep a withdrawn version out of the next roll-out

Cause: the guard of roll-outs took every version but the ordered one for the old one. A version that was rolled back is listed until its upstreams have drained, some seconds longer, so that the next order gave it a part of all requests again, and sessions went from the old version to the withdrawn one and back.

Ruled out: news that come late (all entries heard of the roll-back within 0.1 s), and the bound of the first step.

The guard now knows the version in use and the withdrawn ones: from the statuses, its own verdict, and for one that starts later from the list. A completed version is the old one of the next order.

--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -21,8 +21,10 @@
 	swept    time.Time
 	// flying counts this entry's attempts now.
 	flying map[versionKey]int
-	// stable is the version in use of a service that has no roll-out.
+	// stable is the version in use of a service, beside one under roll-out.
 	stable map[core.ServiceID]core.VersionID
+	// withdrawn are the versions that were rolled back and not ordered again.
+	withdrawn map[versionKey]bool
 }
 
 type versionKey struct {
@@ -67,7 +69,7 @@
 func New(opts ...Option) *Guard {
 	gu := &Guard{
 		gap: defaultGap, steps: plan(defaultExposure), rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{}, flying: map[versionKey]int{},
-		stable: map[core.ServiceID]core.VersionID{},
+		stable: map[core.ServiceID]core.VersionID{}, withdrawn: map[versionKey]bool{},
 	}
 	for _, opt := range opts {
 		opt(gu)
@@ -114,6 +116,10 @@
 	if or.Revision <= ro.order.Revision {
 		return
 	}
+	if ro.order.Revision != 0 && ro.rejected() {
+		gu.withdrawn[versionKey{or.Service, ro.order.Target}] = true
+	}
+	delete(gu.withdrawn, versionKey{or.Service, or.Target})
 	ro.order, ro.began, ro.stepped = or, now, now
 	ro.all, ro.sent, ro.bad, ro.told, ro.doubt = 0, 0, "", false, 0
 	ro.evidence.restart()
@@ -125,9 +131,11 @@
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	ro := gu.rollout(st.Service)
-	if st.Revision > ro.status.Revision {
-		ro.status = st
+	if st.Revision <= ro.status.Revision {
+		return
 	}
+	ro.status = st
+	gu.ended(ro, st)
 }
 
 // Step takes in a step from the store.
@@ -180,14 +188,14 @@
 	}
 	target := ro.order.Target
 	ro.all++
+	ups := only(hosts, target)
+	old := gu.known(sv, except(hosts, target))
 	switch {
 	case ro.state() == Completed:
-		return prefer(only(hosts, target), hosts)
+		return prefer(ups, old)
 	case ro.rejected():
-		return except(hosts, target)
+		return old
 	}
-	ups := only(hosts, target)
-	old := except(hosts, target)
 	if len(ups) == 0 {
 		return old
 	}
--- a/core/canary/versions.go
+++ b/core/canary/versions.go
@@ -6,9 +6,28 @@
 	"skylarkstand/core"
 )
 
-// known narrows to the version that the service runs on, without a roll-out:
-// upstreams of another version may be listed before the order for it is known.
+// ended notes which version a finished roll-out leaves in use, unless it was
+// ordered again since.
+func (gu *Guard) ended(ro *rollout, st Status) {
+	key := versionKey{st.Service, st.Target}
+	if ro.order.Revision > st.Revision && ro.order.Target == st.Target {
+		return
+	}
+	switch st.State {
+	case Completed:
+		gu.stable[st.Service] = st.Target
+		delete(gu.withdrawn, key)
+	case RolledBack:
+		gu.withdrawn[key] = true
+	case InProgress:
+	}
+}
+
+// known narrows to the version that the service runs on beside one under
+// roll-out: upstreams of another version may be listed before the order for it
+// is known, and those of a withdrawn one until they have drained.
 func (gu *Guard) known(sv core.ServiceID, hosts []core.Host) []core.Host {
+	hosts = filter(hosts, func(ho core.Host) bool { return !gu.withdrawn[versionKey{sv, ho.Version}] })
 	if len(hosts) == 0 {
 		return hosts
 	}
--- /dev/null
+++ b/core/canary/versions_test.go
@@ -0,0 +1,92 @@
+package canary_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+)
+
+const v3 = core.VersionID("v3")
+
+// twoOrders are the upstreams of a service while those of a version that was
+// rolled back still drain and those of the next one have started.
+func twoOrders() []core.Host {
+	return append(hosts(), core.Host{ID: "next-0", Service: service, Version: v3})
+}
+
+func order(ve core.VersionID, re core.Revision) canary.Order {
+	return canary.Order{Service: service, Target: ve, Duration: 24 * time.Second, Revision: re}
+}
+
+// Guards against a withdrawn version that is taken for the old one in the next
+// roll-out: its upstreams are listed until they have drained.
+func TestWithdrawnVersionGetsNothingInTheNextRollOut(t *testing.T) {
+	rolledBack := canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6}
+	scenarios := []struct {
+		testName string
+		before   func(now time.Time, gu *canary.Guard)
+	}{
+		{"the store told of it", func(now time.Time, gu *canary.Guard) {
+			gu.Choose(now, service, "", 0.5, hosts(), true)
+			gu.Order(now, order(v2, 5))
+			gu.Status(rolledBack)
+		}},
+		{"the entry held it for bad itself", func(now time.Time, gu *canary.Guard) {
+			gu.Choose(now, service, "", 0.5, hosts(), true)
+			gu.Order(now, order(v2, 5))
+			for range 10 {
+				gu.Observe(canary.Outcome{Service: service, Version: v2, Pool: "a", Failed: true})
+			}
+		}},
+		{"the entry started after it", func(_ time.Time, gu *canary.Guard) { gu.Status(rolledBack) }},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			gu := canary.New()
+			now := time.Unix(1_000_000, 0)
+			sc.before(now, gu)
+			gu.Order(now, order(v3, 9))
+			for i := range 400 {
+				now = now.Add(50 * time.Millisecond)
+				for _, ho := range gu.Choose(now, service, "", float64(i%100)/100, twoOrders(), true) {
+					assert.Assert(t, ho.Version != v2)
+				}
+			}
+			gu.Status(canary.Status{Service: service, Target: v3, State: canary.RolledBack, Revision: 12})
+			for _, ho := range gu.Choose(now, service, "", 0, twoOrders(), true) {
+				assert.Equal(t, ho.Version, v1)
+			}
+		})
+	}
+}
+
+// Guards against a version that stays withdrawn although it was ordered again.
+func TestWithdrawnVersionIsOrderedAgain(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	gu.Order(now, order(v2, 5))
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6})
+	gu.Order(now, order(v2, 9))
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 12})
+	for _, ho := range gu.Choose(now, service, "", 0.5, hosts(), true) {
+		assert.Equal(t, ho.Version, v2)
+	}
+}
+
+// Guards against sessions that go back to an older version when a roll-out
+// follows a completed one before the older upstreams have left the list.
+func TestCompletedVersionIsTheOldOneOfTheNextRollOut(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	gu.Choose(now, service, "", 0.5, hosts(), true)
+	gu.Order(now, order(v2, 5))
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 6})
+	gu.Order(now, order(v3, 9))
+	for _, ho := range gu.Choose(now, service, "", 0.9, twoOrders(), true) {
+		assert.Equal(t, ho.Version, v2)
+	}
+}
