Log why a doubtful answer was given, and count it in losses

Which of the reasons keeps a larger model from being asked was not logged: the threshold under load, time, attempts or the budget. The line of an exchange's end says it, with the confidence that sufficed, and `losses` has a cause for each.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -127,7 +127,7 @@
 		"A bill could not be written before the process ended, or had no room to wait.",
 		"Keep the line: it is the bill. The agent's copy is filed when the store answers; file the line by hand only if `skylarkstand bill --list` lacks its request an hour later."}
 	ExchangeEnded = &Event{510, "exchange-ended", slog.LevelInfo,
-		"An exchange ended with an upstream's whole answer: its `first` piece should have come within `aim`, and no `pause` between two should be longer than `gap`; `larger` models than the one that answered could have been asked.", "Nothing."}
+		"An exchange ended with an upstream's whole answer: its `first` piece should have come within `aim`, and no `pause` between two should be longer than `gap`; `larger` models than the one that answered could have been asked; `sure` is the confidence that sufficed, `kept-answer` why none of them was.", "Nothing."}
 	ExchangeCut = &Event{516, "exchange-cut", slog.LevelWarn,
 		"An answer was broken off after a part of it was passed on; `code` and `message` say why, `no-repeat` why it was not resumed. Its caller sees the connection end.",
 		"Follow the request's id to its `attempt-ended` lines."}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -33,8 +33,10 @@
 	// and the confidence of the answer that was dropped last.
 	stage, next int
 	doubted     *doubted
-	// sure is the confidence that sufficed when an answer was doubted last.
+	// sure is the confidence that sufficed when an answer was looked at last, and
+	// kept why that answer was given.
 	sure float64
+	kept keptAnswer
 	// ran is set once the work may have run.
 	ran bool
 	// suspect is the attempt that failed last, while another one is under way that
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -39,7 +39,8 @@
 		"request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace, "service", jb.service, "upstream", at.to.ID,
 		"version", at.to.Version, "model", jb.model(), "session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output,
 		"status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "bytes", ans.sent, "first", first, "took", took,
-		"aim", jb.rt.Aim, "pause", ans.pause, "gap", jb.rt.Gap, "larger", jb.larger(), "configuration", jb.tb.Version,
+		"aim", jb.rt.Aim, "pause", ans.pause, "gap", jb.rt.Gap, "larger", jb.larger(), "sure", round(jb.sure),
+		"kept-answer", jb.kept, "configuration", jb.tb.Version,
 	}
 	if code == "" {
 		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// keptAnswer says why the answer at hand was given, for the log.
+type keptAnswer string
+
+// The reasons.
+const (
+	keptSufficed keptAnswer = "sufficed"
+	keptTooLate  keptAnswer = "too-late"
+	keptAttempts keptAnswer = "attempts"
+	keptRepeats  keptAnswer = "repeats"
+)
+
 // doubted is an answer that its model was not sure of.
 type doubted struct{ stage, confidence int }
 
@@ -69,9 +80,15 @@
 		jb.doubted = nil
 	}
 	next, climb := la.Next(len(jb.rt.Cascade), jb.stage, re.Confidence, jb.fits)
-	if climb {
-		jb.next, jb.sure = next, la.Sure()
+	jb.sure = la.Sure()
+	switch {
+	case climb:
+		jb.next = next
 		jb.doubted = &doubted{jb.stage, re.Confidence}
+	case float64(re.Confidence) >= jb.sure:
+		jb.kept = keptSufficed
+	default:
+		jb.kept = keptTooLate
 	}
 	return climb
 }
@@ -88,7 +105,14 @@
 
 // climb reports whether the larger model may be asked, and moves there.
 func (jb *job) climb(ctx context.Context) bool {
-	if jb.runs >= jb.attempts() || ctx.Err() != nil || !jb.spend(retry.Climb) {
+	switch {
+	case jb.runs >= jb.attempts():
+		jb.kept = keptAttempts
+		return false
+	case ctx.Err() != nil:
+		return false
+	case !jb.spend(retry.Climb):
+		jb.kept = keptRepeats
 		return false
 	}
 	jb.stage = jb.next
--- a/core/losses/cause.go
+++ b/core/losses/cause.go
@@ -1,6 +1,7 @@
 package losses
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -45,8 +46,13 @@
 	LateAtUpstream Cause = "late: slow upstream"
 	// Paused: too long between two events.
 	Paused Cause = "paused"
-	// Doubtful: answered by a model that was not sure, though there are larger.
-	Doubtful Cause = "doubtful answer"
+	// Doubtful: answered by a model that was not sure, though there are larger. The
+	// others say why none of these was asked.
+	Doubtful          Cause = "doubtful answer"
+	DoubtfulSufficed  Cause = "doubtful: sufficed under load"
+	DoubtfulTooLate   Cause = "doubtful: a larger model would be late"
+	DoubtfulAttempts  Cause = "doubtful: attempts used up"
+	DoubtfulNoRepeats Cause = "doubtful: no repeats left"
 	// Unknown: an end that none of the others describes.
 	Unknown Cause = "unknown"
 )
@@ -64,6 +70,11 @@
 	core.CodeCallerGone: CallerGone, core.CodeNoUpstream: NoUpstream, core.CodeOutcomeLost: LostAtUpstream,
 }
 
+// byKept are the causes of doubtful answers by why they were given.
+var byKept = map[string]Cause{
+	"sufficed": DoubtfulSufficed, "too-late": DoubtfulTooLate, "attempts": DoubtfulAttempts, "repeats": DoubtfulNoRepeats,
+}
+
 // cause returns why a request earned less than it could.
 func (rq *request) cause() Cause {
 	switch {
@@ -86,7 +97,7 @@
 	case gap > 0 && pause > gap:
 		return Paused
 	case confidence >= 0 && confidence < doubtfulBelow && number(rq.end.Get("larger")) > 0:
-		return Doubtful
+		return cmp.Or(byKept[rq.end.Get("kept-answer")], Doubtful)
 	}
 	return OnTime
 }
--- a/core/losses/losses_test.go
+++ b/core/losses/losses_test.go
@@ -49,6 +49,8 @@
 	}{
 		{"in time", []string{begun, answered()}, losses.OnTime},
 		{"doubtful", []string{begun, answered(`"confidence":80`, `"confidence":30`, `"larger":0`, `"larger":1`)}, losses.Doubtful},
+		{"doubtful for want of repeats", []string{begun, answered(`"confidence":80`, `"confidence":30,"kept-answer":"repeats"`, `"larger":0`, `"larger":1`)}, losses.DoubtfulNoRepeats},
+		{"doubtful under load", []string{begun, answered(`"confidence":80`, `"confidence":30,"kept-answer":"sufficed"`, `"larger":0`, `"larger":1`)}, losses.DoubtfulSufficed},
 		{"doubtful by the largest", []string{begun, answered(`"confidence":80`, `"confidence":30`)}, losses.OnTime},
 		{"paused", []string{begun, answered(`"pause":0.2`, `"pause":1.2`)}, losses.Paused},
 		{"an upstream's error", []string{begun, answered(`"status":200`, `"status":500`)}, losses.UpstreamError},
