Have three entries of a region watch the store for the others

Change: rendezvous prefers three readers in a region. The datagrams in which entries tell their loads also tell the revision of their copy, its age, and when the store last answered them; a reader tells all of its region at once when its copy changed. Who lacks something fetches the changes since its own revision, which each mirror keeps for the newest 256, or the whole copy. An entry that has not heard of a reader in touch with the store for three seconds, or whose teller does not answer, watches the store itself; so does one that is not registered yet, and with three entries in a region or fewer nothing changes. What arrives is versioned, as before; a removal that a reader doubts is doubted by those who hear of it through it.

Ruled out: longer waits (5 s in place of 2.5, tried before: late roll-outs while answers are lost), whole copies (60 kB each time, as much as was saved by volume between zones).

Tests: no calls while readers are there, a change told and fetched, readers gone, a reader without contact, one that does not answer, a doubted removal, and a property of handing on changes in pieces (refuted by a log that leaves out what a listing had early).

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -116,6 +116,7 @@
 // run serves until the context ends and then stops as planned.
 func (gw *gatewayProcess) run(ctx context.Context) error {
 	gw.mirror.Subscribe(gw.feed.Changed)
+	gw.mirror.Subscribe(func([]core.Change) { gw.sharer.Changed() })
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	sup := newSupervisor("gateway", gw.deps)
@@ -162,7 +163,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+gw.set.ReadinessPath, gw.ready)
 	sibs := http.NewServeMux()
-	sibs.Handle("GET "+sibling.Path, sibling.Handler(gw.mirror))
+	sibs.Handle("GET "+sibling.Path, sibling.Handler(gw.mirror, gw.follower.Doubtful))
 	sibs.Handle("GET "+sibling.ReportsPath, sibling.Reports(gw.guard))
 	closeReady, err := serveAside(gw.set.Readiness, ready)
 	if err != nil {
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -130,12 +130,35 @@
 	return at
 }
 
+// readersPerRegion is how many entries of a region watch the store for the
+// others. The loss of two of them, or their cut from the store, is then no matter.
+const readersPerRegion = 3
+
+// reads reports whether a process watches the store for its region. One that is
+// not registered yet watches it for itself.
+func (me *members) reads(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) bool {
+	var near []feed.Member
+	known := false
+	for _, mb := range me.list() {
+		if regions[mb.Zone] == re {
+			near = append(near, mb)
+			known = known || mb.ID == self
+		}
+	}
+	top := rendezvous.Top(string(re), near, readersPerRegion, func(mb feed.Member) string { return string(mb.ID) })
+	return !known || slices.ContainsFunc(top, func(mb feed.Member) bool { return mb.ID == self })
+}
+
 func newSiblings(deps core.Deps, cl *upstream.Client, me *members) *sibling.Siblings {
 	return sibling.New(cl, func() []string { return me.others(deps.Self) }, rand.IntN)
 }
 
-func newFollower(deps core.Deps, mi *mirror.Mirror, st *platform.Store, si *sibling.Siblings) *mirror.Follower {
-	return mirror.NewFollower(deps, mi, st, si)
+func newFollower(set settings.Gateway, deps core.Deps, mi *mirror.Mirror, st *platform.Store, si *sibling.Siblings, me *members, off mechanism.Off) *mirror.Follower {
+	if off.Has(mechanism.Readers) {
+		return mirror.NewFollower(deps, mi, st, si)
+	}
+	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
+	return mirror.NewFollower(deps, mi, st, si, mirror.Reads(reads))
 }
 
 func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access, sc *stopClock, me *members, off mechanism.Off) *forward.Forwarder {
@@ -174,8 +197,10 @@
 	return canary.NewPooler(gu, si)
 }
 
-func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, me *members) *sibling.Sharer {
-	return sibling.NewSharer(deps.Self, set.Siblings, fw, func() []string { return me.near(deps.Self, set.Regions, deps.Region) })
+func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *mirror.Follower, me *members) *sibling.Sharer {
+	near := func() []string { return me.near(deps.Self, set.Regions, deps.Region) }
+	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
+	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, reads)
 }
 
 func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder, off mechanism.Off) *recall.Recaller {
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -106,7 +106,7 @@
 	store := newPlatformStore(set, deps, client)
 	appMembers := newMembers()
 	siblings := newSiblings(deps, client, appMembers)
-	follower := newFollower(deps, mirrorMirror, store, siblings)
+	follower := newFollower(set, deps, mirrorMirror, store, siblings, appMembers, off)
 	upstreams := platform.NewUpstreams(client)
 	appStopClock := newStopClock()
 	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams, appStopClock, appMembers, off)
@@ -119,7 +119,7 @@
 	}
 	recorder := newRecorder(deps, guard, store, layout, appMembers)
 	pooler := newPooler(guard, siblings)
-	sharer := newSharer(set, deps, forwarder, appMembers)
+	sharer := newSharer(set, deps, forwarder, follower, appMembers)
 	recaller := newRecaller(deps, inForce, fleet, upstreams, forwarder, off)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -62,13 +62,15 @@
 	Avoidance Name = "avoidance"
 	// Slowness: work is kept from upstreams that are slow.
 	Slowness Name = "slowness"
+	// Readers: a few entries watch the store for the others.
+	Readers Name = "readers"
 	// PooledEvidence: entries add up what they see of a new version.
 	PooledEvidence Name = "pooled-evidence"
 )
 
 var all = []Name{
 	PrefixHomes, ToldPrompts, ToldLoads, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
-	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, PooledEvidence,
+	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, Readers, PooledEvidence,
 }
 
 // All lists the mechanisms.
--- /dev/null
+++ b/core/mirror/change_log.go
@@ -0,0 +1,52 @@
+package mirror
+
+import (
+	"slices"
+
+	"skylarkstand/core"
+)
+
+const (
+	// maxLogged and maxLoggedBytes bound what is kept of past changes. Who lags by
+	// more gets the whole copy.
+	maxLogged      = 256
+	maxLoggedBytes = 128 << 10
+)
+
+// changeLog keeps the newest changes in the order of their revisions.
+type changeLog struct {
+	// base is the revision after which no change is missing.
+	base    core.Revision
+	changes []core.Change
+	bytes   int
+}
+
+func (cl *changeLog) restart(base core.Revision) { *cl = changeLog{base: base} }
+
+func (cl *changeLog) add(ch core.Change) {
+	cl.changes = append(cl.changes, ch)
+	cl.bytes += len(ch.Value)
+	drop := 0
+	for len(cl.changes)-drop > maxLogged || cl.bytes > maxLoggedBytes {
+		cl.base = cl.changes[drop].Revision
+		// Changes of one write share its revision and are of use only together.
+		for drop < len(cl.changes) && cl.changes[drop].Revision == cl.base {
+			cl.bytes -= len(cl.changes[drop].Value)
+			drop++
+		}
+	}
+	if drop > 0 {
+		cl.changes = slices.Clone(cl.changes[drop:])
+	}
+}
+
+func (cl *changeLog) since(after core.Revision) ([]core.Change, bool) {
+	if after < cl.base {
+		return nil, false
+	}
+	from := slices.IndexFunc(cl.changes, func(ch core.Change) bool { return ch.Revision > after })
+	if from < 0 {
+		return nil, true
+	}
+	return slices.Clone(cl.changes[from:]), true
+}
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -13,36 +13,61 @@
 
 // News is another entry's copy, as far as it is newer.
 type News struct {
-	// Newer says that Items replace the copy that was asked about.
-	Newer    bool
+	Newer bool
+	// Items replace the copy that was asked about where Whole is set. Otherwise
+	// Changes lead from it to Revision.
+	Whole    bool
 	Items    []core.Item
+	Changes  []core.Change
 	Revision core.Revision
 	// Age is how long ago the copy was known to be the newest.
 	Age time.Duration
+	// Doubtful says that removals among the news may be the store's own trouble.
+	Doubtful bool
 }
 
 // Siblings are the other entries.
 type Siblings interface {
 	// Ask returns the best news that another entry has over a revision.
 	Ask(ctx context.Context, after core.Revision) (News, error)
+	// AskAt returns the news of the entry at an address.
+	AskAt(ctx context.Context, addr string, after core.Revision) (News, error)
 }
 
 // Follower is the duty that keeps a mirror. It implements suture's Service.
+//
+// With many entries only a few, the readers, watch the store. The others hear
+// from them which revision is the newest, fetch what they lack, and watch the
+// store themselves whenever they have not heard of a reader in touch with it for
+// [trustFor]. Who reads is a hint: with no reader alive everybody reads.
 type Follower struct {
-	deps core.Deps
-	mi   *Mirror
-	feed core.Feed
-	sibs Siblings
+	deps  core.Deps
+	mi    *Mirror
+	feed  core.Feed
+	sibs  Siblings
+	reads func() bool
 
 	mu sync.Mutex
 	// since is when the store began not to answer; zero while it answers.
 	since time.Time
-	// back is when it last answered again.
-	back time.Time
-	// trouble wakes the one who asks siblings.
-	trouble chan struct{}
+	// doubt is until when a removal may be a lapsed lease.
+	doubt time.Time
+	// answeredAt is when the store last answered this entry, and contact when it
+	// last answered this one or a reader, by what that told.
+	answeredAt, contact time.Time
+	// newest is the word of the highest revision that another entry told.
+	newest Word
+	// trouble wakes the one who asks siblings, told the one who fetches what
+	// another entry has, and alone the one who watches the store.
+	trouble, told, alone chan struct{}
 }
 
+// Option changes a Follower at construction.
+type Option func(*Follower)
+
+// Reads sets whether the entry watches the store at all times.
+func Reads(fn func() bool) Option { return func(fo *Follower) { fo.reads = fn } }
+
 const (
 	// waitTime is how long a watch waits. Each costs a call; where the answer of one
 	// is lost on the way, its change is found when the wait and a little more are
@@ -76,15 +101,26 @@
 
 // NewFollower returns the duty that keeps mi up to date from feed, and from the
 // siblings while that does not answer.
-func NewFollower(deps core.Deps, mi *Mirror, feed core.Feed, sibs Siblings) *Follower {
-	return &Follower{deps: deps, mi: mi, feed: feed, sibs: sibs, trouble: make(chan struct{}, 1)}
+func NewFollower(deps core.Deps, mi *Mirror, feed core.Feed, sibs Siblings, opts ...Option) *Follower {
+	fo := &Follower{
+		deps: deps, mi: mi, feed: feed, sibs: sibs, reads: func() bool { return true },
+		trouble: make(chan struct{}, 1), told: make(chan struct{}, 1), alone: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(fo)
+	}
+	return fo
 }
 
 // Serve implements suture's Service.
 func (fo *Follower) Serve(ctx context.Context) error {
 	go fo.askSiblings(ctx)
+	go fo.fetchTold(ctx)
 	pause, listed := pauseFirst, false
 	for ctx.Err() == nil {
+		if listed && fo.rest(ctx) {
+			continue
+		}
 		err := fo.step(ctx, &listed)
 		if err == nil {
 			fo.answered()
@@ -145,10 +181,7 @@
 		event.Log(fo.deps.Log, event.StoreDown, "error", err, "revision", fo.mi.Revision())
 	}
 	meter.StoreWatchFailed.Inc(fo.deps.Metrics)
-	select {
-	case fo.trouble <- struct{}{}:
-	default:
-	}
+	wake(fo.trouble)
 }
 
 // away reports whether the store does not answer now.
@@ -159,11 +192,13 @@
 }
 
 func (fo *Follower) answered() {
+	now := time.Now()
 	fo.mu.Lock()
 	since := fo.since
 	if !since.IsZero() {
-		fo.since, fo.back = time.Time{}, time.Now()
+		fo.since, fo.doubt = time.Time{}, now.Add(doubtFor)
 	}
+	fo.answeredAt, fo.contact = now, now
 	fo.mu.Unlock()
 	if !since.IsZero() {
 		event.Log(fo.deps.Log, event.StoreBack, "away", time.Since(since), "revision", fo.mi.Revision())
@@ -175,7 +210,7 @@
 func (fo *Follower) Doubtful(now time.Time) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return !fo.since.IsZero() || !fo.back.IsZero() && now.Sub(fo.back) < doubtFor
+	return !fo.since.IsZero() || now.Before(fo.doubt)
 }
 
 // askSiblings asks the other entries for news while the store does not answer.
@@ -206,12 +241,23 @@
 		meter.SiblingsSilent.Inc(fo.deps.Metrics)
 		return
 	}
+	fo.take(ne, asked)
+}
+
+// take takes in the news that another entry had at a moment after asked.
+func (fo *Follower) take(ne News, asked time.Time) {
+	if ne.Doubtful {
+		fo.mu.Lock()
+		fo.doubt = time.Now().Add(doubtFor)
+		fo.mu.Unlock()
+	}
 	heard := asked.Add(-ne.Age)
-	if !ne.Newer {
+	switch {
+	case !ne.Newer:
 		fo.mi.Apply(nil, ne.Revision, heard)
-		return
-	}
-	if fo.mi.Replace(ne.Items, ne.Revision, heard) {
+	case !ne.Whole:
+		fo.mi.Apply(ne.Changes, ne.Revision, heard)
+	case fo.mi.Replace(ne.Items, ne.Revision, heard):
 		event.Log(fo.deps.Log, event.MirrorBySibling, "revision", ne.Revision, "age", ne.Age, "keys", len(ne.Items))
 	}
 }
--- a/core/mirror/follow_test.go
+++ b/core/mirror/follow_test.go
@@ -127,15 +127,19 @@
 		return mirror.News{}, errors.New("there is none")
 	}
 	items, rev, heard := si.mi.Copy("")
-	return mirror.News{Newer: rev > after, Items: items, Revision: rev, Age: time.Since(heard)}, nil
+	return mirror.News{Newer: rev > after, Whole: true, Items: items, Revision: rev, Age: time.Since(heard)}, nil
+}
+
+func (si sister) AskAt(ctx context.Context, _ string, after core.Revision) (mirror.News, error) {
+	return si.Ask(ctx, after)
 }
 
 // follow runs a follower in a bubble of its own time.
-func follow(t *testing.T, sh *shop, si sister, play func(mi *mirror.Mirror, fo *mirror.Follower)) {
+func follow(t *testing.T, sh *shop, si mirror.Siblings, play func(mi *mirror.Mirror, fo *mirror.Follower), opts ...mirror.Option) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		mi := mirror.New()
-		fo := mirror.NewFollower(core.NewDeps(), mi, sh, si)
+		fo := mirror.NewFollower(core.NewDeps(), mi, sh, si, opts...)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -34,6 +34,7 @@
 	items map[string]core.Item
 	rev   core.Revision
 	heard time.Time
+	log   changeLog
 	// tell keeps subscribers in order without holding up readers.
 	tell sync.Mutex
 	subs []func([]core.Change)
@@ -69,6 +70,7 @@
 		}
 	}
 	mi.items, mi.rev = fresh, rev
+	mi.log.restart(rev)
 	mi.hear(heard)
 	mi.mu.Unlock()
 	slices.SortFunc(out, func(a, b core.Change) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -84,6 +86,11 @@
 	mi.mu.Lock()
 	var out []core.Change
 	for _, ev := range events {
+		// Also one that is known: a listing holds keys that are newer than its
+		// revision, and who asks for the changes since then may not have them.
+		if ev.Revision > mi.rev {
+			mi.log.add(ev)
+		}
 		old, ok := mi.items[ev.Key]
 		if ok && old.Revision >= ev.Revision || !ok && ev.Gone {
 			continue
@@ -132,6 +139,15 @@
 	return now.Sub(mi.heard)
 }
 
+// Since returns the changes after a revision and the revision that they reach,
+// or false when some of them are not kept any more.
+func (mi *Mirror) Since(after core.Revision) ([]core.Change, core.Revision, bool) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	changes, ok := mi.log.since(after)
+	return changes, mi.rev, ok
+}
+
 // Get returns one key of the copy.
 func (mi *Mirror) Get(key string) (core.Item, bool) {
 	mi.mu.Lock()
--- /dev/null
+++ b/core/mirror/readers.go
@@ -0,0 +1,140 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Word is what an entry tells the others of its copy, several times a second.
+type Word struct {
+	// From is where the entry answers, and Revision that of its copy.
+	From     string
+	Revision core.Revision
+	// Age is how long ago the copy was known to be the newest.
+	Age time.Duration
+	// Contact is how long ago the store last answered the entry, or [NoContact]
+	// where others watch the store for it.
+	Contact time.Duration
+}
+
+// NoContact is the contact of an entry that does not watch the store.
+const NoContact = -time.Second
+
+const (
+	// trustFor is how long after the store last answered any reader an entry still
+	// relies on readers: a watch that brings nothing, and two rounds of telling.
+	trustFor = waitTime + 500*time.Millisecond
+	// restMost bounds how long a change of readers goes unnoticed.
+	restMost = 500 * time.Millisecond
+	// fetchLimit bounds one fetch, after which the store is watched instead.
+	fetchLimit = 500 * time.Millisecond
+	// ownAnswer is the time in which an entry that watches the store mostly hears
+	// itself what another one tells it has.
+	ownAnswer = 150 * time.Millisecond
+)
+
+// Word returns what this entry tells the others.
+func (fo *Follower) Word(now time.Time) Word {
+	wo := Word{Revision: fo.mi.Revision(), Age: fo.mi.Age(now), Contact: NoContact}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if !fo.answeredAt.IsZero() && fo.since.IsZero() {
+		wo.Contact = now.Sub(fo.answeredAt)
+	}
+	return wo
+}
+
+// Told takes in another entry's word.
+func (fo *Follower) Told(now time.Time, wo Word) {
+	have := fo.mi.Revision()
+	if have == 0 {
+		return // The first copy is listed.
+	}
+	fo.mu.Lock()
+	if at := now.Add(-wo.Contact); wo.Contact >= 0 && at.After(fo.contact) {
+		fo.contact = at
+	}
+	newer := wo.Revision > have
+	if newer && wo.Revision >= fo.newest.Revision {
+		fo.newest = wo
+	}
+	fo.mu.Unlock()
+	switch {
+	case newer:
+		wake(fo.told)
+	case wo.Revision == have:
+		fo.mi.Apply(nil, have, now.Add(-wo.Age))
+	}
+}
+
+// relies reports whether the readers watch the store for this entry now.
+func (fo *Follower) relies(now time.Time) bool {
+	if fo.reads() {
+		return false
+	}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.since.IsZero() && now.Sub(fo.contact) < trustFor
+}
+
+// rest waits while the readers watch the store, and reports whether they did.
+func (fo *Follower) rest(ctx context.Context) bool {
+	if !fo.relies(time.Now()) {
+		return false
+	}
+	ti := time.NewTimer(restMost)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ti.C:
+	case <-fo.alone:
+		return false
+	}
+	return true
+}
+
+// fetchTold fetches what other entries tell that they have. Where the one that
+// told does not answer, the store is watched at once.
+func (fo *Follower) fetchTold(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-fo.told:
+		}
+		if !fo.relies(time.Now()) {
+			sleep(ctx, ownAnswer)
+		}
+		fo.mu.Lock()
+		wo := fo.newest
+		fo.mu.Unlock()
+		if wo.Revision <= fo.mi.Revision() {
+			continue
+		}
+		if !fo.fetch(ctx, wo.From) {
+			wake(fo.alone)
+		}
+	}
+}
+
+func (fo *Follower) fetch(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	asked := time.Now()
+	ne, err := fo.sibs.AskAt(ctx, addr, fo.mi.Revision())
+	if err != nil {
+		return false
+	}
+	fo.take(ne, asked)
+	return true
+}
+
+// wake has the one that waits on a channel look again.
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -13,6 +13,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
+	"skylarkstand/core/mirror"
 )
 
 // Loads are what entries have at upstreams.
@@ -23,29 +24,54 @@
 	Told(from uint64, lo balance.Load)
 }
 
+// Words are what entries tell of their copies of the store.
+type Words interface {
+	// Word returns what this entry has to tell.
+	Word(now time.Time) mirror.Word
+	// Told takes in what another one told.
+	Told(now time.Time, wo mirror.Word)
+}
+
 // Sharer is the duty that tells the entries of the own region what this one has
-// at upstreams, by datagrams: a lost one is made up for by the next, and an
-// entry that is gone holds nobody up. It implements suture's Service.
+// at upstreams and of the store, by datagrams: a lost one is made up for by the
+// next, and an entry that is gone holds nobody up. It implements suture's Service.
 type Sharer struct {
 	self  core.ProcessID
 	addr  string
 	ld    Loads
+	wo    Words
 	addrs func() []string
+	// reads reports whether others rely on this entry's copy.
+	reads   func() bool
+	changed chan struct{}
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
-// lists.
-func NewSharer(self core.ProcessID, addr string, ld Loads, addrs func() []string) *Sharer {
-	return &Sharer{self: self, addr: addr, ld: ld, addrs: addrs}
+// lists; reads reports whether others rely on this entry's copy of the store.
+func NewSharer(self core.ProcessID, addr string, ld Loads, wo Words, addrs func() []string, reads func() bool) *Sharer {
+	return &Sharer{self: self, addr: addr, ld: ld, wo: wo, addrs: addrs, reads: reads, changed: make(chan struct{}, 1)}
+}
+
+// Changed has all siblings told at once that this entry's copy has changed, if
+// they rely on it.
+func (sh *Sharer) Changed() {
+	select {
+	case sh.changed <- struct{}{}:
+	default:
+	}
 }
 
-// A datagram is a version, the hash of its sender's process, the number of
-// shares, and the shares: the upstream's hash, its attempts, and its pending time
-// in pendingUnit. The rest are parts of prompts that engines have read: the
-// upstream's hash and the part's.
+// A datagram is a version, the hash of its sender's process, the revision of its
+// copy of the store with the copy's age and the time since the store answered, in
+// wordUnit, the number of shares, and the shares: the upstream's hash, its
+// attempts, and its pending time in pendingUnit. The rest are parts of prompts that
+// engines have read: the upstream's hash and the part's.
 const (
-	format      = 3
-	headSize    = 1 + 8 + 1
+	format      = 4
+	wordSize    = 8 + 2 + 2
+	headSize    = 1 + 8 + wordSize + 1
+	wordUnit    = 10 * time.Millisecond
+	noContact   = maxUnits
 	shareSize   = 8 + 2 + 2
 	keptSize    = 8 + 8
 	pendingUnit = 10 * time.Millisecond
@@ -78,32 +104,48 @@
 			return ctx.Err()
 		case <-ti.C:
 			sh.send(pc)
+		case <-sh.changed:
+			sh.sendWord(pc)
 		}
 	}
 }
 
-// send tells the siblings. Nothing is told when nothing is known to differ from
-// nothing: an idle entry is forgotten by the others within a second.
+// send tells some siblings. An entry on which nobody relies tells nothing when it
+// has no work: the others forget it within seconds.
 func (sh *Sharer) send(pc net.PacketConn) {
 	lo := sh.ld.Load()
-	if len(lo.Shares) == 0 && len(lo.Kept) == 0 {
+	if len(lo.Shares) == 0 && len(lo.Kept) == 0 && !sh.reads() {
 		return
 	}
-	data := encode(xxhash.Sum64String(string(sh.self)), lo)
 	addrs := sh.addrs()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	for _, addr := range addrs[:min(len(addrs), told)] {
+	sh.sendTo(pc, addrs[:min(len(addrs), told)], lo)
+}
+
+// sendWord tells all siblings which revision this entry holds.
+func (sh *Sharer) sendWord(pc net.PacketConn) {
+	if sh.reads() {
+		sh.sendTo(pc, sh.addrs(), balance.Load{})
+	}
+}
+
+func (sh *Sharer) sendTo(pc net.PacketConn, addrs []string, lo balance.Load) {
+	data := encode(xxhash.Sum64String(string(sh.self)), sh.wo.Word(time.Now()), lo)
+	for _, addr := range addrs {
 		if to, err := net.ResolveUDPAddr("udp", addr); err == nil {
 			_, _ = pc.WriteTo(data, to) // A lost datagram is made up for by the next.
 		}
 	}
 }
 
-func encode(self uint64, lo balance.Load) []byte {
+func encode(self uint64, wo mirror.Word, lo balance.Load) []byte {
 	shares, kept := lo.Shares[:min(len(lo.Shares), maxShares)], lo.Kept[:min(len(lo.Kept), maxKept)]
 	data := make([]byte, 0, headSize+len(shares)*shareSize+len(kept)*keptSize)
 	data = append(data, format)
 	data = binary.BigEndian.AppendUint64(data, self)
+	data = binary.BigEndian.AppendUint64(data, uint64(wo.Revision))
+	data = binary.BigEndian.AppendUint16(data, uint16(min(max(wo.Age, 0)/wordUnit, maxUnits)))
+	data = binary.BigEndian.AppendUint16(data, contactUnits(wo.Contact))
 	data = append(data, byte(len(shares)))
 	for _, sr := range shares {
 		data = binary.BigEndian.AppendUint64(data, sr.Upstream)
@@ -117,15 +159,23 @@
 	return data
 }
 
+func contactUnits(contact time.Duration) uint16 {
+	if contact < 0 {
+		return noContact
+	}
+	return uint16(min(contact/wordUnit, noContact-1))
+}
+
 // decode returns false for a datagram that no sibling of this release sent.
-func decode(data []byte) (from uint64, lo balance.Load, ok bool) {
+func decode(data []byte) (from uint64, wo mirror.Word, lo balance.Load, ok bool) {
 	if len(data) < headSize || data[0] != format {
-		return 0, lo, false
+		return 0, wo, lo, false
 	}
 	from = binary.BigEndian.Uint64(data[1:])
-	shares, rest := int(data[9])*shareSize, data[headSize:]
+	wo = decodeWord(data[9:])
+	shares, rest := int(data[headSize-1])*shareSize, data[headSize:]
 	if len(rest) < shares || (len(rest)-shares)%keptSize != 0 {
-		return 0, lo, false
+		return 0, wo, lo, false
 	}
 	for row := rest[:shares]; len(row) > 0; row = row[shareSize:] {
 		lo.Shares = append(lo.Shares, balance.Share{
@@ -137,21 +187,38 @@
 	for row := rest[shares:]; len(row) > 0; row = row[keptSize:] {
 		lo.Kept = append(lo.Kept, balance.Kept{Upstream: binary.BigEndian.Uint64(row), Part: binary.BigEndian.Uint64(row[8:])})
 	}
-	return from, lo, true
+	return from, wo, lo, true
+}
+
+func decodeWord(data []byte) mirror.Word {
+	wo := mirror.Word{
+		Revision: core.Revision(binary.BigEndian.Uint64(data)),
+		Age:      time.Duration(binary.BigEndian.Uint16(data[8:])) * wordUnit,
+		Contact:  mirror.NoContact,
+	}
+	if units := binary.BigEndian.Uint16(data[10:]); units != noContact {
+		wo.Contact = time.Duration(units) * wordUnit
+	}
+	return wo
 }
 
 func (sh *Sharer) receive(pc net.PacketConn) {
 	buf := make([]byte, headSize+maxShares*shareSize+maxKept*keptSize)
 	for {
-		n, _, err := pc.ReadFrom(buf)
+		n, addr, err := pc.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		if from, lo, ok := decode(buf[:n]); ok {
-			sh.ld.Told(from, lo)
+		from, wo, lo, ok := decode(buf[:n])
+		if !ok {
+			continue
 		}
+		sh.ld.Told(from, lo)
+		// The sender answers at the address that it sends from.
+		wo.From = addr.String()
+		sh.wo.Told(time.Now(), wo)
 	}
 }
--- a/io/sibling/share_test.go
+++ b/io/sibling/share_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/core/balance"
+	"skylarkstand/core/mirror"
 )
 
 // What an entry tells must arrive as it was told, and bytes that no entry of
@@ -18,19 +19,24 @@
 		Shares: []balance.Share{{Upstream: 1 << 60, Own: 3, Pending: 250 * time.Millisecond}, {Upstream: 7, Own: 70_000, Pending: time.Hour}},
 		Kept:   []balance.Kept{{Upstream: 7, Part: 1 << 63}},
 	}
-	data := encode(42, lo)
-	from, got, ok := decode(data)
+	wo := mirror.Word{Revision: 1 << 40, Age: 2 * time.Second, Contact: 40 * time.Millisecond}
+	data := encode(42, wo, lo)
+	from, word, got, ok := decode(data)
 	assert.Assert(t, ok)
+	assert.Equal(t, word, wo)
 	assert.Equal(t, from, uint64(42))
 	lo.Shares[1].Own, lo.Shares[1].Pending = maxUnits, maxUnits*pendingUnit
 	assert.DeepEqual(t, got, lo)
 	for n := range data {
-		_, _, ok := decode(data[:n])
+		_, _, _, ok := decode(data[:n])
 		assert.Assert(t, !ok || n == headSize+2*shareSize, "%d bytes", n)
 	}
 	data[0]++
-	_, _, ok = decode(data)
+	_, _, _, ok = decode(data)
 	assert.Assert(t, !ok)
+	wo = mirror.Word{Age: time.Hour, Contact: mirror.NoContact}
+	_, word, _, _ = decode(encode(42, wo, lo))
+	assert.Equal(t, word, mirror.Word{Age: maxUnits * wordUnit, Contact: mirror.NoContact})
 }
 
 // An entry has attempts at more upstreams than a packet holds. What fits must be
@@ -41,9 +47,9 @@
 		lo.Shares = append(lo.Shares, balance.Share{Upstream: balance.HashOf("x"), Own: i})
 		lo.Kept = append(lo.Kept, balance.Kept{Part: uint64(i)})
 	}
-	data := encode(1, lo)
+	data := encode(1, mirror.Word{}, lo)
 	assert.Assert(t, len(data) <= 1472, "%d", len(data))
-	_, got, ok := decode(data)
+	_, _, got, ok := decode(data)
 	assert.Assert(t, ok)
 	assert.Equal(t, fmt.Sprint(len(got.Shares), " ", len(got.Kept)), "64 40")
 }
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -1,14 +1,16 @@
-// Package sibling speaks with the other entries. An entry that the store does
-// not answer asks those it does for the store's newest content; while a roll-out
-// goes on, entries ask one another for their evidence.
+// Package sibling speaks with the other entries. By datagrams entries tell those
+// of their region what they have at upstreams and which revision of the store
+// they hold. Who holds an older one, or hears nothing from the store, asks for
+// the newest content; while a roll-out goes on, entries ask one another for their
+// evidence.
 //
-// The first costs nothing while the store is well, since nobody asks. The
-// answer is the whole copy or the word that there is nothing newer, so that it
-// is right whatever the asker missed.
+// The answer is the changes since the asker's revision, or the whole copy where
+// some of those are not kept any more, so that it is right whatever the asker
+// missed.
 //
 // # Usage
 //
-//	mux.Handle("GET "+sibling.Path, sibling.Handler(mi))
+//	mux.Handle("GET "+sibling.Path, sibling.Handler(mi, follower.Doubtful))
 //	sibs := sibling.New(cl, addrs, rand.IntN)     // mirror.Siblings
 //	ne, err := sibs.Ask(ctx, revision)
 package sibling
@@ -36,9 +38,13 @@
 type message struct {
 	Revision core.Revision `json:"revision"`
 	// AgeMs is how long ago the copy was known to be the newest.
-	AgeMs int64  `json:"age-ms"`
-	Newer bool   `json:"newer"`
-	Items []item `json:"items,omitempty"`
+	AgeMs    int64 `json:"age-ms"`
+	Doubtful bool  `json:"doubtful,omitempty"`
+	Newer    bool  `json:"newer"`
+	// Whole says that Items are the whole copy; otherwise Changes lead to it.
+	Whole   bool     `json:"whole,omitempty"`
+	Items   []item   `json:"items,omitempty"`
+	Changes []change `json:"changes,omitempty"`
 }
 
 type item struct {
@@ -47,30 +53,53 @@
 	Revision core.Revision `json:"revision"`
 }
 
-// Handler serves a mirror to siblings.
-func Handler(mi *mirror.Mirror) http.Handler {
+type change struct {
+	item
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Handler serves a mirror to siblings: the changes since their revision, or the
+// whole copy where they lag too far. Doubtful reports whether a removal may be
+// the store's own trouble.
+func Handler(mi *mirror.Mirror, doubtful func(now time.Time) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
 		after, err := strconv.ParseUint(rq.FormValue("after"), 10, 64)
 		if err != nil {
 			http.Error(w, "after must be a revision", http.StatusBadRequest)
 			return
 		}
-		items, rev, heard := mi.Copy("")
-		if rev == 0 {
+		ms := newsSince(mi, core.Revision(after))
+		if ms.Revision == 0 {
 			http.Error(w, "nothing is known here yet", http.StatusServiceUnavailable)
 			return
 		}
-		ms := message{Revision: rev, AgeMs: time.Since(heard).Milliseconds(), Newer: rev > core.Revision(after)}
-		if ms.Newer {
-			for _, it := range items {
-				ms.Items = append(ms.Items, item(it))
-			}
-		}
+		ms.Doubtful = doubtful(time.Now())
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(ms)
 	})
 }
 
+// newsSince is what an entry has over a revision.
+func newsSince(mi *mirror.Mirror, after core.Revision) message {
+	age := mi.Age(time.Now())
+	changes, rev, ok := mi.Since(after)
+	ms := message{Revision: rev, AgeMs: age.Milliseconds(), Newer: rev > after, Whole: !ok}
+	if !ms.Newer {
+		return ms
+	}
+	for _, ch := range changes {
+		ms.Changes = append(ms.Changes, change{item(ch.Item), ch.Gone})
+	}
+	if ms.Whole {
+		items, rev, heard := mi.Copy("")
+		ms.Revision, ms.AgeMs = rev, time.Since(heard).Milliseconds()
+		for _, it := range items {
+			ms.Items = append(ms.Items, item(it))
+		}
+	}
+	return ms
+}
+
 // ReportsPath is where an entry tells its evidence about roll-outs under way.
 const ReportsPath = "/roll-outs"
 
@@ -118,7 +147,7 @@
 	for i := range n {
 		addr := addrs[(first+i)%len(addrs)]
 		go func() {
-			ne, err := si.ask(ctx, addr, after)
+			ne, err := si.AskAt(ctx, addr, after)
 			got <- result{ne, err}
 		}()
 	}
@@ -140,12 +169,18 @@
 	return best, nil
 }
 
-func (si *Siblings) ask(ctx context.Context, addr string, after core.Revision) (mirror.News, error) {
+// AskAt implements mirror.Siblings.
+func (si *Siblings) AskAt(ctx context.Context, addr string, after core.Revision) (mirror.News, error) {
 	var ms message
 	if err := si.get(ctx, addr, Path+"?after="+strconv.FormatUint(uint64(after), 10), &ms); err != nil {
 		return mirror.News{}, err
 	}
-	ne := mirror.News{Newer: ms.Newer, Revision: ms.Revision, Age: time.Duration(ms.AgeMs) * time.Millisecond}
+	ne := mirror.News{
+		Newer: ms.Newer, Whole: ms.Whole, Revision: ms.Revision, Age: time.Duration(ms.AgeMs) * time.Millisecond, Doubtful: ms.Doubtful,
+	}
+	for _, ch := range ms.Changes {
+		ne.Changes = append(ne.Changes, core.Change{Item: core.Item(ch.item), Gone: ch.Gone})
+	}
 	for _, it := range ms.Items {
 		ne.Items = append(ne.Items, core.Item(it))
 	}
