Tell the other entries of upstreams where nobody listens

Cause: each entry found out for itself that an upstream is dead.

Change: a refused connection, another identity at an address, and the first answer after either are facts, told to the region every quarter of a second in a datagram of their own and believed, for the very start of an upstream that they were found out of, and for ten seconds at most. Slowness, errors and time-outs stay each entry's own: an entry that is cut off sees those at sound upstreams. Where nobody listens, the rest ends after 1.5 s in place of 3, since with all entries resting together one of them has to look.

The wait that reports make expect is logged with each attempt.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -41,6 +41,8 @@
 	// sent to engines since it was told.
 	hashed map[uint64]*peer
 	recent []Kept
+	// facts are the peers of which something was found out that was not told yet.
+	facts map[*peer]bool
 	// told is what other entries have at upstreams.
 	told map[uint64]told
 	off  mechanism.Off
@@ -55,7 +57,7 @@
 	pk := &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reading: newReading(),
-		told: map[uint64]told{}, hashed: map[uint64]*peer{},
+		told: map[uint64]told{}, hashed: map[uint64]*peer{}, facts: map[*peer]bool{},
 	}
 	for _, opt := range opts {
 		opt(pk)
--- a/core/balance/flight.go
+++ b/core/balance/flight.go
@@ -20,6 +20,8 @@
 	Refused
 	// Unreached: no connection could be opened.
 	Unreached
+	// Absent: nobody listens at its address.
+	Absent
 	// Abandoned: the caller left or another answer was taken; it says nothing
 	// about the upstream.
 	Abandoned
@@ -54,6 +56,8 @@
 	LoadAge time.Duration
 	// Kept is how much of the prompt is thought to be in its memory.
 	Kept core.Tokens
+	// Waits is the time that the prompts need that are thought to wait there.
+	Waits time.Duration
 	// Failing is the recent share of failures there.
 	Failing float64
 }
@@ -75,8 +79,7 @@
 		fl.basis.Kept = pe.kept(now, rq)
 		fl.fresh = rq.Prompt - fl.basis.Kept
 		fl.cost = scale(pk.reading.thousand(rq.Model), fl.fresh)
-		_, waits := pk.work(now, pe)
-		fl.telling = waits == 0 && ho.Region == pk.region && !pk.off.Has(mechanism.ReadPace)
+		fl.telling = fl.basis.Waits == 0 && ho.Region == pk.region && !pk.off.Has(mechanism.ReadPace)
 		pk.keep(now, pe, rq)
 		pe.pending += fl.cost
 		pk.meanRead += (float64(fl.cost) - pk.meanRead) / 32
@@ -88,8 +91,8 @@
 
 func (pk *Picker) basis(now time.Time, pe *peer) Basis {
 	ba := Basis{Own: pe.own, LoadAge: NoLoad, Failing: pe.badness(now)}
-	load, _ := pk.work(now, pe)
-	ba.Others = max(load-float64(pe.own), 0)
+	load, waits := pk.work(now, pe)
+	ba.Others, ba.Waits = max(load-float64(pe.own), 0), waits
 	for _, to := range pk.told {
 		if age := now.Sub(to.at); ba.LoadAge == NoLoad || age < ba.LoadAge {
 			ba.LoadAge = age
@@ -108,7 +111,7 @@
 	}
 	fl.begun = true
 	fl.peer.unbegun--
-	fl.peer.heard = now
+	pk.answered(now, fl.peer)
 	took := now.Sub(fl.sent)
 	if fl.telling {
 		pk.reading.learn(rq.Model, fl.fresh, took)
@@ -149,6 +152,9 @@
 		pe.pending = max(pe.pending-fl.cost, 0)
 	}
 	pe.ended(now, out)
+	if out == Absent || out == Replaced {
+		pk.found(pe)
+	}
 	return pe.turn(now), pe.badness(now)
 }
 
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -94,10 +94,12 @@
 	// chance.
 	failMargin = 0.12
 	// downFirst and downMost bound how long an upstream rests that could not
-	// be reached. A crashed one is back after some seconds.
-	downFirst = 400 * time.Millisecond
-	downMost  = 3 * time.Second
-	downCost  = 20 * time.Second
+	// be reached, and absentMost how long one where nobody listens: a crashed one
+	// is back after some seconds, and a connection that is refused costs little.
+	downFirst  = 400 * time.Millisecond
+	downMost   = 3 * time.Second
+	absentMost = 1500 * time.Millisecond
+	downCost   = 20 * time.Second
 	// replacedFor is how long nothing is sent to an upstream whose address has
 	// another one by now. It is gone for good; only the list is late, by as much
 	// as a cut between it and the store lasts.
@@ -186,10 +188,13 @@
 	case Refused:
 		pe.full = now.Add(fullFor)
 		return
-	case Unreached:
+	case Unreached, Absent:
 		pe.away++
-		rest := min(downFirst<<min(pe.away-1, 4), downMost)
-		pe.down = now.Add(rest)
+		most := downMost
+		if out == Absent {
+			most = absentMost
+		}
+		pe.down = now.Add(min(downFirst<<min(pe.away-1, 4), most))
 		return
 	case Replaced:
 		pe.down = now.Add(replacedFor)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -141,7 +141,7 @@
 		"An attempt's answer was not used: `verdict` and `why` say what came of it.",
 		"Look at the upstream when it repeats there."}
 	AttemptBegun = &Event{515, "attempt-begun", slog.LevelInfo,
-		"An upstream was chosen and is called: of `candidates`, with `own` calls of this entry there, `others` by the reports, `load-age` old (-1 is none); `kept` tokens of the prompt are thought to be in its memory and `read` is the expected wait for the prompts there; `rank` is the place in its queue, 0 first; `patience` is when another one is asked, `left` the caller's time, `repeats-left` the budget; `after` is the last event that the caller has.",
+		"An upstream was chosen and is called: of `candidates`, with `own` calls of this entry there, `others` by the reports, `load-age` old (-1 is none); `kept` tokens of the prompt are thought to be in its memory, `waits` is the time that all prompts there need by the reports, and `read` that of this entry's; `rank` is the place in its queue, 0 first; `patience` is when another one is asked, `left` the caller's time, `repeats-left` the budget; `after` is the last event that the caller has.",
 		"Nothing."}
 	StreamResumed = &Event{514, "stream-resumed", slog.LevelInfo,
 		"A stream that broke goes on at another upstream, after the event that its caller has.", "Nothing."}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -106,8 +106,8 @@
 }
 
 // Access calls upstreams without an agent between. An error is a *Failure; its
-// Ran is NotRun only when no byte went to the upstream. The context's end drops
-// the connection.
+// Ran is NotRun only when no byte went to the upstream, with CodeCrashed when
+// nobody listens there. The context's end drops the connection.
 type Access interface {
 	Call(ctx context.Context, ca *Call) (*Reply, error)
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -141,10 +141,13 @@
 func (at *attempt) fail(err error) verdict {
 	at.blame(err)
 	var fl *core.Failure
-	if errors.As(err, &fl) && fl.Ran == core.NotRun {
-		return unreached
+	if !errors.As(err, &fl) || fl.Ran != core.NotRun {
+		return lost
 	}
-	return lost
+	if fl.Code == core.CodeCrashed {
+		return absent
+	}
+	return unreached
 }
 
 // blame notes why the attempt brought no whole answer. What ended its context
@@ -175,7 +178,7 @@
 
 // drop gives up an attempt whose answer is not used.
 func (at *attempt) drop(ve verdict) {
-	if ve == refused || ve == stranger || ve == unreached {
+	if ve.notRun() {
 		at.jb.runs--
 	}
 	if at.reply != nil {
@@ -239,7 +242,7 @@
 	if ou.Whole {
 		ou = at.times()
 	}
-	ou.Neutral = gone || ve == refused || ve == stranger || ve == unreached
+	ou.Neutral = gone || ve.notRun()
 	ou.Failed = ve == failed || ve == lost
 	return ou
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -260,6 +260,20 @@
 	return fw.picker.Avoided(now, hosts)
 }
 
+// Facts returns what this entry has found out of upstreams since the last call.
+func (fw *Forwarder) Facts() []balance.Fact {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.Facts(time.Now())
+}
+
+// ToldFacts takes in what another entry has found out.
+func (fw *Forwarder) ToldFacts(facts []balance.Fact) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.picker.ToldFacts(time.Now(), facts)
+}
+
 // Load returns what this entry tells the others of its work at upstreams.
 func (fw *Forwarder) Load() balance.Load {
 	fw.mu.Lock()
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -131,7 +131,7 @@
 		if jb.sends >= maxSends || !jb.spend(retry.Retry) {
 			return jb.give(core.CodeNoUpstream, jb.backoff(), "the upstreams that are listed are others by now")
 		}
-	case unreached:
+	case unreached, absent:
 		if jb.sends >= maxSends {
 			return jb.give(core.CodeNoUpstream, jb.backoff(), "no upstream can be reached")
 		}
--- a/core/forward/judge.go
+++ b/core/forward/judge.go
@@ -21,6 +21,8 @@
 	stranger
 	// unreached: nothing left. Not run.
 	unreached
+	// absent: nobody listens at the address. Not run.
+	absent
 	// lost: no answer, or none that can be the upstream's. It may have run.
 	lost
 	// unsure: a success whose model doubts it, and a larger one is there.
@@ -30,6 +32,11 @@
 // ran reports whether the work may have run.
 func (ve verdict) ran() bool { return ve == taken || ve == failed || ve == lost || ve == unsure }
 
+// notRun reports whether the work certainly did not run.
+func (ve verdict) notRun() bool {
+	return ve == refused || ve == stranger || ve == unreached || ve == absent
+}
+
 // outcome is what a verdict says about the upstream.
 func (ve verdict) outcome() balance.Outcome {
 	switch ve {
@@ -41,6 +48,8 @@
 		return balance.Replaced
 	case unreached:
 		return balance.Unreached
+	case absent:
+		return balance.Absent
 	default:
 		return balance.Failed
 	}
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -15,7 +15,7 @@
 	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "route", jb.rt.ID, "attempt", at.number, "upstream", at.to.ID,
 		"version", at.to.Version, "model", at.rq.Model, "prompt", jb.ex.Prompt, "output", jb.ex.Output, "configuration", jb.tb.Version, "news-age", jb.fw.parts.Age(),
 		"candidates", candidates, "own", ba.Own, "others", round(ba.Others), "load-age", ba.LoadAge, "failing", round(ba.Failing),
-		"kept", ba.Kept, "read", at.read, "rank", at.rank, "patience", at.patience, "left", at.left, "repeats-left", round(repeats), "after", at.after)
+		"kept", ba.Kept, "waits", ba.Waits, "read", at.read, "rank", at.rank, "patience", at.patience, "left", at.left, "repeats-left", round(repeats), "after", at.after)
 }
 
 // logTurn logs what the attempt's end changed about its upstream.
--- a/core/forward/meters.go
+++ b/core/forward/meters.go
@@ -58,7 +58,7 @@
 
 // String names a verdict in logs and metrics.
 func (ve verdict) String() string {
-	return [...]string{"taken", "failed", "refused", "stranger", "unreached", "lost", "unsure"}[ve]
+	return [...]string{"taken", "failed", "refused", "stranger", "unreached", "absent", "lost", "unsure"}[ve]
 }
 
 // drawn is a random number for what is no choice of an upstream.
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -22,6 +22,10 @@
 	Load() balance.Load
 	// Told takes in what another one told.
 	Told(from uint64, lo balance.Load)
+	// Facts returns what this entry has found out of upstreams since the last call.
+	Facts() []balance.Fact
+	// ToldFacts takes in what another one has found out.
+	ToldFacts(facts []balance.Fact)
 }
 
 // Words are what entries tell of their copies of the store.
@@ -103,6 +107,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ti.C:
+			sh.sendFacts(pc)
 			sh.send(pc)
 		case <-sh.changed:
 			sh.sendWord(pc)
@@ -122,6 +127,13 @@
 	sh.sendTo(pc, addrs[:min(len(addrs), told)], lo)
 }
 
+// sendFacts tells all siblings what this entry has found out of upstreams.
+func (sh *Sharer) sendFacts(pc net.PacketConn) {
+	if facts := sh.ld.Facts(); len(facts) > 0 {
+		write(pc, sh.addrs(), encodeFacts(facts))
+	}
+}
+
 // sendWord tells all siblings which revision this entry holds.
 func (sh *Sharer) sendWord(pc net.PacketConn) {
 	if sh.reads() {
@@ -130,7 +142,10 @@
 }
 
 func (sh *Sharer) sendTo(pc net.PacketConn, addrs []string, lo balance.Load) {
-	data := encode(xxhash.Sum64String(string(sh.self)), sh.wo.Word(time.Now()), lo)
+	write(pc, addrs, encode(xxhash.Sum64String(string(sh.self)), sh.wo.Word(time.Now()), lo))
+}
+
+func write(pc net.PacketConn, addrs []string, data []byte) {
 	for _, addr := range addrs {
 		if to, err := net.ResolveUDPAddr("udp", addr); err == nil {
 			_, _ = pc.WriteTo(data, to) // A lost datagram is made up for by the next.
@@ -212,6 +227,10 @@
 		if err != nil {
 			continue
 		}
+		if facts, ok := decodeFacts(buf[:n]); ok {
+			sh.ld.ToldFacts(facts)
+			continue
+		}
 		from, wo, lo, ok := decode(buf[:n])
 		if !ok {
 			continue
--- a/io/sibling/share_test.go
+++ b/io/sibling/share_test.go
@@ -53,3 +53,20 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, fmt.Sprint(len(got.Shares), " ", len(got.Kept)), "64 40")
 }
+
+// Guards against facts of an upstream that arrive changed, or bytes that are taken
+// for facts: a rest that nobody told of keeps a sound upstream idle.
+func TestFactsArriveAsTold(t *testing.T) {
+	facts := []balance.Fact{{Upstream: 1 << 63, Start: 9, Rest: 400 * time.Millisecond, Away: 2}, {Upstream: 3}}
+	data := encodeFacts(facts)
+	got, ok := decodeFacts(data)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, facts)
+	_, ok = decodeFacts(data[:len(data)-1])
+	assert.Assert(t, !ok)
+	_, ok = decodeFacts(encode(1, mirror.Word{}, balance.Load{}))
+	assert.Assert(t, !ok)
+	_, _, _, ok = decode(data)
+	assert.Assert(t, !ok)
+	assert.Assert(t, len(encodeFacts(make([]balance.Fact, 500))) <= 1472)
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -154,6 +155,12 @@
 	return rs, nil
 }
 
+// Refused reports whether nobody listens at the address of a call that failed.
+func Refused(err error) bool {
+	var er *Error
+	return errors.As(err, &er) && er.Dial && errors.Is(er.Err, syscall.ECONNREFUSED)
+}
+
 // take returns an idle connection that is still good, or a new one.
 func (cl *Client) take(ctx context.Context, addr string, rq *Request) (*conn, error) {
 	if co := cl.takeIdle(addr); co != nil {
