Ask half of the entries in each round of a roll-out, each in its turn

A session of one that was not asked met both versions by turns.

Ruled out: the bound on what an entry sends to the new version (the same with four times the slack).

--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -26,6 +26,10 @@
 	fault    fault
 	// deaf cuts the entries off from one another and from the store.
 	deaf bool
+	// asks is how many others an entry asks in each round; 0 is all of them.
+	asks int
+	// roams has the requests of a session come to any entry.
+	roams bool
 	// restart starts an entry anew at a time, knowing nothing.
 	restart time.Duration
 }
@@ -123,6 +127,10 @@
 						others = append(others, rp)
 					}
 				}
+				if tr.asks > 0 && tr.asks < len(others) {
+					first := n / 100 * tr.asks % len(others)
+					others = append(others[first:], others[:first]...)[:tr.asks]
+				}
 				gu.Pool(now, others)
 			}
 		}
@@ -139,6 +147,9 @@
 			entry := rnd.IntN(tr.entries)
 			// Sessions of a few requests, mostly at one entry.
 			se := core.SessionID(fmt.Sprint("s", int(now.Sub(start).Seconds())/4, "-", entry, "-", rnd.IntN(12)))
+			if tr.roams {
+				se = core.SessionID(fmt.Sprint("s", int(now.Sub(start).Seconds())/8, "-", rnd.IntN(int(6*tr.rate))))
+			}
 			gu := gus[entry]
 			ups := gu.Choose(now, service, se, rnd.Float64(), all, true)
 			if len(ups) == 0 {
--- a/core/canary/versions_test.go
+++ b/core/canary/versions_test.go
@@ -90,3 +90,16 @@
 		assert.Equal(t, ho.Version, v2)
 	}
 }
+
+// Guards against sessions whose requests come to any of many entries and meet the
+// two versions by turns, since an entry has not asked all others at the order.
+func TestSessionsThatRoamKeepTheirVersion(t *testing.T) {
+	const most = 3
+	for _, entries := range []int{4, 20, 33} {
+		for seed := range uint64(8) {
+			tr := trial{seed: seed, entries: entries, asks: 16, roams: true, rate: 150, exposure: 0.12, duration: 15 * time.Second}
+			re := tr.play(t)
+			assert.Assert(t, re.wrongMoves+re.backToOld <= most, "%d entries, seed %d: %d and %d", entries, seed, re.wrongMoves, re.backToOld)
+		}
+	}
+}
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -20,7 +20,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -111,15 +113,21 @@
 	})
 }
 
-// reporters is how many siblings are asked for their evidence in one round. A
-// dozen see enough of any service together, however many there are.
-const reporters = 12
+// Half of the siblings are asked for their evidence in one round, each in its turn,
+// so that in two all have told which sessions they have; but leastReporters, who see
+// enough of any service together, and no more than mostReporters.
+const (
+	leastReporters = 12
+	mostReporters  = 24
+)
 
 // Siblings asks other entries. It implements mirror.Siblings.
 type Siblings struct {
 	cl    *upstream.Client
 	addrs func() []string
 	draw  func(n int) int
+	// turn is the sibling that is asked for its evidence next.
+	turn atomic.Int64
 }
 
 // New returns the siblings at the addresses that addrs lists.
@@ -190,8 +198,9 @@
 // Reports implements canary.Entries. Those that do not answer are left out.
 func (si *Siblings) Reports(ctx context.Context) []canary.Report {
 	addrs := si.addrs()
-	first := si.draw(max(len(addrs), 1))
-	n := min(reporters, len(addrs))
+	slices.Sort(addrs)
+	n := min(max((len(addrs)+1)/2, leastReporters), mostReporters, len(addrs))
+	first := int(si.turn.Add(int64(n))) - n
 	got := make(chan []canary.Report, n)
 	for i := range n {
 		addr := addrs[(first+i)%len(addrs)]
