Tell every sibling of every prompt that engines have read

Cause: ten siblings, drawn anew each time, were told in a round of what had been read since the last one; with 16 in a region each missed a third of it.

Change: siblings are told in turn, each of all since its last turn.

--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -48,12 +47,13 @@
 	// reads reports whether others rely on this entry's copy.
 	reads   func() bool
 	changed chan struct{}
+	turns   turns
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
 // lists; reads reports whether others rely on this entry's copy of the store.
 func NewSharer(self core.ProcessID, addr string, ld Loads, wo Words, addrs func() []string, reads func() bool) *Sharer {
-	return &Sharer{self: self, addr: addr, ld: ld, wo: wo, addrs: addrs, reads: reads, changed: make(chan struct{}, 1)}
+	return &Sharer{self: self, addr: addr, ld: ld, wo: wo, addrs: addrs, reads: reads, changed: make(chan struct{}, 1), turns: turns{}}
 }
 
 // Changed has all siblings told at once that this entry's copy has changed, if
@@ -122,9 +122,10 @@
 	if len(lo.Shares) == 0 && len(lo.Kept) == 0 && !sh.reads() {
 		return
 	}
-	addrs := sh.addrs()
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	sh.sendTo(pc, addrs[:min(len(addrs), told)], lo)
+	sh.turns.add(sh.addrs(), lo.Kept)
+	for _, addr := range sh.turns.next(told) {
+		sh.sendTo(pc, []string{addr}, balance.Load{Shares: lo.Shares, Kept: sh.turns.take(addr)})
+	}
 }
 
 // sendFacts tells all siblings what this entry has found out of upstreams.
