Take waits and not reading for load, and know the waits better

Three causes, found by the same logs. It is now the wait beyond the reading of the caller's own prompt. (2) What others told to wait at an engine stood there until their next round, though it was read: what was read goes with the next call that is told. (3) Engines of the other region looked idle, since its entries tell nobody here: herds crossed over, and the gate, which goes by the least wait anywhere, never closed. Half of the own region's mean wait is assumed there, and the gate goes by the own region.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -41,13 +41,16 @@
 	// sent to engines since it was told.
 	hashed map[uint64]*peer
 	recent []Kept
-	// sent is the work that went to upstreams and was not told yet.
-	sent []Share
+	// sent is the work that went to upstreams and was not told yet, and read the
+	// prompts that were read since the last telling.
+	sent, read []Share
 	// facts are the peers of which something was found out that was not told yet.
 	facts map[*peer]bool
 	// told is what other entries have at upstreams.
 	told map[uint64]told
 	off  mechanism.Off
+	// nearWait is the mean time that prompts wait at engines of the own region.
+	nearWait time.Duration
 	// meanRead follows the time that a prompt needs.
 	meanRead float64
 }
@@ -116,17 +119,19 @@
 }
 
 // Wait returns the least time that a prompt would wait at an engine before it is
-// read.
+// read: at one of the own region, or of another where that has none.
 func (pk *Picker) Wait(now time.Time, hosts []core.Host) time.Duration {
-	least := time.Duration(-1)
+	least, near := time.Duration(-1), false
 	for i := range hosts {
 		pe := pk.peer(&hosts[i])
-		if now.Before(pe.down) {
+		if now.Before(pe.down) || near && pe.far {
 			continue
 		}
-		if _, pending := pk.work(now, pe); least < 0 || pending < least {
+		_, pending := pk.work(now, pe)
+		if least < 0 || pending < least || !near && !pe.far {
 			least = pending
 		}
+		near = near || !pe.far
 	}
 	return max(least, 0)
 }
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -15,6 +15,10 @@
 	// a wait of half a second costs a caller about as much.
 	zoneCost   = 12 * time.Millisecond
 	regionCost = 450 * time.Millisecond
+	// farPart is the part of the mean wait at engines of the own region that is
+	// assumed at those of another. All of it would keep work from a region that is
+	// idle while this one is not, none of it sends everybody there.
+	farPart = 0.5
 	// batchCost is what one more request in an engine's batch adds to each of
 	// the others: 0.15 ms a step over some hundred steps of an answer.
 	batchCost = 14 * time.Millisecond
@@ -68,6 +72,7 @@
 		fi.home = pk.home(hosts, rq)
 		fi.read = pk.reading.thousand(rq.Model)
 		fi.again = pk.sharedPrice(shared(rq.Parts))
+		pk.followNear(now, hosts)
 	}
 	for i := range hosts {
 		bad := pk.peer(&hosts[i]).badness(now)
@@ -130,12 +135,33 @@
 
 // work is the calls at an upstream, and the time that the prompts need that
 // wait there: the own ones, and the others' as they tell, or else as the
-// upstream reported.
+// upstream reported. What the entries of another region have there nobody tells; a
+// part of what engines of the own region have is assumed.
 func (pk *Picker) work(now time.Time, pe *peer) (load float64, pending time.Duration) {
-	if own, wait, known := pk.others(now, pe.hash); known {
+	own, wait, known := pk.others(now, pe.hash)
+	if known && !pe.far {
 		return float64(pe.own) + own, pe.pending + wait
 	}
-	return pe.load(now), pe.pending + pe.waiting(now, pk.usualRead())
+	load, pending = pe.load(now), pe.pending+pe.waiting(now, pk.usualRead())
+	if known {
+		pending = max(pending, time.Duration(farPart*float64(pk.nearWait)))
+	}
+	return load, pending
+}
+
+// followNear notes the mean wait at the engines of the own region.
+func (pk *Picker) followNear(now time.Time, hosts []core.Host) {
+	sum, n := time.Duration(0), 0
+	for i := range hosts {
+		pe := pk.peer(&hosts[i])
+		if pe.far || now.Before(pe.down) {
+			continue
+		}
+		_, pending := pk.work(now, pe)
+		sum += pending
+		n++
+	}
+	pk.nearWait = sum / time.Duration(max(n, 1))
 }
 
 // scale is the time to read so many tokens, at a time for a thousand.
--- a/core/balance/flight.go
+++ b/core/balance/flight.go
@@ -118,6 +118,7 @@
 		pk.reading.learn(rq.Model, fl.fresh, took)
 	}
 	fl.peer.pending = max(fl.peer.pending-fl.cost, 0)
+	pk.readNow(fl)
 	fl.peer.paced(fl.pool, took, fl.cost)
 	fl.pool.learn(took)
 	if lo != nil {
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -25,10 +25,18 @@
 	Upstream, Part uint64
 }
 
+// Budget is what an entry has left of the repeats at a service.
+type Budget struct {
+	// Service is the hash of its id.
+	Service uint64
+	Left    float64
+}
+
 // Load is what an entry tells the others.
 type Load struct {
-	Shares []Share
-	Kept   []Kept
+	Shares  []Share
+	Kept    []Kept
+	Budgets []Budget
 }
 
 // maxRecent bounds the parts that wait to be told.
@@ -61,7 +69,8 @@
 		}
 	}
 	recent := pk.recent
-	pk.recent = nil
+	// What was read is in the shares.
+	pk.recent, pk.read = nil, nil
 	return Load{Shares: out, Kept: recent}
 }
 
@@ -75,15 +84,26 @@
 	}
 }
 
-// SentNow returns the work that went to upstreams since the last call.
+// readNow notes a prompt that was read, to be told with the next call.
+func (pk *Picker) readNow(fl *Flight) {
+	if fl.cost >= tellFrom && len(pk.read) < maxRecent {
+		pk.read = append(pk.read, Share{Upstream: fl.peer.hash, Pending: fl.cost})
+	}
+}
+
+// SentNow returns the work that went to upstreams since the last call. Shares of no
+// call are prompts that were read meanwhile.
 //
 // It is made for many entries before one pool. Whatever [Picker.Load] tells is
 // some hundred milliseconds old, in which all entries would take the one engine
 // that looked idle then: of the short prompts that waited for 0.3 s and more at
 // such an engine nearly all did behind what others had sent there since.
 func (pk *Picker) SentNow() []Share {
-	sent := pk.sent
-	pk.sent = nil
+	if len(pk.sent) == 0 {
+		return nil
+	}
+	sent := append(pk.sent, pk.read...)
+	pk.sent, pk.read = nil, nil
 	return sent
 }
 
@@ -99,7 +119,11 @@
 	}
 	for _, sh := range sent {
 		old := to.shares[sh.Upstream]
-		to.shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
+		pending := old.Pending + sh.Pending
+		if sh.Own == 0 {
+			pending = max(old.Pending-sh.Pending, 0)
+		}
+		to.shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, pending}
 	}
 }
 
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -68,7 +68,8 @@
 	return nil
 }
 
-// first lets the choice of models learn how long the caller waited.
+// first lets the choice of models learn how long the caller waited beyond the
+// reading of its own prompt, which a long one takes at an idle engine too.
 func (ans *Answer) first() {
 	jb, fw := ans.jb, ans.jb.fw
 	if ans.ev == nil || len(jb.rt.Cascade) < 2 {
@@ -76,7 +77,7 @@
 	}
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.ladder(jb.service).Begun(time.Since(jb.ex.Arrived), jb.rt.Aim)
+	fw.ladder(jb.service).Begun(max(time.Since(jb.ex.Arrived)-jb.reading, 0), jb.rt.Aim)
 }
 
 // Status is the HTTP status of the answer.
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -37,6 +37,8 @@
 	// kept why that answer was given.
 	sure float64
 	kept keptAnswer
+	// reading is the time that the attempts so far needed for the prompt alone.
+	reading time.Duration
 	// ran is set once the work may have run.
 	ran bool
 	// suspect is the attempt that failed last, while another one is under way that
@@ -215,6 +217,7 @@
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
 	at.flight = fw.picker.Sent(now, ho, rq)
 	at.read = at.flight.Read()
+	jb.reading += at.flight.Cost()
 	at.patience = patience(jb.rt, fw.picker.Usual(rq), at.read, left)
 	at.rank = balance.Rank(jb.priority, jb.rankedRead(at), fw.draw())
 	repeats := fw.window(jb.service).Left(now, retry.Retry)
