Lend repeats among entries

Change: entries tell one another what they have left. One whose part is used may go a tenth of the bound beyond it while all together have some left.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
@@ -297,12 +299,28 @@
 func (fw *Forwarder) Load() balance.Load {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	return fw.picker.Load()
+	lo := fw.picker.Load()
+	now := time.Now()
+	for sv, wi := range fw.windows {
+		lo.Budgets = append(lo.Budgets, balance.Budget{Service: hashOf(sv), Left: wi.Tell(now)})
+	}
+	return lo
 }
 
+// hashOf names a service among entries.
+func hashOf(sv core.ServiceID) uint64 { return xxhash.Sum64String(string(sv)) }
+
 // Told takes in what another entry told.
 func (fw *Forwarder) Told(from uint64, lo balance.Load) {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.picker.Told(time.Now(), from, lo)
+	now := time.Now()
+	fw.picker.Told(now, from, lo)
+	for sv, wi := range fw.windows {
+		for _, bu := range lo.Budgets {
+			if bu.Service == hashOf(sv) && !fw.parts.Off.Has(mechanism.LentRepeats) {
+				wi.Told(now, from, bu.Left)
+			}
+		}
+	}
 }
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -62,6 +62,8 @@
 	Avoidance Name = "avoidance"
 	// Slowness: work is kept from upstreams that are slow.
 	Slowness Name = "slowness"
+	// LentRepeats: an entry uses repeats that others have left.
+	LentRepeats Name = "lent-repeats"
 	// Readers: a few entries watch the store for the others.
 	Readers Name = "readers"
 	// PooledEvidence: entries add up what they see of a new version.
@@ -70,7 +72,7 @@
 
 var all = []Name{
 	PrefixHomes, ToldPrompts, ToldLoads, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
-	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, Readers, PooledEvidence,
+	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, LentRepeats, Readers, PooledEvidence,
 }
 
 // All lists the mechanisms.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -11,7 +11,10 @@
 //
 // All entries share one bound and cannot ask one another for each repeat. Each
 // keeps to the ratio of its own requests and to its part of the slack, so that
-// the sum keeps to the bound whatever the others do.
+// the sum keeps to the bound whatever the others do. With few requests each, some
+// have none left while most have plenty; so entries tell one another what they have
+// left, and one may go beyond its own part by [lentPart] while all together have
+// some left.
 type Window struct {
 	ratio  float64
 	slack  func() float64
@@ -23,6 +26,8 @@
 	epoch   time.Time
 	buckets [buckets]bucket
 	head    int64
+	// told is what others have left, by their processes.
+	told map[uint64]toldLeft
 }
 
 // buckets is how finely the window slides.
@@ -71,7 +76,7 @@
 // NewWindow returns a window of a length, with a ratio of repeats to requests
 // and this entry's part of the slack at any time.
 func NewWindow(length time.Duration, ratio float64, slack func() float64) *Window {
-	return &Window{ratio: ratio, slack: slack, bucket: length / buckets}
+	return &Window{ratio: ratio, slack: slack, bucket: length / buckets, told: map[uint64]toldLeft{}}
 }
 
 // Arrived counts a request.
@@ -86,7 +91,7 @@
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
 	cur := wi.at(now)
-	if wi.left(pu) < 1 {
+	if wi.left(pu) < 1 && !wi.lent(now, pu) {
 		return false
 	}
 	cur.repeats++
@@ -102,16 +107,26 @@
 }
 
 func (wi *Window) left(pu Purpose) float64 {
-	var sum bucket
+	allowed, repeats := wi.sum()
+	return pu.part()*allowed - repeats
+}
+
+// sum returns the entry's part of the bound and the repeats that it made.
+func (wi *Window) sum() (allowed, repeats float64) {
+	requests := 0.0
 	for _, bu := range wi.buckets {
-		sum.requests += bu.requests
-		sum.repeats += bu.repeats
+		requests += bu.requests
+		repeats += bu.repeats
 	}
-	part := retryPart
+	return wi.ratio*requests + wi.slack(), repeats
+}
+
+// part is the part of the bound that is used for a purpose.
+func (pu Purpose) part() float64 {
 	if pu == Climb {
-		part = climbPart
+		return climbPart
 	}
-	return part*(wi.ratio*sum.requests+wi.slack()) - sum.repeats
+	return retryPart
 }
 
 // at returns the bucket of a time, with those since the last one cleared.
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -79,13 +79,15 @@
 
 // A datagram is a version, the hash of its sender's process, the revision of its
 // copy of the store with the copy's age and the time since the store answered, in
-// wordUnit, the number of shares, and the shares: the upstream's hash, its
-// attempts, and its pending time in pendingUnit. The rest are parts of prompts that
-// engines have read: the upstream's hash and the part's.
+// wordUnit, the numbers of shares and of budgets, and these: the upstream's hash, its
+// attempts, and its pending time in pendingUnit; the service's hash and the repeats
+// that are left. The rest are parts of prompts that engines have read: the upstream's
+// hash and the part's.
 const (
-	format      = 4
+	format      = 5
 	wordSize    = 8 + 2 + 2
-	headSize    = 1 + 8 + wordSize + 1
+	headSize    = 1 + 8 + wordSize + 1 + 1
+	budgetSize  = 8 + 2
 	wordUnit    = 10 * time.Millisecond
 	noContact   = maxUnits
 	shareSize   = 8 + 2 + 2
@@ -94,9 +96,10 @@
 	// maxShares and maxKept keep a datagram below the usual packet of 1,500
 	// bytes; more upstreams than that have an attempt of one entry only at sizes
 	// where a part will do.
-	maxShares = 64
-	maxKept   = 40
-	maxUnits  = 1<<16 - 1
+	maxShares  = 64
+	maxKept    = 36
+	maxBudgets = 4
+	maxUnits   = 1<<16 - 1
 	// told is how many siblings are told in one round. Four rounds a second with
 	// datagrams of a hundred bytes or two stay below 8 kB a second, however many
 	// entries there are; at 72 in a region each hears of each other every two
@@ -138,7 +141,7 @@
 	}
 	sh.turns.add(sh.addrs(), lo.Kept)
 	for _, addr := range sh.turns.next(told) {
-		sh.sendTo(pc, []string{addr}, balance.Load{Shares: lo.Shares, Kept: sh.turns.take(addr)})
+		sh.sendTo(pc, []string{addr}, balance.Load{Shares: lo.Shares, Kept: sh.turns.take(addr), Budgets: lo.Budgets})
 	}
 }
 
@@ -190,8 +193,10 @@
 	data = binary.BigEndian.AppendUint64(data, uint64(wo.Revision))
 	data = binary.BigEndian.AppendUint16(data, uint16(min(max(wo.Age, 0)/wordUnit, maxUnits)))
 	data = binary.BigEndian.AppendUint16(data, contactUnits(wo.Contact))
-	data = append(data, byte(len(shares)))
+	budgets := lo.Budgets[:min(len(lo.Budgets), maxBudgets)]
+	data = append(data, byte(len(shares)), byte(len(budgets)))
 	data = appendShares(data, shares)
+	data = appendBudgets(data, budgets)
 	for _, ke := range kept {
 		data = binary.BigEndian.AppendUint64(data, ke.Upstream)
 		data = binary.BigEndian.AppendUint64(data, ke.Part)
@@ -213,12 +218,13 @@
 	}
 	from = binary.BigEndian.Uint64(data[1:])
 	wo = decodeWord(data[9:])
-	shares, rest := int(data[headSize-1])*shareSize, data[headSize:]
-	if len(rest) < shares || (len(rest)-shares)%keptSize != 0 {
+	shares, budgets, rest := int(data[headSize-2])*shareSize, int(data[headSize-1])*budgetSize, data[headSize:]
+	if len(rest) < shares+budgets || (len(rest)-shares-budgets)%keptSize != 0 {
 		return 0, wo, lo, false
 	}
 	lo.Shares = decodeShares(rest[:shares])
-	for row := rest[shares:]; len(row) > 0; row = row[keptSize:] {
+	lo.Budgets = decodeBudgets(rest[shares : shares+budgets])
+	for row := rest[shares+budgets:]; len(row) > 0; row = row[keptSize:] {
 		lo.Kept = append(lo.Kept, balance.Kept{Upstream: binary.BigEndian.Uint64(row), Part: binary.BigEndian.Uint64(row[8:])})
 	}
 	return from, wo, lo, true
@@ -237,7 +243,7 @@
 }
 
 func (sh *Sharer) receive(pc net.PacketConn) {
-	buf := make([]byte, headSize+maxShares*shareSize+maxKept*keptSize)
+	buf := make([]byte, headSize+maxShares*shareSize+maxBudgets*budgetSize+maxKept*keptSize)
 	for {
 		n, addr, err := pc.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
