--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -69,7 +69,8 @@
 }
 
 // first lets the choice of models learn how long the caller waited beyond the
-// reading of its own prompt, which a long one takes at an idle engine too.
+// reading of its own prompt, which a long one takes at an idle engine too. Half of
+// the time counts at least: an entry that starts under load takes waits for reading.
 func (ans *Answer) first() {
 	jb, fw := ans.jb, ans.jb.fw
 	if ans.ev == nil || len(jb.rt.Cascade) < 2 {
@@ -77,7 +78,8 @@
 	}
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.ladder(jb.service).Begun(max(time.Since(jb.ex.Arrived)-jb.reading, 0), jb.rt.Aim)
+	took := time.Since(jb.ex.Arrived)
+	fw.ladder(jb.service).Begun(max(took-jb.reading, took/2), jb.rt.Aim)
 }
 
 // Status is the HTTP status of the answer.
