--- a/core/balance/fact.go
+++ b/core/balance/fact.go
@@ -6,8 +6,8 @@
 // at its address, another one has the address, or it answers again. Whether one is
 // slow or fails is no fact: the entry itself may be cut off.
 //
-// It is made for many entries of which each sees little. A crashed upstream looks
-// idle, and without it every entry sends its callers there to find out.
+// It is made for many entries of which each sees little: a crashed upstream looks
+// idle, and every entry would send callers there to find out.
 type Fact struct {
 	// Upstream is the hash of its id, see [HashOf], and Start tells one start of it
 	// from another.
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -74,7 +74,8 @@
 	return Load{Shares: out, Kept: recent}
 }
 
-// tellFrom is the reading from which work is told the moment that it is sent.
+// tellFrom is the least reading time of a prompt that is told the moment that it
+// is sent.
 const tellFrom = 20 * time.Millisecond
 
 // sentNow notes work that is to be told at once.
@@ -94,10 +95,8 @@
 // SentNow returns the work that went to upstreams since the last call. Shares of no
 // call are prompts that were read meanwhile.
 //
-// It is made for many entries before one pool. Whatever [Picker.Load] tells is
-// some hundred milliseconds old, in which all entries would take the one engine
-// that looked idle then: of the short prompts that waited for 0.3 s and more at
-// such an engine nearly all did behind what others had sent there since.
+// It is made for many entries before one pool. What [Picker.Load] tells is some
+// hundred milliseconds old; by that alone, all entries take the same idle engine.
 func (pk *Picker) SentNow() []Share {
 	if len(pk.sent) == 0 {
 		return nil
--- a/core/canary/sessions.go
+++ b/core/canary/sessions.go
@@ -31,10 +31,8 @@
 // with the old version at another one.
 //
 // A session's requests come to any entry, and at the order nobody has heard of
-// the others' sessions yet. Of a calm day at twenty entries, four sessions in a
-// first step of 2.6 in 100 met another version than in the request before, all
-// within five seconds of the order. So no session joins until those of before the
-// order have been told of.
+// the others' sessions yet. So no session joins until those of before the order
+// have been told of.
 func (gu *Guard) elsewhere(now time.Time, ro *rollout, se core.SessionID) bool {
 	if now.Sub(ro.began) < min(settle, time.Duration(settleMost*float64(ro.order.Duration))) {
 		return true
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -69,12 +69,8 @@
 func Reads(fn func() bool) Option { return func(fo *Follower) { fo.reads = fn } }
 
 const (
-	// waitTime is how long a watch waits. Each costs a call; where the answer of one
-	// is lost on the way, its change is found when the wait and a little more are
-	// over, and it must be in force within three seconds, plus four after such
-	// harm. Twenty entries make 863 calls on a calm day, 673 at 5 s; but good
-	// versions were then late in 3 of 6 roll-outs while answers were lost, in place
-	// of 1.
+	// waitTime is how long a watch waits. Where its answer is lost on the way, the
+	// change is found when the wait and a little more are over.
 	waitTime = 2500 * time.Millisecond
 	// probeTime is how long a watch waits while the store is in trouble: its
 	// return must not be noticed only when a long watch that was asked in vain
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -50,10 +50,7 @@
 const (
 	// retryPart and climbPart are the parts of the bound that are used. The
 	// rest is for requests that were counted here and left the sliding window
-	// of the bound a moment sooner. Climbs use 0.57 of the requests over a calm
-	// day, and vary: at 0.75 of a ratio of 0.9, 11 in 1,000 answers were given
-	// with a confidence below 50; at 0.8, 4 (four calm days). Over 20 days with
-	// trouble callers got 0.920 of what they could, 0.916 at 0.75.
+	// of the bound a moment sooner.
 	retryPart = 0.85
 	climbPart = 0.8
 )
--- a/core/tier/tier.go
+++ b/core/tier/tier.go
@@ -8,8 +8,8 @@
 // times as long as the smallest, so that with every doubtful answer dropped, the
 // engines are full as soon as a few of them are lost, and then all answers are
 // late, also those that the small model could have given. The pressure on the
-// engines is taken from what callers get: the time to the first event as a part
-// of the time that is still good.
+// engines is taken from what callers get: the wait for the first event, beyond the
+// reading of the caller's own prompt, as a part of the time that is still good.
 //
 // A model between the two is asked where it has proved to suffice: its answers
 // to what the smaller one doubted by so much are counted.
@@ -19,7 +19,7 @@
 // # Usage
 //
 //	la := tier.New()
-//	la.Begun(took, aim)                            // at each first event
+//	la.Begun(wait, aim)                            // at each first event
 //	next, climb := la.Next(stages, stage, confidence)
 //	la.Climbed(stage, confidence, next, answered)  // the larger model's confidence
 package tier
@@ -31,26 +31,17 @@
 )
 
 const (
-	// sureRelaxed is the confidence from which an answer is given while the
-	// engines have room, and surePressed that under pressure. Measured with the
-	// two deployments' mixes, means over 30 days with trouble, at a fixed
-	// threshold: credit less prices 0.543 and 0.531 at 55, 0.623 and 0.583 at
-	// 42, 0.647 and 0.594 at 30; on calm days 0.76 at 55, 0.77 at 42 and 0.74
-	// at 30.
-	sureRelaxed = 55.0
-	surePressed = 12.0
-	// relaxed and pressed are the pressures between which the threshold moves. An
-	// idle pool has about 0.15: long prompts take a third of what is good by
-	// themselves, short ones a twentieth. Other bounds between 0.1 and 0.55 made
-	// no difference above the noise.
+	// idleThreshold is the minimum confidence (percent) to return an answer while
+	// engines have free slots, and loadedThreshold that under full pressure.
+	idleThreshold   = 55.0
+	loadedThreshold = 12.0
+	// relaxed and pressed are the pressures between which the threshold moves.
 	relaxed = 0.2
 	pressed = 0.5
-	// follow weighs the newest answer in the pressure: the last second of an
-	// entry with ten requests a second. With a memory of 24 answers the threshold
-	// fell only when a burst was over.
+	// follow is the weight of the newest answer in the pressure.
 	follow = 1.0 / 10
-	// oddest bounds what one answer says.
-	oddest = 2.0
+	// maxWait caps the weight of a single answer, in aims.
+	maxWait = 2.0
 )
 
 const (
@@ -102,22 +93,22 @@
 	return la
 }
 
-// Begun notes how long a caller waited for its first event, and how long is
-// good.
-func (la *Ladder) Begun(took, aim time.Duration) {
+// Begun notes how long a caller waited for its first event, beyond the reading of
+// its own prompt, and how long is good.
+func (la *Ladder) Begun(wait, aim time.Duration) {
 	if aim <= 0 {
 		return
 	}
-	la.pressure += follow * (min(float64(took)/float64(aim), oddest) - la.pressure)
+	la.pressure += follow * (min(float64(wait)/float64(aim), maxWait) - la.pressure)
 }
 
 // Sure is the confidence from which an answer is given now.
 func (la *Ladder) Sure() float64 {
 	if la.off.Has(mechanism.Pressure) {
-		return sureRelaxed
+		return idleThreshold
 	}
 	part := min(max((la.pressure-relaxed)/(pressed-relaxed), 0), 1)
-	return sureRelaxed - part*(sureRelaxed-surePressed)
+	return idleThreshold - part*(idleThreshold-loadedThreshold)
 }
 
 // Next returns the place in a cascade of so many models that should answer
@@ -154,7 +145,7 @@
 		sh.all *= 1 - 1/forget
 	}
 	sh.all++
-	if float64(answered) >= sureRelaxed {
+	if float64(answered) >= idleThreshold {
 		sh.good++
 	}
 }
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -128,6 +128,7 @@
 			sh.sendWord(pc)
 		case <-sh.ld.Sent():
 			sh.sendSent(pc)
+			sh.sendFacts(pc) // A call that found nobody is followed by another one.
 		}
 	}
 }
