--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -16,6 +16,7 @@
 package sibling
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -76,11 +77,33 @@
 			return
 		}
 		ms.Doubtful = doubtful(time.Now())
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(ms)
+		answer(w, ms)
 	})
 }
 
+// compressFrom is the size in bytes from which an answer is compressed: a
+// configuration with hundreds of routes goes to every entry, over links that are
+// paid by volume.
+const compressFrom = 2 << 10
+
+// answer encodes an answer.
+func answer(w http.ResponseWriter, ms message) {
+	raw, err := json.Marshal(ms)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(raw) < compressFrom {
+		_, _ = w.Write(raw) // The asker sees that it is cut.
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	zw := gzip.NewWriter(w)
+	_, _ = zw.Write(raw)
+	_ = zw.Close()
+}
+
 // newsSince is what an entry has over a revision.
 func newsSince(mi *mirror.Mirror, after core.Revision) message {
 	age := mi.Age(time.Now())
@@ -219,6 +242,17 @@
 	return out
 }
 
+func readAll(rs *upstream.Response) ([]byte, error) {
+	if rs.Header.Get("Content-Encoding") != "gzip" {
+		return io.ReadAll(rs.Body)
+	}
+	zr, err := gzip.NewReader(rs.Body)
+	if err != nil {
+		return nil, eris.Wrap(err, "sibling")
+	}
+	return io.ReadAll(zr)
+}
+
 // get asks a sibling and decodes its answer.
 func (si *Siblings) get(ctx context.Context, addr, target string, out any) error {
 	rs, err := si.cl.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: http.Header{}})
@@ -226,7 +260,7 @@
 		return err
 	}
 	defer rs.Body.Close()
-	raw, err := io.ReadAll(rs.Body)
+	raw, err := readAll(rs)
 	if err != nil {
 		return err
 	}
