--- a/core/balance/fact.go
+++ b/core/balance/fact.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"skylarkstand/core/mechanism"
+)
 
 // Fact is what an entry has found out of an upstream beyond doubt: nobody listens
 // at its address, another one has the address, or it answers again. Whether one is
@@ -36,6 +40,9 @@
 
 // ToldFacts takes in what another entry has found out.
 func (pk *Picker) ToldFacts(now time.Time, facts []Fact) {
+	if pk.off.Has(mechanism.ToldFacts) {
+		return
+	}
 	for _, fa := range facts {
 		pe := pk.hashed[fa.Upstream]
 		if pe == nil || uint16(pe.born) != fa.Start { //nolint:gosec // As above.
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -108,7 +108,7 @@
 
 // ToldSent adds what another entry has just sent to what it told before.
 func (pk *Picker) ToldSent(now time.Time, from uint64, sent []Share) {
-	if pk.off.Has(mechanism.ToldLoads) {
+	if pk.off.Has(mechanism.ToldLoads) || pk.off.Has(mechanism.ToldCalls) {
 		return
 	}
 	to, known := pk.told[from]
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -62,6 +62,10 @@
 	Avoidance Name = "avoidance"
 	// Slowness: work is kept from upstreams that are slow.
 	Slowness Name = "slowness"
+	// ToldCalls: calls are told of the moment that they are sent.
+	ToldCalls Name = "told-calls"
+	// ToldFacts: upstreams where nobody listens are told of.
+	ToldFacts Name = "told-facts"
 	// LentRepeats: an entry uses repeats that others have left.
 	LentRepeats Name = "lent-repeats"
 	// Readers: a few entries watch the store for the others.
@@ -71,7 +75,7 @@
 )
 
 var all = []Name{
-	PrefixHomes, ToldPrompts, ToldLoads, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
+	PrefixHomes, ToldPrompts, ToldLoads, ToldCalls, ToldFacts, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
 	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, LentRepeats, Readers, PooledEvidence,
 }
 
