--- a/core/meter/catalogue.go
+++ b/core/meter/catalogue.go
@@ -18,7 +18,7 @@
 		"From a request's arrival to the sending of the attempt that was answered: what failed attempts and doubted answers cost. A gateway has no queue of its own; requests wait at upstreams.",
 		"it grows while `first-byte-seconds` less it does not"}
 	Attempts = &Meter{"attempts", Counter, []string{"verdict"},
-		"Attempts by what came of them: `taken`, `unsure` (a larger model was asked), `failed`, `refused`, `stranger`, `unreached` or `lost`.",
+		"Attempts by what came of them: `taken`, `unsure` (a larger model was asked), `failed`, `refused`, `stranger`, `unreached`, `absent` (nobody listens) or `lost`.",
 		"`lost` is more than a few in a hundred exchanges"}
 	Repeats = &Meter{"repeats", Counter, []string{"purpose", "granted"},
 		"Repeats that were asked of the budget: for a `retry` of what failed, or a `climb` to a larger model.",
