Keep watching the store for as long as no reader is left

Cause, found on reading: an entry counted its own answers as those of a reader, so that without readers it rested for three seconds after each watch; its copy then counted as eight seconds old, more than the seven from which new keys are refused as stale, and changes waited. Seen red by TestEntryWatchesItselfWhileThereAreNoReaders.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -52,8 +52,8 @@
 	since time.Time
 	// doubt is until when a removal may be a lapsed lease.
 	doubt time.Time
-	// answeredAt is when the store last answered this entry, and contact when it
-	// last answered this one or a reader, by what that told.
+	// answeredAt is when the store last answered this entry, and contact when it last
+	// answered another one, by what that told.
 	answeredAt, contact time.Time
 	// newest is the word of the highest revision that another entry told.
 	newest Word
@@ -194,7 +194,7 @@
 	if !since.IsZero() {
 		fo.since, fo.doubt = time.Time{}, now.Add(doubtFor)
 	}
-	fo.answeredAt, fo.contact = now, now
+	fo.answeredAt = now
 	fo.mu.Unlock()
 	if !since.IsZero() {
 		event.Log(fo.deps.Log, event.StoreBack, "away", time.Since(since), "revision", fo.mi.Revision())
--- a/core/mirror/readers_test.go
+++ b/core/mirror/readers_test.go
@@ -94,6 +94,21 @@
 	})
 }
 
+// Guards against a copy that counts as stale, and changes that wait, for as long as
+// no reader is left: callers with a new key are then refused.
+func TestEntryWatchesItselfWhileThereAreNoReaders(t *testing.T) {
+	rely(t, func(sh *shop, _ *reader, mi *mirror.Mirror, _ *mirror.Follower) {
+		time.Sleep(5 * time.Second)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, mi.Age(time.Now()) < 6*time.Second)
+		}
+		sh.put("two")
+		time.Sleep(100 * time.Millisecond)
+		holdsTwo(t, mi)
+	})
+}
+
 // Guards against a reader that goes on telling although the store does not answer
 // it any more.
 func TestReaderWithoutContact(t *testing.T) {
