Compress only large answers among entries, and bound the datagrams of facts

Facts told at once count against the bound on datagrams; what it does not allow goes with the next round.

--- a/io/sibling/sent.go
+++ b/io/sibling/sent.go
@@ -13,8 +13,8 @@
 const (
 	sentFormat = 0x82
 	sentHead   = 1 + 8
-	// sentRate and sentBurst bound the datagrams of calls, a second and at once: 30
-	// bytes each, they stay below 5 kB a second however many siblings and calls.
+	// sentRate and sentBurst bound the datagrams beside the rounds, a second and at
+	// once: of some 30 bytes each, 5 kB a second however many siblings and calls.
 	sentRate  = 160
 	sentBurst = 160
 )
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -55,8 +55,10 @@
 	reads   func() bool
 	changed chan struct{}
 	turns   turns
-	// limit bounds the datagrams that tell of single calls.
+	// limit bounds the datagrams beside the rounds.
 	limit *rate.Limiter
+	// facts wait to be told.
+	facts []balance.Fact
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
@@ -122,13 +124,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ti.C:
-			sh.sendFacts(pc)
+			sh.sendFacts(pc, true)
 			sh.send(pc)
 		case <-sh.changed:
 			sh.sendWord(pc)
 		case <-sh.ld.Sent():
 			sh.sendSent(pc)
-			sh.sendFacts(pc) // A call that found nobody is followed by another one.
+			sh.sendFacts(pc, false) // A call that found nobody is followed by another one.
 		}
 	}
 }
@@ -160,10 +162,17 @@
 	write(pc, addrs, encodeSent(xxhash.Sum64String(string(sh.self)), sent))
 }
 
-// sendFacts tells all siblings what this entry has found out of upstreams.
-func (sh *Sharer) sendFacts(pc net.PacketConn) {
-	if facts := sh.ld.Facts(); len(facts) > 0 {
-		write(pc, sh.addrs(), encodeFacts(facts))
+// sendFacts tells all siblings what this entry has found out of upstreams: at once as
+// far as the bound on datagrams allows, and in each round whatever is left.
+func (sh *Sharer) sendFacts(pc net.PacketConn, round bool) {
+	sh.facts = append(sh.facts, sh.ld.Facts()...)
+	if len(sh.facts) == 0 {
+		return
+	}
+	addrs := sh.addrs()
+	if round || sh.limit.AllowN(time.Now(), len(addrs)) {
+		write(pc, addrs, encodeFacts(sh.facts))
+		sh.facts = nil
 	}
 }
 
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -81,10 +81,9 @@
 	})
 }
 
-// compressFrom is the size in bytes from which an answer is compressed: a
-// configuration with hundreds of routes goes to every entry, over links that are
-// paid by volume.
-const compressFrom = 2 << 10
+// compressFrom is the size in bytes from which an answer is compressed. Only
+// configurations with hundreds of routes are worth the memory of a compressor.
+const compressFrom = 64 << 10
 
 // answer encodes an answer.
 func answer(w http.ResponseWriter, ms message) {
