--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,7 +102,7 @@
 	if len(pk.sent) == 0 {
 		return nil
 	}
-	sent := append(pk.sent, pk.read...)
+	sent := slices.Concat(pk.sent, pk.read)
 	pk.sent, pk.read = nil, nil
 	return sent
 }
--- a/io/sibling/sibling_test.go
+++ b/io/sibling/sibling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -31,7 +32,7 @@
 	mi.Apply(changes, 6, time.Now())
 	doubtful := func(time.Time) bool { return true }
 	rec := httptest.NewRecorder()
-	sibling.Handler(mi, doubtful).ServeHTTP(rec, httptest.NewRequest("GET", sibling.Path+"?after=4", nil))
+	sibling.Handler(mi, doubtful).ServeHTTP(rec, httptest.NewRequest(http.MethodGet, sibling.Path+"?after=4", nil))
 	assert.Assert(t, rec.Body.Len() < doc.Len()/4, "%d of %d bytes", rec.Body.Len(), doc.Len())
 
 	srv := httptest.NewServer(sibling.Handler(mi, doubtful))
