Tell no upstream to answer again whose rest is over

Cause, found on reading: a fact without a rest says that the upstream answers. One that was told later than its rest, as by an entry that was held up for half a second, and one whose rest was below 10 ms on the wire, said so of a dead upstream; the others then sent it work until they found out again. Both red before. Facts with a rest that is over are left out, and rests are rounded up.

--- a/core/balance/fact.go
+++ b/core/balance/fact.go
@@ -30,8 +30,12 @@
 func (pk *Picker) Facts(now time.Time) []Fact {
 	var out []Fact
 	for pe := range pk.facts {
+		rest := max(pe.down.Sub(now), 0)
+		if rest == 0 && !pe.down.IsZero() {
+			continue // Its rest is over, and nothing is known since.
+		}
 		out = append(out, Fact{
-			Upstream: pe.hash, Start: uint16(pe.born), Rest: max(pe.down.Sub(now), 0), Away: pe.away, //nolint:gosec // The low bits do.
+			Upstream: pe.hash, Start: uint16(pe.born), Rest: rest, Away: pe.away, //nolint:gosec // The low bits do.
 		})
 	}
 	clear(pk.facts)
--- a/core/balance/fact_test.go
+++ b/core/balance/fact_test.go
@@ -79,6 +79,17 @@
 	assert.Equal(t, two.Avoided(start.Add(11*time.Second), []core.Host{ho}), 0)
 }
 
+// Guards against a dead upstream that others take to answer again, since what was
+// found out of it is told only after its rest is over.
+func TestRestThatIsOverIsNoAnswer(t *testing.T) {
+	ho := core.Host{ID: "up-0", Service: "s", Zone: "muc-a", Region: "muc", Slots: 64}
+	for _, out := range []balance.Outcome{balance.Absent, balance.Replaced} {
+		pk := balance.New("muc-a", "muc")
+		pk.Ended(start, pk.Sent(start, ho, draft("p", 0)), out)
+		assert.Equal(t, len(pk.Facts(start.Add(20*time.Second))), 0)
+	}
+}
+
 // Guards against an upstream that stays without work at the other entries although
 // one of them has had an answer from it.
 func TestUpstreamThatAnswersAgain(t *testing.T) {
--- a/io/sibling/facts.go
+++ b/io/sibling/facts.go
@@ -26,7 +26,7 @@
 	for _, fa := range facts {
 		data = binary.BigEndian.AppendUint64(data, fa.Upstream)
 		data = binary.BigEndian.AppendUint16(data, fa.Start)
-		data = binary.BigEndian.AppendUint16(data, uint16(min(fa.Rest/restUnit, maxUnits)))
+		data = binary.BigEndian.AppendUint16(data, uint16(min((fa.Rest+restUnit-1)/restUnit, maxUnits)))
 		data = append(data, byte(min(fa.Away, maxAway)))
 	}
 	return data
--- a/io/sibling/share_test.go
+++ b/io/sibling/share_test.go
@@ -64,6 +64,8 @@
 	got, ok := decodeFacts(data)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, got, facts)
+	got, ok = decodeFacts(encodeFacts([]balance.Fact{{Upstream: 1, Rest: time.Millisecond}}))
+	assert.Assert(t, ok && got[0].Rest > 0, "a short rest is no answer")
 	_, ok = decodeFacts(data[:len(data)-1])
 	assert.Assert(t, !ok)
 	_, ok = decodeFacts(encode(1, mirror.Word{}, balance.Load{}))
