Keep the completed version as the one in use

Cause, found on reading: while upstreams of the version before a completed one are still listed, each choice looked for the version in use among these and took it over, so that the next roll-out would have sent everything back to the older version for as long as they were listed.

Change: with a completed roll-out only its target, or whatever is not withdrawn, is chosen, and the version in use is left alone.

--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -189,11 +189,12 @@
 	target := ro.order.Target
 	ro.all++
 	ups := only(hosts, target)
+	if ro.state() == Completed {
+		// The version in use stays the target, also while its upstreams are away.
+		return prefer(ups, gu.allowed(sv, hosts))
+	}
 	old := gu.known(sv, except(hosts, target))
-	switch {
-	case ro.state() == Completed:
-		return prefer(ups, old)
-	case ro.rejected():
+	if ro.rejected() {
 		return old
 	}
 	if len(ups) == 0 {
--- a/core/canary/versions.go
+++ b/core/canary/versions.go
@@ -27,7 +27,7 @@
 // roll-out: upstreams of another version may be listed before the order for it
 // is known, and those of a withdrawn one until they have drained.
 func (gu *Guard) known(sv core.ServiceID, hosts []core.Host) []core.Host {
-	hosts = filter(hosts, func(ho core.Host) bool { return !gu.withdrawn[versionKey{sv, ho.Version}] })
+	hosts = gu.allowed(sv, hosts)
 	if len(hosts) == 0 {
 		return hosts
 	}
@@ -40,6 +40,11 @@
 	return only(hosts, gu.stable[sv])
 }
 
+// allowed leaves out the upstreams of withdrawn versions.
+func (gu *Guard) allowed(sv core.ServiceID, hosts []core.Host) []core.Host {
+	return filter(hosts, func(ho core.Host) bool { return !gu.withdrawn[versionKey{sv, ho.Version}] })
+}
+
 // most returns the version that most upstreams run.
 func most(hosts []core.Host) core.VersionID {
 	count := map[core.VersionID]int{}
--- a/core/canary/versions_test.go
+++ b/core/canary/versions_test.go
@@ -71,10 +71,16 @@
 	gu.Order(now, order(v2, 5))
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6})
 	gu.Order(now, order(v2, 9))
+	now = now.Add(4 * time.Second)
+	assert.Equal(t, gu.Choose(now, service, "", 0, hosts(), true)[0].Version, v2, "the first step gives it a part")
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 12})
 	for _, ho := range gu.Choose(now, service, "", 0.5, hosts(), true) {
 		assert.Equal(t, ho.Version, v2)
 	}
+	gu.Order(now, order(v3, 20))
+	for _, ho := range gu.Choose(now, service, "", 0.9, twoOrders(), true) {
+		assert.Equal(t, ho.Version, v2, "it is in use beside the next one")
+	}
 }
 
 // Guards against sessions that go back to an older version when a roll-out
@@ -85,12 +91,25 @@
 	gu.Choose(now, service, "", 0.5, hosts(), true)
 	gu.Order(now, order(v2, 5))
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 6})
+	gu.Choose(now, service, "", 0.5, hosts(), true)
+	gu.Choose(now, service, "", 0.5, onlyOf(v1), true) // Its upstreams are away for a moment.
 	gu.Order(now, order(v3, 9))
 	for _, ho := range gu.Choose(now, service, "", 0.9, twoOrders(), true) {
 		assert.Equal(t, ho.Version, v2)
 	}
 }
 
+// onlyOf are the upstreams of one version.
+func onlyOf(ve core.VersionID) []core.Host {
+	var out []core.Host
+	for _, ho := range hosts() {
+		if ho.Version == ve {
+			out = append(out, ho)
+		}
+	}
+	return out
+}
+
 // Guards against sessions whose requests come to any of many entries and meet the
 // two versions by turns, since an entry has not asked all others at the order.
 func TestSessionsThatRoamKeepTheirVersion(t *testing.T) {
