Test that a version which was ordered again can carry the next roll-out

A mutation showed that nothing guarded the line that takes a version out of the withdrawn ones when it is ordered again. The test is red without that line. No behaviour changes.

--- a/core/canary/versions_test.go
+++ b/core/canary/versions_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// Guards against callers who are refused since the one version that is left beside the
+// next one was rolled back before it was ordered again.
+func TestVersionOrderedAgainCarriesTheNextRollOut(t *testing.T) {
+	gu := canary.New()
+	now := time.Unix(1_000_000, 0)
+	gu.Order(now, order(v2, 5))
+	gu.Status(canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6})
+	gu.Order(now, order(v2, 9))
+	gu.Order(now, order(v3, 12))
+	left := append(onlyOf(v2), core.Host{ID: "next-0", Service: service, Version: v3})
+	assert.Equal(t, gu.Choose(now, service, "", 0.9, left, true)[0].Version, v2)
+}
+
 // Guards against sessions that go back to an older version when a roll-out
 // follows a completed one before the older upstreams have left the list.
 func TestCompletedVersionIsTheOldOneOfTheNextRollOut(t *testing.T) {
