--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -108,11 +108,22 @@
 	return out
 }
 
+// region lists the entries of a region.
+func (me *members) region(regions map[core.Zone]core.Region, re core.Region) []feed.Member {
+	var out []feed.Member
+	for _, mb := range me.list() {
+		if regions[mb.Zone] == re {
+			out = append(out, mb)
+		}
+	}
+	return out
+}
+
 // near lists the addresses of the other entries of a region.
 func (me *members) near(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) []string {
 	var out []string
-	for _, mb := range me.list() {
-		if mb.ID != self && regions[mb.Zone] == re {
+	for _, mb := range me.region(regions, re) {
+		if mb.ID != self {
 			out = append(out, mb.Addr)
 		}
 	}
@@ -137,16 +148,10 @@
 // reads reports whether a process watches the store for its region. One that is
 // not registered yet watches it for itself.
 func (me *members) reads(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) bool {
-	var near []feed.Member
-	known := false
-	for _, mb := range me.list() {
-		if regions[mb.Zone] == re {
-			near = append(near, mb)
-			known = known || mb.ID == self
-		}
-	}
+	near := me.region(regions, re)
+	isSelf := func(mb feed.Member) bool { return mb.ID == self }
 	top := rendezvous.Top(string(re), near, readersPerRegion, func(mb feed.Member) string { return string(mb.ID) })
-	return !known || slices.ContainsFunc(top, func(mb feed.Member) bool { return mb.ID == self })
+	return !slices.ContainsFunc(near, isSelf) || slices.ContainsFunc(top, isSelf)
 }
 
 func newSiblings(deps core.Deps, cl *upstream.Client, me *members) *sibling.Siblings {
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -43,8 +43,9 @@
 // maxRecent bounds the parts that wait to be told.
 const maxRecent = 64
 
-// HashOf returns the hash that names an upstream in a share.
-func HashOf(id core.UpstreamID) uint64 { return xxhash.Sum64String(string(id)) }
+// HashOf returns the hash that names an upstream, a service or a process in what
+// entries tell one another.
+func HashOf[T ~string](id T) uint64 { return xxhash.Sum64String(string(id)) }
 
 // shareLife is how long another entry's shares count. They come every
 // [ShareEvery] from a few entries, and every other second from many.
--- a/core/forward/told.go
+++ b/core/forward/told.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/mechanism"
 )
@@ -48,14 +45,11 @@
 	lo := fw.picker.Load()
 	now := time.Now()
 	for sv, wi := range fw.windows {
-		lo.Budgets = append(lo.Budgets, balance.Budget{Service: hashOf(sv), Left: wi.Tell(now)})
+		lo.Budgets = append(lo.Budgets, balance.Budget{Service: balance.HashOf(sv), Left: wi.Tell(now)})
 	}
 	return lo
 }
 
-// hashOf names a service among entries.
-func hashOf(sv core.ServiceID) uint64 { return xxhash.Sum64String(string(sv)) }
-
 // Told takes in what another entry told.
 func (fw *Forwarder) Told(from uint64, lo balance.Load) {
 	fw.mu.Lock()
@@ -64,7 +58,7 @@
 	fw.picker.Told(now, from, lo)
 	for sv, wi := range fw.windows {
 		for _, bu := range lo.Budgets {
-			if bu.Service == hashOf(sv) && !fw.parts.Off.Has(mechanism.LentRepeats) {
+			if bu.Service == balance.HashOf(sv) && !fw.parts.Off.Has(mechanism.LentRepeats) {
 				wi.Told(now, from, bu.Left)
 			}
 		}
--- a/core/mirror/readers.go
+++ b/core/mirror/readers.go
@@ -14,12 +14,11 @@
 	Revision core.Revision
 	// Age is how long ago the copy was known to be the newest.
 	Age time.Duration
-	// Contact is how long ago the store last answered the entry, or [NoContact]
-	// where others watch the store for it.
+	// Contact is how long ago the store last answered the entry, or [NoContact].
 	Contact time.Duration
 }
 
-// NoContact is the contact of an entry that does not watch the store.
+// NoContact is the contact of an entry that the store does not answer now.
 const NoContact = -time.Second
 
 const (
--- a/core/mirror/readers_test.go
+++ b/core/mirror/readers_test.go
@@ -32,8 +32,11 @@
 	if re.mute {
 		return mirror.News{}, errors.New("no answer")
 	}
-	changes, rev, whole := re.mi.Since(after)
-	return mirror.News{Newer: rev > after, Changes: changes, Whole: !whole, Revision: rev, Doubtful: re.doubtful}, nil
+	changes, rev, kept := re.mi.Since(after)
+	if !kept {
+		return mirror.News{}, errors.New("the changes are not kept")
+	}
+	return mirror.News{Newer: rev > after, Changes: changes, Revision: rev, Doubtful: re.doubtful}, nil
 }
 
 // tell has the reader tell of its copy for a time.
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
@@ -159,7 +158,7 @@
 	if !sh.limit.AllowN(time.Now(), len(addrs)) {
 		return
 	}
-	write(pc, addrs, encodeSent(xxhash.Sum64String(string(sh.self)), sent))
+	write(pc, addrs, encodeSent(balance.HashOf(sh.self), sent))
 }
 
 // sendFacts tells all siblings what this entry has found out of upstreams: at once as
@@ -184,7 +183,7 @@
 }
 
 func (sh *Sharer) sendTo(pc net.PacketConn, addrs []string, lo balance.Load) {
-	write(pc, addrs, encode(xxhash.Sum64String(string(sh.self)), sh.wo.Word(time.Now()), lo))
+	write(pc, addrs, encode(balance.HashOf(sh.self), sh.wo.Word(time.Now()), lo))
 }
 
 func write(pc net.PacketConn, addrs []string, data []byte) {
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -99,7 +99,7 @@
 	}
 	w.Header().Set("Content-Encoding", "gzip")
 	zw := gzip.NewWriter(w)
-	_, _ = zw.Write(raw)
+	_, _ = zw.Write(raw) // As above.
 	_ = zw.Close()
 }
 
