--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"skylarkstand/core"
 	"skylarkstand/core/mechanism"
 )
 
