--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -8,11 +8,8 @@
 )
 
 const (
-	// zoneCost and regionCost are what the way to another availability zone or
-	// region is worth in time. A round trip between zones takes 3 ms, between
-	// regions 60 ms; the rest is the price by volume: an exchange of 15 kB over
-	// the paid link costs as much as a fortieth of a long answer is worth, and
-	// a wait of half a second costs a caller about as much.
+	// zoneCost and regionCost are the cost of another availability zone or region:
+	// the round trip, and the price by volume turned into time.
 	zoneCost   = 12 * time.Millisecond
 	regionCost = 450 * time.Millisecond
 	// farPart is the part of the mean wait at engines of the own region that is
@@ -20,7 +17,7 @@
 	// idle while this one is not, none of it sends everybody there.
 	farPart = 0.5
 	// batchCost is what one more request in an engine's batch adds to each of
-	// the others: 0.15 ms a step over some hundred steps of an answer.
+	// the others over a whole answer.
 	batchCost = 14 * time.Millisecond
 	// placeCost is the time a place of a plain service is taken by one call,
 	// before any was seen.
@@ -32,21 +29,13 @@
 	// that rendezvous hashing prefers for it. Other entries send the same
 	// prompts there, of which this one hears nothing.
 	homeShare = 0.4
-	// sharedCost is what it is worth in time not to read a thousand tokens again
-	// that requests share and some engine keeps: they are paid for once more, and
-	// whatever is read here keeps this engine's other streams waiting. By the
-	// reading time alone the smallest models' prompts, read in 4 ms a thousand
-	// tokens, went wherever nothing waited. Shared parts read again on a day with
-	// trouble: four entries before nine engines 1.8 million tokens without, 1.4 at
-	// 100 ms, 1.2 at 300; twenty before 38 engines 10.7, 7.1 at 300, 6.3 at 600;
-	// what callers got less prices 0.707, 0.710 and 0.714, 0.626, 0.643 and 0.640.
+	// sharedCost is the cost of reading a thousand tokens again that requests share
+	// and some engine keeps: they are paid for once more, and reading them holds up
+	// this engine's other streams.
 	sharedCost = 300 * time.Millisecond
 	// slackPart is the part of the time that is left until an answer begins too
 	// late from which lateCost weighs the expected time to its first event: before
 	// that a wait costs its caller nothing, beyond it a part of the answer's worth.
-	// Without, callers wait at the engine that keeps their prompt until they are
-	// late; where a late answer is worth a tenth, what callers got less prices on
-	// calm days was 0.788 in place of 0.805 (four days; 0.801 at 0.5 and 4).
 	slackPart = 0.25
 	lateCost  = 2.0
 	// fullCost keeps attempts from an upstream whose places are all taken
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -108,10 +108,10 @@
 	replacedFor = 10 * time.Second
 	// fullFor is how long a refusal for want of room counts.
 	fullFor = 250 * time.Millisecond
-	// ratioWeight weighs the newest answer in an upstream's pace, oddest
-	// bounds it.
+	// ratioWeight is the weight of the newest answer in an upstream's pace, and
+	// maxRatio caps the weight of a single observation.
 	ratioWeight = 0.2
-	oddest      = 8.0
+	maxRatio    = 8.0
 	// ratioMargin is the slowness that is taken for chance.
 	ratioMargin = 1.5
 )
@@ -218,7 +218,7 @@
 		return
 	}
 	ratio := float64(took) / float64(max(pl.usual(0), read, time.Millisecond))
-	pe.ratio += ratioWeight * (min(ratio, oddest) - pe.ratio)
+	pe.ratio += ratioWeight * (min(ratio, maxRatio) - pe.ratio)
 }
 
 // slowness is the factor on an upstream's expected time.
--- a/core/balance/rank.go
+++ b/core/balance/rank.go
@@ -3,16 +3,12 @@
 import "time"
 
 // longReads are the times to read a prompt from which a call goes one rank
-// further back at an engine each, a factor of three apart. Others were not tried.
+// further back at an engine each.
 //
 // Engines read one prompt after the other, in the order of rank and arrival, and
 // the longest take a hundred times the shortest. When more come than an engine
 // can read, a short prompt behind a long one is late for nothing; the long one
-// behind ten short ones is as late as it was. Played with seven times the usual
-// load for twelve seconds, means of six days: of 3,773 and 5,770 callers 1,735
-// and 2,181 were answered in time without these ranks, 1,878 and 2,653 with them
-// and nothing spared, 1,820 and 2,516 as it is. On calm days (24 each, nothing
-// spared) callers get 0.4% more.
+// behind ten short ones is as late as it was.
 var longReads = []time.Duration{150 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond}
 
 const (
--- a/core/balance/read.go
+++ b/core/balance/read.go
@@ -26,8 +26,7 @@
 	readAssumed = 80 * time.Millisecond
 	// readPart is the quantile that is followed for reading: low, since unknown
 	// waits only add, but above the answers to prompts that were kept without this
-	// entry's knowledge. Where 3.5, 9.4 and 35 ms a thousand tokens are right it
-	// comes to 3 to 5, 9 to 11 and 34 to 38 within four seconds of a calm day.
+	// entry's knowledge.
 	readPart = 0.4
 	// wayPart is that for the way there: prompts that were kept whole.
 	wayPart = 0.1
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -55,12 +55,9 @@
 	// the first step, by its own requests and the step's share.
 	capFactor = 1.3
 	capSlack  = 2
-	// settle is the time after an order in which no session joins the version,
-	// and settleMost its bound as a part of the order's time. In three rounds an
-	// entry has asked three dozen others. The first step loses that time: of 300
-	// versions that failed half of 15 requests a second in 24 s, one was completed
-	// for want of answers until its share grew in proportion, as in plan. A wait
-	// for a session's whole gap would lose two thirds more.
+	// settle is the time after an order in which no session joins the version, and
+	// settleMost its bound as a part of the order's time: three rounds of asking the
+	// others. The first step loses that time, which plan makes up for.
 	settle     = 3 * poolEvery
 	settleMost = 0.125
 )
--- a/core/forward/fault.go
+++ b/core/forward/fault.go
@@ -11,13 +11,11 @@
 // upstream runs it, and a time that is too short for its work. Held against the
 // upstreams, they have a small pool look as if a quarter of it were failing while
 // nothing is wrong: calls that may run only once then go to another region, and
-// the upstream that is left is the busiest. Of 170 lookups before a pool of three
-// one in twelve failed everywhere, and 50 calls had too little time: in 38 s
-// upstreams were avoided 73 times, and 19 times now.
+// the upstream that is left is the busiest.
 
 // enoughTime is how many times the usual time of its route a call must have had
 // for an upstream to be blamed for not ending it: the usual is a mean, which
-// sound upstreams exceed. The factor was chosen and not measured.
+// sound upstreams exceed.
 const enoughTime = 2
 
 // suspected holds back what a failed attempt says of its upstream, since another
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -64,7 +64,7 @@
 		ctx, jb.cancel = context.WithCancel(ctx)
 	}
 	jb.fw.arrived(jb)
-	jb.goOnWithModel()
+	jb.resumeWithModel()
 	for {
 		at, fl := jb.begin(jb.ex.Resume)
 		if fl != nil {
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -25,16 +25,13 @@
 	return max(len(jb.rt.Cascade)-1-jb.stage, 0)
 }
 
-// goOnWithModel begins a stream that its caller has a part of with the model that
+// resumeWithModel begins a stream that its caller has a part of with the model that
 // made that part: the largest one for which an engine keeps the whole prompt.
 //
 // The first answer was chosen already, by whichever entry. Begun with the
 // smallest model, the stream would be doubted and climb once more before its
-// caller hears anything, and the pause between two events, a second of which is
-// good, would be over: of what callers could get in the two worst seconds of 40
-// days with trouble it makes 0.601 in place of 0.543, over the whole of them
-// 0.914 in place of 0.902.
-func (jb *job) goOnWithModel() {
+// caller hears anything, and the pause between two events would be too long.
+func (jb *job) resumeWithModel() {
 	if jb.ex.Resume == "" || !jb.ex.AnyModel || len(jb.ex.Parts) == 0 || jb.off(mechanism.StreamModels) {
 		return
 	}
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -31,27 +31,19 @@
 	// requests are refused. It is that much above 1 since the expectation adds up
 	// what is known of all entries, of which a part has been read meanwhile, and
 	// since the longest aims are twice the tightest: what is refused here would
-	// hardly be in time anywhere. Played with seven times the usual load for
-	// twelve seconds and half of the upstreams lost, the two deployments, means of
-	// six days each, in time and failed of 3,773 and 5,770: without a bound 1,680
-	// and 170, 1,920 and 299; at 1.2 1,428 and 72, 2,035 and 68; at 1.8 1,636 and
-	// 57, 2,279 and 69; at 2.5 1,668 and 64, 2,334 and 76; at 3.5 1,703 and 73,
-	// 2,272 and 100. Days without such a load are the same to 0.005 of what callers
-	// get.
+	// hardly be in time anywhere.
 	aimPart = 3.0
 	// laterPart is the part of that bound for requests that are not among the
 	// most urgent, and hogPart for those of a workspace that sends more than its
 	// share. Waits swing around the bound under load, so that a slightly lower one
-	// means many fewer places. Neither was measured by itself; the package's
-	// tests play a hog with both.
+	// means many fewer places.
 	laterPart = 0.85
 	hogPart   = 0.6
 	// spared is the share of those requests that are held to the full bound, so
 	// that no route and no workspace gets nothing at all.
 	spared = 0.3
 	// hogTimes is how many times the mean of the others one may send before it
-	// counts as a hog. The largest of ten sends 3.4 to 4.0 times as much over a
-	// usual day.
+	// counts as a hog.
 	hogTimes = 4
 	// span is the time over which rates are taken: long enough for some ten
 	// requests of an entry, and short beside a burst of some seconds.
