Use the terms of gossip for what entries tell of their copies

Cause: "word", "trust", "rest" and "alone" were words of our own for a digest, the timeout of readers, an idle follower and a direct watch.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -39,7 +39,7 @@
 // With many entries only a few, the readers, watch the store. The others hear
 // from them which revision is the newest, fetch what they lack, and watch the
 // store themselves whenever they have not heard of a reader in touch with it for
-// [trustFor]. Who reads is a hint: with no reader alive everybody reads.
+// [readerTimeout]. Who reads is a hint: with no reader alive everybody reads.
 type Follower struct {
 	deps  core.Deps
 	mi    *Mirror
@@ -55,11 +55,11 @@
 	// answeredAt is when the store last answered this entry, and contact when it last
 	// answered another one, by what that told.
 	answeredAt, contact time.Time
-	// newest is the word of the highest revision that another entry told.
-	newest Word
+	// newest is the digest of the highest revision that another entry told.
+	newest Digest
 	// trouble wakes the one who asks siblings, told the one who fetches what
-	// another entry has, and alone the one who watches the store.
-	trouble, told, alone chan struct{}
+	// another entry has, and direct the one who watches the store.
+	trouble, told, direct chan struct{}
 }
 
 // Option changes a Follower at construction.
@@ -100,7 +100,7 @@
 func NewFollower(deps core.Deps, mi *Mirror, feed core.Feed, sibs Siblings, opts ...Option) *Follower {
 	fo := &Follower{
 		deps: deps, mi: mi, feed: feed, sibs: sibs, reads: func() bool { return true },
-		trouble: make(chan struct{}, 1), told: make(chan struct{}, 1), alone: make(chan struct{}, 1),
+		trouble: make(chan struct{}, 1), told: make(chan struct{}, 1), direct: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(fo)
@@ -114,7 +114,7 @@
 	go fo.fetchTold(ctx)
 	pause, listed := pauseFirst, false
 	for ctx.Err() == nil {
-		if listed && fo.rest(ctx) {
+		if listed && fo.idle(ctx) {
 			continue
 		}
 		err := fo.step(ctx, &listed)
--- a/core/mirror/readers.go
+++ b/core/mirror/readers.go
@@ -7,8 +7,8 @@
 	"skylarkstand/core"
 )
 
-// Word is what an entry tells the others of its copy, several times a second.
-type Word struct {
+// Digest is what an entry tells the others of its copy, several times a second.
+type Digest struct {
 	// From is where the entry answers, and Revision that of its copy.
 	From     string
 	Revision core.Revision
@@ -22,49 +22,49 @@
 const NoContact = -time.Second
 
 const (
-	// trustFor is how long after the store last answered any reader an entry still
+	// readerTimeout is how long after the store last answered any reader an entry still
 	// relies on readers: a watch that brings nothing, and two rounds of telling.
-	trustFor = waitTime + 500*time.Millisecond
-	// restMost bounds how long a change of readers goes unnoticed.
-	restMost = 500 * time.Millisecond
+	readerTimeout = waitTime + 500*time.Millisecond
+	// idleLimit bounds how long a change of readers goes unnoticed.
+	idleLimit = 500 * time.Millisecond
 	// fetchLimit bounds one fetch, after which the store is watched instead.
 	fetchLimit = 500 * time.Millisecond
-	// ownAnswer is the time in which an entry that watches the store mostly hears
+	// watchGrace is the time in which an entry that watches the store mostly hears
 	// itself what another one tells it has.
-	ownAnswer = 150 * time.Millisecond
+	watchGrace = 150 * time.Millisecond
 )
 
-// Word returns what this entry tells the others.
-func (fo *Follower) Word(now time.Time) Word {
-	wo := Word{Revision: fo.mi.Revision(), Age: fo.mi.Age(now), Contact: NoContact}
+// Digest returns what this entry tells the others.
+func (fo *Follower) Digest(now time.Time) Digest {
+	di := Digest{Revision: fo.mi.Revision(), Age: fo.mi.Age(now), Contact: NoContact}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if !fo.answeredAt.IsZero() && fo.since.IsZero() {
-		wo.Contact = now.Sub(fo.answeredAt)
+		di.Contact = now.Sub(fo.answeredAt)
 	}
-	return wo
+	return di
 }
 
-// Told takes in another entry's word.
-func (fo *Follower) Told(now time.Time, wo Word) {
+// Told takes in another entry's digest.
+func (fo *Follower) Told(now time.Time, di Digest) {
 	have := fo.mi.Revision()
 	if have == 0 {
 		return // The first copy is listed.
 	}
 	fo.mu.Lock()
-	if at := now.Add(-wo.Contact); wo.Contact >= 0 && at.After(fo.contact) {
+	if at := now.Add(-di.Contact); di.Contact >= 0 && at.After(fo.contact) {
 		fo.contact = at
 	}
-	newer := wo.Revision > have
-	if newer && wo.Revision >= fo.newest.Revision {
-		fo.newest = wo
+	newer := di.Revision > have
+	if newer && di.Revision >= fo.newest.Revision {
+		fo.newest = di
 	}
 	fo.mu.Unlock()
 	switch {
 	case newer:
 		wake(fo.told)
-	case wo.Revision == have:
-		fo.mi.Apply(nil, have, now.Add(-wo.Age))
+	case di.Revision == have:
+		fo.mi.Apply(nil, have, now.Add(-di.Age))
 	}
 }
 
@@ -75,20 +75,20 @@
 	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.since.IsZero() && now.Sub(fo.contact) < trustFor
+	return fo.since.IsZero() && now.Sub(fo.contact) < readerTimeout
 }
 
-// rest waits while the readers watch the store, and reports whether they did.
-func (fo *Follower) rest(ctx context.Context) bool {
+// idle waits while the readers watch the store, and reports whether they did.
+func (fo *Follower) idle(ctx context.Context) bool {
 	if !fo.relies(time.Now()) {
 		return false
 	}
-	ti := time.NewTimer(restMost)
+	ti := time.NewTimer(idleLimit)
 	defer ti.Stop()
 	select {
 	case <-ctx.Done():
 	case <-ti.C:
-	case <-fo.alone:
+	case <-fo.direct:
 		return false
 	}
 	return true
@@ -104,16 +104,16 @@
 		case <-fo.told:
 		}
 		if !fo.relies(time.Now()) {
-			sleep(ctx, ownAnswer)
+			sleep(ctx, watchGrace)
 		}
 		fo.mu.Lock()
-		wo := fo.newest
+		di := fo.newest
 		fo.mu.Unlock()
-		if wo.Revision <= fo.mi.Revision() {
+		if di.Revision <= fo.mi.Revision() {
 			continue
 		}
-		if !fo.fetch(ctx, wo.From) {
-			wake(fo.alone)
+		if !fo.fetch(ctx, di.From) {
+			wake(fo.direct)
 		}
 	}
 }
--- a/core/mirror/readers_test.go
+++ b/core/mirror/readers_test.go
@@ -43,7 +43,7 @@
 func (re *reader) tell(fo *mirror.Follower, du time.Duration) {
 	const every = 250 * time.Millisecond
 	for ; du > 0; du -= every {
-		fo.Told(time.Now(), mirror.Word{From: "reader", Revision: re.mi.Revision(), Contact: time.Second, Age: time.Second})
+		fo.Told(time.Now(), mirror.Digest{From: "reader", Revision: re.mi.Revision(), Contact: time.Second, Age: time.Second})
 		time.Sleep(every)
 	}
 }
@@ -118,7 +118,7 @@
 	rely(t, func(sh *shop, re *reader, mi *mirror.Mirror, fo *mirror.Follower) {
 		sh.put("two")
 		for range 14 {
-			fo.Told(time.Now(), mirror.Word{From: "reader", Revision: re.mi.Revision(), Contact: mirror.NoContact})
+			fo.Told(time.Now(), mirror.Digest{From: "reader", Revision: re.mi.Revision(), Contact: mirror.NoContact})
 			time.Sleep(250 * time.Millisecond)
 		}
 		holdsTwo(t, mi)
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -33,12 +33,12 @@
 	ToldFacts(facts []balance.Fact)
 }
 
-// Words are what entries tell of their copies of the store.
-type Words interface {
-	// Word returns what this entry has to tell.
-	Word(now time.Time) mirror.Word
+// Digests are what entries tell of their copies of the store.
+type Digests interface {
+	// Digest returns what this entry has to tell.
+	Digest(now time.Time) mirror.Digest
 	// Told takes in what another one told.
-	Told(now time.Time, wo mirror.Word)
+	Told(now time.Time, di mirror.Digest)
 }
 
 // Sharer is the duty that tells the entries of the own region what this one has
@@ -48,7 +48,7 @@
 	self  core.ProcessID
 	addr  string
 	ld    Loads
-	wo    Words
+	di    Digests
 	addrs func() []string
 	// reads reports whether others rely on this entry's copy.
 	reads   func() bool
@@ -62,9 +62,9 @@
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
 // lists; reads reports whether others rely on this entry's copy of the store.
-func NewSharer(self core.ProcessID, addr string, ld Loads, wo Words, addrs func() []string, reads func() bool) *Sharer {
+func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, reads func() bool) *Sharer {
 	return &Sharer{
-		self: self, addr: addr, ld: ld, wo: wo, addrs: addrs, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
+		self: self, addr: addr, ld: ld, di: di, addrs: addrs, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
 		limit: rate.NewLimiter(sentRate, sentBurst),
 	}
 }
@@ -80,16 +80,16 @@
 
 // A datagram is a version, the hash of its sender's process, the revision of its
 // copy of the store with the copy's age and the time since the store answered, in
-// wordUnit, the numbers of shares and of budgets, and these: the upstream's hash, its
+// digestUnit, the numbers of shares and of budgets, and these: the upstream's hash, its
 // attempts, and its pending time in pendingUnit; the service's hash and the repeats
 // that are left. The rest are parts of prompts that engines have read: the upstream's
 // hash and the part's.
 const (
 	format      = 5
-	wordSize    = 8 + 2 + 2
-	headSize    = 1 + 8 + wordSize + 1 + 1
+	digestSize  = 8 + 2 + 2
+	headSize    = 1 + 8 + digestSize + 1 + 1
 	budgetSize  = 8 + 2
-	wordUnit    = 10 * time.Millisecond
+	digestUnit  = 10 * time.Millisecond
 	noContact   = maxUnits
 	shareSize   = 8 + 2 + 2
 	keptSize    = 8 + 8
@@ -126,7 +126,7 @@
 			sh.sendFacts(pc, true)
 			sh.send(pc)
 		case <-sh.changed:
-			sh.sendWord(pc)
+			sh.sendDigest(pc)
 		case <-sh.ld.Sent():
 			sh.sendSent(pc)
 			sh.sendFacts(pc, false) // A call that found nobody is followed by another one.
@@ -175,15 +175,15 @@
 	}
 }
 
-// sendWord tells all siblings which revision this entry holds.
-func (sh *Sharer) sendWord(pc net.PacketConn) {
+// sendDigest tells all siblings which revision this entry holds.
+func (sh *Sharer) sendDigest(pc net.PacketConn) {
 	if sh.reads() {
 		sh.sendTo(pc, sh.addrs(), balance.Load{})
 	}
 }
 
 func (sh *Sharer) sendTo(pc net.PacketConn, addrs []string, lo balance.Load) {
-	write(pc, addrs, encode(balance.HashOf(sh.self), sh.wo.Word(time.Now()), lo))
+	write(pc, addrs, encode(balance.HashOf(sh.self), sh.di.Digest(time.Now()), lo))
 }
 
 func write(pc net.PacketConn, addrs []string, data []byte) {
@@ -194,14 +194,14 @@
 	}
 }
 
-func encode(self uint64, wo mirror.Word, lo balance.Load) []byte {
+func encode(self uint64, di mirror.Digest, lo balance.Load) []byte {
 	shares, kept := lo.Shares[:min(len(lo.Shares), maxShares)], lo.Kept[:min(len(lo.Kept), maxKept)]
 	data := make([]byte, 0, headSize+len(shares)*shareSize+len(kept)*keptSize)
 	data = append(data, format)
 	data = binary.BigEndian.AppendUint64(data, self)
-	data = binary.BigEndian.AppendUint64(data, uint64(wo.Revision))
-	data = binary.BigEndian.AppendUint16(data, uint16(min(max(wo.Age, 0)/wordUnit, maxUnits)))
-	data = binary.BigEndian.AppendUint16(data, contactUnits(wo.Contact))
+	data = binary.BigEndian.AppendUint64(data, uint64(di.Revision))
+	data = binary.BigEndian.AppendUint16(data, uint16(min(max(di.Age, 0)/digestUnit, maxUnits)))
+	data = binary.BigEndian.AppendUint16(data, contactUnits(di.Contact))
 	budgets := lo.Budgets[:min(len(lo.Budgets), maxBudgets)]
 	data = append(data, byte(len(shares)), byte(len(budgets)))
 	data = appendShares(data, shares)
@@ -217,38 +217,38 @@
 	if contact < 0 {
 		return noContact
 	}
-	return uint16(min(contact/wordUnit, noContact-1))
+	return uint16(min(contact/digestUnit, noContact-1))
 }
 
 // decode returns false for a datagram that no sibling of this release sent.
-func decode(data []byte) (from uint64, wo mirror.Word, lo balance.Load, ok bool) {
+func decode(data []byte) (from uint64, di mirror.Digest, lo balance.Load, ok bool) {
 	if len(data) < headSize || data[0] != format {
-		return 0, wo, lo, false
+		return 0, di, lo, false
 	}
 	from = binary.BigEndian.Uint64(data[1:])
-	wo = decodeWord(data[9:])
+	di = decodeDigest(data[9:])
 	shares, budgets, rest := int(data[headSize-2])*shareSize, int(data[headSize-1])*budgetSize, data[headSize:]
 	if len(rest) < shares+budgets || (len(rest)-shares-budgets)%keptSize != 0 {
-		return 0, wo, lo, false
+		return 0, di, lo, false
 	}
 	lo.Shares = decodeShares(rest[:shares])
 	lo.Budgets = decodeBudgets(rest[shares : shares+budgets])
 	for row := rest[shares+budgets:]; len(row) > 0; row = row[keptSize:] {
 		lo.Kept = append(lo.Kept, balance.Kept{Upstream: binary.BigEndian.Uint64(row), Part: binary.BigEndian.Uint64(row[8:])})
 	}
-	return from, wo, lo, true
+	return from, di, lo, true
 }
 
-func decodeWord(data []byte) mirror.Word {
-	wo := mirror.Word{
+func decodeDigest(data []byte) mirror.Digest {
+	di := mirror.Digest{
 		Revision: core.Revision(binary.BigEndian.Uint64(data)),
-		Age:      time.Duration(binary.BigEndian.Uint16(data[8:])) * wordUnit,
+		Age:      time.Duration(binary.BigEndian.Uint16(data[8:])) * digestUnit,
 		Contact:  mirror.NoContact,
 	}
 	if units := binary.BigEndian.Uint16(data[10:]); units != noContact {
-		wo.Contact = time.Duration(units) * wordUnit
+		di.Contact = time.Duration(units) * digestUnit
 	}
-	return wo
+	return di
 }
 
 func (sh *Sharer) receive(pc net.PacketConn) {
@@ -269,13 +269,13 @@
 			sh.ld.ToldSent(from, sent)
 			continue
 		}
-		from, wo, lo, ok := decode(buf[:n])
+		from, di, lo, ok := decode(buf[:n])
 		if !ok {
 			continue
 		}
 		sh.ld.Told(from, lo)
 		// The sender answers at the address that it sends from.
-		wo.From = addr.String()
-		sh.wo.Told(time.Now(), wo)
+		di.From = addr.String()
+		sh.di.Told(time.Now(), di)
 	}
 }
--- a/io/sibling/share_test.go
+++ b/io/sibling/share_test.go
@@ -20,7 +20,7 @@
 		Kept:    []balance.Kept{{Upstream: 7, Part: 1 << 63}},
 		Budgets: []balance.Budget{{Service: 1 << 61, Left: -3}, {Service: 2, Left: 40}},
 	}
-	wo := mirror.Word{Revision: 1 << 40, Age: 2 * time.Second, Contact: 40 * time.Millisecond}
+	wo := mirror.Digest{Revision: 1 << 40, Age: 2 * time.Second, Contact: 40 * time.Millisecond}
 	data := encode(42, wo, lo)
 	from, word, got, ok := decode(data)
 	assert.Assert(t, ok)
@@ -35,9 +35,9 @@
 	data[0]++
 	_, _, _, ok = decode(data)
 	assert.Assert(t, !ok)
-	wo = mirror.Word{Age: time.Hour, Contact: mirror.NoContact}
+	wo = mirror.Digest{Age: time.Hour, Contact: mirror.NoContact}
 	_, word, _, _ = decode(encode(42, wo, lo))
-	assert.Equal(t, word, mirror.Word{Age: maxUnits * wordUnit, Contact: mirror.NoContact})
+	assert.Equal(t, word, mirror.Digest{Age: maxUnits * digestUnit, Contact: mirror.NoContact})
 }
 
 // An entry has attempts at more upstreams than a packet holds. What fits must be
@@ -49,7 +49,7 @@
 		lo.Kept = append(lo.Kept, balance.Kept{Part: uint64(i)})
 		lo.Budgets = append(lo.Budgets, balance.Budget{Left: 1e9})
 	}
-	data := encode(1, mirror.Word{}, lo)
+	data := encode(1, mirror.Digest{}, lo)
 	assert.Assert(t, len(data) <= 1472, "%d", len(data))
 	_, _, got, ok := decode(data)
 	assert.Assert(t, ok)
@@ -68,7 +68,7 @@
 	assert.Assert(t, ok && got[0].Rest > 0, "a short rest is no answer")
 	_, ok = decodeFacts(data[:len(data)-1])
 	assert.Assert(t, !ok)
-	_, ok = decodeFacts(encode(1, mirror.Word{}, balance.Load{}))
+	_, ok = decodeFacts(encode(1, mirror.Digest{}, balance.Load{}))
 	assert.Assert(t, !ok)
 	_, _, _, ok = decode(data)
 	assert.Assert(t, !ok)
