Hand on changes only; who lags by more reads the store itself

Change: a teller that does not keep all the changes says so, and the asker watches the store, as every entry did before there were readers. 1,024 changes are kept in place of 256. An entry that the store does not answer still gets whole copies.

--- a/core/mirror/change_log.go
+++ b/core/mirror/change_log.go
@@ -8,9 +8,9 @@
 
 const (
 	// maxLogged and maxLoggedBytes bound what is kept of past changes. Who lags by
-	// more gets the whole copy.
-	maxLogged      = 256
-	maxLoggedBytes = 128 << 10
+	// more reads the store itself.
+	maxLogged      = 1024
+	maxLoggedBytes = 256 << 10
 )
 
 // changeLog keeps the newest changes in the order of their revisions.
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -30,7 +30,8 @@
 type Siblings interface {
 	// Ask returns the best news that another entry has over a revision.
 	Ask(ctx context.Context, after core.Revision) (News, error)
-	// AskAt returns the news of the entry at an address.
+	// AskAt returns the changes that the entry at an address has; it fails where some
+	// of them are not kept there.
 	AskAt(ctx context.Context, addr string, after core.Revision) (News, error)
 }
 
--- a/core/mirror/readers_test.go
+++ b/core/mirror/readers_test.go
@@ -160,7 +160,7 @@
 		rev := core.Revision(rapid.IntRange(1, 4).Draw(rt, "first"))
 		one.Replace(nil, rev, now)
 		two.Replace(nil, rev, now)
-		for range rapid.IntRange(1, 300).Draw(rt, "changes") {
+		for range rapid.IntRange(1, 400).Draw(rt, "changes") {
 			rev++
 			key := fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(rt, "key"))
 			ch := core.Change{Item: core.Item{Key: key, Value: make([]byte, rapid.IntRange(0, 3000).Draw(rt, "size")), Revision: rev}}
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -35,8 +35,11 @@
 )
 
 // Path is where the copy is asked for. The query's after is the revision that
-// the asker has.
-const Path = "/mirror"
+// the asker has; with changesOnly the whole copy is not wanted.
+const (
+	Path        = "/mirror"
+	changesOnly = "changes-only"
+)
 
 type message struct {
 	Revision core.Revision `json:"revision"`
@@ -71,6 +74,10 @@
 			http.Error(w, "after must be a revision", http.StatusBadRequest)
 			return
 		}
+		if _, _, kept := mi.Since(core.Revision(after)); !kept && rq.FormValue(changesOnly) != "" {
+			http.Error(w, "the changes are not kept any more", http.StatusGone)
+			return
+		}
 		ms := newsSince(mi, core.Revision(after))
 		if ms.Revision == 0 {
 			http.Error(w, "nothing is known here yet", http.StatusServiceUnavailable)
@@ -177,7 +184,7 @@
 	for i := range n {
 		addr := addrs[(first+i)%len(addrs)]
 		go func() {
-			ne, err := si.AskAt(ctx, addr, after)
+			ne, err := si.ask(ctx, addr, "?after="+revision(after))
 			got <- result{ne, err}
 		}()
 	}
@@ -199,10 +206,18 @@
 	return best, nil
 }
 
-// AskAt implements mirror.Siblings.
+// AskAt implements mirror.Siblings. It fails where the sibling does not keep all the
+// changes: whole copies for a region would take more of one entry than watching the
+// store takes of each.
 func (si *Siblings) AskAt(ctx context.Context, addr string, after core.Revision) (mirror.News, error) {
+	return si.ask(ctx, addr, "?after="+revision(after)+"&"+changesOnly+"=true")
+}
+
+func revision(rev core.Revision) string { return strconv.FormatUint(uint64(rev), 10) }
+
+func (si *Siblings) ask(ctx context.Context, addr, query string) (mirror.News, error) {
 	var ms message
-	if err := si.get(ctx, addr, Path+"?after="+strconv.FormatUint(uint64(after), 10), &ms); err != nil {
+	if err := si.get(ctx, addr, Path+query, &ms); err != nil {
 		return mirror.News{}, err
 	}
 	ne := mirror.News{
--- a/io/sibling/sibling_test.go
+++ b/io/sibling/sibling_test.go
@@ -45,6 +45,8 @@
 	assert.NilError(t, err)
 	assert.Assert(t, ne.Newer && !ne.Whole && ne.Doubtful)
 	assert.DeepEqual(t, ne.Changes, changes)
+	_, err = si.AskAt(t.Context(), addr, 2)
+	assert.ErrorContains(t, err, "410")
 	ne, err = si.Ask(t.Context(), 2)
 	assert.NilError(t, err)
 	assert.Assert(t, ne.Whole)
