--- a/core/balance/far_test.go
+++ b/core/balance/far_test.go
@@ -36,9 +36,11 @@
 func TestEnginesOfAnotherRegionAreNotTakenForIdle(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(5, 1))
 	pk := balance.New("muc-a", "muc")
-	busyHere(pk, 900*time.Millisecond)
-	for n := range 20 {
-		ho, _ := pk.Pick(start, twoRegions(), draft(fmt.Sprint("p", n), n), rnd.Float64)
+	busyHere(pk, 800*time.Millisecond)
+	for range 20 {
+		// Its prompt shares nothing, so that no engine is preferred for it.
+		rq := balance.Request{Service: "s", Model: "large", Engine: true, Prompt: 1000, Pool: "ask"}
+		ho, _ := pk.Pick(start, twoRegions(), rq, rnd.Float64)
 		assert.Equal(t, ho.Region, core.Region("muc"))
 	}
 }
--- a/core/balance/herd_test.go
+++ b/core/balance/herd_test.go
@@ -153,6 +153,25 @@
 	assert.Assert(t, once < rounds*2/3, "19 in 20 within %s, and %s when told in rounds only", once, rounds)
 }
 
+// Guards against engines that count as busy with prompts which they have read, until
+// the next round of telling.
+func TestReadPromptsAreToldWithTheNextCall(t *testing.T) {
+	hosts := pool(2, 64)
+	one, two := balance.New("muc-a", "muc"), balance.New("muc-a", "muc")
+	now := start
+	tell := func() { two.ToldSent(now, 1, one.SentNow()) }
+	waits := func(ho core.Host) time.Duration { return two.Wait(now, []core.Host{ho}) }
+	first := one.Sent(now, hosts[0], draft("plan-1", 1))
+	tell()
+	assert.Assert(t, waits(hosts[0]) > 500*time.Millisecond)
+	now = now.Add(time.Second)
+	one.Begun(now, first, draft("plan-1", 1), nil)
+	one.Sent(now, hosts[1], draft("plan-2", 2))
+	tell()
+	assert.Assert(t, waits(hosts[0]) <= 10*time.Millisecond, "%s", waits(hosts[0]))
+	assert.Assert(t, waits(hosts[1]) > 500*time.Millisecond)
+}
+
 // mostWait is the wait within which 19 in 20 short prompts begin.
 func mostWait(he herd) time.Duration {
 	waits := he.play()
--- a/core/forward/pressure_test.go
+++ b/core/forward/pressure_test.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// Guards against doubtful answers of which nobody can tell why they were given.
+func TestLineTellsWhyAnAnswerWasGiven(t *testing.T) {
+	scenarios := []struct {
+		testName   string
+		confidence int
+		// spent has the repeats used up.
+		spent bool
+		want  string
+	}{
+		{"it suffices", 90, false, "sufficed"},
+		{"there are no repeats left", 5, true, "repeats"},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			play(t, func(t *testing.T) {
+				confidence := 5
+				wo := newWorld(t, engines(time.Millisecond, 0, &confidence))
+				for i := 0; sc.spent && i < 100; i++ {
+					wo.prompt(t, fmt.Sprint("r", i), 100)
+				}
+				confidence = sc.confidence
+				wo.prompt(t, "last", 100)
+				ended := wo.lines("exchange-ended")
+				assert.Equal(t, ended[len(ended)-1].Kept, sc.want)
+			})
+		})
+	}
+}
+
 // Guards against long prompts and slow engines that pass for load: doubtful answers
 // are then given although the engines are idle.
 func TestReadingIsNoLoad(t *testing.T) {
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -239,6 +239,7 @@
 	Ran       string `json:"ran"`
 	Message   string `json:"message"`
 	NoRepeat  string `json:"no-repeat"`
+	Kept      string `json:"kept-answer"`
 	Candidate int    `json:"candidates"`
 }
 
--- a/core/retry/lent_test.go
+++ b/core/retry/lent_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// Guards against an entry that goes beyond its part although the others have used
+// theirs, or have told nothing lately.
+func TestNothingIsLentWhereNothingIsLeft(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	scenarios := []struct {
+		testName string
+		left     float64
+		age      time.Duration
+		want     bool
+	}{
+		{"the others have some left", 8, 0, true},
+		{"the others have used theirs", 0, 0, false},
+		{"the others have gone beyond theirs", -3, 0, false},
+		{"what they told is old", 8, 2 * time.Second, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			wi := retry.NewWindow(lentSpan, 0.5, fixed(0))
+			for range 40 {
+				wi.Arrived(now)
+			}
+			for wi.Spend(now, retry.Climb) {
+			}
+			for from := range uint64(5) {
+				wi.Told(now, from, sc.left)
+			}
+			assert.Equal(t, wi.Spend(now.Add(sc.age), retry.Climb), sc.want)
+		})
+	}
+}
+
 // Guards against callers who get a doubtful answer for want of repeats at one entry
 // while its neighbours have plenty.
 func TestEntryUsesWhatOthersHaveLeft(t *testing.T) {
