Share the event queue of the simulations in tests

Cause: the tests of cascades and of roll-outs had the same heap of events each.

Change: test/eventqueue has it once, with the same order of events.

--- a/core/cascade/sim_test.go
+++ b/core/cascade/sim_test.go
@@ -1,7 +1,6 @@
 package cascade_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/cascade"
+	"skylarkstand/test/eventqueue"
 )
 
 // kind is the truth about one class of requests: how often each stage's answer
@@ -101,58 +101,28 @@
 	}
 }
 
-// loop runs events in the order of their time.
-type loop struct{ evs events }
-
-type simEvent struct {
-	at  time.Time
-	run func(time.Time)
-}
-
-type events []simEvent
-
-func (evs events) Len() int           { return len(evs) }
-func (evs events) Less(i, j int) bool { return evs[i].at.Before(evs[j].at) }
-func (evs events) Swap(i, j int)      { evs[i], evs[j] = evs[j], evs[i] }
-func (evs *events) Push(ev any)       { *evs = append(*evs, ev.(simEvent)) }
-func (evs *events) Pop() any {
-	old := *evs
-	ev := old[len(old)-1]
-	*evs = old[:len(old)-1]
-	return ev
-}
-
-func (lo *loop) at(when time.Time, run func(time.Time)) { heap.Push(&lo.evs, simEvent{when, run}) }
-
-func (lo *loop) run() {
-	for lo.evs.Len() > 0 {
-		ev := heap.Pop(&lo.evs).(simEvent)
-		ev.run(ev.at)
-	}
-}
-
 // learn runs requests, 20 a second, through a learner: the decisions of later
 // requests are made before earlier ones have ended.
 func learn(asks []ask, target core.Quality, price core.Millicents, seed uint64) *result {
-	le, lo, re := cascade.NewLearner(), &loop{}, &result{}
+	le, lo, re := cascade.NewLearner(), &eventqueue.Queue{}, &result{}
 	rnd := rand.New(rand.NewPCG(seed, 6))
 	now := time.Unix(1_000_000, 0)
 	for _, as := range asks {
 		now = now.Add(time.Duration(rnd.ExpFloat64() * float64(50*time.Millisecond)))
 		began := now
-		lo.at(began, func(at time.Time) {
+		lo.At(began, func(at time.Time) {
 			wk := &walk{le: le, lo: lo, re: re, as: as, qu: question(as.class, target, price), began: began, rnd: rnd}
 			wk.stage(at, le.Start(at, wk.qu, rnd.Float64()), cascade.First)
 		})
 	}
-	lo.run()
+	lo.Run()
 	return re
 }
 
 // walk is one request on its way through the cascade.
 type walk struct {
 	le    *cascade.Learner
-	lo    *loop
+	lo    *eventqueue.Queue
 	re    *result
 	as    ask
 	qu    *cascade.Question
@@ -162,18 +132,18 @@
 }
 
 func (wk *walk) stage(at time.Time, de cascade.Decision, pl cascade.Place) {
-	wk.lo.at(at.Add(wk.as.took[de.Stage]), func(at time.Time) {
+	wk.lo.At(at.Add(wk.as.took[de.Stage]), func(at time.Time) {
 		wk.paid += wk.as.cost[de.Stage]
 		wk.le.Ran(at, wk.qu, de.Stage, wk.as.cost[de.Stage], wk.as.took[de.Stage])
 		if !de.Final {
-			wk.lo.at(at.Add(wk.as.rate), func(at time.Time) { wk.rated(at, de, pl) })
+			wk.lo.At(at.Add(wk.as.rate), func(at time.Time) { wk.rated(at, de, pl) })
 			return
 		}
 		wk.end(at, de.Stage)
 		expected := wk.le.Expected(at, wk.qu, de.Stage, pl)
 		wk.le.Done(wk.qu, expected, at.Sub(wk.began))
 		if wk.rnd.Float64() < sampled {
-			wk.lo.at(at.Add(wk.as.rate), func(at time.Time) {
+			wk.lo.At(at.Add(wk.as.rate), func(at time.Time) {
 				wk.le.Rated(at, wk.qu, de.Stage, pl, wk.rating(de.Stage))
 				wk.le.Sampled(wk.qu, expected, wk.rating(de.Stage), sampled)
 			})
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -12,6 +11,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/rollout"
+	"skylarkstand/test/eventqueue"
 )
 
 var (
@@ -61,24 +61,6 @@
 // pace is the callers a second over all entries.
 const pace = 100
 
-type simEvent struct {
-	at  time.Time
-	run func(time.Time)
-}
-
-type events []simEvent
-
-func (evs events) Len() int           { return len(evs) }
-func (evs events) Less(i, j int) bool { return evs[i].at.Before(evs[j].at) }
-func (evs events) Swap(i, j int)      { evs[i], evs[j] = evs[j], evs[i] }
-func (evs *events) Push(ev any)       { *evs = append(*evs, ev.(simEvent)) }
-func (evs *events) Pop() any {
-	old := *evs
-	ev := old[len(old)-1]
-	*evs = old[:len(old)-1]
-	return ev
-}
-
 const (
 	// batchPace is the time between two batches to the home.
 	batchPace = 500 * time.Millisecond
@@ -111,7 +93,7 @@
 		guards[i].Follow(declared(t, 1, tr.percent, "", quality))
 		guards[i].Alone("desk", tr.alone)
 	}
-	var evs events
+	var qu eventqueue.Queue
 	var seen [2][2]int
 	now, stop := time.Unix(1_000_000, 0), time.Time{}
 	sent := now
@@ -122,10 +104,7 @@
 	}
 	for reached < tr.callers && (stop.IsZero() || now.Before(stop)) {
 		now = now.Add(time.Duration(rnd.ExpFloat64() * float64(time.Second/pace)))
-		for len(evs) > 0 && evs[0].at.Before(now) {
-			ev := heap.Pop(&evs).(simEvent)
-			ev.run(ev.at)
-		}
+		qu.RunBefore(now)
 		if !tr.alone && now.Sub(sent) >= batchPace {
 			sent = now
 			if batches(guards) && tr.decide == nil {
@@ -145,7 +124,7 @@
 			continue
 		}
 		wait := time.Duration(500+rnd.IntN(1000)) * time.Millisecond // The answer, then its rating.
-		heap.Push(&evs, simEvent{now.Add(wait), func(at time.Time) {
+		qu.At(now.Add(wait), func(at time.Time) {
 			seen[side][0]++
 			if !good {
 				seen[side][1]++
@@ -154,7 +133,7 @@
 			if (tr.decide == nil && gu.Halted(desk2)) || (tr.decide != nil && tr.decide(seen)) {
 				end(at)
 			}
-		}})
+		})
 	}
 	return reached, halted
 }
