Serve requests in their allowed regions, and keep work from evacuated zones

Cause: the code knew nothing of the regions that a route or a workspace allows, nor of orders to evacuate a zone.

The fleet now says which upstreams may get new work: ready, in a region that is allowed, in a zone that is not evacuated. core/forward asks it in one place, for first attempts, repeats, climbs, resumptions, estimates and the gate; a test goes through all ways, and one looks for a second place. The regions are those of the newest configuration at each attempt. The version in use is still learned from all upstreams of a service, so that a request which is bound to one region does not change it. Where nothing is left, the request is rejected at once as not run: without a time to come back when route and workspace have no region in common, with one while zones are evacuated. The gate and the choice of models keep apart what is served abroad, which meets another load.

An evacuation is a key of the store, read with the configuration by the same copy: a removal ends it and nothing else.

--- a/app/gauges.go
+++ b/app/gauges.go
@@ -65,6 +65,7 @@
 		ga.upstreams(sv, "serving", co.Serving)
 		ga.upstreams(sv, "leaving", co.Leaving)
 		ga.upstreams(sv, "doubtful", co.Doubtful)
+		ga.upstreams(sv, "evacuated", co.Evacuated)
 		ga.upstreams(sv, "avoided", ga.fw.Avoided(sv))
 	}
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -98,13 +98,14 @@
 }
 
 // Expect returns the least expected time to the first byte of an answer from an
-// engine: what waits there and the reading of what it does not keep.
+// engine: what waits there and the reading of what it does not keep. Engines of
+// another region count only where the list has none of the own one.
 func (pk *Picker) Expect(now time.Time, hosts []core.Host, rq Request) time.Duration {
-	read, home := pk.reading.thousand(rq.Model), pk.home(hosts, rq)
+	read, home, near := pk.reading.thousand(rq.Model), pk.home(hosts, rq), pk.anyNear(hosts)
 	least := time.Duration(-1)
 	for i := range hosts {
 		pe := pk.peer(&hosts[i])
-		if now.Before(pe.down) || hosts[i].Region != pk.region {
+		if now.Before(pe.down) || near && pe.far {
 			continue
 		}
 		fresh := rq.Prompt - pe.kept(now, rq)
@@ -137,6 +138,11 @@
 	return max(least, 0)
 }
 
+// anyNear reports whether any upstream of a list is in the own region.
+func (pk *Picker) anyNear(hosts []core.Host) bool {
+	return slices.ContainsFunc(hosts, func(ho core.Host) bool { return ho.Region == pk.region })
+}
+
 // Usual returns the usual time from sending to the header of an answer, or 0
 // while too few were seen to rely on it.
 func (pk *Picker) Usual(rq Request) time.Duration {
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -107,8 +107,8 @@
 }
 
 // home returns the upstream that all entries of a region prefer for a prompt:
-// by rendezvous over the region's upstreams, of the model and the parts that
-// are shared.
+// by rendezvous over the region's upstreams, or over all where the list has none
+// there, of the model and the parts that are shared.
 func (pk *Picker) home(hosts []core.Host, rq Request) core.UpstreamID {
 	if len(rq.Parts) < 2 || pk.off.Has(mechanism.PrefixHomes) {
 		return ""
@@ -117,9 +117,9 @@
 	for _, pa := range rq.Parts[:len(rq.Parts)-1] {
 		key += "/" + pa.ID
 	}
-	best, most := core.UpstreamID(""), uint64(0)
+	best, most, near := core.UpstreamID(""), uint64(0), pk.anyNear(hosts)
 	for i := range hosts {
-		if hosts[i].Region != pk.region {
+		if near && hosts[i].Region != pk.region {
 			continue
 		}
 		if we := rendezvous.Weight(key, string(hosts[i].ID)); we >= most {
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -144,10 +144,10 @@
 	gu := canary.New()
 	now := time.Unix(1_000_000, 0)
 	all := hosts()
-	olds := gu.Choose(now, service, "", 0, all[:1], true)
+	olds := gu.Choose(now, service, "", 0, canary.Unrestricted(all[:1]), true)
 	assert.Equal(t, olds[0].Version, v1)
 	for range 50 {
-		for _, ho := range gu.Choose(now, service, "", rand.Float64(), all, true) {
+		for _, ho := range gu.Choose(now, service, "", rand.Float64(), canary.Unrestricted(all), true) {
 			assert.Equal(t, ho.Version, v1)
 		}
 	}
@@ -179,18 +179,18 @@
 	}
 	gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
 	for range 2000 {
-		gu.Choose(now, service, "", 0.9, all, true) // The cap counts requests.
+		gu.Choose(now, service, "", 0.9, canary.Unrestricted(all), true) // The cap counts requests.
 	}
 	for _, se := range joining {
-		ups := gu.Choose(now, service, se, 0, all, true)
+		ups := gu.Choose(now, service, se, 0, canary.Unrestricted(all), true)
 		assert.Equal(t, ups[0].Version, v1, "nobody knows yet which sessions the other entries have")
 	}
 	now = now.Add(3 * time.Second)
 	for i, se := range joining {
 		now = now.Add(10 * time.Millisecond)
-		stale := gu.Choose(now, service, se, 0, all, false)
+		stale := gu.Choose(now, service, se, 0, canary.Unrestricted(all), false)
 		assert.Equal(t, stale[0].Version, v1)
-		ups := gu.Choose(now, service, se, 0, all, true)
+		ups := gu.Choose(now, service, se, 0, canary.Unrestricted(all), true)
 		want := v2
 		if i < 30 {
 			want = v1
@@ -219,12 +219,12 @@
 	for _, gu := range []*canary.Guard{here, there} {
 		gu.Order(now, canary.Order{Service: service, Target: v2, Duration: 24 * time.Second, Revision: 5})
 		for range 2000 {
-			gu.Choose(now, service, "", 0.9, all, true) // The cap counts requests.
+			gu.Choose(now, service, "", 0.9, canary.Unrestricted(all), true) // The cap counts requests.
 		}
 	}
 	stays := func(gu *canary.Guard, se core.SessionID) {
 		t.Helper()
-		assert.Equal(t, gu.Choose(now, service, se, 0, all, true)[0].Version, v1)
+		assert.Equal(t, gu.Choose(now, service, se, 0, canary.Unrestricted(all), true)[0].Version, v1)
 	}
 	for range 5 {
 		now = now.Add(time.Second)
@@ -240,7 +240,7 @@
 	stays(there, streaming)
 	stays(here, streaming)
 	for _, se := range fresh {
-		assert.Equal(t, here.Choose(now, service, se, 0, all, true)[0].Version, v2)
+		assert.Equal(t, here.Choose(now, service, se, 0, canary.Unrestricted(all), true)[0].Version, v2)
 	}
 }
 
@@ -286,7 +286,7 @@
 		}
 	}
 	assert.Assert(t, len(left) > 0)
-	assert.Equal(t, len(gu.Choose(now, service, "", 0.5, left, true)), len(left))
+	assert.Equal(t, len(gu.Choose(now, service, "", 0.5, canary.Unrestricted(left), true)), len(left))
 	assert.Equal(t, gu.Shares()[service], 1.0)
 }
 
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -172,25 +172,36 @@
 	return min(max(ro.step.Step, 0), lastStep)
 }
 
-// Choose narrows the upstreams of a service to those whose version a request
-// may run on. Draw, from 0 to 1, places requests without a session. Fresh says
+// Candidates are the upstreams of a service that a version is chosen from.
+type Candidates struct {
+	// Ready are all that are ready. They tell which version is in use.
+	Ready []core.Host
+	// Eligible are those of them that may get the request.
+	Eligible []core.Host
+}
+
+// Unrestricted returns the candidates of a request that may go to any upstream.
+func Unrestricted(hosts []core.Host) Candidates { return Candidates{Ready: hosts, Eligible: hosts} }
+
+// Choose narrows the eligible upstreams of a service to those whose version a
+// request may run on. Draw, from 0 to 1, places requests without a session. Fresh says
 // that the entry's news are recent; without, no new session is given to a
 // version under roll-out, since the word that it is bad may not have arrived.
-func (gu *Guard) Choose(now time.Time, sv core.ServiceID, se core.SessionID, draw float64, hosts []core.Host, fresh bool) []core.Host {
+func (gu *Guard) Choose(now time.Time, sv core.ServiceID, se core.SessionID, draw float64, ca Candidates, fresh bool) []core.Host {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	ro := gu.rollouts[sv]
 	if ro == nil || ro.order.Revision == 0 {
-		return gu.known(sv, hosts)
+		return gu.known(sv, ca)
 	}
 	target := ro.order.Target
 	ro.all++
-	ups := only(hosts, target)
+	ups := only(ca.Eligible, target)
 	if ro.state() == Completed {
 		// The version in use stays the target, also while its upstreams are away.
-		return prefer(ups, gu.allowed(sv, hosts))
+		return prefer(ups, gu.allowed(sv, ca.Eligible))
 	}
-	old := gu.known(sv, except(hosts, target))
+	old := gu.known(sv, Candidates{except(ca.Ready, target), except(ca.Eligible, target)})
 	if ro.rejected() {
 		return old
 	}
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -151,7 +151,7 @@
 				se = core.SessionID(fmt.Sprint("s", int(now.Sub(start).Seconds())/8, "-", rnd.IntN(int(6*tr.rate))))
 			}
 			gu := gus[entry]
-			ups := gu.Choose(now, service, se, rnd.Float64(), all, true)
+			ups := gu.Choose(now, service, se, rnd.Float64(), canary.Unrestricted(all), true)
 			if len(ups) == 0 {
 				continue
 			}
--- a/core/canary/versions.go
+++ b/core/canary/versions.go
@@ -26,18 +26,15 @@
 // known narrows to the version that the service runs on beside one under
 // roll-out: upstreams of another version may be listed before the order for it
 // is known, and those of a withdrawn one until they have drained.
-func (gu *Guard) known(sv core.ServiceID, hosts []core.Host) []core.Host {
-	hosts = gu.allowed(sv, hosts)
-	if len(hosts) == 0 {
-		return hosts
+func (gu *Guard) known(sv core.ServiceID, ca Candidates) []core.Host {
+	ready := gu.allowed(sv, ca.Ready)
+	if len(ready) == 0 {
+		return nil
 	}
-	if ve, ok := gu.stable[sv]; ok {
-		if ups := only(hosts, ve); len(ups) > 0 {
-			return ups
-		}
+	if ve, ok := gu.stable[sv]; !ok || len(only(ready, ve)) == 0 {
+		gu.stable[sv] = most(ready)
 	}
-	gu.stable[sv] = most(hosts)
-	return only(hosts, gu.stable[sv])
+	return only(ca.Eligible, gu.stable[sv])
 }
 
 // allowed leaves out the upstreams of withdrawn versions.
--- a/core/canary/versions_test.go
+++ b/core/canary/versions_test.go
@@ -31,12 +31,12 @@
 		before   func(now time.Time, gu *canary.Guard)
 	}{
 		{"the store told of it", func(now time.Time, gu *canary.Guard) {
-			gu.Choose(now, service, "", 0.5, hosts(), true)
+			gu.Choose(now, service, "", 0.5, canary.Unrestricted(hosts()), true)
 			gu.Order(now, order(v2, 5))
 			gu.Status(rolledBack)
 		}},
 		{"the entry held it for bad itself", func(now time.Time, gu *canary.Guard) {
-			gu.Choose(now, service, "", 0.5, hosts(), true)
+			gu.Choose(now, service, "", 0.5, canary.Unrestricted(hosts()), true)
 			gu.Order(now, order(v2, 5))
 			for range 10 {
 				gu.Observe(canary.Outcome{Service: service, Version: v2, Pool: "a", Failed: true})
@@ -52,12 +52,12 @@
 			gu.Order(now, order(v3, 9))
 			for i := range 400 {
 				now = now.Add(50 * time.Millisecond)
-				for _, ho := range gu.Choose(now, service, "", float64(i%100)/100, twoOrders(), true) {
+				for _, ho := range gu.Choose(now, service, "", float64(i%100)/100, canary.Unrestricted(twoOrders()), true) {
 					assert.Assert(t, ho.Version != v2)
 				}
 			}
 			gu.Status(canary.Status{Service: service, Target: v3, State: canary.RolledBack, Revision: 12})
-			for _, ho := range gu.Choose(now, service, "", 0, twoOrders(), true) {
+			for _, ho := range gu.Choose(now, service, "", 0, canary.Unrestricted(twoOrders()), true) {
 				assert.Equal(t, ho.Version, v1)
 			}
 		})
@@ -72,13 +72,13 @@
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.RolledBack, Revision: 6})
 	gu.Order(now, order(v2, 9))
 	now = now.Add(4 * time.Second)
-	assert.Equal(t, gu.Choose(now, service, "", 0, hosts(), true)[0].Version, v2, "the first step gives it a part")
+	assert.Equal(t, gu.Choose(now, service, "", 0, canary.Unrestricted(hosts()), true)[0].Version, v2, "the first step gives it a part")
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 12})
-	for _, ho := range gu.Choose(now, service, "", 0.5, hosts(), true) {
+	for _, ho := range gu.Choose(now, service, "", 0.5, canary.Unrestricted(hosts()), true) {
 		assert.Equal(t, ho.Version, v2)
 	}
 	gu.Order(now, order(v3, 20))
-	for _, ho := range gu.Choose(now, service, "", 0.9, twoOrders(), true) {
+	for _, ho := range gu.Choose(now, service, "", 0.9, canary.Unrestricted(twoOrders()), true) {
 		assert.Equal(t, ho.Version, v2, "it is in use beside the next one")
 	}
 }
@@ -93,7 +93,7 @@
 	gu.Order(now, order(v2, 9))
 	gu.Order(now, order(v3, 12))
 	left := append(onlyOf(v2), core.Host{ID: "next-0", Service: service, Version: v3})
-	assert.Equal(t, gu.Choose(now, service, "", 0.9, left, true)[0].Version, v2)
+	assert.Equal(t, gu.Choose(now, service, "", 0.9, canary.Unrestricted(left), true)[0].Version, v2)
 }
 
 // Guards against sessions that go back to an older version when a roll-out
@@ -101,13 +101,13 @@
 func TestCompletedVersionIsTheOldOneOfTheNextRollOut(t *testing.T) {
 	gu := canary.New()
 	now := time.Unix(1_000_000, 0)
-	gu.Choose(now, service, "", 0.5, hosts(), true)
+	gu.Choose(now, service, "", 0.5, canary.Unrestricted(hosts()), true)
 	gu.Order(now, order(v2, 5))
 	gu.Status(canary.Status{Service: service, Target: v2, State: canary.Completed, Revision: 6})
-	gu.Choose(now, service, "", 0.5, hosts(), true)
-	gu.Choose(now, service, "", 0.5, onlyOf(v1), true) // Its upstreams are away for a moment.
+	gu.Choose(now, service, "", 0.5, canary.Unrestricted(hosts()), true)
+	gu.Choose(now, service, "", 0.5, canary.Unrestricted(onlyOf(v1)), true) // Its upstreams are away for a moment.
 	gu.Order(now, order(v3, 9))
-	for _, ho := range gu.Choose(now, service, "", 0.9, twoOrders(), true) {
+	for _, ho := range gu.Choose(now, service, "", 0.9, canary.Unrestricted(twoOrders()), true) {
 		assert.Equal(t, ho.Version, v2)
 	}
 }
@@ -135,3 +135,17 @@
 		}
 	}
 }
+
+// TestVersionInUseIsThatOfAllRegions guards against a request that is bound to a
+// region with another version alone, which would make that the one in use.
+func TestVersionInUseIsThatOfAllRegions(t *testing.T) {
+	gu, now := canary.New(), time.Now()
+	all := hosts()
+	assert.Equal(t, gu.Choose(now, service, "", 0.5, canary.Unrestricted(onlyOf(v1)), true)[0].Version, v1)
+	// The upstreams of the next version are listed before the order for it.
+	bound := canary.Candidates{Ready: all, Eligible: onlyOf(v2)}
+	assert.Equal(t, len(gu.Choose(now, service, "", 0.5, bound, true)), 0)
+	for _, ho := range gu.Choose(now, service, "", 0.5, canary.Unrestricted(all), true) {
+		assert.Equal(t, ho.Version, v1)
+	}
+}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -84,6 +84,10 @@
 	CanaryHeld = &Event{352, "canary-held", slog.LevelWarn,
 		"This entry holds a version under roll-out for bad and sends it nothing new; `why` is the evidence.",
 		"Look at the version."}
+	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
+		"An availability zone gets no new work from now on; what runs there ends as it would.", "Nothing."}
+	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
+		"The evacuation of an availability zone was taken back.", "Nothing."}
 	HaltPending = &Event{342, "halt-pending", slog.LevelWarn,
 		"A halt could not be written into the configuration yet; it holds in this process and is tried again.",
 		"Look at the store."}
@@ -157,7 +161,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/failure.go
+++ b/core/failure.go
@@ -35,6 +35,8 @@
 	CodeOverloaded    Code = "overloaded"
 	CodeDeadline      Code = "deadline"
 	CodeNoUpstream    Code = "no-upstream"
+	CodeNoRegion      Code = "no-allowed-region"
+	CodeEvacuated     Code = "evacuated"
 	CodeUpstream      Code = "upstream-failed"
 	CodeOutcomeLost   Code = "outcome-unknown"
 	CodeCrashed       Code = "upstream-crashed"
--- /dev/null
+++ b/core/feed/evacuation_test.go
@@ -0,0 +1,83 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/feed"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/mirror"
+	"skylarkstand/core/route"
+)
+
+// layout is a platform with one upstream in each of two zones.
+type layout struct{}
+
+func (layout) Decode(it core.Item) (feed.Entry, error) {
+	switch it.Key {
+	case "out/a", "out/b":
+		return feed.Entry{Evacuated: core.Zone(it.Key[4:])}, nil
+	case "up/a", "up/b":
+		id := core.UpstreamID(it.Key[3:])
+		return feed.Entry{Upstream: id, Host: &core.Host{ID: id, Service: "desk", Zone: core.Zone(id)}}, nil
+	}
+	return feed.Entry{}, nil
+}
+
+// world is a mirror that feeds a fleet.
+type world struct {
+	mi *mirror.Mirror
+	fl *fleet.Fleet
+}
+
+func newWorld() world {
+	wo := world{mirror.New(), fleet.New()}
+	fd := feed.New(core.NewDeps(), layout{}, feed.Parts{
+		InForce: route.NewInForce(), Fleet: wo.fl, Doubtful: func(time.Time) bool { return true }, Gone: func(core.Host) {},
+	})
+	wo.mi.Subscribe(fd.Changed)
+	return wo
+}
+
+func (wo world) serving() string {
+	out := ""
+	for _, ho := range wo.fl.Serving("desk", time.Now(), core.Regions{}) {
+		out += string(ho.ID)
+	}
+	return out
+}
+
+func item(key string, re core.Revision) core.Item { return core.Item{Key: key, Revision: re} }
+
+// TestEvacuationStandsUntilItIsTakenBack guards against an evacuation that ends by
+// a copy that is older, a history that was dropped, or lines of the list that come
+// and go.
+func TestEvacuationStandsUntilItIsTakenBack(t *testing.T) {
+	wo, now := newWorld(), time.Now()
+	before := []core.Item{item("up/a", 1), item("up/b", 2)}
+	wo.mi.Replace(before, 2, now)
+	assert.Equal(t, wo.serving(), "ab")
+	wo.mi.Apply([]core.Change{{Item: item("out/b", 5)}}, 5, now)
+	assert.Equal(t, wo.serving(), "a")
+	wo.mi.Replace(before, 2, now)
+	assert.Equal(t, wo.serving(), "a", "an older copy")
+	wo.mi.Apply([]core.Change{{Item: item("out/b", 4), Gone: true}}, 5, now)
+	assert.Equal(t, wo.serving(), "a", "an older removal")
+	wo.mi.Replace(append(before, item("out/b", 5)), 9, now)
+	assert.Equal(t, wo.serving(), "a", "the history was dropped")
+	wo.mi.Apply([]core.Change{{Item: item("up/b", 10), Gone: true}, {Item: item("up/b", 11)}}, 11, now)
+	assert.Equal(t, wo.serving(), "a", "leases lapsed")
+	wo.mi.Apply([]core.Change{{Item: item("out/b", 12), Gone: true}}, 12, now)
+	assert.Equal(t, wo.serving(), "ab")
+}
+
+// TestEntryThatStartsKnowsTheEvacuation guards against a first attempt in an
+// evacuated zone by an entry that starts, whatever the order in the copy.
+func TestEntryThatStartsKnowsTheEvacuation(t *testing.T) {
+	wo := newWorld()
+	wo.mi.Replace([]core.Item{item("up/a", 7), item("up/b", 8), item("out/b", 5)}, 9, time.Now())
+	assert.Equal(t, wo.serving(), "a")
+}
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -34,12 +34,15 @@
 	// be read.
 	Upstream core.UpstreamID
 	Host     *core.Host
+	// Evacuated is the availability zone that is to get no new work for as long
+	// as the key is there.
+	Evacuated core.Zone
 }
 
 // Layout knows what the platform's keys mean.
 type Layout interface {
-	// Decode returns what a key holds. With an error, Entry.Upstream is still
-	// set for a line of the list.
+	// Decode returns what a key holds. With an error, Entry.Upstream and
+	// Entry.Evacuated are still set where the key alone tells them.
 	Decode(it core.Item) (Entry, error)
 }
 
@@ -154,11 +157,11 @@
 
 func (fd *Feed) platform(now time.Time, ch core.Change) {
 	en, err := fd.la.Decode(ch.Item)
-	if en.Upstream != "" {
-		fd.upstream(now, ch, en, err)
-		return
-	}
 	switch {
+	case en.Upstream != "":
+		fd.upstream(now, ch, en, err)
+	case en.Evacuated != "":
+		fd.evacuation(ch, en.Evacuated)
 	case ch.Gone:
 	case err != nil:
 		fd.malformed(ch, err)
@@ -175,6 +178,18 @@
 	}
 }
 
+// evacuation takes in that a zone is evacuated, or that its evacuation was taken
+// back, which only the removal of its key does.
+func (fd *Feed) evacuation(ch core.Change, zo core.Zone) {
+	if ch.Gone {
+		fd.pa.Fleet.Restore(zo)
+		event.Log(fd.deps.Log, event.ZoneRestored, "zone", zo, "revision", ch.Revision)
+		return
+	}
+	fd.pa.Fleet.Evacuate(zo)
+	event.Log(fd.deps.Log, event.ZoneEvacuated, "zone", zo, "revision", ch.Revision)
+}
+
 // upstream takes in a line of the list. One that cannot be read names no
 // upstream: somebody else wrote it.
 func (fd *Feed) upstream(now time.Time, ch core.Change, en Entry, err error) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,16 +8,22 @@
 // removal counts at once while the store has been well, and only after a grace
 // when it has not.
 //
+// It is also the one place that says which upstreams may get new work: those that
+// are ready, in a region that the request may be served in, and in an availability
+// zone that is not evacuated.
+//
 // # Usage
 //
 //	fl := fleet.New(fleet.Grace(2500 * time.Millisecond))
 //	fl.Put(host)
 //	fl.Remove(id, now, true)
-//	for _, ho := range fl.Serving(service, now) { … }
+//	fl.Evacuate(zone)
+//	for _, ho := range fl.Serving(service, now, core.Regions{}) { … }
 package fleet
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,12 +42,21 @@
 
 	mu      sync.Mutex
 	members map[core.UpstreamID]*member
+	// evacuated are the availability zones that get no new work.
+	evacuated map[core.Zone]bool
 	// lists are built when asked for, and dropped when something changes.
-	lists map[core.ServiceID][]core.Host
+	lists map[listKey][]core.Host
 	// next is when the first grace ends; zero when none runs.
 	next time.Time
 }
 
+type listKey struct {
+	service core.ServiceID
+	regions core.Regions
+	// all includes the upstreams of evacuated zones.
+	all bool
+}
+
 type member struct {
 	host core.Host
 	// gone is when the member stops counting; zero while it is listed.
@@ -56,7 +71,7 @@
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	fl := &Fleet{grace: DefaultGrace, members: map[core.UpstreamID]*member{}, lists: map[core.ServiceID][]core.Host{}}
+	fl := &Fleet{grace: DefaultGrace, members: map[core.UpstreamID]*member{}, evacuated: map[core.Zone]bool{}, lists: map[listKey][]core.Host{}}
 	for _, opt := range opts {
 		opt(fl)
 	}
@@ -92,28 +107,71 @@
 	}
 }
 
-// Serving lists the upstreams of a service that take work, by id. The list is
-// shared and must not be changed.
-func (fl *Fleet) Serving(sv core.ServiceID, now time.Time) []core.Host {
+// Serving lists the upstreams of a service that may get new work within the
+// given regions, by id. The list is shared and must not be changed.
+func (fl *Fleet) Serving(sv core.ServiceID, now time.Time, within core.Regions) []core.Host {
+	return fl.list(now, listKey{service: sv, regions: within})
+}
+
+// Ready lists all upstreams of a service that are ready, by id, with those that
+// get no new work since their zone is evacuated. The list is shared and must not
+// be changed.
+func (fl *Fleet) Ready(sv core.ServiceID, now time.Time) []core.Host {
+	return fl.list(now, listKey{service: sv, all: true})
+}
+
+func (fl *Fleet) list(now time.Time, key listKey) []core.Host {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.expire(now)
-	list, ok := fl.lists[sv]
+	list, ok := fl.lists[key]
 	if ok {
 		return list
 	}
 	for _, me := range fl.members {
-		if me.host.Service == sv && !me.host.Leaving {
+		if fl.selects(key, &me.host) {
 			list = append(list, me.host)
 		}
 	}
 	slices.SortFunc(list, func(a, b core.Host) int { return cmp.Compare(a.ID, b.ID) })
-	fl.lists[sv] = list
+	fl.lists[key] = list
 	return list
 }
 
-// Count is how many upstreams of a service are in each state.
-type Count struct{ Serving, Leaving, Doubtful int }
+func (fl *Fleet) selects(key listKey, ho *core.Host) bool {
+	if ho.Service != key.service || ho.Leaving {
+		return false
+	}
+	return key.all || key.regions.Allows(ho.Region) && !fl.evacuated[ho.Zone]
+}
+
+// Evacuate keeps new work from an availability zone until [Fleet.Restore].
+func (fl *Fleet) Evacuate(zo core.Zone) { fl.setEvacuated(zo, true) }
+
+// Restore ends an evacuation.
+func (fl *Fleet) Restore(zo core.Zone) { fl.setEvacuated(zo, false) }
+
+func (fl *Fleet) setEvacuated(zo core.Zone, on bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if on {
+		fl.evacuated[zo] = true
+	} else {
+		delete(fl.evacuated, zo)
+	}
+	clear(fl.lists)
+}
+
+// Evacuated lists the availability zones that get no new work, in order.
+func (fl *Fleet) Evacuated() []core.Zone {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Sorted(maps.Keys(fl.evacuated))
+}
+
+// Count is how many upstreams of a service are in each state. Evacuated are those
+// that are ready in a zone that gets no new work.
+type Count struct{ Serving, Leaving, Doubtful, Evacuated int }
 
 // Counts returns the upstreams by service.
 func (fl *Fleet) Counts(now time.Time) map[core.ServiceID]Count {
@@ -128,6 +186,8 @@
 			co.Doubtful++
 		case me.host.Leaving:
 			co.Leaving++
+		case fl.evacuated[me.host.Zone]:
+			co.Evacuated++
 		default:
 			co.Serving++
 		}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -37,11 +37,11 @@
 	for _, id := range []core.UpstreamID{"a", "b", "c"} {
 		fl.Remove(id, start, true)
 	}
-	assert.Equal(t, ids(fl.Serving("desk", start.Add(time.Second))), "abc")
+	assert.Equal(t, ids(fl.Serving("desk", start.Add(time.Second), core.Regions{})), "abc")
 	listed(fl, "ab")
-	assert.Equal(t, ids(fl.Serving("desk", start.Add(2400*time.Millisecond))), "abc")
-	assert.Equal(t, ids(fl.Serving("desk", start.Add(2600*time.Millisecond))), "ab")
-	assert.Equal(t, ids(fl.Serving("desk", start.Add(time.Hour))), "ab")
+	assert.Equal(t, ids(fl.Serving("desk", start.Add(2400*time.Millisecond), core.Regions{})), "abc")
+	assert.Equal(t, ids(fl.Serving("desk", start.Add(2600*time.Millisecond), core.Regions{})), "ab")
+	assert.Equal(t, ids(fl.Serving("desk", start.Add(time.Hour), core.Regions{})), "ab")
 }
 
 // An upstream leaves: it says so first, or its line just goes. It must get no
@@ -63,9 +63,9 @@
 		t.Run(sc.testName, func(t *testing.T) {
 			fl := fleet.New()
 			listed(fl, "abc")
-			assert.Equal(t, ids(fl.Serving("desk", start)), "abc")
+			assert.Equal(t, ids(fl.Serving("desk", start, core.Regions{})), "abc")
 			sc.leave(fl)
-			assert.Equal(t, ids(fl.Serving("desk", start)), "ac")
+			assert.Equal(t, ids(fl.Serving("desk", start, core.Regions{})), "ac")
 		})
 	}
 }
@@ -77,7 +77,33 @@
 	listed(fl, "ab")
 	fl.Remove("b", start, false)
 	fl.Put(core.Host{ID: "c", Service: "drafter", Addr: "b"})
-	assert.Equal(t, ids(fl.Serving("desk", start)), "a")
-	assert.Equal(t, ids(fl.Serving("drafter", start)), "c")
+	assert.Equal(t, ids(fl.Serving("desk", start, core.Regions{})), "a")
+	assert.Equal(t, ids(fl.Serving("drafter", start, core.Regions{})), "c")
 	assert.Equal(t, fmt.Sprint(fl.Len()), "2")
 }
+
+// TestEvacuatedZone guards against new work in a zone while its evacuation lasts,
+// also for upstreams that are listed meanwhile.
+func TestEvacuatedZone(t *testing.T) {
+	fl := fleet.New()
+	put := func(id core.UpstreamID, zo core.Zone, re core.Region) {
+		fl.Put(core.Host{ID: id, Service: "desk", Zone: zo, Region: re})
+	}
+	put("a", "muc-a", "muc")
+	put("b", "muc-b", "muc")
+	put("c", "nue-a", "nue")
+	serving := func(within core.Regions) string { return ids(fl.Serving("desk", start, within)) }
+	assert.Equal(t, serving(core.Regions{}), "abc")
+	assert.Equal(t, serving(core.OnlyRegions("muc")), "ab")
+	fl.Evacuate("muc-b")
+	put("d", "muc-b", "muc")
+	assert.Equal(t, serving(core.Regions{}), "ac")
+	assert.Equal(t, serving(core.OnlyRegions("muc")), "a")
+	assert.Equal(t, ids(fl.Ready("desk", start)), "abcd")
+	assert.Equal(t, fl.Counts(start)["desk"], fleet.Count{Serving: 2, Evacuated: 2})
+	fl.Evacuate("muc-a")
+	assert.Equal(t, serving(core.OnlyRegions("muc")), "")
+	fl.Restore("muc-b")
+	assert.Equal(t, serving(core.Regions{}), "bcd")
+	assert.DeepEqual(t, fl.Evacuated(), []core.Zone{"muc-a"})
+}
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -79,7 +79,7 @@
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	took := time.Since(jb.ex.Arrived)
-	fw.ladder(jb.service).Begun(max(took-jb.reading, took/2), jb.rt.Aim)
+	fw.ladder(jb.lane()).Begun(max(took-jb.reading, took/2), jb.rt.Aim)
 }
 
 // Status is the HTTP status of the answer.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -45,8 +45,8 @@
 	mu      sync.Mutex
 	picker  *balance.Picker
 	windows map[core.ServiceID]*retry.Window
-	ladders map[core.ServiceID]*tier.Ladder
-	gates   map[core.ServiceID]*shed.Gate
+	ladders map[lane]*tier.Ladder
+	gates   map[lane]*shed.Gate
 	meters  meters
 	// sent wakes the one who tells the other entries what was sent.
 	sent chan struct{}
@@ -64,7 +64,7 @@
 	fw := &Forwarder{
 		deps: deps, access: access, parts: pa, draw: rand.Float64, started: time.Now(),
 		picker: balance.New(deps.Zone, deps.Region, balance.Without(pa.Off)), windows: map[core.ServiceID]*retry.Window{},
-		ladders: map[core.ServiceID]*tier.Ladder{}, gates: map[core.ServiceID]*shed.Gate{}, sent: make(chan struct{}, 1),
+		ladders: map[lane]*tier.Ladder{}, gates: map[lane]*shed.Gate{}, sent: make(chan struct{}, 1),
 		meters: newMeters(deps.Metrics),
 	}
 	for _, opt := range opts {
@@ -119,7 +119,7 @@
 		if ws == nil {
 			return nil, fw.unknown(core.CodeUnauthorized, "the key belongs to no workspace")
 		}
-		jb.workspace = ws.ID
+		jb.ws, jb.workspace = ws, ws.ID
 		if ws.Ranked {
 			jb.priority = ws.Priority
 		}
@@ -128,6 +128,9 @@
 		return nil, fl
 	}
 	jb.service = rt.Choose(fw.place(ex))
+	if fl := jb.unserved(time.Now()); fl != nil {
+		return nil, fl
+	}
 	if fl := fw.saturated(jb); fl != nil {
 		return nil, fl
 	}
@@ -165,10 +168,10 @@
 		return nil
 	}
 	now := time.Now()
-	hosts := fw.parts.Fleet.Serving(jb.service, now)
+	hosts := jb.upstreams(now)
 	fw.mu.Lock()
 	wait := fw.picker.Wait(now, hosts)
-	back, ok := fw.gate(jb.service).Offer(now, shed.Request{
+	back, ok := fw.gate(jb.lane()).Offer(now, shed.Request{
 		Wait: wait, Aim: sv.Aim(), Workspace: jb.workspace, Urgent: jb.priority <= sv.First(), Draw: fw.draw(),
 	})
 	fw.mu.Unlock()
@@ -178,10 +181,9 @@
 	return core.Refuse(core.CodeOverloaded, back, "the %d upstreams are busy for %s at least", len(hosts), wait.Round(time.Millisecond))
 }
 
-// gate returns what lets the requests of a service in. The caller holds the
-// lock.
-func (fw *Forwarder) gate(sv core.ServiceID) *shed.Gate {
-	return perService(fw.gates, sv, func() *shed.Gate { return shed.New(shed.Without(fw.parts.Off)) })
+// gate returns what lets the requests of a lane in. The caller holds the lock.
+func (fw *Forwarder) gate(la lane) *shed.Gate {
+	return orNew(fw.gates, la, func() *shed.Gate { return shed.New(shed.Without(fw.parts.Off)) })
 }
 
 // unknown refuses what the configuration in force does not have. While newer
@@ -212,20 +214,20 @@
 
 // window returns the repeats of a service. The caller holds the lock.
 func (fw *Forwarder) window(sv core.ServiceID) *retry.Window {
-	return perService(fw.windows, sv, fw.parts.Repeats)
+	return orNew(fw.windows, sv, fw.parts.Repeats)
 }
 
-// ladder returns the choice of models of a service. The caller holds the lock.
-func (fw *Forwarder) ladder(sv core.ServiceID) *tier.Ladder {
-	return perService(fw.ladders, sv, func() *tier.Ladder { return tier.New(tier.Without(fw.parts.Off)) })
+// ladder returns the choice of models of a lane. The caller holds the lock.
+func (fw *Forwarder) ladder(la lane) *tier.Ladder {
+	return orNew(fw.ladders, la, func() *tier.Ladder { return tier.New(tier.Without(fw.parts.Off)) })
 }
 
-// perService returns what is kept for a service, made when it is first asked for.
-func perService[V any](kept map[core.ServiceID]*V, sv core.ServiceID, fresh func() *V) *V {
-	if kept[sv] == nil {
-		kept[sv] = fresh()
+// orNew returns what is kept under a key, made when it is first asked for.
+func orNew[K comparable, V any](kept map[K]*V, key K, fresh func() *V) *V {
+	if kept[key] == nil {
+		kept[key] = fresh()
 	}
-	return kept[sv]
+	return kept[key]
 }
 
 // Gone drops what is known of an upstream that left.
@@ -256,7 +258,7 @@
 // Avoided counts the upstreams of a service that this entry keeps work from.
 func (fw *Forwarder) Avoided(sv core.ServiceID) int {
 	now := time.Now()
-	hosts := fw.parts.Fleet.Serving(sv, now)
+	hosts := fw.parts.Fleet.Serving(sv, now, core.Regions{})
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	return fw.picker.Avoided(now, hosts)
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -14,10 +14,12 @@
 
 // job is one exchange on its way.
 type job struct {
-	fw        *Forwarder
-	ex        *core.Exchange
-	tb        *route.Table
-	rt        *route.Route
+	fw *Forwarder
+	ex *core.Exchange
+	tb *route.Table
+	rt *route.Route
+	// ws is the workspace of the caller's key; nil on a public route.
+	ws        *route.Workspace
 	workspace core.WorkspaceID
 	service   core.ServiceID
 	priority  int
@@ -175,11 +177,6 @@
 	return ok
 }
 
-// others reports whether there is an upstream that was not asked.
-func (jb *job) others() bool {
-	return len(jb.fw.parts.Fleet.Serving(jb.service, time.Now())) > len(jb.tried)
-}
-
 // request is what the choice of an upstream depends on.
 func (jb *job) request() balance.Request {
 	return balance.Request{
@@ -206,8 +203,7 @@
 		return nil, jb.give(core.CodeDeadline, comeBack, "the time was up before an upstream was asked")
 	}
 	fw, rq := jb.fw, jb.request()
-	hosts := fw.parts.Fleet.Serving(jb.service, now)
-	hosts = fw.parts.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), hosts, fw.parts.Age() < staleAfter)
+	hosts := fw.parts.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), jb.candidates(now), fw.parts.Age() < staleAfter)
 	fw.mu.Lock()
 	ho, ok := fw.picker.Pick(now, hosts, rq, fw.draw)
 	if !ok {
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -36,7 +36,7 @@
 		return
 	}
 	fw, now := jb.fw, time.Now()
-	hosts := fw.parts.Fleet.Serving(jb.service, now)
+	hosts := jb.upstreams(now)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	for stage := len(jb.rt.Cascade) - 1; stage > jb.stage; stage-- {
@@ -71,7 +71,7 @@
 	fw := jb.fw
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	la := fw.ladder(jb.service)
+	la := fw.ladder(jb.lane())
 	if jb.doubted != nil {
 		la.Climbed(jb.doubted.stage, jb.doubted.confidence, jb.stage, re.Confidence)
 		jb.doubted = nil
@@ -96,7 +96,7 @@
 	now := time.Now()
 	rq := jb.request()
 	rq.Model = jb.rt.Cascade[stage]
-	hosts := jb.fw.parts.Fleet.Serving(jb.service, now)
+	hosts := jb.upstreams(now)
 	return jb.rt.Aim <= 0 || now.Sub(jb.ex.Arrived)+jb.fw.picker.Expect(now, hosts, rq) <= jb.rt.Aim
 }
 
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -33,6 +33,9 @@
 type world struct {
 	t  *testing.T
 	fw *forward.Forwarder
+	fl *fleet.Fleet
+	// key is what callers ask with.
+	key core.APIKey
 	// inf is what is in force, and tb the configuration of the world.
 	inf *route.InForce
 	tb  *route.Table
@@ -53,6 +56,7 @@
 	{ID: "lookup", Prefix: "/lookup/", Repeat: core.Idempotent, MaxAttempts: 2, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
 	{ID: "claim", Prefix: "/claim/", MaxAttempts: 1, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second},
 	{ID: "draft", Prefix: "/draft/", Stream: true, Repeat: core.Resumable, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second, Gap: 800 * time.Millisecond, Cascade: []core.ModelID{"small", "large"}},
+	{ID: "south", Prefix: "/south/", Repeat: core.Idempotent, MaxAttempts: 2, Aim: 400 * time.Millisecond, Timeout: 3 * time.Second, Regions: core.OnlyRegions(south)},
 	{ID: "chat", Prefix: "/chat/", Stream: true, MaxAttempts: 3, Aim: 4 * time.Second, Timeout: 20 * time.Second, Cascade: []core.ModelID{"small", "large"}},
 }
 
@@ -67,11 +71,14 @@
 // newUnconfiguredWorld returns one whose entry has no configuration yet.
 func newUnconfiguredWorld(t *testing.T, acts ...act) *world {
 	t.Helper()
-	wo := &world{t: t, acts: acts, inf: route.NewInForce()}
+	wo := &world{t: t, acts: acts, inf: route.NewInForce(), fl: fleet.New(), key: "key"}
 	doc := route.Document{
-		Version:    3,
-		Services:   []route.Service{{ID: "pool"}},
-		Workspaces: []route.Workspace{{ID: "school", Keys: []core.APIKey{"key"}}},
+		Version:  3,
+		Services: []route.Service{{ID: "pool"}},
+		Workspaces: []route.Workspace{
+			{ID: "school", Keys: []core.APIKey{"key"}},
+			{ID: "court", Keys: []core.APIKey{"bound"}, Regions: core.OnlyRegions(north)},
+		},
 	}
 	for _, rt := range routes {
 		rt.Host, rt.Splits = "a.example", []route.Split{{Service: "pool", Weight: 1}}
@@ -80,14 +87,13 @@
 	var err error
 	wo.tb, err = route.New(doc)
 	assert.NilError(t, err)
-	fl := fleet.New()
 	for i := range 4 {
-		fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8})
+		wo.fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8})
 	}
 	deps := core.NewDeps()
 	deps.Log = slog.New(slog.NewJSONHandler(&wo.log, nil))
 	wo.fw = forward.New(deps, wo, forward.Parts{
-		InForce: wo.inf, Fleet: fl, Canary: canary.New(),
+		InForce: wo.inf, Fleet: wo.fl, Canary: canary.New(),
 		Age:      func() time.Duration { return wo.age },
 		Repeats:  func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 		Stopping: func() (time.Duration, bool) { return wo.left, wo.left > 0 },
@@ -107,7 +113,7 @@
 // ask sends a request and returns the whole answer, or the failure.
 func (wo *world) ask(ctx context.Context, path string) (int, string, error) {
 	ex := &core.Exchange{
-		ID: "r1", Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: "key",
+		ID: "r1", Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: wo.key,
 		Header: http.Header{}, Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
 	}
 	ans, err := wo.fw.Forward(ctx, ex)
@@ -255,3 +261,16 @@
 	}
 	return out
 }
+
+// adoptWith puts a newer configuration in force, with another workspace besides.
+func (wo *world) adoptWith(version route.Version, ws route.Workspace) {
+	wo.t.Helper()
+	doc := route.Document{Version: version, Services: []route.Service{{ID: "pool"}}, Workspaces: []route.Workspace{ws}}
+	for _, rt := range routes {
+		rt.Host, rt.Splits = "a.example", []route.Split{{Service: "pool", Weight: 1}}
+		doc.Routes = append(doc.Routes, rt)
+	}
+	tb, err := route.New(doc)
+	assert.NilError(wo.t, err)
+	wo.inf.Adopt(tb)
+}
--- a/core/losses/cause.go
+++ b/core/losses/cause.go
@@ -67,7 +67,7 @@
 	core.CodeNoConfig: Unconfigured, core.CodeStaleConfig: Unconfigured,
 	core.CodeUnknownRoute: NotAllowed, core.CodeUnauthorized: NotAllowed,
 	core.CodeOverloaded: Overloaded, core.CodeLeaving: Stopping, core.CodeDeadline: OverDeadline,
-	core.CodeCallerGone: CallerGone, core.CodeNoUpstream: NoUpstream, core.CodeOutcomeLost: LostAtUpstream,
+	core.CodeCallerGone: CallerGone, core.CodeNoUpstream: NoUpstream, core.CodeNoRegion: NoUpstream, core.CodeEvacuated: NoUpstream, core.CodeOutcomeLost: LostAtUpstream,
 }
 
 // byKept are the causes of doubtful answers by why they were given.
--- a/core/meter/catalogue.go
+++ b/core/meter/catalogue.go
@@ -41,7 +41,7 @@
 	NewsAge = &Meter{"news-age-seconds", Gauge, nil,
 		"How long ago the copy of the store was known to be the newest.", "it is above 7 s"}
 	Upstreams = &Meter{"upstreams", Gauge, []string{"service", "state"},
-		"Upstreams by state: `serving`, `leaving`, `doubtful` (the line is gone, maybe by the store's own trouble), `avoided` (serving, but kept from work here).",
+		"Upstreams by state: `serving`, `leaving`, `doubtful` (the line is gone, maybe by the store's own trouble), `evacuated` (its availability zone gets no new work), `avoided` (serving, but kept from work here).",
 		"`serving` less `avoided` falls"}
 	RollOutShare = &Meter{"roll-out-share", Gauge, []string{"service"},
 		"The part of the new sessions that the version under roll-out may get; 1 once it is completed, 0 when it was rolled back.", ""}
--- a/core/recall/recall.go
+++ b/core/recall/recall.go
@@ -98,7 +98,7 @@
 	var wg sync.WaitGroup
 	places := make(chan struct{}, atOnce)
 	for _, sv := range re.inf.Current().Engines() {
-		for _, ho := range re.fl.Serving(sv, time.Now()) {
+		for _, ho := range re.fl.Serving(sv, time.Now(), core.Regions{}) {
 			if ho.Region != re.deps.Region {
 				continue
 			}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -63,6 +63,8 @@
 	Public bool
 	// Cascade holds the models to choose from, smallest first.
 	Cascade []core.ModelID
+	// Regions are those that its requests may be served in.
+	Regions core.Regions
 }
 
 // Split is one service's share of a route.
@@ -106,6 +108,8 @@
 	// Priority goes before the route's when Ranked.
 	Priority int
 	Ranked   bool
+	// Regions are those that its requests may be served in.
+	Regions core.Regions
 }
 
 // Limits bound what a caller may send. Zero is no bound.
