Limit what cold upstreams get from all entries together

Ways weighed: equal parts of the bound for all entries (12.8 a second over 31 entries is less than one request each, and entries that count the others differently add up to more); few owners by the present list of entries (the same); permits that are fixed by the list of entries at the revision by which the upstream became cold. The last one holds by construction and is kept. An entry whose copy skipped changes cannot tell that list and owns nothing. A permit is free again a second after its answer began, so that late sends do not meet.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -22,6 +22,7 @@
 	"skylarkstand/core/rendezvous"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 	"skylarkstand/io/front"
 	"skylarkstand/io/logline"
 	"skylarkstand/io/metrics"
@@ -77,6 +78,10 @@
 
 func newFleet() *fleet.Fleet { return fleet.New() }
 
+func newWarmup(set settings.Gateway, deps core.Deps) *warmup.Tracker {
+	return warmup.New(deps.Self, warmup.Overshoot(set.WarmUp.Overshoot, set.WarmUp.Slack))
+}
+
 // newOff returns the mechanisms that are switched off; the settings were checked.
 func newOff(set settings.Gateway) (mechanism.Off, error) { return mechanism.Parse(set.Without) }
 
@@ -166,20 +171,20 @@
 	return mirror.NewFollower(deps, mi, st, si, mirror.Reads(reads))
 }
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, mi *mirror.Mirror, ac core.Access, sc *stopClock, me *members, off mechanism.Off) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wu *warmup.Tracker, mi *mirror.Mirror, ac core.Access, sc *stopClock, me *members, off mechanism.Off) *forward.Forwarder {
 	re := set.Repeats
 	slack := func() float64 { return retry.Share(re.Slack, me.count()) }
 	return forward.New(deps, ac, forward.Parts{
-		InForce: inf, Fleet: fl, Canary: gu,
+		InForce: inf, Fleet: fl, Canary: gu, Warmup: wu,
 		Age:      func() time.Duration { return mi.Age(time.Now()) },
 		Repeats:  forward.NewWindows(time.Duration(re.Window), re.Ratio, slack),
 		Stopping: sc.left, Off: off,
 	})
 }
 
-func newFeed(deps core.Deps, la platform.Layout, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, fo *mirror.Follower, fw *forward.Forwarder, cl *upstream.Client, me *members) *feed.Feed {
+func newFeed(deps core.Deps, la platform.Layout, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wu *warmup.Tracker, fo *mirror.Follower, fw *forward.Forwarder, cl *upstream.Client, me *members) *feed.Feed {
 	fd := feed.New(deps, la, feed.Parts{
-		InForce: inf, Fleet: fl, Canary: gu, Doubtful: fo.Doubtful,
+		InForce: inf, Fleet: fl, Canary: gu, Warmup: wu, Regions: la.Regions, Doubtful: fo.Doubtful,
 		Gone: func(ho core.Host) {
 			cl.Forget(ho.Addr)
 			fw.Gone(ho.ID)
--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -42,6 +42,9 @@
 	// Repeats bounds the arrivals at a service beyond the first of each
 	// request.
 	Repeats Repeats `json:"repeats"`
+	// WarmUp bounds the requests in one second that break a cold upstream, over all
+	// gateways.
+	WarmUp WarmUp `json:"warm-up"`
 	// DrainLimit is the time from the request to stop until the process must
 	// be gone.
 	DrainLimit Duration `json:"drain-limit,omitempty"`
@@ -63,12 +66,20 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// WarmUp says by how much a cold upstream may be asked beyond the rate that its
+// service declares.
+type WarmUp struct {
+	// Overshoot is the factor on the rate, and Slack what is allowed besides.
+	Overshoot float64 `json:"overshoot,omitempty"`
+	Slack     float64 `json:"slack,omitempty"`
+}
+
 // DefaultGateway returns a gateway's settings before the file is read.
 func DefaultGateway() Gateway {
 	return Gateway{
 		ReadinessPath: "/readyz", SessionGap: Duration(5 * time.Second), Exposure: 0.1,
-		Repeats:    Repeats{Window: Duration(10 * time.Second), Ratio: 0.5, Slack: 20},
-		DrainLimit: Duration(30 * time.Second), LogLevel: "info",
+		Repeats: Repeats{Window: Duration(10 * time.Second), Ratio: 0.5, Slack: 20},
+		WarmUp:  WarmUp{Overshoot: 1}, DrainLimit: Duration(30 * time.Second), LogLevel: "info",
 	}
 }
 
@@ -125,6 +136,9 @@
 	if set.Repeats.Ratio < 0 || set.Repeats.Slack < 0 {
 		fa.add("repeats", "ratio %g and slack %g must not be below 0", set.Repeats.Ratio, set.Repeats.Slack)
 	}
+	if set.WarmUp.Overshoot < 0 || set.WarmUp.Slack < 0 {
+		fa.add("warm-up", "overshoot %g and slack %g must not be below 0", set.WarmUp.Overshoot, set.WarmUp.Slack)
+	}
 	fa.some("drain-limit", set.DrainLimit, "a planned stop would cut off requests")
 	fa.atLeast("memory", set.Memory, 0, "a bound cannot be less than nothing")
 	fa.logLevel(set.LogLevel)
--- a/app/wire.go
+++ b/app/wire.go
@@ -52,7 +52,7 @@
 func wireGateway(set settings.Gateway) (*gatewayProcess, func(), error) {
 	wire.Build(
 		newGatewayProcess, wire.FieldsOf(new(process), "Deps", "Page"), newUpstreamClient, newPlatformStore, newLayout,
-		newFleet, newOff, newGuard, newCodec, newMembers, newSiblings, newFollower, newForwarder, newFeed, newRegistrar, newRecorder, newPooler, newSharer, newRecaller, newGauges, newStopClock,
+		newFleet, newWarmup, newOff, newGuard, newCodec, newMembers, newSiblings, newFollower, newForwarder, newFeed, newRegistrar, newRecorder, newPooler, newSharer, newRecaller, newGauges, newStopClock,
 		route.NewInForce, mirror.New, front.New, platform.NewUpstreams,
 		wire.Bind(new(core.Access), new(*platform.Upstreams)), wire.Bind(new(core.Memory), new(*platform.Upstreams)),
 		wire.Struct(new(gatewayProcess), "set", "deps", "inf", "fleet", "mirror", "feed", "follower", "reg", "guard", "recorder", "pooler", "sharer", "recaller", "gauges", "srv", "admin", "stop"),
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -102,6 +102,7 @@
 		return nil, nil, err
 	}
 	guard := newGuard(set, off)
+	tracker := newWarmup(set, deps)
 	client, cleanup2 := newUpstreamClient()
 	store := newPlatformStore(set, deps, client)
 	appMembers := newMembers()
@@ -109,8 +110,8 @@
 	follower := newFollower(set, deps, mirrorMirror, store, siblings, appMembers, off)
 	upstreams := platform.NewUpstreams(client)
 	appStopClock := newStopClock()
-	forwarder := newForwarder(set, deps, inForce, fleet, guard, mirrorMirror, upstreams, appStopClock, appMembers, off)
-	feed := newFeed(deps, layout, inForce, fleet, guard, follower, forwarder, client, appMembers)
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, mirrorMirror, upstreams, appStopClock, appMembers, off)
+	feed := newFeed(deps, layout, inForce, fleet, guard, tracker, follower, forwarder, client, appMembers)
 	registrar, err := newRegistrar(set, deps, store)
 	if err != nil {
 		cleanup2()
--- a/core/balance/fact.go
+++ b/core/balance/fact.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarkstand/core"
 	"skylarkstand/core/mechanism"
 )
 
@@ -53,12 +54,13 @@
 			continue
 		}
 		if fa.Rest <= 0 {
-			pe.back()
+			pe.back(now)
 			continue
 		}
 		pe.away = max(pe.away, fa.Away)
 		if until := now.Add(min(fa.Rest, replacedFor)); until.After(pe.down) {
 			pe.down = until
+			pe.awayUntil = until
 		}
 	}
 }
@@ -67,10 +69,22 @@
 func (pk *Picker) answered(now time.Time, pe *peer) {
 	pe.heard = now
 	if pe.away > 0 {
-		pe.back()
+		pe.back(now)
 		pk.found(pe)
 	}
 }
 
 // back ends the rest of an upstream that answers.
-func (pe *peer) back() { pe.down, pe.away = time.Time{}, 0 }
+func (pe *peer) back(now time.Time) {
+	pe.down, pe.away = time.Time{}, 0
+	if pe.awayUntil.After(now) {
+		pe.awayUntil = now
+	}
+}
+
+// AwayWithin reports whether an upstream did not answer some time ago at most, by
+// what this entry or another one has found.
+func (pk *Picker) AwayWithin(now time.Time, ho *core.Host, span time.Duration) bool {
+	pe := pk.peers[ho.ID]
+	return pe != nil && pe.born == ho.Born && !pe.awayUntil.IsZero() && now.Before(pe.awayUntil.Add(span))
+}
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -29,11 +29,13 @@
 	last  time.Time
 	// down is until when nothing is sent after it could not be reached; away
 	// counts how often in a row.
-	down  time.Time
-	away  int
-	full  time.Time
-	ratio float64
-	cache cache
+	down time.Time
+	away int
+	// awayUntil is when it was last known not to answer.
+	awayUntil time.Time
+	full      time.Time
+	ratio     float64
+	cache     cache
 	// avoided is whether the upstream counts as avoided, for whoever asks why
 	// work goes elsewhere.
 	avoided bool
@@ -197,6 +199,7 @@
 			most = absentMost
 		}
 		pe.down = now.Add(min(downFirst<<min(pe.away-1, 4), most))
+		pe.awayUntil = pe.down
 		return
 	case Replaced:
 		pe.down = now.Add(replacedFor)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -84,6 +84,8 @@
 	CanaryHeld = &Event{352, "canary-held", slog.LevelWarn,
 		"This entry holds a version under roll-out for bad and sends it nothing new; `why` is the evidence.",
 		"Look at the version."}
+	UpstreamCold = &Event{357, "upstream-cold", slog.LevelInfo,
+		"An upstream has started or is cold again, and gets few requests `cold-for` so long (negative: as long as its service says), shared by `entries`. Without `exact` this entry sends it none meanwhile.", "Nothing."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; what runs there ends as it would.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
@@ -161,7 +163,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/feed/evacuation_test.go
+++ b/core/feed/evacuation_test.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/mirror"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 )
 
 // layout is a platform with one upstream in each of two zones.
@@ -36,7 +37,7 @@
 func newWorld() world {
 	wo := world{mirror.New(), fleet.New()}
 	fd := feed.New(core.NewDeps(), layout{}, feed.Parts{
-		InForce: route.NewInForce(), Fleet: wo.fl, Doubtful: func(time.Time) bool { return true }, Gone: func(core.Host) {},
+		InForce: route.NewInForce(), Fleet: wo.fl, Warmup: warmup.New("self"), Doubtful: func(time.Time) bool { return true }, Gone: func(core.Host) {},
 	})
 	wo.mi.Subscribe(fd.Changed)
 	return wo
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -22,6 +22,7 @@
 	"skylarkstand/core/event"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 )
 
 // Entry is what a key of the platform holds; nothing is set for one that does
@@ -64,6 +65,9 @@
 	InForce *route.InForce
 	Fleet   *fleet.Fleet
 	Canary  *canary.Guard
+	Warmup  *warmup.Tracker
+	// Regions holds the region of each availability zone.
+	Regions map[core.Zone]core.Region
 	// Doubtful reports whether a removal may be the store's own trouble.
 	Doubtful func(now time.Time) bool
 	// Gone is called for an upstream that is not listed any more.
@@ -79,13 +83,19 @@
 	mu      sync.Mutex
 	members map[core.ProcessID]Member
 	hosts   map[core.UpstreamID]core.Host
+	// restored are the upstreams that have not written since the evacuation of
+	// their zone was taken back.
+	restored map[core.UpstreamID]bool
 	// newest is the configuration of the batch at hand.
 	newest *route.Document
 }
 
 // New returns a feed.
 func New(deps core.Deps, la Layout, pa Parts) *Feed {
-	return &Feed{deps: deps, la: la, pa: pa, members: map[core.ProcessID]Member{}, hosts: map[core.UpstreamID]core.Host{}}
+	return &Feed{
+		deps: deps, la: la, pa: pa, members: map[core.ProcessID]Member{},
+		hosts: map[core.UpstreamID]core.Host{}, restored: map[core.UpstreamID]bool{},
+	}
 }
 
 // Changed takes in changes in their order.
@@ -161,7 +171,7 @@
 	case en.Upstream != "":
 		fd.upstream(now, ch, en, err)
 	case en.Evacuated != "":
-		fd.evacuation(ch, en.Evacuated)
+		fd.evacuation(now, ch, en.Evacuated)
 	case ch.Gone:
 	case err != nil:
 		fd.malformed(ch, err)
@@ -180,9 +190,10 @@
 
 // evacuation takes in that a zone is evacuated, or that its evacuation was taken
 // back, which only the removal of its key does.
-func (fd *Feed) evacuation(ch core.Change, zo core.Zone) {
+func (fd *Feed) evacuation(now time.Time, ch core.Change, zo core.Zone) {
 	if ch.Gone {
 		fd.pa.Fleet.Restore(zo)
+		fd.coolZone(now, ch, zo)
 		event.Log(fd.deps.Log, event.ZoneRestored, "zone", zo, "revision", ch.Revision)
 		return
 	}
@@ -204,13 +215,16 @@
 		doubtful := ch.Gone && fd.pa.Doubtful(now)
 		fd.pa.Fleet.Remove(en.Upstream, now, doubtful)
 		delete(fd.hosts, en.Upstream)
+		delete(fd.restored, en.Upstream)
 		event.Log(fd.deps.Log, event.UpstreamGone, "upstream", en.Upstream, "address", old.Addr, "doubtful", doubtful, "revision", ch.Revision)
 		if !doubtful {
+			fd.pa.Warmup.Forget(en.Upstream)
 			fd.pa.Gone(old)
 		}
 		return
 	}
 	ho := *en.Host
+	fd.warm(now, ch, old, known, ho)
 	fd.pa.Fleet.Put(ho)
 	fd.hosts[ho.ID] = ho
 	if !known || old != ho {
--- /dev/null
+++ b/core/feed/warmup.go
@@ -0,0 +1,60 @@
+package feed
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+	"skylarkstand/core/warmup"
+)
+
+// warm tells the warm-up of an upstream's line: of a start, of one that is cold
+// again, or of how long it stays cold.
+func (fd *Feed) warm(now time.Time, ch core.Change, old core.Host, known bool, ho core.Host) {
+	// One that is back from an evacuation was taken for cold already.
+	again := old.Warming == 0 && ho.Warming != 0 && !fd.restored[ho.ID]
+	delete(fd.restored, ho.ID)
+	switch {
+	case !known || old.Born != ho.Born || again:
+		fd.started(now, ch, ho, ho.Warming)
+	case old.Warming != ho.Warming:
+		fd.pa.Warmup.Cooled(now, ho.ID, ho.Warming)
+	}
+}
+
+// coolZone takes the upstreams of a zone for cold, since they had no work.
+func (fd *Feed) coolZone(now time.Time, ch core.Change, zo core.Zone) {
+	for id, ho := range fd.hosts {
+		if ho.Zone == zo {
+			fd.restored[id] = true
+			fd.started(now, ch, ho, core.WarmingUnknown)
+		}
+	}
+}
+
+func (fd *Feed) started(now time.Time, ch core.Change, ho core.Host, coldFor time.Duration) {
+	no := warmup.Notice{Upstream: ho.ID, ColdFor: coldFor, Entries: fd.sharers(ho.Region), Exact: !ch.Skipped}
+	fd.pa.Warmup.Started(now, no)
+	if coldFor != 0 {
+		event.Log(fd.deps.Log, event.UpstreamCold, "upstream", ho.ID, "cold-for", coldFor, "entries", len(no.Entries), "exact", no.Exact, "revision", ch.Revision)
+	}
+}
+
+// sharers lists the entries that share the permits of an upstream: those of its
+// region, or all where that has none.
+func (fd *Feed) sharers(re core.Region) []core.ProcessID {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	var out []core.ProcessID
+	for id, me := range fd.members {
+		if fd.pa.Regions[me.Zone] == re {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		out = slices.Collect(maps.Keys(fd.members))
+	}
+	return out
+}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/event"
+	"skylarkstand/core/warmup"
 )
 
 // attempt is one call of an upstream, from its choice to its end.
@@ -22,6 +23,8 @@
 	to     core.Host
 	rq     balance.Request
 	flight *balance.Flight
+	// permit is what an attempt at a cold upstream needs; nil at a warm one.
+	permit *warmup.Permit
 	sent   time.Time
 	after  string
 	// left is the time that the upstream has; bounded is false when there is
@@ -59,6 +62,7 @@
 		return at.fail(err)
 	}
 	at.reply, at.began = re, time.Now()
+	at.permit.Release(at.began)
 	at.header()
 	ve := judge(re)
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.doubts(re) {
@@ -207,6 +211,7 @@
 	}
 	at.ended = true
 	jb, now := at.jb, time.Now()
+	at.permit.Release(now)
 	gone := ve == lost && blameless(context.Cause(at.ctx))
 	fw := jb.fw
 	fw.mu.Lock()
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -15,6 +15,7 @@
 	"skylarkstand/core/route"
 	"skylarkstand/core/shed"
 	"skylarkstand/core/tier"
+	"skylarkstand/core/warmup"
 )
 
 // Parts are what a forwarder decides by.
@@ -22,6 +23,8 @@
 	InForce *route.InForce
 	Fleet   *fleet.Fleet
 	Canary  *canary.Guard
+	// Warmup limits what cold upstreams get.
+	Warmup *warmup.Tracker
 	// Age tells how long ago the entry's news were known to be the newest.
 	Age func() time.Duration
 	// Repeats returns the window of repeats for a service.
@@ -168,8 +171,8 @@
 		return nil
 	}
 	now := time.Now()
-	hosts := jb.upstreams(now)
 	fw.mu.Lock()
+	hosts := jb.upstreams(now)
 	wait := fw.picker.Wait(now, hosts)
 	back, ok := fw.gate(jb.lane()).Offer(now, shed.Request{
 		Wait: wait, Aim: sv.Aim(), Workspace: jb.workspace, Urgent: jb.priority <= sv.First(), Draw: fw.draw(),
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"skylarkstand/core"
@@ -10,6 +11,7 @@
 	"skylarkstand/core/mechanism"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 )
 
 // job is one exchange on its way.
@@ -205,12 +207,12 @@
 	fw, rq := jb.fw, jb.request()
 	hosts := fw.parts.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), jb.candidates(now), fw.parts.Age() < staleAfter)
 	fw.mu.Lock()
-	ho, ok := fw.picker.Pick(now, hosts, rq, fw.draw)
+	ho, pe, ok := jb.pick(now, hosts, rq)
 	if !ok {
 		fw.mu.Unlock()
 		return nil, jb.give(core.CodeNoUpstream, jb.backoff(), "no upstream takes this work now")
 	}
-	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded}
+	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded, permit: pe}
 	at.flight = fw.picker.Sent(now, ho, rq)
 	at.read = at.flight.Read()
 	jb.reading += at.flight.Cost()
@@ -234,6 +236,22 @@
 	return at, nil
 }
 
+// pick chooses an upstream and takes the permit that it may need. The forwarder's
+// lock is held.
+func (jb *job) pick(now time.Time, hosts []core.Host, rq balance.Request) (core.Host, *warmup.Permit, bool) {
+	for {
+		ho, ok := jb.fw.picker.Pick(now, hosts, rq, jb.fw.draw)
+		if !ok {
+			return core.Host{}, nil, false
+		}
+		if pe, ok := jb.take(now, &ho); ok {
+			return ho, pe, true
+		}
+		// Another request has taken the last permit since the list was made.
+		rq.Tried = append(slices.Clone(rq.Tried), ho.ID)
+	}
+}
+
 func (jb *job) off(na mechanism.Name) bool { return jb.fw.parts.Off.Has(na) }
 
 // rankedRead is the time to read an attempt's prompt that its rank goes by.
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -36,9 +36,9 @@
 		return
 	}
 	fw, now := jb.fw, time.Now()
-	hosts := jb.upstreams(now)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
+	hosts := jb.upstreams(now)
 	for stage := len(jb.rt.Cascade) - 1; stage > jb.stage; stage-- {
 		rq := jb.request()
 		rq.Model = jb.rt.Cascade[stage]
--- a/core/forward/world_test.go
+++ b/core/forward/world_test.go
@@ -24,6 +24,7 @@
 	"skylarkstand/core/forward"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 )
 
 // act is what an upstream does with a call.
@@ -93,7 +94,7 @@
 	deps := core.NewDeps()
 	deps.Log = slog.New(slog.NewJSONHandler(&wo.log, nil))
 	wo.fw = forward.New(deps, wo, forward.Parts{
-		InForce: wo.inf, Fleet: wo.fl, Canary: canary.New(),
+		InForce: wo.inf, Fleet: wo.fl, Warmup: warmup.New("self"), Canary: canary.New(),
 		Age:      func() time.Duration { return wo.age },
 		Repeats:  func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 		Stopping: func() (time.Duration, bool) { return wo.left, wo.left > 0 },
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -1,6 +1,9 @@
 package core
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Role says what runs on a listed host.
 type Role string
@@ -30,8 +33,14 @@
 	// Born is when this incarnation of an upstream started, in milliseconds
 	// since 1970 by its own clock. An id may come back with another one.
 	Born int64 `json:"born,omitempty"`
+	// Warming is how much longer an upstream is slow and bears few requests after
+	// its start, as of the line; 0 is a warm one. See [WarmingUnknown].
+	Warming time.Duration `json:"warming,omitempty"`
 }
 
+// WarmingUnknown is the warming of an upstream that does not tell it.
+const WarmingUnknown = -time.Nanosecond
+
 // Serves returns the model version of an engine's host.
 func (ho Host) Serves() ModelVersion { return ModelVersion{Model: ho.Model, Version: ho.Version} }
 
--- a/core/mirror/follow_test.go
+++ b/core/mirror/follow_test.go
@@ -254,3 +254,27 @@
 		sh.set(func() { assert.Assert(t, sh.watches <= 25, "%d calls in a minute", sh.watches) })
 	})
 }
+
+// TestChangesThatWereSkippedAreMarked guards against a decision that takes the
+// changes of a new copy for all that there were.
+func TestChangesThatWereSkippedAreMarked(t *testing.T) {
+	mi := mirror.New()
+	var got []core.Change
+	mi.Subscribe(func(changes []core.Change) { got = append(got, changes...) })
+	put := func(key string, re core.Revision) core.Change {
+		return core.Change{Item: core.Item{Key: key, Revision: re}}
+	}
+	// A page that was read later holds a key that is newer than the listing.
+	mi.Replace([]core.Item{put("a", 3).Item, put("b", 8).Item}, 5, time.Now())
+	mi.Apply([]core.Change{put("c", 7)}, 7, time.Now())
+	mi.Apply([]core.Change{put("b", 8), put("d", 9)}, 9, time.Now())
+	mi.Replace([]core.Item{put("a", 3).Item, put("d", 12).Item}, 12, time.Now())
+	var skipped string
+	for _, ch := range got {
+		skipped += ch.Key
+		if ch.Skipped {
+			skipped += "!"
+		}
+	}
+	assert.Equal(t, skipped, "a!b!c!dc!b!d!")
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -34,7 +34,9 @@
 	items map[string]core.Item
 	rev   core.Revision
 	heard time.Time
-	log   changeLog
+	// settled is the revision from which on no change was missed.
+	settled core.Revision
+	log     changeLog
 	// tell keeps subscribers in order without holding up readers.
 	tell sync.Mutex
 	subs []func([]core.Change)
@@ -58,18 +60,20 @@
 	}
 	fresh := make(map[string]core.Item, len(items))
 	var out []core.Change
+	settled := rev
 	for _, it := range items {
 		fresh[it.Key] = it
+		settled = max(settled, it.Revision)
 		if old, ok := mi.items[it.Key]; !ok || old.Revision < it.Revision {
-			out = append(out, core.Change{Item: it})
+			out = append(out, core.Change{Item: it, Skipped: true})
 		}
 	}
 	for key, it := range mi.items {
 		if _, ok := fresh[key]; !ok {
-			out = append(out, core.Change{Item: it, Gone: true})
+			out = append(out, core.Change{Item: it, Gone: true, Skipped: true})
 		}
 	}
-	mi.items, mi.rev = fresh, rev
+	mi.items, mi.rev, mi.settled = fresh, rev, settled
 	mi.log.restart(rev)
 	mi.hear(heard)
 	mi.mu.Unlock()
@@ -102,6 +106,7 @@
 		} else {
 			mi.items[ev.Key] = ev.Item
 		}
+		ev.Skipped = ev.Revision <= mi.settled
 		out = append(out, ev)
 	}
 	mi.rev = max(mi.rev, rev)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -26,6 +26,7 @@
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
+	"skylarkstand/core/warmup"
 )
 
 // Version numbers the configurations of exchanges. It grows in uneven steps.
@@ -84,6 +85,8 @@
 	cascades bool
 	// MaxConnections bounds the connections to one upstream, of all entries.
 	MaxConnections int
+	// Warmup is what an upstream bears while it is cold.
+	Warmup warmup.Bound
 }
 
 // Aim returns the tightest aim of the routes that lead to the service; 0 is none.
--- a/core/store.go
+++ b/core/store.go
@@ -68,6 +68,9 @@
 type Change struct {
 	Item
 	Gone bool
+	// Skipped says that who keeps the copy may have missed changes that came
+	// before this one.
+	Skipped bool
 }
 
 // Feed is the store as one row of changes, for who keeps a copy of it.
--- /dev/null
+++ b/core/warmup/tracker_test.go
@@ -0,0 +1,156 @@
+package warmup_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/warmup"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	bound = warmup.Bound{Rate: 5.2, Duration: 3 * time.Second}
+	host  = core.Host{ID: "up"}
+)
+
+func calm(*core.Host) bool    { return false }
+func suspect(*core.Host) bool { return true }
+
+func newTracker(self core.ProcessID) *warmup.Tracker {
+	return warmup.New(self, warmup.Overshoot(1.5, 5))
+}
+
+func notice(coldFor time.Duration, exact bool, entries ...core.ProcessID) warmup.Notice {
+	return warmup.Notice{Upstream: host.ID, ColdFor: coldFor, Entries: entries, Exact: exact}
+}
+
+// takes counts the permits that a tracker gives at once.
+func takes(tr *warmup.Tracker, now time.Time) int {
+	n := 0
+	for {
+		pe, ok := tr.Take(now, &host, bound, false)
+		if !ok || pe == nil {
+			return n
+		}
+		n++
+	}
+}
+
+// TestPermitsAreDealtOnce guards against two entries that own the same permit, and
+// against permits that nobody owns.
+func TestPermitsAreDealtOnce(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 4, 5, 12, 13, 40} {
+		var all []core.ProcessID
+		for i := range count {
+			all = append(all, core.ProcessID(rune('A'+i)))
+		}
+		sum := 0
+		for _, self := range all {
+			tr := newTracker(self)
+			tr.Started(start, notice(3*time.Second, true, all...))
+			sum += takes(tr, start)
+		}
+		assert.Equal(t, sum, 12, "%d entries", count)
+	}
+}
+
+// TestWarmUpstreamIsNotLimited guards against a limit on upstreams that are warm,
+// or whose service declares none.
+func TestWarmUpstreamIsNotLimited(t *testing.T) {
+	tr := newTracker("a")
+	tr.Started(start, notice(0, true, "b"))
+	for range 50 { // The upstream is warm.
+		_, ok := tr.Take(start, &host, bound, false)
+		assert.Assert(t, ok)
+	}
+	tr.Started(start, notice(time.Hour, true, "b"))
+	_, ok := tr.Take(start, &host, bound, false)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(tr.Open(start, []core.Host{host}, bound, calm)), 0)
+	_, ok = tr.Take(start, &host, warmup.Bound{}, false)
+	assert.Assert(t, ok, "the service declares no rate")
+	assert.Equal(t, len(tr.Open(start, []core.Host{host}, warmup.Bound{}, suspect)), 1)
+}
+
+// TestColdEnds guards against an upstream that stays limited once it is warm, and
+// one that is taken for warm too early.
+func TestColdEnds(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		coldFor  time.Duration
+		later    time.Duration // what a line tells after a second; negative is none
+		ends     time.Duration
+	}{
+		{"as it told", 2 * time.Second, -1, 2 * time.Second},
+		{"as its service says", core.WarmingUnknown, -1, 3 * time.Second},
+		{"later than it told at first", 2 * time.Second, 4 * time.Second, 5 * time.Second},
+		{"earlier than its service says", core.WarmingUnknown, 0, time.Second},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			tr := newTracker("a")
+			tr.Started(start, notice(sc.coldFor, true, "b"))
+			if sc.later >= 0 {
+				tr.Cooled(start.Add(time.Second), host.ID, sc.later)
+			}
+			assert.Assert(t, tr.Cold(start.Add(sc.ends-time.Millisecond), host.ID, bound) || sc.later == 0)
+			assert.Assert(t, !tr.Cold(start.Add(sc.ends), host.ID, bound))
+		})
+	}
+}
+
+// TestPermitIsHeldUntilItsRequestHasArrived guards against a request that is sent
+// late and arrives together with the next one.
+func TestPermitIsHeldUntilItsRequestHasArrived(t *testing.T) {
+	tr := newTracker("a")
+	tr.Started(start, notice(time.Hour, true, "a"))
+	var last *warmup.Permit
+	for range 12 {
+		last, _ = tr.Take(start, &host, bound, false)
+	}
+	at := start.Add(10 * time.Second)
+	assert.Equal(t, takes(tr, at), 0, "none has begun to be answered")
+	last.Release(at)
+	last.Release(at.Add(-time.Minute))
+	assert.Equal(t, takes(tr, at.Add(time.Second)), 0)
+	assert.Equal(t, takes(tr, at.Add(1100*time.Millisecond)), 1)
+}
+
+// TestEntryThatSkippedChangesOwnsNothing guards against an entry that counts its
+// permits by another list of entries than the others.
+func TestEntryThatSkippedChangesOwnsNothing(t *testing.T) {
+	tr := newTracker("a")
+	tr.Started(start, notice(3*time.Second, false, "a"))
+	assert.Equal(t, takes(tr, start), 0)
+	tr.Started(start, notice(3*time.Second, true, "b"))
+	assert.Equal(t, takes(tr, start), 0, "it was not registered then")
+}
+
+// TestEntryThatStartsIsLimited guards against an entry that takes all upstreams of
+// its first copy for warm, of which some are back from an evacuation.
+func TestEntryThatStartsIsLimited(t *testing.T) {
+	tr := newTracker("new")
+	tr.Started(start, notice(0, false, "a", "b"))
+	assert.Equal(t, takes(tr, start), 1)
+	_, ok := tr.Take(start.Add(bound.Duration), &host, bound, false)
+	assert.Assert(t, ok, "it would be warm by now")
+}
+
+// TestSuspectIsLimited guards against a herd at an upstream that answers again
+// before the store has told of its start.
+func TestSuspectIsLimited(t *testing.T) {
+	tr := newTracker("a")
+	tr.Started(start, notice(0, true, "a", "b", "c", "d"))
+	n := 0
+	for range 20 {
+		if _, ok := tr.Take(start, &host, bound, true); ok {
+			n++
+		}
+	}
+	assert.Equal(t, n, 3)
+	assert.Equal(t, len(tr.Open(start, []core.Host{host}, bound, suspect)), 0)
+	assert.Equal(t, len(tr.Open(start, []core.Host{host}, bound, calm)), 1)
+}
