Let regions tell one another what waits at their engines

Entries of nue guessed the waits in muc as half of their own ones, 1.0 to 2.1 s, and stayed.

Each entry now tells one of each other region a second what all entries of its own have at upstreams; 64 upstreams at most and the mean of the others, so that a datagram stays below a packet.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -135,6 +136,17 @@
 	return out
 }
 
+// abroad lists the addresses of the entries of each other region.
+func (me *members) abroad(regions map[core.Zone]core.Region, own core.Region) [][]string {
+	by := map[core.Region][]string{}
+	for _, mb := range me.list() {
+		if re := regions[mb.Zone]; re != own {
+			by[re] = append(by[re], mb.Addr)
+		}
+	}
+	return slices.Collect(maps.Values(by))
+}
+
 // rank is the process's place among the entries for a service.
 func (me *members) rank(self core.ProcessID, sv core.ServiceID) int {
 	list := me.list()
@@ -210,7 +222,8 @@
 func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *mirror.Follower, me *members) *sibling.Sharer {
 	near := func() []string { return me.near(deps.Self, set.Regions, deps.Region) }
 	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
-	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, reads)
+	abroad := func() [][]string { return me.abroad(set.Regions, deps.Region) }
+	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, abroad, reads)
 }
 
 func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder, off mechanism.Off) *recall.Recaller {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -48,8 +48,10 @@
 	facts map[*peer]bool
 	// told is what other entries have at upstreams.
 	told map[uint64]told
-	sums sums
-	off  mechanism.Off
+	// abroad is the load of other regions.
+	abroad map[uint64]abroad
+	sums   sums
+	off    mechanism.Off
 	// nearWait is the mean time that prompts wait at engines of the own region.
 	nearWait time.Duration
 	// meanRead follows the time that a prompt needs.
@@ -63,7 +65,7 @@
 	pk := &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reading: newReading(),
-		told: map[uint64]told{}, hashed: map[uint64]*peer{}, facts: map[*peer]bool{},
+		told: map[uint64]told{}, abroad: map[uint64]abroad{}, hashed: map[uint64]*peer{}, facts: map[*peer]bool{},
 	}
 	for _, opt := range opts {
 		opt(pk)
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -124,12 +124,13 @@
 
 // work is the calls at an upstream, and the time that the prompts need that
 // wait there: the own ones, and the others' as they tell, or else as the
-// upstream reported. What the entries of another region have there nobody tells; a
-// part of what engines of the own region have is assumed.
+// upstream reported. Of engines of another region whose entries have not told
+// lately, a part of what those of the own one have is assumed.
 func (pk *Picker) work(now time.Time, pe *peer) (load float64, pending time.Duration) {
 	own, wait, known := pk.others(now, pe.hash)
-	if known && !pe.far {
-		return float64(pe.own) + own, pe.pending + wait
+	abroadOwn, abroadWait, told := pk.fromAbroad(now, pe)
+	if known && !pe.far || told {
+		return float64(pe.own) + own + abroadOwn, pe.pending + wait + abroadWait
 	}
 	load, pending = pe.load(now), pe.pending+pe.waiting(now, pk.usualRead())
 	if known {
--- a/core/balance/far_test.go
+++ b/core/balance/far_test.go
@@ -56,3 +56,67 @@
 	assert.Equal(t, pk.Wait(start, hosts), 900*time.Millisecond)
 	assert.Assert(t, pk.Wait(start, hosts[6:]) <= 900*time.Millisecond, "there is no other")
 }
+
+// askPlain is a request whose prompt shares nothing, so that no engine is preferred.
+var askPlain = balance.Request{Service: "s", Model: "large", Engine: true, Prompt: 1000, Pool: "ask"}
+
+// toldFrom is a region's load, the same at each of its engines.
+func toldFrom(region core.Region, wait time.Duration) balance.RegionLoad {
+	lo := balance.RegionLoad{Region: balance.HashOf(region)}
+	for i := range 4 {
+		id := core.UpstreamID(fmt.Sprint("far-", i))
+		lo.Shares = append(lo.Shares, balance.Share{Upstream: balance.HashOf(id), Own: 2, Pending: wait})
+	}
+	return lo
+}
+
+// TestWorkGoesWhereARegionTellsThatItIsIdle guards against callers that wait in a
+// region that has lost engines, while those of another one are idle, and against
+// herds to one that is busier still.
+func TestWorkGoesWhereARegionTellsThatItIsIdle(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		told     balance.RegionLoad
+		age      time.Duration
+		want     core.Region
+	}{
+		{"it is idle", toldFrom("nue", 0), 0, "nue"},
+		{"it is busier", toldFrom("nue", 2*time.Second), 0, "muc"},
+		{"it was idle long ago", toldFrom("nue", 0), 3 * time.Second, "muc"},
+		{"only this region told", toldFrom("muc", 0), 0, "muc"},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(5, 1))
+			pk := balance.New("muc-a", "muc")
+			busyHere(pk, 800*time.Millisecond)
+			pk.ToldRegion(start.Add(-sc.age), sc.told)
+			for range 20 {
+				ho, _ := pk.Pick(start, twoRegions(), askPlain, rnd.Float64)
+				assert.Equal(t, ho.Region, sc.want)
+			}
+		})
+	}
+}
+
+// TestRegionLoadIsThatOfAllItsEntries guards against a region that tells the load
+// of one entry for its own, and against datagrams that grow with its upstreams.
+func TestRegionLoadIsThatOfAllItsEntries(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	hosts := pool(4, 64)
+	for i := range hosts {
+		_ = pk.Sent(start, hosts[i], askPlain)
+	}
+	busyHere(pk, 400*time.Millisecond)
+	lo := pk.RegionLoad(start, 3)
+	assert.Equal(t, lo.Region, balance.HashOf(core.Region("muc")))
+	assert.Equal(t, len(lo.Shares), 3)
+	for _, sh := range append(lo.Shares, lo.Rest) {
+		assert.Equal(t, sh.Own, 3)
+		assert.Assert(t, sh.Pending > 400*time.Millisecond)
+	}
+	lo = pk.RegionLoad(start.Add(time.Minute), 64)
+	for _, sh := range lo.Shares {
+		assert.Equal(t, sh.Own, 1, "what others told is old")
+	}
+}
--- a/core/balance/peer.go
+++ b/core/balance/peer.go
@@ -11,8 +11,9 @@
 type peer struct {
 	born int64
 	hash uint64
-	// far is an upstream of another region.
-	far bool
+	// far is an upstream of another region; region is the hash of its region.
+	far    bool
+	region uint64
 	// own counts this entry's attempts there, pending is the time that the
 	// prompts among them need that were not begun.
 	own, unbegun int
@@ -123,7 +124,7 @@
 func (pk *Picker) peer(ho *core.Host) *peer {
 	pe := pk.peers[ho.ID]
 	if pe == nil || pe.born != ho.Born {
-		pe = &peer{born: ho.Born, hash: HashOf(ho.ID), far: ho.Region != pk.region, ratio: 1, cache: newCache()}
+		pe = &peer{born: ho.Born, hash: HashOf(ho.ID), far: ho.Region != pk.region, region: HashOf(ho.Region), ratio: 1, cache: newCache()}
 		pk.peers[ho.ID], pk.hashed[pe.hash] = pe, pe
 	}
 	return pe
--- a/core/forward/told.go
+++ b/core/forward/told.go
@@ -38,6 +38,20 @@
 	fw.picker.ToldSent(time.Now(), from, sent)
 }
 
+// RegionLoad returns what this entry tells those of other regions.
+func (fw *Forwarder) RegionLoad(most int) balance.RegionLoad {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.RegionLoad(time.Now(), most)
+}
+
+// ToldRegion takes in what an entry of another region told.
+func (fw *Forwarder) ToldRegion(lo balance.RegionLoad) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.picker.ToldRegion(time.Now(), lo)
+}
+
 // Load returns what this entry tells the others of its work at upstreams.
 func (fw *Forwarder) Load() balance.Load {
 	fw.mu.Lock()
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -66,6 +66,8 @@
 	ToldCalls Name = "told-calls"
 	// ToldFacts: upstreams where nobody listens are told of.
 	ToldFacts Name = "told-facts"
+	// ToldRegions: what the entries of other regions have at upstreams.
+	ToldRegions Name = "told-regions"
 	// LentRepeats: an entry uses repeats that others have left.
 	LentRepeats Name = "lent-repeats"
 	// Readers: a few entries watch the store for the others.
@@ -75,7 +77,7 @@
 )
 
 var all = []Name{
-	PrefixHomes, ToldPrompts, ToldLoads, ToldCalls, ToldFacts, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
+	PrefixHomes, ToldPrompts, ToldLoads, ToldCalls, ToldFacts, ToldRegions, ReadPace, SharedPrice, Slack, Recall, StreamModels, StartWait, LengthRanks, Gate, HogPart,
 	Pressure, MiddleModels, EarlyRepeats, Resumption, Avoidance, Slowness, LentRepeats, Readers, PooledEvidence,
 }
 
--- /dev/null
+++ b/io/sibling/abroad.go
@@ -0,0 +1,58 @@
+package sibling
+
+import (
+	"encoding/binary"
+	"net"
+	"slices"
+
+	"skylarkstand/core/balance"
+)
+
+// A datagram of a region's load is a version, the hash of the region, the mean of
+// the upstreams that are left out, and the shares of the others.
+const (
+	regionFormat = 0x83
+	regionHead   = 1 + 8 + shareSize
+)
+
+// sendAbroad tells one entry of each other region, in turn, what this one's
+// entries have at upstreams. Few bytes cross: with as many entries in each region,
+// each of them hears of each other region once in a round.
+func (sh *Sharer) sendAbroad(pc net.PacketConn) {
+	sh.round++
+	regions := sh.abroad()
+	if len(regions) == 0 {
+		return
+	}
+	lo := sh.ld.RegionLoad(maxShares)
+	if len(lo.Shares) == 0 {
+		return
+	}
+	data := encodeRegion(lo)
+	first := int(balance.HashOf(sh.self) % (1 << 16)) //nolint:gosec // Below 1<<16.
+	for _, addrs := range regions {
+		slices.Sort(addrs)
+		write(pc, []string{addrs[(first+sh.round)%len(addrs)]}, data)
+	}
+}
+
+func encodeRegion(lo balance.RegionLoad) []byte {
+	shares := lo.Shares[:min(len(lo.Shares), maxShares)]
+	data := make([]byte, 0, regionHead+len(shares)*shareSize)
+	data = append(data, regionFormat)
+	data = binary.BigEndian.AppendUint64(data, lo.Region)
+	data = appendShares(data, []balance.Share{lo.Rest})
+	return appendShares(data, shares)
+}
+
+// decodeRegion returns false for a datagram of another kind.
+func decodeRegion(data []byte) (balance.RegionLoad, bool) {
+	if len(data) < regionHead || data[0] != regionFormat || (len(data)-regionHead)%shareSize != 0 {
+		return balance.RegionLoad{}, false
+	}
+	return balance.RegionLoad{
+		Region: binary.BigEndian.Uint64(data[1:]),
+		Rest:   decodeShares(data[1+8 : regionHead])[0],
+		Shares: decodeShares(data[regionHead:]),
+	}, true
+}
--- /dev/null
+++ b/io/sibling/abroad_test.go
@@ -0,0 +1,40 @@
+package sibling
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core/balance"
+)
+
+// TestRegionDatagram guards against a region's load that arrives changed, is taken
+// for another kind of datagram, or outgrows a packet.
+func TestRegionDatagram(t *testing.T) {
+	lo := balance.RegionLoad{
+		Region: 1 << 60, Rest: balance.Share{Own: 1, Pending: 30 * time.Millisecond},
+		Shares: []balance.Share{{Upstream: 9, Own: 3, Pending: 250 * time.Millisecond}},
+	}
+	data := encodeRegion(lo)
+	got, ok := decodeRegion(data)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, lo)
+	for n := range data {
+		_, ok := decodeRegion(data[:n])
+		assert.Assert(t, !ok || n == regionHead, "%d bytes", n)
+	}
+	_, _, _, ok = decode(data)
+	assert.Assert(t, !ok)
+	_, ok = decodeFacts(data)
+	assert.Assert(t, !ok)
+	_, _, ok = decodeSent(data)
+	assert.Assert(t, !ok)
+	for range 500 {
+		lo.Shares = append(lo.Shares, balance.Share{Upstream: 7})
+	}
+	data = encodeRegion(lo)
+	assert.Assert(t, len(data) <= 1472, "%d", len(data))
+	_, ok = decodeRegion(data)
+	assert.Assert(t, ok)
+}
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -27,6 +27,10 @@
 	SentNow() []balance.Share
 	// ToldSent takes in what another one has just sent.
 	ToldSent(from uint64, sent []balance.Share)
+	// RegionLoad returns what this entry tells those of other regions, with at
+	// most so many upstreams in full, and ToldRegion takes in what they told.
+	RegionLoad(most int) balance.RegionLoad
+	ToldRegion(lo balance.RegionLoad)
 	// Facts returns what this entry has found out of upstreams since the last call.
 	Facts() []balance.Fact
 	// ToldFacts takes in what another one has found out.
@@ -50,6 +54,10 @@
 	ld    Loads
 	di    Digests
 	addrs func() []string
+	// abroad lists the entries of each other region.
+	abroad func() [][]string
+	// round counts the rounds of telling other regions.
+	round int
 	// reads reports whether others rely on this entry's copy.
 	reads   func() bool
 	changed chan struct{}
@@ -61,10 +69,10 @@
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
-// lists; reads reports whether others rely on this entry's copy of the store.
-func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, reads func() bool) *Sharer {
+// lists, and to one at a time of each other region that abroad lists; reads reports whether others rely on this entry's copy of the store.
+func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, abroad func() [][]string, reads func() bool) *Sharer {
 	return &Sharer{
-		self: self, addr: addr, ld: ld, di: di, addrs: addrs, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
+		self: self, addr: addr, ld: ld, di: di, addrs: addrs, abroad: abroad, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
 		limit: rate.NewLimiter(sentRate, sentBurst),
 	}
 }
@@ -118,6 +126,8 @@
 	go sh.receive(pc)
 	ti := time.NewTicker(balance.ShareEvery)
 	defer ti.Stop()
+	far := time.NewTicker(balance.AbroadEvery)
+	defer far.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -125,6 +135,8 @@
 		case <-ti.C:
 			sh.sendFacts(pc, true)
 			sh.send(pc)
+		case <-far.C:
+			sh.sendAbroad(pc)
 		case <-sh.changed:
 			sh.sendDigest(pc)
 		case <-sh.ld.Sent():
@@ -261,6 +273,10 @@
 		if err != nil {
 			continue
 		}
+		if lo, ok := decodeRegion(buf[:n]); ok {
+			sh.ld.ToldRegion(lo)
+			continue
+		}
 		if facts, ok := decodeFacts(buf[:n]); ok {
 			sh.ld.ToldFacts(facts)
 			continue
