Declare regions of workspaces and evacuated zones in the own interface

A configuration declares availability zones with their regions; a workspace may list the regions that it is served in. The entry chooses among these upstreams only, and the agent, which has the last word, refuses what its region or zone may not get. Where nothing is left, the request is rejected at once, with the reason.

skylarkstand evacuate ZONE changes that zone alone, as a generation of its own with its audit record. Unknown zones and regions are refused by name.

--- a/app/app.go
+++ b/app/app.go
@@ -43,6 +43,7 @@
 	Status    *statusCmd    `arg:"subcommand:status" help:"show what is in force"`
 	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
 	RollBack  *rollBackCmd  `arg:"subcommand:roll-back" help:"put an old generation's content in force again"`
+	Evacuate  *evacuateCmd  `arg:"subcommand:evacuate" help:"keep new work from an availability zone, or take that back"`
 	Order     *orderCmd     `arg:"subcommand:order" help:"give an engine an order through its agent"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
 	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
@@ -65,6 +66,7 @@
   skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
   skylarkstand explain 2a05daab3234778d gateway-1.log gateway-2.log
   skylarkstand losses gateway-1.log gateway-2.log
+  skylarkstand evacuate muc-b --store http://127.0.0.1:9200 --why "power works"
   skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, 3 configuration refused, 4 outcome not known,
--- a/app/status.go
+++ b/app/status.go
@@ -32,6 +32,11 @@
 	for _, ca := range cur.Document.Cascades {
 		fmt.Printf("cascade %s: %v\n", ca.ID, ca.Stages)
 	}
+	for _, zo := range cur.Document.Zones {
+		if zo.Evacuated != "" {
+			fmt.Printf("zone %s gets no new work: %s\n", zo.ID, zo.Evacuated)
+		}
+	}
 	for i := range cur.Document.Workspaces {
 		printWorkspace(sn, &cur.Document.Workspaces[i])
 	}
@@ -65,7 +70,7 @@
 }
 
 func printWorkspace(sn *declaration.Snapshot, ws *declaration.Workspace) {
-	fmt.Printf("workspace %s: share %d\n", ws.ID, ws.Share)
+	fmt.Printf("workspace %s: share %d, served in %s\n", ws.ID, ws.Share, core.OnlyRegions(ws.Regions...))
 	for _, al := range ws.Allow {
 		fmt.Printf("  %s:", al.Model)
 		for _, vs := range sn.Split(ws.ID, al.Model) {
--- a/core/declaration/check.go
+++ b/core/declaration/check.go
@@ -44,6 +44,7 @@
 	ch.models()
 	ch.services()
 	ch.cascades()
+	ch.zones()
 	ch.workspaces()
 	ch.keys()
 	ch.rollOuts()
--- a/core/declaration/check_change.go
+++ b/core/declaration/check_change.go
@@ -39,6 +39,7 @@
 	}
 	ch.stops()
 	ch.operations()
+	ch.evacuations()
 	for i := range from.Workspaces {
 		ch.workspace(&from.Workspaces[i])
 	}
@@ -155,6 +156,7 @@
 	if ws.Limit > 0 && old.Limit >= ws.Limit*largestFactor {
 		ch.add(LimitCut, place+".limit", fmt.Sprintf("the limit falls from %d to %d; is a nought missing?", old.Limit, ws.Limit), "lower it in smaller steps")
 	}
+	ch.regions(old, ws, place)
 	kept := func(kh string) bool { return slices.Contains(ws.KeyHashes, kh) }
 	if len(old.KeyHashes) > 0 && len(ws.KeyHashes) > 0 && !slices.ContainsFunc(old.KeyHashes, kept) {
 		ch.add(KeysReplaced, place+".key-hashes", "all keys are replaced at once, so callers are turned away until they have the new one", "add the new key beside the old one, and remove that later")
--- a/core/declaration/check_names.go
+++ b/core/declaration/check_names.go
@@ -13,6 +13,7 @@
 	unique(ch, "models", ch.doc.Models, func(mo Model) string { return string(mo.ID) })
 	unique(ch, "services", ch.doc.Services, func(sv Service) string { return string(sv.ID) })
 	unique(ch, "cascades", ch.doc.Cascades, func(ca Cascade) string { return string(ca.ID) })
+	unique(ch, "zones", ch.doc.Zones, func(zo AvailabilityZone) string { return string(zo.ID) })
 	unique(ch, "workspaces", ch.doc.Workspaces, func(ws Workspace) string { return string(ws.ID) })
 	unique(ch, "roll-outs", ch.doc.RollOuts, func(ro RollOut) string { return string(ro.Model) })
 	unique(ch, "withdrawals", ch.doc.Withdrawals, func(wd Withdrawal) core.ModelVersion { return wd.target() })
--- a/core/declaration/check_workspaces.go
+++ b/core/declaration/check_workspaces.go
@@ -14,6 +14,7 @@
 		place := fmt.Sprintf("workspaces[%s]", ws.ID)
 		ch.quality(place+".quality", ws.Quality)
 		ch.price(place+".latency-price", ws.LatencyPrice)
+		ch.regions(ws, place)
 		if ws.Share <= 0 {
 			ch.add(ShareRange, place+".share", fmt.Sprintf("a share of %d gets no work when there is too much of it", ws.Share), "give a share of at least 1")
 		}
--- a/core/declaration/diff.go
+++ b/core/declaration/diff.go
@@ -66,7 +66,7 @@
 }
 
 func (pa *part) declared() bool {
-	return pa.Model != nil || pa.Service != nil || pa.Cascade != nil || pa.Workspace != nil
+	return pa.Model != nil || pa.Service != nil || pa.Cascade != nil || pa.Workspace != nil || pa.Zone != nil
 }
 
 // details says how a part differs from an older one.
@@ -81,6 +81,8 @@
 		di.value("stages", join(or(old.Cascade).Stages, " -> "), join(pa.Cascade.Stages, " -> "))
 	case pa.Workspace != nil:
 		di.workspace(or(old.Workspace), pa.Workspace)
+	case pa.Zone != nil:
+		di.zone(or(old.Zone), pa.Zone)
 	}
 	di.rollOuts(old.RollOuts, pa.RollOuts)
 	di.withdrawals(old.Withdrawals, pa.Withdrawals)
@@ -163,6 +165,7 @@
 	di.value("quality", old.Quality, ws.Quality)
 	di.value("latency-price", old.LatencyPrice, ws.LatencyPrice)
 	di.value("limit", limit(old.Limit), limit(ws.Limit))
+	di.value("regions", join(old.Regions, ", "), join(ws.Regions, ", "))
 	for _, al := range ws.Allow {
 		di.value("allow "+string(al.Model), join(old.versions(al.Model), ", "), join(al.Versions, ", "))
 	}
--- a/core/declaration/document.go
+++ b/core/declaration/document.go
@@ -19,6 +19,9 @@
 	Services []Service `json:"services,omitempty"`
 	// Cascades are rows of models that callers name like one model.
 	Cascades []Cascade `json:"cascades,omitempty"`
+	// Zones are the availability zones. They need to be declared only where a
+	// workspace is bound to regions or a zone is evacuated.
+	Zones []AvailabilityZone `json:"zones,omitempty"`
 	// Workspaces are the customers, with what each may use.
 	Workspaces []Workspace `json:"workspaces,omitempty"`
 	// RollOuts give new versions a share of new sessions, one a model.
@@ -93,6 +96,8 @@
 	Services []core.ServiceID `json:"services,omitempty"`
 	// Cascades are those that it may ask for.
 	Cascades []core.CascadeID `json:"cascades,omitempty"`
+	// Regions are those that its requests may be served in; all, if left out.
+	Regions []core.Region `json:"regions,omitempty"`
 	// Share is the weight of the workspace when there is too much work.
 	Share int `json:"share"`
 	// Quality is the target for cascades, from 0 to 1.
--- a/core/declaration/effect.go
+++ b/core/declaration/effect.go
@@ -15,6 +15,9 @@
 	for i := range from.Models {
 		ef.stops(&from.Models[i])
 	}
+	for i := range to.Zones {
+		ef.zone(&to.Zones[i])
+	}
 	for i := range to.Workspaces {
 		ef.workspace(&to.Workspaces[i])
 	}
@@ -90,6 +93,7 @@
 		ef.on(ws.ID, "new")
 		return
 	}
+	ef.regions(old, ws)
 	ef.access(ws.ID, "model", ef.from.usable(ws.ID), ef.to.usable(ws.ID))
 	ef.access(ws.ID, "cascade", names(old.Cascades, same), names(ws.Cascades, same))
 	ef.access(ws.ID, "service", names(old.Services, same), names(ws.Services, same))
--- a/core/declaration/join.go
+++ b/core/declaration/join.go
@@ -30,6 +30,7 @@
 		out.Models = append(out.Models, doc.Models...)
 		out.Services = append(out.Services, doc.Services...)
 		out.Cascades = append(out.Cascades, doc.Cascades...)
+		out.Zones = append(out.Zones, doc.Zones...)
 		out.Workspaces = append(out.Workspaces, doc.Workspaces...)
 		out.RollOuts = append(out.RollOuts, doc.RollOuts...)
 		out.Withdrawals = append(out.Withdrawals, doc.Withdrawals...)
--- a/core/declaration/mistakes_test.go
+++ b/core/declaration/mistakes_test.go
@@ -186,4 +186,30 @@
 		doc.AcceptRisks = []declaration.AcceptRisk{{Rule: "quality-out-of-reach", Place: "workspaces[schools].cascades[quick]"}}
 	}, `
 accept-risks[0].reason: the risk is accepted without a reason; say why; the audit trail keeps it [no-reason]`},
+	{"region that no zone is in", withZones, func(doc *document) { doc.Workspaces[0].Regions = []core.Region{"muc", "neu"} }, `
+workspaces[schools].regions: region "neu" is not declared; did you mean "nue"? [unknown-name]`},
+	{"zone without a region", withZones, func(doc *document) { doc.Zones[0].Region = "" }, `
+zones[muc-a].region: the name is empty; name the region that holds the zone [bad-name]`},
+	{"zone twice", withZones, func(doc *document) { doc.Zones[1].ID = "muc-a" }, `
+zones[muc-a]: muc-a is declared twice; merge the two entries or rename one [duplicate-name]`},
+	{"all zones of a workspace's region evacuated", withZones, func(doc *document) {
+		doc.Workspaces[0].Regions = []core.Region{"nue"}
+		doc.Zones[2].Evacuated = "power works"
+	}, `
+workspaces[schools].regions: all zones in the regions of the workspace (nue) are evacuated, so its requests would be turned away; end one of the evacuations, or accept the risk: {"rule": "no-zone-left", "place": "workspaces[schools].regions", "reason": "…"} [no-zone-left]`},
+	{"file from before an evacuation", func(doc *document) {
+		withZones(doc)
+		doc.Zones[1].Evacuated = "power works"
+	}, func(doc *document) { doc.Zones[1].Evacuated = "" }, `
+zones[muc-b].evacuated: the zone is evacuated (power works) and would get work again; keep "evacuated": "power works", or end it by: skylarkstand evacuate muc-b --end, or accept the risk: {"rule": "evacuation-lifted", "place": "zones[muc-b].evacuated", "reason": "…"} [evacuation-lifted]`},
+	{"workspace that leaves its region", func(doc *document) {
+		withZones(doc)
+		doc.Workspaces[0].Regions = []core.Region{"muc"}
+	}, func(doc *document) { doc.Workspaces[0].Regions = nil }, `
+workspaces[schools].regions: requests were bound to muc and may be served in any; keep the regions, or accept the risk: {"rule": "regions-widened", "place": "workspaces[schools].regions", "reason": "…"} [regions-widened]`},
+}
+
+// withZones declares three zones in two regions.
+func withZones(doc *document) {
+	doc.Zones = []declaration.AvailabilityZone{{ID: "muc-a", Region: "muc"}, {ID: "muc-b", Region: "muc"}, {ID: "nue-a", Region: "nue"}}
 }
--- a/core/declaration/rebase.go
+++ b/core/declaration/rebase.go
@@ -110,6 +110,9 @@
 	if pa.Workspace != nil {
 		doc.Workspaces = append(doc.Workspaces, *pa.Workspace)
 	}
+	if pa.Zone != nil {
+		doc.Zones = append(doc.Zones, *pa.Zone)
+	}
 	doc.RollOuts = append(doc.RollOuts, pa.RollOuts...)
 	doc.Withdrawals = append(doc.Withdrawals, pa.Withdrawals...)
 }
--- a/core/declaration/rule.go
+++ b/core/declaration/rule.go
@@ -45,10 +45,13 @@
 	OnlyVersionWithdrawn Rule = "only-version-withdrawn"
 	NoVersionLeft        Rule = "no-version-left"
 	QualityOutOfReach    Rule = "quality-out-of-reach"
+	NoZoneLeft           Rule = "no-zone-left"
 	RollOutStep          Rule = "roll-out-step"
 	StableStep           Rule = "stable-step"
 	WithdrawalLifted     Rule = "withdrawal-lifted"
 	HaltLifted           Rule = "halt-lifted"
+	EvacuationLifted     Rule = "evacuation-lifted"
+	RegionsWidened       Rule = "regions-widened"
 	WorkspaceRemoved     Rule = "workspace-removed"
 	KeysReplaced         Rule = "keys-replaced"
 	KeyMoved             Rule = "key-moved"
@@ -68,8 +71,8 @@
 
 // risks are the rules that accept-risks may name.
 var risks = map[Rule]scopeOfRule{
-	OnlyVersionWithdrawn: ofDocument, NoVersionLeft: ofDocument, QualityOutOfReach: ofDocument,
-	RollOutStep: ofChange, StableStep: ofChange, WithdrawalLifted: ofChange, HaltLifted: ofChange,
+	OnlyVersionWithdrawn: ofDocument, NoVersionLeft: ofDocument, QualityOutOfReach: ofDocument, NoZoneLeft: ofDocument,
+	RollOutStep: ofChange, StableStep: ofChange, WithdrawalLifted: ofChange, HaltLifted: ofChange, EvacuationLifted: ofChange, RegionsWidened: ofChange,
 	WorkspaceRemoved: ofChange, KeysReplaced: ofChange, KeyMoved: ofChange, LimitCut: ofChange,
 	PriceJump: ofChange, VersionDropped: ofChange, RepeatAllowed: ofChange,
 }
--- a/core/declaration/scope.go
+++ b/core/declaration/scope.go
@@ -7,7 +7,7 @@
 )
 
 // Scope is the part of a document that one operator changes without regard to
-// the others: a workspace, a cascade, a service, or a model with its versions,
+// the others: a workspace, a cascade, a service, a zone, or a model with its versions,
 // roll-out and withdrawals. Two changes of one scope must be reviewed
 // together; a roll-out and a withdrawal of one model are such a pair.
 type Scope struct {
@@ -24,6 +24,7 @@
 	ServiceScope   Kind = "service"
 	CascadeScope   Kind = "cascade"
 	WorkspaceScope Kind = "workspace"
+	ZoneScope      Kind = "zone"
 )
 
 // String returns the form "workspace schools".
@@ -31,12 +32,13 @@
 
 // part is what a document holds in one scope, in a form that can be compared.
 type part struct {
-	Model       *Model       `json:"model,omitempty"`
-	Service     *Service     `json:"service,omitempty"`
-	Cascade     *Cascade     `json:"cascade,omitempty"`
-	Workspace   *Workspace   `json:"workspace,omitempty"`
-	RollOuts    []RollOut    `json:"roll-outs,omitempty"`
-	Withdrawals []Withdrawal `json:"withdrawals,omitempty"`
+	Model       *Model            `json:"model,omitempty"`
+	Service     *Service          `json:"service,omitempty"`
+	Cascade     *Cascade          `json:"cascade,omitempty"`
+	Workspace   *Workspace        `json:"workspace,omitempty"`
+	Zone        *AvailabilityZone `json:"zone,omitempty"`
+	RollOuts    []RollOut         `json:"roll-outs,omitempty"`
+	Withdrawals []Withdrawal      `json:"withdrawals,omitempty"`
 }
 
 func (pa *part) equal(other *part) bool { return text(pa) == text(other) }
@@ -87,6 +89,9 @@
 	for i := range doc.Workspaces {
 		ps.at(Scope{WorkspaceScope, string(doc.Workspaces[i].ID)}).Workspace = &doc.Workspaces[i]
 	}
+	for i := range doc.Zones {
+		ps.at(Scope{ZoneScope, string(doc.Zones[i].ID)}).Zone = &doc.Zones[i]
+	}
 	for _, ro := range doc.RollOuts {
 		pa := ps.at(Scope{ModelScope, string(ro.Model)})
 		pa.RollOuts = append(pa.RollOuts, ro)
--- a/core/declaration/snapshot.go
+++ b/core/declaration/snapshot.go
@@ -26,6 +26,7 @@
 	allowed    map[allowKey]bool
 	services   map[serviceKey]bool
 	rollouts   map[core.ModelID]*RollOut
+	evacuated  map[core.Zone]bool
 }
 
 type (
@@ -58,6 +59,10 @@
 		allowed:    map[allowKey]bool{},
 		services:   map[serviceKey]bool{},
 		rollouts:   map[core.ModelID]*RollOut{},
+		evacuated:  map[core.Zone]bool{},
+	}
+	for _, zo := range doc.Zones {
+		sn.evacuated[zo.ID] = zo.Evacuated != ""
 	}
 	for i := range doc.Models {
 		mo := &doc.Models[i]
--- a/core/dispatch/placer.go
+++ b/core/dispatch/placer.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/declaration"
 	"skylarkstand/core/placement"
 )
 
@@ -59,10 +61,15 @@
 	return pl.buf
 }
 
-func (pl *placer) pick(rq *Request, at *core.Attempt, tried []core.UpstreamID) (placement.Choice, bool) {
+// allowed returns the candidates that may get new work of a workspace, in place.
+func allowed(sn *declaration.Snapshot, ws core.WorkspaceID, cands []core.Upstream) []core.Upstream {
+	return slices.DeleteFunc(cands, func(up core.Upstream) bool { return !sn.MayPlace(ws, up.Host) })
+}
+
+func (pl *placer) pick(sn *declaration.Snapshot, rq *Request, at *core.Attempt, tried []core.UpstreamID) (placement.Choice, bool) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	cands := pl.candidates(at.Target, at.Service)
+	cands := allowed(sn, rq.Workspace, pl.candidates(at.Target, at.Service))
 	if rq.claim != nil {
 		cands = preferred(*rq.claim, cands, tried)
 	}
--- a/core/dispatch/try.go
+++ b/core/dispatch/try.go
@@ -21,7 +21,7 @@
 	var last *core.Failure
 	ran := false
 	for {
-		ch, ok := dis.pl.pick(rq, &at, tried)
+		ch, ok := dis.pl.pick(sn, rq, &at, tried)
 		if !ok {
 			break
 		}
@@ -45,7 +45,7 @@
 		}
 	}
 	if last == nil {
-		last = core.Refuse(core.CodeNoUpstream, time.Second, "no upstream takes this work now")
+		last = dis.unplaced(sn, rq, &at)
 	}
 	if ran && last.Ran == core.NotRun {
 		// An earlier try reached an upstream, so the request as a whole may
@@ -55,6 +55,17 @@
 	return nil, nil, last
 }
 
+// unplaced refuses work that no upstream was found for, with the reason.
+func (dis *Dispatcher) unplaced(sn *declaration.Snapshot, rq *Request, at *core.Attempt) *core.Failure {
+	dis.pl.mu.Lock()
+	defer dis.pl.mu.Unlock()
+	cands := dis.pl.candidates(at.Target, at.Service)
+	if len(cands) > 0 && len(allowed(sn, rq.Workspace, cands)) == 0 {
+		return core.Refuse(core.CodeNoRegion, 0, "no upstream is in a region that the workspace allows and in a zone that is not evacuated")
+	}
+	return core.Refuse(core.CodeNoUpstream, time.Second, "no upstream takes this work now")
+}
+
 // timeLeft returns what is left of a request's deadline, 0 when it has none,
 // or false when it has passed. The agent refuses by it; the time that went by
 // in the queue and in earlier tries is gone for it.
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -31,6 +31,10 @@
 		return core.Refuse(core.CodeNoConfig, retrySoon, "the agent of %s knows no configuration yet", ho.ID)
 	case sn.Number < at.Generation:
 		return core.Refuse(core.CodeStaleConfig, retrySoon, "the agent of %s is at generation %d, the request at %d", ho.ID, sn.Number, at.Generation)
+	case sn.Evacuated(ho.Zone):
+		return core.Refuse(core.CodeEvacuated, retrySoon, "zone %s of upstream %s is evacuated", ho.Zone, ho.ID)
+	case !sn.MayPlace(at.Workspace, ho):
+		return core.Refuse(core.CodeNoRegion, 0, "workspace %q may not be served in region %s", at.Workspace, ho.Region)
 	case at.Service != "":
 		return checkService(sn, ho, at)
 	default:
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -24,6 +24,22 @@
 	return declaration.NewSnapshot(&declaration.Generation{Number: 7, Document: doc}, nil)
 }
 
+// bound returns a configuration in which the workspace is bound to a region, and a
+// zone may be evacuated.
+func bound(evacuated core.Zone) *declaration.Snapshot {
+	doc := *snapshot(false).Doc
+	doc.Workspaces[0].Regions = []core.Region{"muc"}
+	if evacuated != "" {
+		doc.Zones = []declaration.AvailabilityZone{{ID: evacuated, Region: "muc", Evacuated: "power works"}}
+	}
+	return declaration.NewSnapshot(&declaration.Generation{Number: 7, Document: doc}, nil)
+}
+
+// abroad returns an engine in the first zone of a region.
+func abroad(re core.Region) core.Host {
+	return core.Host{ID: "desk-1", Model: "desk", Version: "v1", Region: re, Zone: core.Zone(re) + "-a"}
+}
+
 // An entry that was paused, or that is behind by a configuration, hands over
 // what may not run any more. The agent is the last one to notice; a caller
 // would otherwise be served by a version that an operator has withdrawn.
@@ -57,6 +73,9 @@
 		{"another version runs here", snapshot(false), engine, false, with(chat, func(at *core.Attempt) { at.Target.Version = "v2" }), core.CodeNoUpstream},
 		{"another service runs here", snapshot(false), engine, false, call, core.CodeNoUpstream},
 		{"unknown operation", snapshot(false), service, false, with(call, func(at *core.Attempt) { at.Operation = "x" }), core.CodeUnknownModel},
+		{"in an allowed region", bound(""), abroad("muc"), false, chat, ""},
+		{"in another region", bound(""), abroad("nue"), false, chat, core.CodeNoRegion},
+		{"in an evacuated zone", bound("muc-a"), abroad("muc"), false, chat, core.CodeEvacuated},
 		{"service not allowed", snapshot(false), service, false, with(call, func(at *core.Attempt) { at.Workspace = "x" }), core.CodeNotAllowed},
 	} {
 		t.Run(sc.testName, func(t *testing.T) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	switch fl.Code {
-	case core.CodeLeaving, core.CodeNoUpstream, core.CodeStaleConfig:
+	case core.CodeLeaving, core.CodeNoUpstream, core.CodeStaleConfig, core.CodeEvacuated, core.CodeNoRegion:
 		return fl.Ran == core.NotRun
 	case core.CodeOverloaded:
 		if fl.Ran != core.NotRun || tr.overload {
--- a/declare/configuration.go
+++ b/declare/configuration.go
@@ -38,6 +38,7 @@
 	services    []*Service
 	cascades    []declaration.Cascade
 	workspaces  []*Workspace
+	zones       []*declaration.AvailabilityZone
 	rollOuts    []declaration.RollOut
 	withdrawals []declaration.Withdrawal
 	risks       []declaration.AcceptRisk
@@ -57,6 +58,9 @@
 	for _, sv := range cf.services {
 		doc.Services = append(doc.Services, sv.sv)
 	}
+	for _, zo := range cf.zones {
+		doc.Zones = append(doc.Zones, *zo)
+	}
 	for _, ws := range cf.workspaces {
 		doc.Workspaces = append(doc.Workspaces, ws.ws)
 	}
--- a/examples/landesamt/main.go
+++ b/examples/landesamt/main.go
@@ -46,6 +46,9 @@
 	// A bad version of the desk must reach few callers: begin with a tenth.
 	deskNext.RollOut(10)
 
+	muc := cf.Region("muc", "muc-a", "muc-b")
+	cf.Region("nue", "nue-a")
+
 	quick := cf.Cascade("quick", desk, drafter)
 	subsidy := cf.Service("subsidy").AtMostOnce("claim", 500).Repeatable("price-lookup", 5)
 	survey := cf.Service("survey").AtMostOnce("booking", 300).Repeatable("free-dates", 5)
@@ -55,6 +58,9 @@
 		if of.drafts {
 			ws.Allow(drafterStable, drafterNext).Cascades(quick).Services(subsidy, survey)
 		}
+		if of.id == "courts" {
+			ws.Regions(muc) // Their files must not leave the region.
+		}
 	}
 	return cf
 }
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -32,6 +32,8 @@
 	core.CodeOverloaded:    http.StatusServiceUnavailable,
 	core.CodeDeadline:      http.StatusServiceUnavailable,
 	core.CodeNoUpstream:    http.StatusServiceUnavailable,
+	core.CodeNoRegion:      http.StatusServiceUnavailable,
+	core.CodeEvacuated:     http.StatusServiceUnavailable,
 	core.CodeWithdrawn:     http.StatusServiceUnavailable,
 	core.CodeLeaving:       http.StatusServiceUnavailable,
 	core.CodeStoreDown:     http.StatusServiceUnavailable,
