Assume no prefixes where other entries tell what engines have read

Cause: two fifths of a prompt's shared parts count as kept at the engine that hashing prefers for it, which is worth two seconds of wait. Entries tell one another by now what engines have read.

An entry finds out which way fits: it assumes only while nobody tells.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -105,7 +105,7 @@
 // engine: what waits there and the reading of what it does not keep. Engines of
 // another region count only where the list has none of the own one.
 func (pk *Picker) Expect(now time.Time, hosts []core.Host, rq Request) time.Duration {
-	read, home, near := pk.reading.thousand(rq.Model), pk.home(hosts, rq), pk.anyNear(hosts)
+	read, home, near := pk.reading.thousand(rq.Model), pk.home(now, hosts, rq), pk.anyNear(hosts)
 	least := time.Duration(-1)
 	for i := range hosts {
 		pe := pk.peer(&hosts[i])
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -333,3 +333,19 @@
 	assert.Equal(t, ho.ID, hosts[7].ID)
 	assert.Equal(t, pk.Sent(start, hosts[3], rq).Basis().Kept, core.Tokens(0))
 }
+
+// TestNothingIsAssumedWhereEntriesTell guards against a prompt that waits at the engine
+// which all entries prefer for it, though nobody has sent its beginning there.
+func TestNothingIsAssumedWhereEntriesTell(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(5, 1))
+	hosts := pool(8, 64)
+	rq := balance.Request{Service: "s", Model: "large", Engine: true, Prompt: 16_000, Parts: parts("plan", 1), Pool: "draft"}
+	alone, told := balance.New("muc-a", "muc"), balance.New("muc-a", "muc")
+	home, _ := alone.Pick(start, hosts, rq, rnd.Float64)
+	busy := balance.Load{Shares: []balance.Share{{Upstream: balance.HashOf(home.ID), Own: 1, Pending: 200 * time.Millisecond}}}
+	told.Told(start, 7, busy)
+	for range 20 {
+		ho, _ := told.Pick(start, hosts, rq, rnd.Float64)
+		assert.Assert(t, ho.ID != home.ID)
+	}
+}
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -108,9 +108,11 @@
 
 // home returns the upstream that all entries of a region prefer for a prompt:
 // by rendezvous over the region's upstreams, or over all where the list has none
-// there, of the model and the parts that are shared.
-func (pk *Picker) home(hosts []core.Host, rq Request) core.UpstreamID {
-	if len(rq.Parts) < 2 || pk.off.Has(mechanism.PrefixHomes) {
+// there, of the model and the parts that are shared. There is none while other
+// entries tell what engines have read: what is assumed then only hides how long the
+// prompt takes to be read.
+func (pk *Picker) home(now time.Time, hosts []core.Host, rq Request) core.UpstreamID {
+	if len(rq.Parts) < 2 || pk.off.Has(mechanism.PrefixHomes) || pk.hears(now) {
 		return ""
 	}
 	key := string(rq.Model)
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -25,9 +25,9 @@
 	// jitter keeps entries with the same knowledge from taking the same
 	// upstream; it is below every difference that matters.
 	jitter = 4 * time.Millisecond
-	// homeShare is the part of a prompt that is taken as kept at the upstream
-	// that rendezvous hashing prefers for it. Other entries send the same
-	// prompts there, of which this one hears nothing.
+	// homeShare is the part of a prompt's shared parts that is taken as kept at the
+	// upstream that rendezvous hashing prefers for it, while no other entry tells
+	// what was read where.
 	homeShare = 0.4
 	// sharedCost is the cost of reading a thousand tokens again that requests share
 	// and some engine keeps: they are paid for once more, and reading them holds up
@@ -58,7 +58,7 @@
 func (pk *Picker) field(now time.Time, hosts []core.Host, rq Request) field {
 	fi := field{pool: pk.pool(rq)}
 	if rq.Engine {
-		fi.home = pk.home(hosts, rq)
+		fi.home = pk.home(now, hosts, rq)
 		fi.read = pk.reading.thousand(rq.Model)
 		fi.again = pk.sharedPrice(shared(rq.Parts))
 		pk.followNear(now, hosts)
--- a/core/balance/herd_test.go
+++ b/core/balance/herd_test.go
@@ -142,7 +142,7 @@
 // Guards against herds: many entries that take the one engine which looked idle when
 // they heard of it last, where short prompts then wait behind a dozen others.
 func TestShortPromptsWaitLessWhenCallsAreToldAtOnce(t *testing.T) {
-	const seeds = 4
+	const seeds = 16
 	var rounds, once time.Duration
 	for seed := range uint64(seeds) {
 		he := herd{seed: seed, entries: 17, engines: 30, rate: 85}
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -183,6 +183,12 @@
 	return float64(sh.Own), sh.Pending, pk.sums.entries > 0
 }
 
+// hears reports whether any other entry told anything lately.
+func (pk *Picker) hears(now time.Time) bool {
+	_, _, known := pk.others(now, 0)
+	return known
+}
+
 func (pk *Picker) sumUp(now time.Time) {
 	su := &pk.sums
 	if su.shares == nil {
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -25,7 +25,8 @@
 
 // The mechanisms.
 const (
-	// PrefixHomes: an upstream of the region that all entries prefer for a prompt.
+	// PrefixHomes: an upstream of the region that all entries prefer for a prompt,
+	// while none tells what was read where.
 	PrefixHomes Name = "prefix-homes"
 	// ToldPrompts and ToldLoads: what other entries tell of prompts that engines
 	// have read, and of their work there.
