Tell nothing of prompts in a region that they may not be served in

Hashes of a prompt's parts were told to all entries of the region, also where the request is bound to another one. They hold no content, but there is no use for them there either.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,6 +24,9 @@
 	Tried []core.UpstreamID
 	// Slack is the time until an answer begins too late to be good; 0 is no bound.
 	Slack time.Duration
+	// Abroad says that the request may not be served in this entry's region, so that
+	// nothing of its prompt is told here.
+	Abroad bool
 	// Once says that the work may run at most once, so that a failing upstream
 	// costs the whole answer.
 	Once bool
@@ -52,8 +55,8 @@
 	abroad map[uint64]abroad
 	// abroadSent is the work for other regions that was not told yet.
 	abroadSent map[uint64][]Share
-	sums   sums
-	off    mechanism.Off
+	sums       sums
+	off        mechanism.Off
 	// nearWait is the mean time that prompts wait at engines of the own region.
 	nearWait time.Duration
 	// meanRead follows the time that a prompt needs.
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -55,12 +55,13 @@
 	return slices.ContainsFunc(hosts, func(ho core.Host) bool { return pk.peer(&ho).kept(now, rq) >= rq.Prompt })
 }
 
-// keep notes that an upstream reads a prompt, for this entry and the others.
+// keep notes that an upstream reads a prompt, for this entry and, where the prompt
+// may be known in its region, the others.
 func (pk *Picker) keep(now time.Time, pe *peer, rq Request) {
 	for _, pa := range rq.Parts {
 		hash := partHash(rq.Model, pa.ID)
 		pe.keepPart(now, hash)
-		if len(pk.recent) < maxRecent {
+		if !rq.Abroad && len(pk.recent) < maxRecent {
 			pk.recent = append(pk.recent, Kept{Upstream: pe.hash, Part: hash})
 		}
 	}
--- a/core/balance/far_test.go
+++ b/core/balance/far_test.go
@@ -145,3 +145,16 @@
 	there.ToldRegion(start, balance.RegionLoad{Region: sent[0].From, Shares: sent[0].Shares})
 	assert.Equal(t, wait(), sent[0].Shares[0].Pending, "it counts once")
 }
+
+// TestPromptsBoundAbroadAreNotTold guards against hashes of a prompt that are known in a
+// region which its request must not be served in.
+func TestPromptsBoundAbroadAreNotTold(t *testing.T) {
+	pk := balance.New("muc-a", "muc")
+	rq := draft("plan-1", 1)
+	rq.Abroad = true
+	_ = pk.Sent(start, twoRegions()[5], rq)
+	assert.Equal(t, len(pk.Load().Kept), 0)
+	rq.Abroad = false
+	_ = pk.Sent(start, twoRegions()[0], rq)
+	assert.Assert(t, len(pk.Load().Kept) > 0)
+}
