Take a process for gone when another one registers at its address

Cause: after the loss of all entries the list holds each address twice for as long as the old leases last, 12 s. Entries told one another of every call twice, which the others added up, and told themselves, at the address of the process before them; the bound on datagrams left half of the calls untold.

Of several registrations at an address only the newest is a member now. Their number, by which repeats are shared out, still counts the gone ones until their leases end: what they have repeated is in the window of the others.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -102,11 +102,12 @@
 	return &members{list: func() []feed.Member { return nil }, count: func() int { return 0 }}
 }
 
-// others lists the addresses of the other entries.
-func (me *members) others(self core.ProcessID) []string {
+// others lists the addresses of the other entries. What was registered at the own
+// address before is none of them.
+func (me *members) others(own string) []string {
 	var out []string
 	for _, mb := range me.list() {
-		if mb.ID != self {
+		if mb.Addr != own {
 			out = append(out, mb.Addr)
 		}
 	}
@@ -125,10 +126,10 @@
 }
 
 // near lists the addresses of the other entries of a region.
-func (me *members) near(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) []string {
+func (me *members) near(own string, regions map[core.Zone]core.Region, re core.Region) []string {
 	var out []string
 	for _, mb := range me.region(regions, re) {
-		if mb.ID != self {
+		if mb.Addr != own {
 			out = append(out, mb.Addr)
 		}
 	}
@@ -170,8 +171,8 @@
 	return !slices.ContainsFunc(near, isSelf) || slices.ContainsFunc(top, isSelf)
 }
 
-func newSiblings(deps core.Deps, cl *upstream.Client, me *members) *sibling.Siblings {
-	return sibling.New(cl, func() []string { return me.others(deps.Self) }, rand.IntN)
+func newSiblings(set settings.Gateway, cl *upstream.Client, me *members) *sibling.Siblings {
+	return sibling.New(cl, func() []string { return me.others(set.Siblings) }, rand.IntN)
 }
 
 func newFollower(set settings.Gateway, deps core.Deps, mi *mirror.Mirror, st *platform.Store, si *sibling.Siblings, me *members, off mechanism.Off) *mirror.Follower {
@@ -219,7 +220,7 @@
 }
 
 func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *mirror.Follower, me *members) *sibling.Sharer {
-	near := func() []string { return me.near(deps.Self, set.Regions, deps.Region) }
+	near := func() []string { return me.near(set.Siblings, set.Regions, deps.Region) }
 	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
 	abroad := func() map[core.Region][]string { return me.abroad(set.Regions, deps.Region) }
 	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, abroad, reads)
--- a/app/readers_test.go
+++ b/app/readers_test.go
@@ -30,3 +30,15 @@
 	all = all[:4]
 	assert.Assert(t, me.reads("p1", regions, "muc") && me.reads("p2", regions, "muc"), "there are few")
 }
+
+// Guards against a process that tells itself what it has sent, since another one was
+// registered at its address before.
+func TestOwnAddressIsNoOtherEntry(t *testing.T) {
+	regions := map[core.Zone]core.Region{"muc-a": "muc", "nue-a": "nue"}
+	me := newMembers()
+	me.list = func() []feed.Member {
+		return []feed.Member{{ID: "gone", Addr: "one", Zone: "muc-a"}, {ID: "p2", Addr: "two", Zone: "muc-a"}, {ID: "p3", Addr: "three", Zone: "nue-a"}}
+	}
+	assert.DeepEqual(t, me.near("one", regions, "muc"), []string{"two"})
+	assert.DeepEqual(t, me.others("one"), []string{"two", "three"})
+}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -106,7 +106,7 @@
 	client, cleanup2 := newUpstreamClient()
 	store := newPlatformStore(set, deps, client)
 	appMembers := newMembers()
-	siblings := newSiblings(deps, client, appMembers)
+	siblings := newSiblings(set, client, appMembers)
 	follower := newFollower(set, deps, mirrorMirror, store, siblings, appMembers, off)
 	upstreams := platform.NewUpstreams(client)
 	appStopClock := newStopClock()
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -13,6 +13,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -58,6 +60,8 @@
 	ID   core.ProcessID `json:"id"`
 	Addr string         `json:"addr"`
 	Zone core.Zone      `json:"zone"`
+	// Revision is that of the registration.
+	Revision core.Revision `json:"-"`
 }
 
 // Parts are told of changes.
@@ -129,22 +133,31 @@
 		delete(fd.members, id)
 		return
 	}
-	me.ID = id
+	me.ID, me.Revision = id, ch.Revision
 	fd.members[id] = me
 }
 
-// Members lists the entries that are registered.
+// Members lists the entries that are registered. Of several at one address only the
+// newest is there: the others are gone, though their leases last for some seconds.
 func (fd *Feed) Members() []Member {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
+	newest := map[string]Member{}
 	out := make([]Member, 0, len(fd.members))
 	for _, me := range fd.members {
-		out = append(out, me)
+		if me.Addr == "" {
+			out = append(out, me)
+			continue
+		}
+		if old, ok := newest[me.Addr]; !ok || old.Revision < me.Revision {
+			newest[me.Addr] = me
+		}
 	}
-	return out
+	return slices.AppendSeq(out, maps.Values(newest))
 }
 
-// Entries counts the entries that are registered.
+// Entries counts the entries that are registered, with those that are gone and whose
+// repeats still count in the window of the others.
 func (fd *Feed) Entries() int {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
--- a/core/feed/warmup.go
+++ b/core/feed/warmup.go
@@ -1,8 +1,6 @@
 package feed
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"skylarkstand/core"
@@ -45,16 +43,15 @@
 // sharers lists the entries that share the permits of an upstream: those of its
 // region, or all where that has none.
 func (fd *Feed) sharers(re core.Region) []core.ProcessID {
-	fd.mu.Lock()
-	defer fd.mu.Unlock()
-	var out []core.ProcessID
-	for id, me := range fd.members {
+	var near, all []core.ProcessID
+	for _, me := range fd.Members() {
+		all = append(all, me.ID)
 		if fd.pa.Regions[me.Zone] == re {
-			out = append(out, id)
+			near = append(near, me.ID)
 		}
 	}
-	if len(out) == 0 {
-		out = slices.Collect(maps.Keys(fd.members))
+	if len(near) == 0 {
+		return all
 	}
-	return out
+	return near
 }
