Choose among upstreams without a copy of each

The list of upstreams that are open was searched with a function that takes a host by value and hands on its address, which put each of them on the heap for each look: fifty hosts of 200 bytes a choice.

--- a/core/warmup/tracker.go
+++ b/core/warmup/tracker.go
@@ -121,14 +121,13 @@
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	open := func(ho *core.Host) bool { return tr.free(now, ho, bo, suspect(ho)) }
-	first := slices.IndexFunc(hosts, func(ho core.Host) bool { return !open(&ho) })
-	if first < 0 {
-		return hosts
-	}
-	out := slices.Clone(hosts[:first])
-	for i := first + 1; i < len(hosts); i++ {
-		if open(&hosts[i]) {
+	out, whole := hosts, true // Copied only when something is left out.
+	for i := range hosts {
+		open := tr.free(now, &hosts[i], bo, suspect(&hosts[i]))
+		switch {
+		case whole && !open:
+			out, whole = slices.Clone(hosts[:i]), false
+		case !whole && open:
 			out = append(out, hosts[i])
 		}
 	}
