--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -136,8 +136,8 @@
 	return out
 }
 
-// abroad lists the addresses of the entries of each other region.
-func (me *members) abroad(regions map[core.Zone]core.Region, own core.Region) map[core.Region][]string {
+// remote lists the addresses of the entries of each other region.
+func (me *members) remote(regions map[core.Zone]core.Region, own core.Region) map[core.Region][]string {
 	by := map[core.Region][]string{}
 	for _, mb := range me.list() {
 		if re := regions[mb.Zone]; re != own {
@@ -222,8 +222,8 @@
 func newSharer(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *mirror.Follower, me *members) *sibling.Sharer {
 	near := func() []string { return me.near(set.Siblings, set.Regions, deps.Region) }
 	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
-	abroad := func() map[core.Region][]string { return me.abroad(set.Regions, deps.Region) }
-	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, abroad, reads)
+	remote := func() map[core.Region][]string { return me.remote(set.Regions, deps.Region) }
+	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, remote, reads)
 }
 
 func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder, off mechanism.Off) *recall.Recaller {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,9 +24,9 @@
 	Tried []core.UpstreamID
 	// Slack is the time until an answer begins too late to be good; 0 is no bound.
 	Slack time.Duration
-	// Abroad says that the request may not be served in this entry's region, so that
+	// RemoteOnly says that the request may not be served in this entry's region, so that
 	// nothing of its prompt is told here.
-	Abroad bool
+	RemoteOnly bool
 	// Once says that the work may run at most once, so that a failing upstream
 	// costs the whole answer.
 	Once bool
@@ -51,12 +51,12 @@
 	facts map[*peer]bool
 	// told is what other entries have at upstreams.
 	told map[uint64]told
-	// abroad is the load of other regions.
-	abroad map[uint64]abroad
-	// abroadSent is the work for other regions that was not told yet.
-	abroadSent map[uint64][]Share
-	sums       sums
-	off        mechanism.Off
+	// remoteLoad is the load of other regions.
+	remote map[uint64]remoteLoad
+	// remoteCalls is the work for other regions that was not told yet.
+	remoteCalls map[uint64][]Share
+	sums        sums
+	off         mechanism.Off
 	// nearWait is the mean time that prompts wait at engines of the own region.
 	nearWait time.Duration
 	// meanRead follows the time that a prompt needs.
@@ -70,7 +70,7 @@
 	pk := &Picker{
 		zone: zo, region: re, peers: map[core.UpstreamID]*peer{},
 		pools: map[poolKey]*pool{}, reading: newReading(),
-		told: map[uint64]told{}, abroad: map[uint64]abroad{}, abroadSent: map[uint64][]Share{}, hashed: map[uint64]*peer{}, facts: map[*peer]bool{},
+		told: map[uint64]told{}, remote: map[uint64]remoteLoad{}, remoteCalls: map[uint64][]Share{}, hashed: map[uint64]*peer{}, facts: map[*peer]bool{},
 	}
 	for _, opt := range opts {
 		opt(pk)
--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -61,7 +61,7 @@
 	for _, pa := range rq.Parts {
 		hash := partHash(rq.Model, pa.ID)
 		pe.keepPart(now, hash)
-		if !rq.Abroad && len(pk.recent) < maxRecent {
+		if !rq.RemoteOnly && len(pk.recent) < maxRecent {
 			pk.recent = append(pk.recent, Kept{Upstream: pe.hash, Part: hash})
 		}
 	}
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -128,9 +128,9 @@
 // lately, a part of what those of the own one have is assumed.
 func (pk *Picker) work(now time.Time, pe *peer) (load float64, pending time.Duration) {
 	own, wait, known := pk.others(now, pe.hash)
-	abroadOwn, abroadWait, told := pk.fromAbroad(now, pe)
+	remoteOwn, remoteWait, told := pk.atRemoteEntries(now, pe)
 	if known && !pe.far || told {
-		return float64(pe.own) + own + abroadOwn, pe.pending + wait + abroadWait
+		return float64(pe.own) + own + remoteOwn, pe.pending + wait + remoteWait
 	}
 	load, pending = pe.load(now), pe.pending+pe.waiting(now, pk.usualRead())
 	if known {
--- a/core/balance/far_test.go
+++ b/core/balance/far_test.go
@@ -129,32 +129,32 @@
 	far := hosts[len(hosts)-1]
 	_ = here.Sent(start, far, draft("plan-1", 1))
 	_ = here.Sent(start, hosts[0], draft("plan-2", 2))
-	sent := here.SentAbroad()
+	sent := here.RemoteCalls()
 	assert.Equal(t, len(sent), 1)
 	assert.Equal(t, sent[0].To, balance.HashOf(core.Region("nue")))
 	assert.Equal(t, len(sent[0].Shares), 1)
-	assert.Equal(t, len(here.SentAbroad()), 0, "it is told once")
+	assert.Equal(t, len(here.RemoteCalls()), 0, "it is told once")
 
 	wait := func() time.Duration { return there.Wait(start, []core.Host{far}) }
-	there.ToldSentAbroad(start, sent[0])
+	there.ToldRemoteCalls(start, sent[0])
 	assert.Equal(t, wait(), time.Duration(0), "the region has told nothing")
 	there.Told(start, 7, balance.Load{})
 	there.ToldRegion(start, balance.RegionLoad{Region: sent[0].From})
-	there.ToldSentAbroad(start, sent[0])
+	there.ToldRemoteCalls(start, sent[0])
 	assert.Assert(t, wait() > 500*time.Millisecond, "%s", wait())
 	there.ToldRegion(start, balance.RegionLoad{Region: sent[0].From, Shares: sent[0].Shares})
 	assert.Equal(t, wait(), sent[0].Shares[0].Pending, "it counts once")
 }
 
-// TestPromptsBoundAbroadAreNotTold guards against hashes of a prompt that are known in a
+// TestPromptsOfOtherRegionsAreNotTold guards against hashes of a prompt that are known in a
 // region which its request must not be served in.
-func TestPromptsBoundAbroadAreNotTold(t *testing.T) {
+func TestPromptsOfOtherRegionsAreNotTold(t *testing.T) {
 	pk := balance.New("muc-a", "muc")
 	rq := draft("plan-1", 1)
-	rq.Abroad = true
+	rq.RemoteOnly = true
 	_ = pk.Sent(start, twoRegions()[5], rq)
 	assert.Equal(t, len(pk.Load().Kept), 0)
-	rq.Abroad = false
+	rq.RemoteOnly = false
 	_ = pk.Sent(start, twoRegions()[0], rq)
 	assert.Assert(t, len(pk.Load().Kept) > 0)
 }
--- a/core/balance/abroad.go
+++ b/core/balance/remote.go
@@ -13,7 +13,7 @@
 //
 // It is made for a region that has lost a part of its engines: work may go to
 // another region, whose entries tell theirs what waits there. Guessed from the own
-// waits, engines abroad look as busy as the own ones although they are idle.
+// waits, remote engines look as busy as the own ones although they are idle.
 type RegionLoad struct {
 	// Region is the hash of its name, see [HashOf].
 	Region uint64
@@ -23,15 +23,15 @@
 	Rest   Share
 }
 
-// abroadLife is how long a region's load counts; it comes every [AbroadEvery] from
+// remoteLife is how long a region's load counts; it comes every [RemoteEvery] from
 // one entry or another.
-const abroadLife = 2500 * time.Millisecond
+const remoteLife = 2500 * time.Millisecond
 
-// AbroadEvery is how often an entry tells one of each other region.
-const AbroadEvery = time.Second
+// RemoteEvery is how often an entry tells one of each other region.
+const RemoteEvery = time.Second
 
-// abroad is the load of another region.
-type abroad struct {
+// remoteLoad is the load of another region.
+type remoteLoad struct {
 	at     time.Time
 	shares map[uint64]Share
 	rest   Share
@@ -86,62 +86,62 @@
 	if pk.off.Has(mechanism.ToldRegions) || lo.Region == HashOf(pk.region) {
 		return
 	}
-	ab := abroad{at: now, shares: make(map[uint64]Share, len(lo.Shares)), rest: lo.Rest}
+	rl := remoteLoad{at: now, shares: make(map[uint64]Share, len(lo.Shares)), rest: lo.Rest}
 	for _, sh := range lo.Shares {
-		ab.shares[sh.Upstream] = sh
+		rl.shares[sh.Upstream] = sh
 	}
-	pk.abroad[lo.Region] = ab
+	pk.remote[lo.Region] = rl
 }
 
-// SentAbroad is work that went to upstreams of another region.
-type SentAbroad struct {
+// RemoteCalls is work that went to upstreams of another region.
+type RemoteCalls struct {
 	// To is the hash of that region's name, and From that of the teller's.
 	To, From uint64
 	Shares   []Share
 }
 
-// sentAbroad notes work that the entries of its upstream's region are to be told of.
-func (pk *Picker) sentAbroad(pe *peer, sh Share) {
-	if pe.far && len(pk.abroadSent[pe.region]) < maxRecent {
-		pk.abroadSent[pe.region] = append(pk.abroadSent[pe.region], sh)
+// noteRemoteCall notes work that the entries of its upstream's region are to be told of.
+func (pk *Picker) noteRemoteCall(pe *peer, sh Share) {
+	if pe.far && len(pk.remoteCalls[pe.region]) < maxRecent {
+		pk.remoteCalls[pe.region] = append(pk.remoteCalls[pe.region], sh)
 	}
 }
 
-// SentAbroad returns the work that went to other regions since the last call. A long
+// RemoteCalls returns the work that went to other regions since the last call. A long
 // prompt there holds up all that come after it, and what a region tells once a second
 // is too late for them.
-func (pk *Picker) SentAbroad() []SentAbroad {
-	var out []SentAbroad
-	for region, shares := range pk.abroadSent {
-		out = append(out, SentAbroad{To: region, From: HashOf(pk.region), Shares: shares})
+func (pk *Picker) RemoteCalls() []RemoteCalls {
+	var out []RemoteCalls
+	for region, shares := range pk.remoteCalls {
+		out = append(out, RemoteCalls{To: region, From: HashOf(pk.region), Shares: shares})
 	}
-	clear(pk.abroadSent)
+	clear(pk.remoteCalls)
 	return out
 }
 
-// ToldSentAbroad adds what an entry of another region has just sent here to what that
+// ToldRemoteCalls adds what an entry of another region has just sent here to what that
 // region told before. Where it has told nothing lately, it is passed over.
-func (pk *Picker) ToldSentAbroad(now time.Time, sent SentAbroad) {
-	ab, known := pk.abroad[sent.From]
-	if !known || now.Sub(ab.at) > abroadLife {
+func (pk *Picker) ToldRemoteCalls(now time.Time, sent RemoteCalls) {
+	rl, known := pk.remote[sent.From]
+	if !known || now.Sub(rl.at) > remoteLife {
 		return
 	}
 	for _, sh := range sent.Shares {
-		old := ab.shares[sh.Upstream]
-		ab.shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
+		old := rl.shares[sh.Upstream]
+		rl.shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
 	}
 }
 
-// fromAbroad returns what the entries of other regions have at an upstream, and
+// atRemoteEntries returns what the entries of other regions have at an upstream, and
 // reports whether those of its own region have told.
-func (pk *Picker) fromAbroad(now time.Time, pe *peer) (own float64, pending time.Duration, known bool) {
-	for region, ab := range pk.abroad {
-		if now.Sub(ab.at) > abroadLife {
+func (pk *Picker) atRemoteEntries(now time.Time, pe *peer) (own float64, pending time.Duration, known bool) {
+	for region, rl := range pk.remote {
+		if now.Sub(rl.at) > remoteLife {
 			continue
 		}
-		sh, listed := ab.shares[pe.hash]
+		sh, listed := rl.shares[pe.hash]
 		if !listed && region == pe.region {
-			sh = ab.rest
+			sh = rl.rest
 		}
 		own += float64(sh.Own)
 		pending += sh.Pending
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -85,7 +85,7 @@
 		return
 	}
 	sh := Share{Upstream: pe.hash, Own: 1, Pending: cost}
-	pk.sentAbroad(pe, sh)
+	pk.noteRemoteCall(pe, sh)
 	if len(pk.sent) < maxRecent {
 		pk.sent = append(pk.sent, sh)
 	}
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -38,7 +38,7 @@
 // that may not be served in the entry's own region meet another load.
 type lane struct {
 	service core.ServiceID
-	abroad  bool
+	remote  bool
 }
 
 func (jb *job) lane() lane { return lane{jb.service, !jb.regions().Allows(jb.fw.deps.Region)} }
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -185,7 +185,7 @@
 		Service: jb.service, Model: jb.model(), Parts: jb.ex.Parts, Prompt: jb.ex.Prompt,
 		Engine: len(jb.ex.Parts) > 0 || jb.ex.Prompt > 0, Pool: jb.rt.ID, Tried: jb.tried,
 		Once: !jb.rt.Repeat.Repeatable(), Slack: jb.slack(),
-		Abroad: jb.lane().abroad,
+		RemoteOnly: jb.lane().remote,
 	}
 }
 
--- a/core/forward/told.go
+++ b/core/forward/told.go
@@ -45,18 +45,18 @@
 	return fw.picker.RegionLoad(time.Now(), most)
 }
 
-// SentAbroad returns the work that went to other regions since the last call.
-func (fw *Forwarder) SentAbroad() []balance.SentAbroad {
+// RemoteCalls returns the work that went to other regions since the last call.
+func (fw *Forwarder) RemoteCalls() []balance.RemoteCalls {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	return fw.picker.SentAbroad()
+	return fw.picker.RemoteCalls()
 }
 
-// ToldSentAbroad takes in what an entry of another region has just sent here.
-func (fw *Forwarder) ToldSentAbroad(sent balance.SentAbroad) {
+// ToldRemoteCalls takes in what an entry of another region has just sent here.
+func (fw *Forwarder) ToldRemoteCalls(sent balance.RemoteCalls) {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.picker.ToldSentAbroad(time.Now(), sent)
+	fw.picker.ToldRemoteCalls(time.Now(), sent)
 }
 
 // ToldRegion takes in what an entry of another region told.
--- a/core/guard/guard_test.go
+++ b/core/guard/guard_test.go
@@ -35,8 +35,8 @@
 	return declaration.NewSnapshot(&declaration.Generation{Number: 7, Document: doc}, nil)
 }
 
-// abroad returns an engine in the first zone of a region.
-func abroad(re core.Region) core.Host {
+// remoteEngine returns an engine in the first zone of a region.
+func remoteEngine(re core.Region) core.Host {
 	return core.Host{ID: "desk-1", Model: "desk", Version: "v1", Region: re, Zone: core.Zone(re) + "-a"}
 }
 
@@ -73,9 +73,9 @@
 		{"another version runs here", snapshot(false), engine, false, with(chat, func(at *core.Attempt) { at.Target.Version = "v2" }), core.CodeNoUpstream},
 		{"another service runs here", snapshot(false), engine, false, call, core.CodeNoUpstream},
 		{"unknown operation", snapshot(false), service, false, with(call, func(at *core.Attempt) { at.Operation = "x" }), core.CodeUnknownModel},
-		{"in an allowed region", bound(""), abroad("muc"), false, chat, ""},
-		{"in another region", bound(""), abroad("nue"), false, chat, core.CodeNoRegion},
-		{"in an evacuated zone", bound("muc-a"), abroad("muc"), false, chat, core.CodeEvacuated},
+		{"in an allowed region", bound(""), remoteEngine("muc"), false, chat, ""},
+		{"in another region", bound(""), remoteEngine("nue"), false, chat, core.CodeNoRegion},
+		{"in an evacuated zone", bound("muc-a"), remoteEngine("muc"), false, chat, core.CodeEvacuated},
 		{"service not allowed", snapshot(false), service, false, with(call, func(at *core.Attempt) { at.Workspace = "x" }), core.CodeNotAllowed},
 	} {
 		t.Run(sc.testName, func(t *testing.T) {
--- a/io/sibling/abroad.go
+++ b/io/sibling/remote.go
@@ -16,12 +16,12 @@
 	regionHead   = 1 + 8 + shareSize
 )
 
-// sendAbroad tells one entry of each other region, in turn, what this one's
+// sendRemote tells one entry of each other region, in turn, what this one's
 // entries have at upstreams. Few bytes cross: with as many entries in each region,
 // each of them hears of each other region once in a round.
-func (sh *Sharer) sendAbroad(pc net.PacketConn) {
+func (sh *Sharer) sendRemote(pc net.PacketConn) {
 	sh.round++
-	regions := sh.abroad()
+	regions := sh.remote()
 	if len(regions) == 0 {
 		return
 	}
@@ -37,16 +37,16 @@
 	}
 }
 
-// sendSentAbroad tells the entries of a region at once what went to its upstreams.
-func (sh *Sharer) sendSentAbroad(pc net.PacketConn) {
-	sent := sh.ld.SentAbroad()
+// sendRemoteCalls tells the entries of a region at once what went to its upstreams.
+func (sh *Sharer) sendRemoteCalls(pc net.PacketConn) {
+	sent := sh.ld.RemoteCalls()
 	if len(sent) == 0 {
 		return
 	}
-	for region, addrs := range sh.abroad() {
+	for region, addrs := range sh.remote() {
 		for _, se := range sent {
 			if se.To == balance.HashOf(region) && sh.limit.AllowN(time.Now(), len(addrs)) {
-				write(pc, addrs, encodeSentAbroad(se))
+				write(pc, addrs, encodeRemoteCalls(se))
 			}
 		}
 	}
@@ -55,24 +55,24 @@
 // A datagram of work for another region is a version, the hash of the teller's
 // region, and the shares.
 const (
-	abroadFormat = 0x85
-	abroadHead   = 1 + 8
+	callsFormat = 0x85
+	callsHead   = 1 + 8
 )
 
-func encodeSentAbroad(se balance.SentAbroad) []byte {
+func encodeRemoteCalls(se balance.RemoteCalls) []byte {
 	shares := se.Shares[:min(len(se.Shares), maxShares)]
-	data := make([]byte, 0, abroadHead+len(shares)*shareSize)
-	data = append(data, abroadFormat)
+	data := make([]byte, 0, callsHead+len(shares)*shareSize)
+	data = append(data, callsFormat)
 	data = binary.BigEndian.AppendUint64(data, se.From)
 	return appendShares(data, shares)
 }
 
-// decodeSentAbroad returns false for a datagram of another kind.
-func decodeSentAbroad(data []byte) (balance.SentAbroad, bool) {
-	if len(data) < abroadHead || data[0] != abroadFormat || (len(data)-abroadHead)%shareSize != 0 {
-		return balance.SentAbroad{}, false
+// decodeRemoteCalls returns false for a datagram of another kind.
+func decodeRemoteCalls(data []byte) (balance.RemoteCalls, bool) {
+	if len(data) < callsHead || data[0] != callsFormat || (len(data)-callsHead)%shareSize != 0 {
+		return balance.RemoteCalls{}, false
 	}
-	return balance.SentAbroad{From: binary.BigEndian.Uint64(data[1:]), Shares: decodeShares(data[abroadHead:])}, true
+	return balance.RemoteCalls{From: binary.BigEndian.Uint64(data[1:]), Shares: decodeShares(data[callsHead:])}, true
 }
 
 func encodeRegion(lo balance.RegionLoad) []byte {
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -31,10 +31,10 @@
 	// most so many upstreams in full, and ToldRegion takes in what they told.
 	RegionLoad(most int) balance.RegionLoad
 	ToldRegion(lo balance.RegionLoad)
-	// SentAbroad returns the work that went to other regions since the last call,
-	// and ToldSentAbroad takes in what one of their entries has just sent here.
-	SentAbroad() []balance.SentAbroad
-	ToldSentAbroad(sent balance.SentAbroad)
+	// RemoteCalls returns the work that went to other regions since the last call,
+	// and ToldRemoteCalls takes in what one of their entries has just sent here.
+	RemoteCalls() []balance.RemoteCalls
+	ToldRemoteCalls(sent balance.RemoteCalls)
 	// Facts returns what this entry has found out of upstreams since the last call.
 	Facts() []balance.Fact
 	// ToldFacts takes in what another one has found out.
@@ -58,8 +58,8 @@
 	ld    Loads
 	di    Digests
 	addrs func() []string
-	// abroad lists the entries of each other region.
-	abroad func() map[core.Region][]string
+	// remote lists the entries of each other region.
+	remote func() map[core.Region][]string
 	// round counts the rounds of telling other regions.
 	round int
 	// reads reports whether others rely on this entry's copy.
@@ -73,10 +73,10 @@
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
-// lists, and to one at a time of each other region that abroad lists; reads reports whether others rely on this entry's copy of the store.
-func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, abroad func() map[core.Region][]string, reads func() bool) *Sharer {
+// lists, and to one at a time of each other region that remote lists; reads reports whether others rely on this entry's copy of the store.
+func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, remote func() map[core.Region][]string, reads func() bool) *Sharer {
 	return &Sharer{
-		self: self, addr: addr, ld: ld, di: di, addrs: addrs, abroad: abroad, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
+		self: self, addr: addr, ld: ld, di: di, addrs: addrs, remote: remote, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
 		limit: rate.NewLimiter(sentRate, sentBurst),
 	}
 }
@@ -130,7 +130,7 @@
 	go sh.receive(pc)
 	ti := time.NewTicker(balance.ShareEvery)
 	defer ti.Stop()
-	far := time.NewTicker(balance.AbroadEvery)
+	far := time.NewTicker(balance.RemoteEvery)
 	defer far.Stop()
 	for {
 		select {
@@ -140,12 +140,12 @@
 			sh.sendFacts(pc, true)
 			sh.send(pc)
 		case <-far.C:
-			sh.sendAbroad(pc)
+			sh.sendRemote(pc)
 		case <-sh.changed:
 			sh.sendDigest(pc)
 		case <-sh.ld.Sent():
 			sh.sendSent(pc)
-			sh.sendSentAbroad(pc)
+			sh.sendRemoteCalls(pc)
 			sh.sendFacts(pc, false) // A call that found nobody is followed by another one.
 		}
 	}
@@ -307,8 +307,8 @@
 		sh.ld.ToldRegion(lo)
 		return
 	}
-	if sent, ok := decodeSentAbroad(data); ok {
-		sh.ld.ToldSentAbroad(sent)
+	if sent, ok := decodeRemoteCalls(data); ok {
+		sh.ld.ToldRemoteCalls(sent)
 		return
 	}
 	if facts, ok := decodeFacts(data); ok {
