Rank the entries for a cold upstream only when one is cold

Cause: each line of the list had all entries of its region sorted by hash, and the list of entries made anew, also for upstreams that are warm. An entry that starts before 3,000 upstreams beside 300 entries would have hashed 450,000 times and left 100 MB to the collector.

The list is kept until an entry changes, and the rank is counted without sorting when a permit is first asked for.

--- a/core/feed/warmup.go
+++ b/core/feed/warmup.go
@@ -43,6 +43,9 @@
 // sharers lists the entries that share the permits of an upstream: those of its
 // region, or all where that has none.
 func (fd *Feed) sharers(re core.Region) []core.ProcessID {
+	if kept, ok := fd.shared[re]; ok {
+		return kept
+	}
 	var near, all []core.ProcessID
 	for _, me := range fd.Members() {
 		all = append(all, me.ID)
@@ -51,7 +54,8 @@
 		}
 	}
 	if len(near) == 0 {
-		return all
+		near = all
 	}
+	fd.shared[re] = near
 	return near
 }
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -27,6 +27,25 @@
 	return dig.Sum64()
 }
 
+// Rank returns the place of a member for a key, 0 for the most preferred, or -1 where
+// it is none.
+func Rank[S ~string](key string, members []S, self S) int {
+	own, rank, found := Weight(key, string(self)), 0, false
+	for _, me := range members {
+		we := Weight(key, string(me))
+		switch {
+		case me == self:
+			found = true
+		case we > own || we == own && me < self:
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
+}
+
 // Top returns the n preferred members for a key, the most preferred first.
 func Top[T any](key string, members []T, n int, name func(T) string) []T {
 	type ranked struct {
--- a/core/warmup/tracker.go
+++ b/core/warmup/tracker.go
@@ -24,7 +24,7 @@
 	// a warm one.
 	ColdFor time.Duration
 	// Entries are those that share the permits, as they were registered at the
-	// notice's revision.
+	// notice's revision. They must not be changed afterwards.
 	Entries []core.ProcessID
 	// Exact says that Entries are certain.
 	Exact bool
@@ -47,15 +47,20 @@
 	coldUntil time.Time
 	unknown   bool
 	noticed   time.Time
-	// rank is this entry's place among the entries that share the permits, or
-	// noRank.
-	rank, entries int
-	exact         bool
+	// entries share the permits, and exact says that they are certain.
+	entries []core.ProcessID
+	exact   bool
+	// rank is this entry's place among them, noRank where it is none of them and
+	// unranked until it is asked for: few upstreams are ever cold.
+	rank int
 	// busy are the permits that are taken.
 	busy []*Permit
 }
 
-const noRank = -1
+const (
+	noRank   = -1
+	unranked = -2
+)
 
 // Option changes a Tracker at construction.
 type Option func(*Tracker)
@@ -81,8 +86,7 @@
 
 // Started begins a span with permits of its own.
 func (tr *Tracker) Started(now time.Time, no Notice) {
-	top := rendezvous.Top(string(no.Upstream), no.Entries, len(no.Entries), func(id core.ProcessID) string { return string(id) })
-	sp := &span{rank: slices.Index(top, tr.self), entries: len(top), exact: no.Exact}
+	sp := &span{entries: no.Entries, exact: no.Exact, rank: unranked}
 	sp.note(now, no.ColdFor)
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -160,11 +164,15 @@
 	if !suspect && !sp.limited(now, bo) {
 		return true
 	}
-	if sp.cold(now, bo) && !sp.exact {
+	cold := sp.cold(now, bo)
+	if cold && !sp.exact {
 		return false
 	}
 	sp.busy = slices.DeleteFunc(sp.busy, func(pe *Permit) bool { return pe.released && !now.Before(pe.freeAt) })
-	return len(sp.busy) < sp.own(tr.Permits(bo))
+	if !cold && !suspect {
+		return len(sp.busy) == 0 // It was warm in the entry's first copy of the list.
+	}
+	return len(sp.busy) < tr.own(ho.ID, sp, bo)
 }
 
 // note takes in how long the upstream stays cold.
@@ -187,15 +195,19 @@
 }
 
 // own is how many of all permits are this entry's. They are dealt in turn. An
-// entry that is not registered yet may use one where it knows of no cold upstream.
-func (sp *span) own(all int) int {
+// entry that was not registered may use one where it knows of no cold upstream.
+func (tr *Tracker) own(id core.UpstreamID, sp *span, bo Bound) int {
+	if sp.rank == unranked {
+		sp.rank = rendezvous.Rank(string(id), sp.entries, tr.self)
+	}
+	all := tr.Permits(bo)
 	switch {
 	case sp.rank == noRank && !sp.exact:
 		return 1
 	case sp.rank == noRank || sp.rank >= all:
 		return 0
 	}
-	return (all-sp.rank-1)/sp.entries + 1
+	return (all-sp.rank-1)/len(sp.entries) + 1
 }
 
 // Permit allows one request to a cold upstream.
