--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -61,7 +61,7 @@
 	if err := de.start(); err != nil {
 		return err
 	}
-	steps := []func() error{de.chat, de.cascade, de.atMostOnce, de.refusals, de.order, de.hog, de.killAgent, de.rollOut, de.stop, de.bill}
+	steps := []func() error{de.chat, de.cascade, de.atMostOnce, de.refusals, de.zones, de.order, de.hog, de.killAgent, de.rollOut, de.stop, de.bill}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
