--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -19,6 +19,7 @@
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
 	"skylarkstand/io/front"
 )
 
@@ -69,7 +70,7 @@
 	fl := fleet.New()
 	fl.Put(core.Host{ID: "desk-1", Addr: "desk-1", Service: "desk", Slots: 4, Version: "v1"})
 	fw := forward.New(core.NewDeps(), ac, forward.Parts{
-		InForce: inf, Fleet: fl, Canary: canary.New(),
+		InForce: inf, Warmup: warmup.New("self"), Fleet: fl, Canary: canary.New(),
 		Age:     func() time.Duration { return 0 },
 		Repeats: forward.NewWindows(10*time.Second, 1, func() float64 { return 10 }),
 	})
