--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -51,7 +51,7 @@
 	facts map[*peer]bool
 	// told is what other entries have at upstreams.
 	told map[uint64]told
-	// remoteLoad is the load of other regions.
+	// remote is the load of other regions, by the hash of the name.
 	remote map[uint64]remoteLoad
 	// remoteCalls is the work for other regions that was not told yet.
 	remoteCalls map[uint64][]Share
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -60,7 +60,7 @@
 	addrs func() []string
 	// remote lists the entries of each other region.
 	remote func() map[core.Region][]string
-	// round counts the rounds of telling other regions.
+	// round counts the times that other regions were told.
 	round int
 	// reads reports whether others rely on this entry's copy.
 	reads   func() bool
@@ -73,7 +73,8 @@
 }
 
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
-// lists, and to one at a time of each other region that remote lists; reads reports whether others rely on this entry's copy of the store.
+// lists, and to one at a time of each other region that remote lists; reads reports
+// whether others rely on this entry's copy of the store.
 func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, remote func() map[core.Region][]string, reads func() bool) *Sharer {
 	return &Sharer{
 		self: self, addr: addr, ld: ld, di: di, addrs: addrs, remote: remote, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
