Look regions up without splitting their list

Cause: a restricted workspace's regions were sorted anew for each candidate of a chat's choice, and split again for each look at a host, though neither changes while a configuration is in force.

Behaviour is the same.

--- a/core/declaration/snapshot.go
+++ b/core/declaration/snapshot.go
@@ -27,6 +27,7 @@
 	services   map[serviceKey]bool
 	rollouts   map[core.ModelID]*RollOut
 	evacuated  map[core.Zone]bool
+	regions    map[core.WorkspaceID]core.Regions
 }
 
 type (
@@ -60,6 +61,7 @@
 		services:   map[serviceKey]bool{},
 		rollouts:   map[core.ModelID]*RollOut{},
 		evacuated:  map[core.Zone]bool{},
+		regions:    map[core.WorkspaceID]core.Regions{},
 	}
 	for _, zo := range doc.Zones {
 		sn.evacuated[zo.ID] = zo.Evacuated != ""
@@ -94,6 +96,7 @@
 
 func (sn *Snapshot) indexWorkspace(ws *Workspace) {
 	sn.workspaces[ws.ID] = ws
+	sn.regions[ws.ID] = core.OnlyRegions(ws.Regions...)
 	for _, hash := range ws.KeyHashes {
 		sn.byKey[hash] = ws
 	}
--- a/core/declaration/zone.go
+++ b/core/declaration/zone.go
@@ -34,11 +34,7 @@
 // MayPlace reports whether new work of a workspace may go to a host: the workspace
 // allows its region, and its zone is not evacuated.
 func (sn *Snapshot) MayPlace(ws core.WorkspaceID, ho core.Host) bool {
-	if sn.evacuated[ho.Zone] {
-		return false
-	}
-	own := sn.workspaces[ws]
-	return own == nil || core.OnlyRegions(own.Regions...).Allows(ho.Region)
+	return !sn.evacuated[ho.Zone] && sn.regions[ws].Allows(ho.Region)
 }
 
 // Evacuated reports whether a zone gets no new work.
--- a/core/regions.go
+++ b/core/regions.go
@@ -9,12 +9,12 @@
 // all. Values are comparable.
 type Regions struct {
 	restricted bool
-	// list holds the names in order, each followed by regionEnd.
+	// list holds the names in order, with a separator around each.
 	list string
 }
 
-// regionEnd does not occur in the name of a region.
-const regionEnd = "\x00"
+// separator does not occur in the name of a region.
+const separator = "\x00"
 
 // OnlyRegions returns a restriction to the named regions. Without names nothing
 // is restricted.
@@ -28,9 +28,9 @@
 func restricted(names []Region) Regions {
 	names = slices.Clone(names)
 	slices.Sort(names)
-	re := Regions{restricted: true}
+	re := Regions{restricted: true, list: separator}
 	for _, name := range slices.Compact(names) {
-		re.list += string(name) + regionEnd
+		re.list += string(name) + separator
 	}
 	return re
 }
@@ -41,7 +41,7 @@
 // Names lists the allowed regions; nil when nothing is restricted.
 func (re Regions) Names() []Region {
 	var out []Region
-	for name := range strings.SplitSeq(strings.TrimSuffix(re.list, regionEnd), regionEnd) {
+	for name := range strings.SplitSeq(re.list, separator) {
 		if name != "" {
 			out = append(out, Region(name))
 		}
@@ -51,7 +51,7 @@
 
 // Allows reports whether a request may be served in a region.
 func (re Regions) Allows(name Region) bool {
-	return !re.restricted || slices.Contains(re.Names(), name)
+	return !re.restricted || strings.Contains(re.list, separator+string(name)+separator)
 }
 
 // Intersect returns the regions that both allow, which may be none.
