Add up what entries told in one place

Cause: the load that a region tells others summed the told shares once more beside the sums that choices go by, with its own copy of their lifetime; and adding to a share stood in three places.

Change: RegionLoad begins with those sums and adds the own work. The entries of other regions are an option of the sharer, as a sharer without them works too.

Measured: the tests of balance, sibling, forward and app pass, among them those of a region's load and of its lifetime; no play was made of it by itself.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -223,7 +223,7 @@
 	near := func() []string { return me.near(set.Siblings, set.Regions, deps.Region) }
 	reads := func() bool { return me.reads(deps.Self, set.Regions, deps.Region) }
 	remote := func() map[core.Region][]string { return me.remote(set.Regions, deps.Region) }
-	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, remote, reads)
+	return sibling.NewSharer(deps.Self, set.Siblings, fw, fo, near, reads, sibling.Remote(remote))
 }
 
 func newRecaller(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.Memory, fw *forward.Forwarder, off mechanism.Off) *recall.Recaller {
--- a/core/balance/remote.go
+++ b/core/balance/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,28 +41,13 @@
 // RegionLoad returns what this entry knows of its region, with at most so many
 // upstreams in full.
 func (pk *Picker) RegionLoad(now time.Time, most int) RegionLoad {
-	sum := map[uint64]Share{}
-	add := func(sh Share) {
-		old := sum[sh.Upstream]
-		sum[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
-	}
+	sum := maps.Clone(pk.toldSums(now).shares)
 	for _, pe := range pk.peers {
 		if pe.own > 0 {
-			add(Share{pe.hash, pe.own, pe.pending})
-		}
-	}
-	for _, to := range pk.told {
-		if now.Sub(to.at) > shareLife {
-			continue
-		}
-		for _, sh := range to.shares {
-			add(sh)
+			addShare(sum, Share{pe.hash, pe.own, pe.pending})
 		}
 	}
-	lo := RegionLoad{Region: HashOf(pk.region)}
-	for _, sh := range sum {
-		lo.Shares = append(lo.Shares, sh)
-	}
+	lo := RegionLoad{Region: HashOf(pk.region), Shares: slices.Collect(maps.Values(sum))}
 	slices.SortFunc(lo.Shares, func(a, b Share) int {
 		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(b.Own, a.Own), cmp.Compare(a.Upstream, b.Upstream))
 	})
@@ -127,8 +113,7 @@
 		return
 	}
 	for _, sh := range sent.Shares {
-		old := rl.shares[sh.Upstream]
-		rl.shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
+		addShare(rl.shares, sh)
 	}
 }
 
--- a/core/balance/shares.go
+++ b/core/balance/shares.go
@@ -176,17 +176,26 @@
 // others returns what the other entries have at an upstream as they told, and
 // reports whether any of them told anything lately.
 func (pk *Picker) others(now time.Time, hash uint64) (own float64, pending time.Duration, known bool) {
+	su := pk.toldSums(now)
+	sh := su.shares[hash]
+	return float64(sh.Own), sh.Pending, su.entries > 0
+}
+
+// hears reports whether any other entry told anything lately.
+func (pk *Picker) hears(now time.Time) bool { return pk.toldSums(now).entries > 0 }
+
+// toldSums returns what all other entries of the region told lately, added up.
+func (pk *Picker) toldSums(now time.Time) *sums {
 	if now.After(pk.sums.until) {
 		pk.sumUp(now)
 	}
-	sh := pk.sums.shares[hash]
-	return float64(sh.Own), sh.Pending, pk.sums.entries > 0
+	return &pk.sums
 }
 
-// hears reports whether any other entry told anything lately.
-func (pk *Picker) hears(now time.Time) bool {
-	_, _, known := pk.others(now, 0)
-	return known
+// addShare adds to what is known of an upstream.
+func addShare(shares map[uint64]Share, sh Share) {
+	old := shares[sh.Upstream]
+	shares[sh.Upstream] = Share{sh.Upstream, old.Own + sh.Own, old.Pending + sh.Pending}
 }
 
 func (pk *Picker) sumUp(now time.Time) {
@@ -205,9 +214,8 @@
 		if ends.Before(su.until) {
 			su.until = ends
 		}
-		for hash, sh := range to.shares {
-			sum := su.shares[hash]
-			su.shares[hash] = Share{hash, sum.Own + sh.Own, sum.Pending + sh.Pending}
+		for _, sh := range to.shares {
+			addShare(su.shares, sh)
 		}
 	}
 }
--- a/io/sibling/share.go
+++ b/io/sibling/share.go
@@ -72,14 +72,25 @@
 	facts []balance.Fact
 }
 
+// SharerOption changes a Sharer at construction.
+type SharerOption func(*Sharer)
+
+// Remote sets what lists the entries of each other region.
+func Remote(fn func() map[core.Region][]string) SharerOption {
+	return func(sh *Sharer) { sh.remote = fn }
+}
+
 // NewSharer returns the duty. It listens at addr and sends to those that addrs
-// lists, and to one at a time of each other region that remote lists; reads reports
-// whether others rely on this entry's copy of the store.
-func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, remote func() map[core.Region][]string, reads func() bool) *Sharer {
-	return &Sharer{
-		self: self, addr: addr, ld: ld, di: di, addrs: addrs, remote: remote, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
-		limit: rate.NewLimiter(sentRate, sentBurst),
+// lists; reads reports whether others rely on this entry's copy of the store.
+func NewSharer(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, reads func() bool, opts ...SharerOption) *Sharer {
+	sh := &Sharer{
+		self: self, addr: addr, ld: ld, di: di, addrs: addrs, reads: reads, changed: make(chan struct{}, 1), turns: turns{},
+		limit: rate.NewLimiter(sentRate, sentBurst), remote: func() map[core.Region][]string { return nil },
+	}
+	for _, opt := range opts {
+		opt(sh)
 	}
+	return sh
 }
 
 // Changed has all siblings told at once that this entry's copy has changed, if
--- a/io/sibling/take_test.go
+++ b/io/sibling/take_test.go
@@ -7,7 +7,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/mirror"
 )
@@ -42,7 +41,7 @@
 func newPeer() (*Sharer, *peer) {
 	pe := &peer{}
 	addrs := func() []string { return []string{"127.0.0.1:7340"} }
-	return NewSharer("p", "127.0.0.1:7341", pe, digests{pe}, addrs, func() map[core.Region][]string { return nil }, func() bool { return true }), pe
+	return NewSharer("p", "127.0.0.1:7341", pe, digests{pe}, addrs, func() bool { return true }), pe
 }
 
 // TestRevisionIsToldWithoutLoads guards against a reader that tells of a new revision
