Say exactly what a permit of a cold upstream guarantees

Cause: the comment of Release said that a request has arrived for certain or cannot arrive any more. Of an attempt that is given up unanswered neither is known: its bytes may still be on their way. What holds is that the next request is sent more than a second later, which is what the limit counts. Cooled was the name of a call that tells how long an upstream stays cold, and slack had no unit.

Change: the comments say so, SetRemaining and permitHolders are the names, and the test of the end of a cold start checks the last nanosecond, each scenario by its own columns, in place of an or that one of them always met.

Measured: the tests of warmup, feed, forward, route and platform pass.

--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -42,8 +42,7 @@
 	// Repeats bounds the arrivals at a service beyond the first of each
 	// request.
 	Repeats Repeats `json:"repeats"`
-	// WarmUp bounds the requests in one second that break a cold upstream, over all
-	// gateways.
+	// WarmUp bounds the requests in one second at a cold upstream, over all gateways.
 	WarmUp WarmUp `json:"warm-up"`
 	// DrainLimit is the time from the request to stop until the process must
 	// be gone.
@@ -69,7 +68,8 @@
 // WarmUp says by how much a cold upstream may be asked beyond the rate that its
 // service declares.
 type WarmUp struct {
-	// Overshoot is the factor on the rate, and Slack what is allowed besides.
+	// Overshoot is the factor on the rate, and Slack how many requests are allowed
+	// besides.
 	Overshoot float64 `json:"overshoot,omitempty"`
 	Slack     float64 `json:"slack,omitempty"`
 }
--- a/core/feed/cold_test.go
+++ b/core/feed/cold_test.go
@@ -243,7 +243,7 @@
 
 // TestColdUpstreamGetsWhatItBears guards against a herd at a cold upstream, by
 // entries that start, leave, pause, are cut off, skip changes and send late.
-func TestColdUpstreamGetsWhatItBears(t *testing.T) {
+func TestColdUpstreamGetsNoMoreThanItCanTake(t *testing.T) {
 	for _, evacuated := range []bool{false, true} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
@@ -261,7 +261,7 @@
 
 // TestPermitsGivenBackEarlyAreNoticed keeps the test above honest: where permits
 // do not wait for their requests to arrive, it must see more than the upstream
-// bears.
+// can take.
 func TestPermitsGivenBackEarlyAreNoticed(t *testing.T) {
 	over := 0
 	for seed := range uint64(20) {
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -87,9 +87,9 @@
 	mu      sync.Mutex
 	members map[core.ProcessID]Member
 	hosts   map[core.UpstreamID]core.Host
-	// shared are the entries that share the permits of a region's upstreams, kept
+	// holders are the entries that share the permits of a region's upstreams, kept
 	// until one of the entries changes.
-	shared map[core.Region][]core.ProcessID
+	holders map[core.Region][]core.ProcessID
 	// restored are the upstreams that have not written since the evacuation of
 	// their zone was taken back.
 	restored map[core.UpstreamID]bool
@@ -101,7 +101,7 @@
 func New(deps core.Deps, la Layout, pa Parts) *Feed {
 	return &Feed{
 		deps: deps, la: la, pa: pa, members: map[core.ProcessID]Member{},
-		hosts: map[core.UpstreamID]core.Host{}, restored: map[core.UpstreamID]bool{}, shared: map[core.Region][]core.ProcessID{},
+		hosts: map[core.UpstreamID]core.Host{}, restored: map[core.UpstreamID]bool{}, holders: map[core.Region][]core.ProcessID{},
 	}
 }
 
@@ -130,7 +130,7 @@
 			return
 		}
 	}
-	clear(fd.shared)
+	clear(fd.holders)
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
 	if ch.Gone {
--- a/core/feed/warmup.go
+++ b/core/feed/warmup.go
@@ -18,7 +18,7 @@
 	case !known || old.Born != ho.Born || again:
 		fd.started(now, ch, ho, ho.Warming)
 	case old.Warming != ho.Warming:
-		fd.pa.Warmup.Cooled(now, ho.ID, ho.Warming)
+		fd.pa.Warmup.SetRemaining(now, ho.ID, ho.Warming)
 	}
 }
 
@@ -33,17 +33,17 @@
 }
 
 func (fd *Feed) started(now time.Time, ch core.Change, ho core.Host, coldFor time.Duration) {
-	no := warmup.Notice{Upstream: ho.ID, ColdFor: coldFor, Entries: fd.sharers(ho.Region), Exact: !ch.Skipped}
+	no := warmup.Notice{Upstream: ho.ID, ColdFor: coldFor, Entries: fd.permitHolders(ho.Region), Exact: !ch.Skipped}
 	fd.pa.Warmup.Started(now, no)
 	if coldFor != 0 {
 		event.Log(fd.deps.Log, event.UpstreamCold, "upstream", ho.ID, "cold-for", coldFor, "entries", len(no.Entries), "exact", no.Exact, "revision", ch.Revision)
 	}
 }
 
-// sharers lists the entries that share the permits of an upstream: those of its
+// permitHolders lists the entries that share the permits of an upstream: those of its
 // region, or all where that has none.
-func (fd *Feed) sharers(re core.Region) []core.ProcessID {
-	if kept, ok := fd.shared[re]; ok {
+func (fd *Feed) permitHolders(re core.Region) []core.ProcessID {
+	if kept, ok := fd.holders[re]; ok {
 		return kept
 	}
 	var near, all []core.ProcessID
@@ -56,6 +56,6 @@
 	if len(near) == 0 {
 		near = all
 	}
-	fd.shared[re] = near
+	fd.holders[re] = near
 	return near
 }
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -51,7 +51,7 @@
 	return jb.fw.parts.Warmup.Open(now, hosts, jb.warmup(), func(ho *core.Host) bool { return jb.suspectCold(now, ho) })
 }
 
-// warmup is what a cold upstream of the service bears.
+// warmup is what a cold upstream of the service can take.
 func (jb *job) warmup() warmup.Bound {
 	if sv := jb.tb.Service(jb.service); sv != nil {
 		return sv.Warmup
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -33,7 +33,7 @@
 	// Born is when this incarnation of an upstream started, in milliseconds
 	// since 1970 by its own clock. An id may come back with another one.
 	Born int64 `json:"born,omitempty"`
-	// Warming is how much longer an upstream is slow and bears few requests after
+	// Warming is how much longer an upstream is slow and can take few requests after
 	// its start, as of the line; 0 is a warm one. See [WarmingUnknown].
 	Warming time.Duration `json:"warming,omitempty"`
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -85,7 +85,7 @@
 	cascades bool
 	// MaxConnections bounds the connections to one upstream, of all entries.
 	MaxConnections int
-	// Warmup is what an upstream bears while it is cold.
+	// Warmup is what an upstream can take while it is cold.
 	Warmup warmup.Bound
 }
 
--- a/core/warmup/doc.go
+++ b/core/warmup/doc.go
@@ -1,7 +1,7 @@
 // Package warmup limits what cold upstreams get from all entries together.
 //
 // An upstream is cold for some seconds after its start, and may crash when it gets
-// more requests than it bears. To many entries it looks idle, and each of them
+// more requests than it can take. To many entries it looks idle, and each of them
 // would send it a request at the same moment.
 //
 // The limit holds by construction. An upstream that becomes cold has a fixed number
@@ -13,7 +13,9 @@
 // that cannot tell the list at that revision, since its copy skipped changes, owns
 // nothing either. A permit is taken for a request and is free again one second
 // after the upstream began to answer it, so that two arrivals by one permit are
-// more than a second apart, however late a request was sent.
+// more than a second apart, however late a request was sent. Where an attempt is
+// given up unanswered, that holds for the sending alone: what is still on its way
+// may arrive beside the next request.
 //
 // Not covered is what the store does not tell. Until it tells that an upstream is
 // cold, one that could not be reached a moment ago is treated as suspect: an entry
--- a/core/warmup/tracker.go
+++ b/core/warmup/tracker.go
@@ -9,7 +9,7 @@
 	"skylarkstand/core/rendezvous"
 )
 
-// Bound is what a service's upstreams bear while they are cold.
+// Bound is what a service's upstreams can take while they are cold.
 type Bound struct {
 	// Rate is the requests a second; 0 is no bound.
 	Rate float64
@@ -65,8 +65,8 @@
 // Option changes a Tracker at construction.
 type Option func(*Tracker)
 
-// Overshoot sets the requests in one second that break a cold upstream: more than
-// factor times its rate, and slack besides.
+// Overshoot sets how many requests a cold upstream can take in one second: factor
+// times its rate, and slack requests besides.
 func Overshoot(factor, slack float64) Option {
 	return func(tr *Tracker) { tr.overshoot, tr.slack = factor, slack }
 }
@@ -93,8 +93,9 @@
 	tr.spans[no.Upstream] = sp
 }
 
-// Cooled notes that an upstream of a span is cold for so long still.
-func (tr *Tracker) Cooled(now time.Time, id core.UpstreamID, left time.Duration) {
+// SetRemaining notes for how long an upstream stays cold from now on; see
+// [Notice.ColdFor].
+func (tr *Tracker) SetRemaining(now time.Time, id core.UpstreamID, left time.Duration) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if sp := tr.spans[id]; sp != nil {
@@ -194,7 +195,7 @@
 	return sp.cold(now, bo) || !sp.exact && now.Before(sp.noticed.Add(bo.Duration))
 }
 
-// own is how many of all permits are this entry's. They are dealt in turn. An
+// own is how many of all permits are this entry's. They are assigned in turn. An
 // entry that was not registered may use one where it knows of no cold upstream.
 func (tr *Tracker) own(id core.UpstreamID, sp *span, bo Bound) int {
 	if sp.rank == unranked {
@@ -221,8 +222,9 @@
 // again: the second over which requests are counted, and a margin for clocks.
 const pause = time.Second + 50*time.Millisecond
 
-// Release frees a permit once its request has arrived for certain or cannot arrive
-// any more: at the beginning or the end of its answer. The first call counts.
+// Release frees a permit at the beginning of an answer, or at the end of an attempt
+// without one. Its request was sent before that, so the next one is sent more than a
+// second later. The first call counts.
 func (pe *Permit) Release(now time.Time) {
 	if pe == nil {
 		return
--- a/core/warmup/tracker_test.go
+++ b/core/warmup/tracker_test.go
@@ -82,22 +82,27 @@
 		testName string
 		coldFor  time.Duration
 		later    time.Duration // what a line tells after a second; negative is none
+		coldAt   time.Duration
 		ends     time.Duration
 	}{
-		{"as it told", 2 * time.Second, -1, 2 * time.Second},
-		{"as its service says", core.WarmingUnknown, -1, 3 * time.Second},
-		{"later than it told at first", 2 * time.Second, 4 * time.Second, 5 * time.Second},
-		{"earlier than its service says", core.WarmingUnknown, 0, time.Second},
+		{"as it told", 2 * time.Second, -1, 2*time.Second - 1, 2 * time.Second},
+		{"as its service says", core.WarmingUnknown, -1, 3*time.Second - 1, 3 * time.Second},
+		{"later than it told at first", 2 * time.Second, 4 * time.Second, 5*time.Second - 1, 5 * time.Second},
+		{"earlier than its service says", core.WarmingUnknown, 0, 0, time.Second},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			tr := newTracker("a")
 			tr.Started(start, notice(sc.coldFor, true, "b"))
+			cold := func(at time.Duration) bool { return tr.Cold(start.Add(at), host.ID, bound) }
+			assert.Assert(t, cold(0))
 			if sc.later >= 0 {
-				tr.Cooled(start.Add(time.Second), host.ID, sc.later)
+				tr.SetRemaining(start.Add(time.Second), host.ID, sc.later)
 			}
-			assert.Assert(t, tr.Cold(start.Add(sc.ends-time.Millisecond), host.ID, bound) || sc.later == 0)
-			assert.Assert(t, !tr.Cold(start.Add(sc.ends), host.ID, bound))
+			if sc.coldAt > 0 {
+				assert.Assert(t, cold(sc.coldAt))
+			}
+			assert.Assert(t, !cold(sc.ends))
 		})
 	}
 }
