--- a/app/app.go
+++ b/app/app.go
@@ -43,7 +43,7 @@
 	Status    *statusCmd    `arg:"subcommand:status" help:"show what is in force"`
 	History   *historyCmd   `arg:"subcommand:history" help:"show who changed what"`
 	RollBack  *rollBackCmd  `arg:"subcommand:roll-back" help:"put an old generation's content in force again"`
-	Evacuate  *evacuateCmd  `arg:"subcommand:evacuate" help:"keep new work from an availability zone, or take that back"`
+	Evacuate  *evacuateCmd  `arg:"subcommand:evacuate" help:"keep new work from an availability zone, or end that"`
 	Order     *orderCmd     `arg:"subcommand:order" help:"give an engine an order through its agent"`
 	Bill      *billCmd      `arg:"subcommand:bill" help:"sum the ledger by workspace"`
 	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
--- a/app/evacuate.go
+++ b/app/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -29,9 +28,7 @@
 	reason, accept := cmd.Why, []declaration.AcceptRisk(nil)
 	if cmd.End {
 		reason = ""
-		accept = append(accept, declaration.AcceptRisk{
-			Rule: string(declaration.EvacuationLifted), Place: fmt.Sprintf("zones[%s].evacuated", cmd.Zone), Reason: cmd.Why,
-		})
+		accept = append(accept, declaration.AcceptEnd(core.Zone(cmd.Zone), cmd.Why))
 	}
 	// What was accepted about the last step is spent.
 	now := declaration.Again(newest, accept)
--- a/core/declaration/zone.go
+++ b/core/declaration/zone.go
@@ -31,6 +31,13 @@
 	return out, true
 }
 
+// AcceptEnd accepts the risk that a zone's evacuation ends, for a reason.
+func AcceptEnd(id core.Zone, reason string) AcceptRisk {
+	return AcceptRisk{Rule: string(EvacuationLifted), Place: evacuationPlace(id), Reason: reason}
+}
+
+func evacuationPlace(id core.Zone) string { return fmt.Sprintf("zones[%s].evacuated", id) }
+
 // MayPlace reports whether new work of a workspace may go to a host: the workspace
 // allows its region, and its zone is not evacuated.
 func (sn *Snapshot) MayPlace(ws core.WorkspaceID, ho core.Host) bool {
@@ -70,7 +77,7 @@
 func (ch *change) evacuations() {
 	for _, old := range ch.from.Doc.Zones {
 		if old.Evacuated != "" && !ch.to.Evacuated(old.ID) {
-			ch.add(EvacuationLifted, fmt.Sprintf("zones[%s].evacuated", old.ID), fmt.Sprintf("the zone is evacuated (%s) and would get work again", old.Evacuated),
+			ch.add(EvacuationLifted, evacuationPlace(old.ID), fmt.Sprintf("the zone is evacuated (%s) and would get work again", old.Evacuated),
 				fmt.Sprintf("keep \"evacuated\": %q, or end it by: skylarkstand evacuate %s --end", old.Evacuated, old.ID))
 		}
 	}
@@ -90,7 +97,7 @@
 	switch {
 	case old.Evacuated == zo.Evacuated:
 	case zo.Evacuated == "":
-		di.add("evacuation taken back")
+		di.add("evacuation ended")
 	default:
 		di.add("evacuated: %s", zo.Evacuated)
 	}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -89,7 +89,7 @@
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; what runs there ends as it would.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
-		"The evacuation of an availability zone was taken back.", "Nothing."}
+		"The evacuation of an availability zone has ended.", "Nothing."}
 	HaltPending = &Event{342, "halt-pending", slog.LevelWarn,
 		"A halt could not be written into the configuration yet; it holds in this process and is tried again.",
 		"Look at the store."}
--- a/core/feed/evacuation_test.go
+++ b/core/feed/evacuation_test.go
@@ -34,10 +34,10 @@
 
 func item(key string, re core.Revision) core.Item { return core.Item{Key: key, Revision: re} }
 
-// TestEvacuationStandsUntilItIsTakenBack guards against an evacuation that ends by
+// TestEvacuationStandsUntilItIsEnded guards against an evacuation that ends by
 // a copy that is older, a history that was dropped, or lines of the list that come
 // and go.
-func TestEvacuationStandsUntilItIsTakenBack(t *testing.T) {
+func TestEvacuationStandsUntilItIsEnded(t *testing.T) {
 	wo, now := newWorld("self", layout{}, true), time.Now()
 	before := []core.Item{item("up/a", 1), item("up/b", 2)}
 	wo.mi.Replace(before, 2, now)
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -91,7 +91,7 @@
 	// until one of the entries changes.
 	holders map[core.Region][]core.ProcessID
 	// restored are the upstreams that have not written since the evacuation of
-	// their zone was taken back.
+	// their zone ended.
 	restored map[core.UpstreamID]bool
 	// newest is the configuration of the batch at hand.
 	newest *route.Document
@@ -205,8 +205,8 @@
 	}
 }
 
-// evacuation takes in that a zone is evacuated, or that its evacuation was taken
-// back, which only the removal of its key does.
+// evacuation takes in that a zone is evacuated, or that its evacuation has ended,
+// which only the removal of its key tells.
 func (fd *Feed) evacuation(now time.Time, ch core.Change, zo core.Zone) {
 	if ch.Gone {
 		fd.pa.Fleet.Restore(zo)
--- a/test/demo/zones.go
+++ b/test/demo/zones.go
@@ -21,7 +21,7 @@
 	}
 	de.expect(re.Error.Code == "no-allowed-region" && re.Error.Ran == "not-run", "%s", re)
 
-	fmt.Println("\nZone muc-a, with all engines, is evacuated and taken back:")
+	fmt.Println("\nZone muc-a, with all engines, is evacuated and restored:")
 	if err := de.evacuate("--why", "power works"); err != nil {
 		return err
 	}
