Let TestIdleConnectionThatEnded wait until its close has arrived

What was seen: 0 to 17 of 300 runs failed with "connection reset by peer". Cause: a race of the test. Its peer answered and closed, and the second request could leave before the close had arrived, when the connection still was open; nothing can know of a close that has not arrived.

The peer now half-closes and waits until the client's side has acknowledged the end, by the state of its connection. The expectation is the same: the second request is answered, on a new connection. It still guards: with usable() returning true, 20 of 20 runs fail.

--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/io/upstream"
@@ -92,6 +93,31 @@
 	}
 }
 
+// closeAndAwaitAck closes a connection for writing and returns once the other side has
+// acknowledged that, so that its kernel reports the connection as closed.
+func closeAndAwaitAck(nc net.Conn) error {
+	tc := nc.(*net.TCPConn)
+	if err := tc.CloseWrite(); err != nil {
+		return err
+	}
+	rc, err := tc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	for {
+		var info *unix.TCPInfo
+		var opt error
+		err := rc.Control(func(fd uintptr) { info, opt = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+		if err := errors.Join(err, opt); err != nil {
+			return err
+		}
+		if info.State != unix.BPF_TCP_FIN_WAIT1 {
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // neverResponds reads until the connection closes.
 func neverResponds(nc net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, nc) }
 
@@ -207,9 +233,14 @@
 func TestIdleConnectionThatEnded(t *testing.T) {
 	cl, cleanup := upstream.New()
 	defer cleanup()
-	pe := newPeer(t, respondsAndCloses(response("a", "one")), responds(response("b", "two")))
+	closed := make(chan error, 1)
+	pe := newPeer(t, func(nc net.Conn, rq *http.Request) {
+		responds(response("a", "one"))(nc, rq)
+		closed <- closeAndAwaitAck(nc)
+	}, responds(response("b", "two")))
 	_, err := roundTrip(t, cl, pe, "a", "lamp")
 	assert.NilError(t, err)
+	assert.NilError(t, <-closed)
 	got, err := roundTrip(t, cl, pe, "b", "lamp")
 	assert.NilError(t, err)
 	assert.Equal(t, got, "two")
