Log and count the rate limits that upstreams name

An answer without a limit ends it only if its request was sent after the limit became known, since answers on different connections overtake each other; a new incarnation starts without one. The stand-in names a limit and records arrivals. Nothing decides by it yet.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -16,6 +16,7 @@
 	"skylarkstand/core/mechanism"
 	"skylarkstand/core/meter"
 	"skylarkstand/core/prefixsync"
+	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/registration"
 	"skylarkstand/core/rendezvous"
 	"skylarkstand/core/replica"
@@ -82,6 +83,10 @@
 	return warmup.New(deps.Self, warmup.Overshoot(set.WarmUp.Overshoot, set.WarmUp.Slack))
 }
 
+func newRateLimits(deps core.Deps, me *members) *ratelimit.Tracker {
+	return ratelimit.New(deps.Self, me.ids)
+}
+
 // newDisabled returns the disabled mechanisms. The settings are validated before.
 func newDisabled(set settings.Gateway) (mechanism.Disabled, error) {
 	return mechanism.Parse(set.DisabledMechanisms)
@@ -104,6 +109,16 @@
 	return &members{list: func() []watch.Member { return nil }, count: func() int { return 0 }}
 }
 
+// ids returns the ids of the entries.
+func (me *members) ids() []core.ProcessID {
+	list := me.list()
+	out := make([]core.ProcessID, len(list))
+	for i, mb := range list {
+		out[i] = mb.ID
+	}
+	return out
+}
+
 // others returns the addresses of the other entries. It excludes by address, not by id, so that a
 // previous process registered at this process's address is not among them.
 func (me *members) others(own string) []string {
@@ -186,11 +201,11 @@
 	return replica.NewFollower(deps, re, st, si, replica.IsReader(isReader))
 }
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rep *replica.Replica, ac core.UpstreamClient, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
 	re := set.RetryBudget
 	slack := func() float64 { return retry.BurstShare(re.Slack, me.count()) }
 	return forward.New(deps, ac, forward.Components{
-		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt,
+		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl,
 		ConfigAge:      func() time.Duration { return rep.Age(time.Now()) },
 		NewRetryWindow: forward.RetryWindows(time.Duration(re.Window), re.Ratio, slack),
 		Stopping:       sc.remaining, Off: off,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -108,9 +108,10 @@
 	appMembers := newMembers()
 	siblings := newSiblings(set, client, appMembers)
 	follower := newFollower(set, deps, replicaReplica, store, siblings, appMembers, disabled)
+	ratelimitTracker := newRateLimits(deps, appMembers)
 	upstreams := platform.NewUpstreams(client)
 	appShutdownState := newShutdownState()
-	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, replicaReplica, upstreams, appShutdownState, appMembers, disabled)
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, ratelimitTracker, replicaReplica, upstreams, appShutdownState, appMembers, disabled)
 	handler := newWatchHandler(deps, layout, inForce, fleet, guard, tracker, follower, forwarder, client, appMembers)
 	registrar, err := newRegistrar(set, deps, store)
 	if err != nil {
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -85,6 +85,11 @@
 		"Check the version."}
 	UpstreamCold = &Event{357, "upstream-cold", slog.LevelInfo,
 		"An upstream has started or is cold again, and gets only few requests for the time `cold-for` (negative: the duration that its service declares), shared by as many entries as `entries` says. Without `exact`, this entry sends it none during that time.", "Nothing."}
+	UpstreamLimited = &Event{358, "upstream-limited", slog.LevelWarn,
+		"An upstream named in an answer how many requests a second it accepts from all entries together (`limit`), or changed that number.",
+		"Find out what keeps the upstream from its usual capacity."}
+	UpstreamUnlimited = &Event{359, "upstream-unlimited", slog.LevelInfo,
+		"An upstream's answers name no rate limit any more.", "Nothing."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
@@ -162,7 +167,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -98,11 +98,18 @@
 	Confidence int
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
+	// RateLimit is how many requests a second the upstream accepts from all entries together; nil if
+	// it names no limit.
+	RateLimit *Rate
 	// Body ends with io.EOF only if the answer is complete. Closing it early drops the connection,
 	// which makes the upstream stop.
 	Body io.ReadCloser
 }
 
+// FromUpstream reports whether the reply comes from the upstream that was called, and not from
+// something else on the path or from another upstream at its address.
+func (re *Reply) FromUpstream() bool { return !re.WrongUpstream && (re.Sealed || re.NotRun) }
+
 // UpstreamClient calls upstreams directly, without an agent in between. An error is a *Failure. Its
 // Ran is NotRun only if no byte was sent to the upstream, and its Code is then CodeCrashed if
 // nothing listens at the address. The end of the context drops the connection.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/event"
+	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/warmup"
 )
 
@@ -67,6 +68,7 @@
 	at.reply, at.began = re, time.Now()
 	at.permit.Release(at.began)
 	at.recordHeader()
+	at.recordRateLimit()
 	ve := classify(re)
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.shouldEscalate(re) {
 		ve = unsure
@@ -184,6 +186,22 @@
 	fw.picker.RecordHeader(at.began, at.flight, at.rq, at.reply.Load)
 }
 
+// recordRateLimit records the rate limit that the response header names, if any.
+func (at *attempt) recordRateLimit() {
+	if !at.reply.FromUpstream() {
+		return
+	}
+	fw := at.jb.fw
+	an := ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: at.reply.RateLimit}
+	switch fw.components.RateLimits.Observe(at.began, an) {
+	case ratelimit.Limited:
+		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", at.to.ID, "limit", float64(*an.Limit), "request", at.jb.ex.ID)
+	case ratelimit.Lifted:
+		event.Log(fw.deps.Log, event.UpstreamUnlimited, "upstream", at.to.ID, "request", at.jb.ex.ID)
+	case ratelimit.Unchanged:
+	}
+}
+
 // discard ends an attempt whose answer is not used.
 func (at *attempt) discard(ve verdict) {
 	if ve.notRun() {
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/escalation"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/mechanism"
+	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
 	"skylarkstand/core/shed"
@@ -25,6 +26,8 @@
 	Canary  *canary.Guard
 	// Warmup limits the requests to cold upstreams.
 	Warmup *warmup.Tracker
+	// RateLimits tracks the rate limits that upstreams name.
+	RateLimits *ratelimit.Tracker
 	// ConfigAge returns the time since the entry's configuration was last confirmed to be the
 	// newest.
 	ConfigAge func() time.Duration
@@ -235,6 +238,7 @@
 
 // Forget deletes the state of an upstream that is gone.
 func (fw *Forwarder) Forget(id core.UpstreamID) {
+	fw.components.RateLimits.Forget(id)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	fw.picker.Forget(id)
@@ -260,9 +264,20 @@
 
 // Avoided counts the upstreams of a service that this entry avoids.
 func (fw *Forwarder) Avoided(sv core.ServiceID) int {
-	now := time.Now()
-	hosts := fw.components.Fleet.Serving(sv, now, core.Regions{})
+	now, hosts := fw.serving(sv)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	return fw.picker.CountAvoided(now, hosts)
 }
+
+// RateLimited counts the upstreams of a service that name a rate limit.
+func (fw *Forwarder) RateLimited(sv core.ServiceID) int {
+	_, hosts := fw.serving(sv)
+	return fw.components.RateLimits.Count(hosts)
+}
+
+// serving lists the upstreams of a service in all regions, for metrics.
+func (fw *Forwarder) serving(sv core.ServiceID) (time.Time, []core.Host) {
+	now := time.Now()
+	return now, fw.components.Fleet.Serving(sv, now, core.Regions{})
+}
--- /dev/null
+++ b/core/ratelimit/tracker_test.go
@@ -0,0 +1,59 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/core/ratelimit"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func rate(n core.Rate) *core.Rate { return &n }
+
+// answer is an answer that arrives at a time.
+type answer struct {
+	sent, received float64
+	startedAt      int64
+	limit          *core.Rate
+	want           ratelimit.Change
+}
+
+// Guards against a limit that ends by an answer that the upstream gave before it named the limit,
+// and against one that outlives the upstream.
+func TestEndOfALimit(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		answers  []answer
+		limited  int
+	}{
+		{"never named", []answer{{0, 1, 1, nil, ratelimit.Unchanged}}, 0},
+		{"named and kept", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(2), ratelimit.Unchanged}}, 1},
+		{"named anew", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(3), ratelimit.Limited}}, 1},
+		{"not named by a later answer", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1.1, 2, 1, nil, ratelimit.Lifted}}, 0},
+		{"not named by an answer that was under way", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
+		{"restarted", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 2, nil, ratelimit.Unchanged}}, 0},
+		{"named by the incarnation before", []answer{{0, 1, 2, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(9), ratelimit.Unchanged}, {1.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			tr := ratelimit.New("self", func() []core.ProcessID { return nil })
+			var ho core.Host
+			for _, an := range sc.answers {
+				newest := core.Host{ID: "up", StartedAt: an.startedAt}
+				if newest.StartedAt > ho.StartedAt {
+					ho = newest
+				}
+				assert.Equal(t, tr.Observe(at(an.received), ratelimit.Answer{Host: newest, Sent: at(an.sent), Limit: an.limit}), an.want)
+			}
+			assert.Equal(t, tr.Count([]core.Host{ho}), sc.limited)
+			tr.Forget("up")
+			assert.Equal(t, tr.Count([]core.Host{ho}), 0)
+		})
+	}
+}
--- a/core/units.go
+++ b/core/units.go
@@ -1,11 +1,30 @@
 package core
 
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
 // Tokens counts model tokens, of the prompt or generated.
 type Tokens int64
 
 // Millicents is an amount of money: a thousandth of a cent.
 type Millicents int64
 
+// Rate is a number of requests a second.
+type Rate float64
+
+// ParseRate parses a decimal number of requests a second, as in a header. It returns false for
+// anything else, including a negative number.
+func ParseRate(val string) (Rate, bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(val), 64)
+	if err != nil || !(n >= 0) || math.IsInf(n, 0) {
+		return 0, false
+	}
+	return Rate(n), true
+}
+
 // Quality is the fraction of answers that are good enough, from 0 to 1, as rated by the rating
 // service.
 type Quality float64
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -53,6 +53,9 @@
 	mu   sync.Mutex
 	mode Mode
 	runs []Run
+	// rateLimit is the value of the rate limit header; empty for none.
+	rateLimit string
+	arrivals  []time.Time
 }
 
 // New returns an upstream of a service and version.
@@ -78,6 +81,28 @@
 	up.mode = mo
 }
 
+// SetRateLimit makes all further answers name a limit, in requests a second of all gateways
+// together. The upstream does not enforce it.
+func (up *Upstream) SetRateLimit(rate float64) {
+	up.setRateLimit(strconv.FormatFloat(rate, 'f', -1, 64))
+}
+
+// LiftRateLimit makes all further answers name no limit.
+func (up *Upstream) LiftRateLimit() { up.setRateLimit("") }
+
+func (up *Upstream) setRateLimit(val string) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.rateLimit = val
+}
+
+// Arrivals returns the times at which requests arrived, in order, including those that were refused.
+func (up *Upstream) Arrivals() []time.Time {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return append([]time.Time(nil), up.arrivals...)
+}
+
 // Runs returns the requests that were run, in order.
 func (up *Upstream) Runs() []Run {
 	up.mu.Lock()
@@ -100,6 +125,10 @@
 	}
 	up.mu.Lock()
 	mode := up.mode
+	up.arrivals = append(up.arrivals, time.Now())
+	if up.rateLimit != "" {
+		hd.Set("Server-Limit", up.rateLimit)
+	}
 	if mode != Overloaded {
 		up.runs = append(up.runs, newRun(rq, body))
 	}
