Keep all entries together within the rate limit that an upstream names

What operators saw: an upstream that had named a limit of 1 request a second got 16 in 4 s from the entries that it had told; 11 are allowed. Callers saw nothing, since it refused nothing.

Cause: no entry decided by the limit. Class: an upstream's own word on its state was not an input of the choice.

The limit is divided without communication: up to 4 + 1.5 x rate entries, by rendezvous rank, have a token bucket each with equal parts of rate and burst, so that together they send rate a second and no more than 5.5 x rate + 4 in 4 s. The filter stands where all upstreams are listed, after the choice of the version, so that it binds first attempts, retries, escalations, resumed streams, other regions and calls of plain services, and no session changes its version for it; the query of the prefix cache takes a token too. Entries tell one another of limits every 5 s at most; without news they send trials in turns. Where all upstreams are limited a caller is refused at once, with the interval at which they accept requests together.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -86,7 +86,7 @@
 	UpstreamCold = &Event{357, "upstream-cold", slog.LevelInfo,
 		"An upstream has started or is cold again, and gets only few requests for the time `cold-for` (negative: the duration that its service declares), shared by as many entries as `entries` says. Without `exact`, this entry sends it none during that time.", "Nothing."}
 	UpstreamLimited = &Event{358, "upstream-limited", slog.LevelWarn,
-		"An upstream named in an answer how many requests a second it accepts from all entries together (`limit`), or changed that number.",
+		"An upstream named in an answer how many requests a second it accepts from all entries together (`limit`), or changed that number; `by` says whether this entry got the answer or a sibling. This entry keeps to its part of the limit from now on.",
 		"Find out what keeps the upstream from its usual capacity."}
 	UpstreamUnlimited = &Event{359, "upstream-unlimited", slog.LevelInfo,
 		"An upstream's answers name no rate limit any more.", "Nothing."}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -82,6 +82,13 @@
 // NoConfidence is the confidence of a reply that reports none.
 const NoConfidence = -1
 
+// Signals are what an upstream says of itself in the header of an answer.
+type Signals struct {
+	// RateLimit is how many requests a second the upstream accepts from all entries together; nil if
+	// it names no limit.
+	RateLimit *Rate
+}
+
 // Reply is an upstream's answer to a call.
 type Reply struct {
 	Status int
@@ -98,9 +105,7 @@
 	Confidence int
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
-	// RateLimit is how many requests a second the upstream accepts from all entries together; nil if
-	// it names no limit.
-	RateLimit *Rate
+	Signals
 	// Body ends with io.EOF only if the answer is complete. Closing it early drops the connection,
 	// which makes the upstream stop.
 	Body io.ReadCloser
@@ -123,7 +128,8 @@
 	Part  Part
 }
 
-// PrefixCaches reads the prefix caches of engines. An error is a *Failure.
+// PrefixCaches reads the prefix caches of engines. An error is a *Failure. The signals are valid also
+// with an error; they are empty if the engine did not answer.
 type PrefixCaches interface {
-	CachedParts(ctx context.Context, ho Host) ([]CachedPart, error)
+	CachedParts(ctx context.Context, ho Host) ([]CachedPart, Signals, error)
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -188,17 +188,9 @@
 
 // recordRateLimit records the rate limit that the response header names, if any.
 func (at *attempt) recordRateLimit() {
-	if !at.reply.FromUpstream() {
-		return
-	}
-	fw := at.jb.fw
-	an := ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: at.reply.RateLimit}
-	switch fw.components.RateLimits.Observe(at.began, an) {
-	case ratelimit.Limited:
-		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", at.to.ID, "limit", float64(*an.Limit), "request", at.jb.ex.ID)
-	case ratelimit.Lifted:
-		event.Log(fw.deps.Log, event.UpstreamUnlimited, "upstream", at.to.ID, "request", at.jb.ex.ID)
-	case ratelimit.Unchanged:
+	if at.reply.FromUpstream() {
+		an := ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: at.reply.RateLimit}
+		at.jb.fw.observeRateLimit(at.began, an, "request", at.jb.ex.ID)
 	}
 }
 
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -45,10 +45,20 @@
 	return trafficClass{jb.service, !jb.regions().Allows(jb.fw.deps.Region)}
 }
 
-// upstreams lists the upstreams that may get the request now, of any version. Every choice of an
-// upstream and every estimate of its load starts here: no other part of this package queries the
-// fleet. The forwarder's lock is held.
-func (jb *job) upstreams(now time.Time) []core.Host {
+// upstreams lists the upstreams that may get the request now, of any version. Every estimate of
+// their load starts here. The forwarder's lock is held.
+func (jb *job) upstreams(now time.Time) []core.Host { return jb.fw.accepting(now, jb.eligible(now)) }
+
+// accepting leaves out the upstreams that accept no request of this entry at this moment.
+func (fw *Forwarder) accepting(now time.Time, hosts []core.Host) []core.Host {
+	return fw.components.RateLimits.Available(now, hosts)
+}
+
+// eligible lists the upstreams from which the version of a request is chosen: those that may serve
+// it, including the ones that accept no request at this moment. Otherwise a session would move to
+// another version when the upstreams of its own are limited. Every choice of an upstream starts
+// here: no other part of this package queries the fleet. The forwarder's lock is held.
+func (jb *job) eligible(now time.Time) []core.Host {
 	hosts := jb.fw.components.Fleet.Serving(jb.service, now, jb.regions())
 	return jb.fw.components.Warmup.Available(now, hosts, jb.coldLimit(), func(ho *core.Host) bool { return jb.suspectCold(now, ho) })
 }
@@ -77,7 +87,17 @@
 func (jb *job) candidates(now time.Time) canary.Candidates {
 	jb.fw.mu.Lock()
 	defer jb.fw.mu.Unlock()
-	return canary.Candidates{Ready: jb.fw.components.Fleet.Ready(jb.service, now), Eligible: jb.upstreams(now)}
+	return canary.Candidates{Ready: jb.fw.components.Fleet.Ready(jb.service, now), Eligible: jb.eligible(now)}
+}
+
+// unavailableFailure is the failure of a request for which no upstream is left. hosts are those that
+// would be allowed.
+func (jb *job) unavailableFailure(now time.Time, hosts []core.Host) *core.Failure {
+	retryAfter := jb.backoff()
+	if interval, limited := jb.fw.components.RateLimits.Interval(now, hosts); limited {
+		return jb.failure(core.CodeOverloaded, retryAfter+interval, "the upstreams accept no more requests at their rate limits")
+	}
+	return jb.failure(core.CodeNoUpstream, retryAfter, "no upstream takes this work now")
 }
 
 // hasUntried reports whether there is an upstream that was not called yet.
--- a/core/forward/fixture_test.go
+++ b/core/forward/fixture_test.go
@@ -36,6 +36,7 @@
 	t  *testing.T
 	fw *forward.Forwarder
 	fl *fleet.Fleet
+	gu *canary.Guard
 	// key is the API key of the callers.
 	key core.APIKey
 	// inf is the configuration in force, and tb the fixture's configuration.
@@ -73,7 +74,7 @@
 // newUnconfiguredFixture returns a fixture whose entry has no configuration yet.
 func newUnconfiguredFixture(t *testing.T, behaviors ...behavior) *fixture {
 	t.Helper()
-	fx := &fixture{t: t, behaviors: behaviors, inf: route.NewInForce(), fl: fleet.New(), key: "key"}
+	fx := &fixture{t: t, behaviors: behaviors, inf: route.NewInForce(), fl: fleet.New(), gu: canary.New(), key: "key"}
 	doc := route.Document{
 		Version:  3,
 		Services: []route.Service{{ID: "pool"}},
@@ -95,7 +96,7 @@
 	deps := core.NewDeps()
 	deps.Log = slog.New(slog.NewJSONHandler(&fx.log, nil))
 	fx.fw = forward.New(deps, fx, forward.Components{
-		InForce: fx.inf, Fleet: fx.fl, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return []core.ProcessID{"self"} }), Canary: canary.New(),
+		InForce: fx.inf, Fleet: fx.fl, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return []core.ProcessID{"self"} }), Canary: fx.gu,
 		ConfigAge:      func() time.Duration { return fx.age },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 		Stopping:       func() (time.Duration, bool) { return fx.left, fx.left > 0 },
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -244,6 +244,20 @@
 	fw.picker.Forget(id)
 }
 
+// AdmitQuery reports whether an engine accepts a query of its prefix cache now, and takes a token if
+// it has a rate limit. It implements prefixsync's Learner.
+func (fw *Forwarder) AdmitQuery(ho core.Host) bool {
+	return fw.components.RateLimits.Acquire(time.Now(), &ho)
+}
+
+// ObserveSignals records what an engine's answer to a query says of its state. It implements
+// prefixsync's Learner. The absence of a signal proves nothing, since queries are not requests.
+func (fw *Forwarder) ObserveSignals(ho core.Host, sent time.Time, si core.Signals) {
+	if si.RateLimit != nil {
+		fw.observeRateLimit(time.Now(), ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit})
+	}
+}
+
 // RecordCached records the prompts in an upstream's prefix cache. It implements prefixsync's Learner.
 func (fw *Forwarder) RecordCached(ho core.Host, held []core.CachedPart) {
 	fw.mu.Lock()
@@ -272,8 +286,7 @@
 
 // RateLimited counts the upstreams of a service that name a rate limit.
 func (fw *Forwarder) RateLimited(sv core.ServiceID) int {
-	_, hosts := fw.serving(sv)
-	return fw.components.RateLimits.Count(hosts)
+	return fw.components.RateLimits.Count(fw.serving(sv))
 }
 
 // serving lists the upstreams of a service in all regions, for metrics.
--- a/core/forward/gossip.go
+++ b/core/forward/gossip.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"skylarkstand/core"
 	"skylarkstand/core/balance"
+	"skylarkstand/core/event"
 	"skylarkstand/core/mechanism"
+	"skylarkstand/core/ratelimit"
 )
 
 // TakeFacts returns the facts about upstreams that this entry has observed since the last call, and
@@ -22,6 +25,27 @@
 	fw.picker.ReceiveFacts(time.Now(), facts)
 }
 
+// TakeRateLimits returns what this entry has learned of upstreams' rate limits since the last call.
+func (fw *Forwarder) TakeRateLimits() []ratelimit.Notice {
+	return fw.components.RateLimits.TakeNotices(time.Now())
+}
+
+// ReceiveRateLimits processes what a sibling entry has learned of upstreams' rate limits.
+func (fw *Forwarder) ReceiveRateLimits(notices []ratelimit.Notice) {
+	for _, no := range fw.components.RateLimits.ReceiveNotices(time.Now(), notices) {
+		id := fw.upstreamID(no.Upstream)
+		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", id, "limit", float64(*no.Limit), "by", "sibling")
+	}
+}
+
+// upstreamID returns the id of an upstream by its hash, or an empty id for one that this entry has
+// never used.
+func (fw *Forwarder) upstreamID(hash uint64) core.UpstreamID {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.picker.ID(hash)
+}
+
 // SentSignal returns a channel that receives whenever TakeCalls has something to return.
 func (fw *Forwarder) SentSignal() <-chan struct{} { return fw.sentSignal }
 
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -207,10 +207,10 @@
 	fw, rq := jb.fw, jb.request()
 	hosts := fw.components.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), jb.candidates(now), fw.components.ConfigAge() < staleConfigAge)
 	fw.mu.Lock()
-	ho, pe, ok := jb.pickUpstream(now, hosts, rq)
+	ho, pe, ok := jb.pickUpstream(now, fw.accepting(now, hosts), rq)
 	if !ok {
 		fw.mu.Unlock()
-		return nil, jb.failure(core.CodeNoUpstream, jb.backoff(), "no upstream takes this work now")
+		return nil, jb.unavailableFailure(now, hosts)
 	}
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded, permit: pe}
 	at.flight = fw.picker.RecordSent(now, ho, rq)
@@ -236,8 +236,8 @@
 	return at, nil
 }
 
-// pickUpstream chooses an upstream and takes a permit if it is cold. The forwarder's lock is
-// held.
+// pickUpstream chooses an upstream, and takes a permit if it is cold and a token if it has a rate
+// limit. The forwarder's lock is held.
 func (jb *job) pickUpstream(now time.Time, hosts []core.Host, rq balance.Request) (core.Host, *warmup.Permit, bool) {
 	for {
 		ho, ok := jb.fw.picker.Pick(now, hosts, rq, jb.fw.draw)
@@ -245,9 +245,12 @@
 			return core.Host{}, nil, false
 		}
 		if pe, ok := jb.takePermit(now, &ho); ok {
-			return ho, pe, true
+			if jb.fw.components.RateLimits.Acquire(now, &ho) {
+				return ho, pe, true
+			}
+			pe.Release(now)
 		}
-		// Another request took the last permit after the candidates were listed.
+		// Another request took the last permit or token after the candidates were listed.
 		rq.Tried = append(slices.Clone(rq.Tried), ho.ID)
 	}
 }
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -7,6 +7,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/event"
+	"skylarkstand/core/ratelimit"
 )
 
 // logBegin logs the choice of the upstream with its inputs.
@@ -31,6 +32,18 @@
 	}
 }
 
+// observeRateLimit records what an answer says of its upstream's rate limit, and logs a change.
+func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Answer, attrs ...any) {
+	attrs = append([]any{"upstream", an.Host.ID, "by", "answer"}, attrs...)
+	switch fw.components.RateLimits.Observe(now, an) {
+	case ratelimit.Limited:
+		event.Log(fw.deps.Log, event.UpstreamLimited, append(attrs, "limit", float64(*an.Limit))...)
+	case ratelimit.Lifted:
+		event.Log(fw.deps.Log, event.UpstreamUnlimited, attrs...)
+	case ratelimit.Unchanged:
+	}
+}
+
 // log writes the single line about the end of an exchange with an answer.
 func (ans *Answer) log(code core.Code, took time.Duration) {
 	jb, at := ans.jb, ans.at
--- a/core/forward/rate_limit_test.go
+++ b/core/forward/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -200,3 +201,47 @@
 		}
 	}
 }
+
+// Guards against a caller that waits, or is told "unknown", when all upstreams are at their rate
+// limits.
+func TestRefusalAtTheRateLimits(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		limits := map[core.UpstreamID]core.Rate{}
+		for i := range 3 {
+			limits[core.UpstreamID(fmt.Sprint(north, "-", i))], limits[core.UpstreamID(fmt.Sprint(south, "-", i))] = 0.5, 0.5
+		}
+		lp := newLimitedPool(t, 4, limits)
+		lp.run(t, 10*time.Second, 10*time.Millisecond)
+		began := time.Now()
+		failures := lp.run(t, 10*time.Second, 100*time.Millisecond)
+		assert.Assert(t, len(failures) > 50, "%d failures", len(failures))
+		assert.Assert(t, time.Since(began) < 11*time.Second, "no caller waits")
+		for _, err := range failures {
+			var fl *core.Failure
+			assert.Assert(t, errors.As(err, &fl))
+			assert.Equal(t, fl.Ran, core.NotRun)
+			assert.Assert(t, fl.RetryAfter >= 300*time.Millisecond && fl.RetryAfter <= 6*time.Second, "%s", fl.RetryAfter)
+		}
+	})
+}
+
+// Guards against a session that moves to another version while the upstreams of its own are at
+// their rate limits.
+func TestRateLimitKeepsTheVersion(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		limit := core.Rate(0)
+		fx := newFixture(t, func(context.Context, *core.Call) (*core.Reply, error) {
+			re := reply(http.StatusOK, "ok")
+			re.RateLimit = &limit
+			return re, nil
+		})
+		fx.fl.Put(core.Host{ID: "new", Service: "pool", Version: "v2", Slots: 8})
+		fx.gu.Order(time.Now(), canary.Order{Service: "pool", Target: "v2", Duration: time.Minute, Revision: 1})
+		fx.gu.Status(canary.Status{Service: "pool", Target: "v2", State: canary.Completed, Revision: 2})
+		for range 20 {
+			_, _, _ = fx.send(t.Context(), "/lookup/x")
+		}
+		assert.Equal(t, len(fx.calls), 1, "the first request tells the limit")
+		assert.Equal(t, fx.calls[0].To.Version, core.VersionID("v2"))
+	})
+}
--- a/core/prefixsync/prefixsync.go
+++ b/core/prefixsync/prefixsync.go
@@ -32,6 +32,11 @@
 
 // Learner records the prefixes cached by engines.
 type Learner interface {
+	// AdmitQuery reports whether an engine accepts a query now.
+	AdmitQuery(ho core.Host) bool
+	// ObserveSignals records what an engine's answer says of its state. sent is when the query was
+	// sent.
+	ObserveSignals(ho core.Host, sent time.Time, si core.Signals)
 	// RecordCached records the prefixes cached by one engine.
 	RecordCached(ho core.Host, cached []core.CachedPart)
 }
@@ -112,8 +117,13 @@
 }
 
 func (sy *Syncer) query(ctx context.Context, ho core.Host) {
+	if !sy.le.AdmitQuery(ho) {
+		event.Log(sy.deps.Log, event.MemoryUnknown, "upstream", ho.ID, "error", "it accepts no more requests at its rate limit")
+		return
+	}
 	startedAt := time.Now()
-	cached, err := sy.mem.CachedParts(ctx, ho)
+	cached, si, err := sy.mem.CachedParts(ctx, ho)
+	sy.le.ObserveSignals(ho, startedAt, si)
 	if err != nil {
 		event.Log(sy.deps.Log, event.MemoryUnknown, "upstream", ho.ID, "error", err)
 		return
--- a/core/prefixsync/prefixsync_test.go
+++ b/core/prefixsync/prefixsync_test.go
@@ -24,19 +24,27 @@
 	mu      sync.Mutex
 	queries map[core.UpstreamID]int
 	learned map[core.UpstreamID][]core.CachedPart
+	// limited is an engine that accepts no query.
+	limited core.UpstreamID
 }
 
-func (en *engines) CachedParts(ctx context.Context, ho core.Host) ([]core.CachedPart, error) {
+func (en *engines) CachedParts(ctx context.Context, ho core.Host) ([]core.CachedPart, core.Signals, error) {
 	en.mu.Lock()
 	en.queries[ho.ID]++
 	en.mu.Unlock()
 	if ho.ID == "up-1" {
 		<-ctx.Done()
-		return nil, core.OutcomeUnknown("%v", ctx.Err())
+		return nil, core.Signals{}, core.OutcomeUnknown("%v", ctx.Err())
 	}
-	return []core.CachedPart{{Model: "large", Part: core.Part{ID: string(ho.ID), Tokens: 5000}}}, nil
+	return []core.CachedPart{{Model: "large", Part: core.Part{ID: string(ho.ID), Tokens: 5000}}}, core.Signals{}, nil
 }
 
+// AdmitQuery implements prefixsync.Learner.
+func (en *engines) AdmitQuery(ho core.Host) bool { return ho.ID != en.limited }
+
+// ObserveSignals implements prefixsync.Learner.
+func (en *engines) ObserveSignals(core.Host, time.Time, core.Signals) {}
+
 // RecordCached implements prefixsync.Learner.
 func (en *engines) RecordCached(ho core.Host, cached []core.CachedPart) {
 	en.mu.Lock()
@@ -46,18 +54,19 @@
 
 // An entry starts after all entries were lost. Guards against serving without the list of
 // the engines' cached prefixes: each retry of a broken stream would then wait up to seconds for
-// a new prefill. An engine that does not respond must not delay the responses of the others.
+// a new prefill. An engine that does not respond must not delay the responses of the others, and one
+// that accepts no request must get no query.
 func TestStartingEntryLearnsCachedPrefixes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inf, fl := route.NewInForce(), fleet.New()
 		deps := core.NewDeps()
 		deps.Region = "near"
-		en := &engines{queries: map[core.UpstreamID]int{}, learned: map[core.UpstreamID][]core.CachedPart{}}
+		en := &engines{queries: map[core.UpstreamID]int{}, learned: map[core.UpstreamID][]core.CachedPart{}, limited: "up-3"}
 		ended := make(chan error, 1)
 		go func() { ended <- prefixsync.New(deps, inf, fl, en, en).Serve(t.Context()) }()
 		time.Sleep(time.Second)
 		assert.Equal(t, len(en.queries), 0, "no query before the first configuration")
-		for i := range 3 {
+		for i := range 4 {
 			fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "writer", Region: "near"})
 		}
 		fl.Put(core.Host{ID: "far", Service: "writer", Region: "far"})
--- /dev/null
+++ b/core/ratelimit/limit.go
@@ -0,0 +1,126 @@
+package ratelimit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"skylarkstand/core"
+	"skylarkstand/core/rendezvous"
+)
+
+const (
+	// burstSeconds and minBurst set the burst of all entries together: as many requests as the rate
+	// allows in burstSeconds, and minBurst more. An upstream tolerates 1.5 times its rate and 5 more
+	// requests within 4 s; the rest is for entries that disagree about their siblings.
+	burstSeconds = 1.5
+	minBurst     = 4
+	// divideInterval is how often an entry checks whether its part of a limit has changed with the
+	// list of entries.
+	divideInterval = time.Second
+	// trialInterval is the time without news of a limit after which the first holder may send a
+	// request beyond its part. The others wait for longer, by their rank: the first answer makes the
+	// trials of the others needless. It is three times the interval of announcements.
+	trialInterval = 15 * time.Second
+	// maxInterval bounds the time that refused callers are told to wait.
+	maxInterval = 5 * time.Second
+)
+
+// limit is the rate limit of one upstream, and this entry's part of it.
+type limit struct {
+	rate core.Rate
+	// start is the start of the upstream's incarnation that named the limit, see [startOf], and
+	// startedAt the complete time, or 0 while only siblings have told of the limit.
+	start     uint16
+	startedAt int64
+	// namedAt is when an answer last named the limit, or a sibling told of it first; heardAt is when
+	// either of them last did, or a trial was sent. announcedAt is when this entry last told of it.
+	namedAt, heardAt, announcedAt time.Time
+	// entries is the number of entries, holders that of those that share the limit, and rank this
+	// entry's place; it is a holder if the rank is below holders. They are as of dividedAt.
+	entries, rank, holders int
+	dividedAt              time.Time
+	// tokens is a holder's bucket.
+	tokens *rate.Limiter
+	// trialDue is set when a trial should be sent now, and tried when the last news is that a trial
+	// was sent.
+	trialDue, tried bool
+}
+
+// startOf returns the low bits of the start of an upstream's incarnation, which distinguish it from
+// others in messages between entries.
+func startOf(ho *core.Host) uint16 { return uint16(ho.StartedAt) } //nolint:gosec // The low bits do.
+
+func newLimit(start uint16) *limit { return &limit{rate: -1, start: start} }
+
+// appliesTo reports whether the limit was named by this incarnation of the upstream.
+func (li *limit) appliesTo(ho *core.Host) bool {
+	if li.startedAt == 0 {
+		return li.start == startOf(ho)
+	}
+	return li.startedAt == ho.StartedAt
+}
+
+// isNewerThan reports whether a later incarnation of the upstream named the limit.
+func (li *limit) isNewerThan(ho *core.Host) bool { return li.startedAt > ho.StartedAt }
+
+// setRate sets the rate and reports whether it has changed.
+func (li *limit) setRate(ra core.Rate) bool {
+	if li.rate == ra {
+		return false
+	}
+	li.rate, li.dividedAt = ra, time.Time{}
+	return true
+}
+
+// divide computes this entry's part of the limit. An entry that is not registered yet takes the
+// part that it will have.
+func (li *limit) divide(now time.Time, id core.UpstreamID, self core.ProcessID, entries []core.ProcessID) {
+	li.dividedAt = now
+	if !slices.Contains(entries, self) {
+		entries = append(slices.Clone(entries), self)
+	}
+	burst := int(math.Min(burstSeconds*float64(li.rate)+minBurst, math.MaxInt32))
+	li.entries, li.rank = len(entries), rendezvous.Rank(string(id), entries, self)
+	li.holders = min(len(entries), burst)
+	if li.rank >= li.holders {
+		li.tokens = nil
+		return
+	}
+	ownRate, ownBurst := rate.Limit(float64(li.rate)/float64(li.holders)), burst/li.holders
+	if li.tokens == nil {
+		// The bucket starts empty: the upstream has just had more requests than it accepts.
+		li.tokens = rate.NewLimiter(ownRate, ownBurst)
+		li.tokens.AllowN(li.namedAt, ownBurst)
+		return
+	}
+	li.tokens.SetLimitAt(now, ownRate)
+	li.tokens.SetBurstAt(now, ownBurst)
+}
+
+func (li *limit) available(now time.Time) bool {
+	return li.tokens != nil && li.tokens.TokensAt(now) >= 1 || li.mayTry(now)
+}
+
+func (li *limit) acquire(now time.Time) bool {
+	if li.tokens != nil && li.tokens.AllowN(now, 1) {
+		return true
+	}
+	if !li.mayTry(now) {
+		return false
+	}
+	li.heardAt, li.trialDue, li.tried = now, false, true
+	return true
+}
+
+// mayTry reports whether this entry may send a request beyond its part. Without news, the entries
+// take turns, as many in a trialInterval as there are holders.
+func (li *limit) mayTry(now time.Time) bool {
+	turns := li.holders + li.rank
+	if li.tried {
+		turns = max(li.entries, li.holders)
+	}
+	return li.trialDue || now.Sub(li.heardAt) >= trialInterval*time.Duration(turns)/time.Duration(li.holders)
+}
--- /dev/null
+++ b/core/ratelimit/notice.go
@@ -0,0 +1,86 @@
+package ratelimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"skylarkstand/core"
+)
+
+// Notice tells sibling entries of an upstream's limit.
+type Notice struct {
+	// Upstream is the hash of the upstream's id, see [balance.Hash]; Start distinguishes one
+	// incarnation of it from another.
+	Upstream uint64
+	Start    uint16
+	// Limit is the limit; nil if it has ended.
+	Limit *core.Rate
+}
+
+const (
+	// announceInterval is how often an entry tells of a limit that its upstream continues to name.
+	announceInterval = 5 * time.Second
+	// noticeDelay is the age that a notice may have: a round of announcements and the way, with a
+	// margin.
+	noticeDelay = time.Second
+	// noticeTTL is how long a limit is kept that nobody has named again. By then every entry has
+	// sent trials, or has no requests for the upstream.
+	noticeTTL = 10 * time.Minute
+)
+
+// TakeNotices returns what this entry has learned since the last call.
+func (tr *Tracker) TakeNotices(now time.Time) []Notice {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	maps.DeleteFunc(tr.limits, func(_ uint64, li *limit) bool { return now.Sub(li.heardAt) >= noticeTTL })
+	maps.DeleteFunc(tr.liftedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= noticeDelay })
+	if len(tr.pending) == 0 {
+		return nil
+	}
+	out := slices.Collect(maps.Values(tr.pending))
+	clear(tr.pending)
+	return out
+}
+
+// ReceiveNotices applies the notices of a sibling entry, and returns those of a limit that was not
+// known here, or not with this rate.
+//
+// The end of a limit is only a hint, since a notice may be older than the limit: this entry sends a
+// trial at once.
+func (tr *Tracker) ReceiveNotices(now time.Time, notices []Notice) []Notice {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var news []Notice
+	for _, no := range notices {
+		li := tr.limits[no.Upstream]
+		if li != nil && li.start != no.Start {
+			continue // An answer will tell which incarnation is the newer one.
+		}
+		switch lifted, ok := tr.liftedAt[no.Upstream]; {
+		case no.Limit == nil && li != nil:
+			li.trialDue = true
+		case no.Limit == nil:
+			tr.liftedAt[no.Upstream] = now
+		case li == nil && ok && now.Sub(lifted) < noticeDelay:
+			// The notice may be older than the end of the limit.
+		case tr.applyNotice(now, li, no):
+			news = append(news, no)
+		}
+	}
+	return news
+}
+
+// applyNotice applies a notice of a limit, and reports whether it is a new one or has another rate.
+func (tr *Tracker) applyNotice(now time.Time, li *limit, no Notice) bool {
+	if li == nil {
+		li = newLimit(no.Start)
+		tr.limits[no.Upstream] = li
+	}
+	li.heardAt, li.tried = now, false
+	if !li.setRate(*no.Limit) {
+		return false
+	}
+	li.namedAt = now
+	return true
+}
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	Lifted
 )
 
-// Tracker tracks the limits of upstreams. It is safe for concurrent use.
+// Tracker tracks the limits of upstreams and this entry's part of each. It is safe for concurrent
+// use.
 type Tracker struct {
 	self    core.ProcessID
 	entries func() []core.ProcessID
@@ -38,20 +40,15 @@
 	mu sync.Mutex
 	// limits holds the limited upstreams by the hash of their id.
 	limits map[uint64]*limit
-}
-
-// limit is the rate limit of one upstream.
-type limit struct {
-	rate core.Rate
-	// startedAt identifies the incarnation of the upstream that named the limit.
-	startedAt int64
-	// namedAt is when an answer last named it.
-	namedAt time.Time
+	// pending are the notices that were not taken yet, by upstream.
+	pending map[uint64]Notice
+	// liftedAt is when a limit ended, for as long as late notices of it may arrive.
+	liftedAt map[uint64]time.Time
 }
 
 // New returns a tracker for an entry. Entries returns the ids of the registered entries.
 func New(self core.ProcessID, entries func() []core.ProcessID) *Tracker {
-	return &Tracker{self: self, entries: entries, limits: map[uint64]*limit{}}
+	return &Tracker{self: self, entries: entries, limits: map[uint64]*limit{}, pending: map[uint64]Notice{}, liftedAt: map[uint64]time.Time{}}
 }
 
 // Observe records what an answer says.
@@ -60,31 +57,83 @@
 	defer tr.mu.Unlock()
 	key := balance.Hash(an.Host.ID)
 	li := tr.limits[key]
-	if li != nil && an.Host.StartedAt < li.startedAt {
-		return Unchanged // The answer of an earlier incarnation.
-	}
-	if li != nil && an.Host.StartedAt > li.startedAt {
+	switch {
+	case li != nil && li.isNewerThan(&an.Host):
+		return Unchanged
+	case li != nil && !li.appliesTo(&an.Host):
 		delete(tr.limits, key)
 		li = nil
 	}
-	switch {
-	case an.Limit == nil && li != nil && an.Sent.After(li.namedAt):
+	if an.Limit == nil {
+		if li == nil || !an.Sent.After(li.namedAt) {
+			return Unchanged
+		}
 		delete(tr.limits, key)
+		tr.liftedAt[key] = now
+		tr.pending[key] = Notice{Upstream: key, Start: startOf(&an.Host)}
 		return Lifted
-	case an.Limit == nil:
-		return Unchanged
-	case li == nil:
-		li = &limit{startedAt: an.Host.StartedAt, rate: -1}
+	}
+	if li == nil {
+		li = newLimit(startOf(&an.Host))
 		tr.limits[key] = li
 	}
-	changed := li.rate != *an.Limit
-	li.rate, li.namedAt = *an.Limit, now
+	changed := li.setRate(*an.Limit)
+	li.startedAt, li.namedAt, li.heardAt, li.trialDue, li.tried = an.Host.StartedAt, now, now, false, false
+	if changed || now.Sub(li.announcedAt) >= announceInterval {
+		li.announcedAt = now
+		tr.pending[key] = Notice{Upstream: key, Start: li.start, Limit: an.Limit}
+	}
 	if changed {
 		return Limited
 	}
 	return Unchanged
 }
 
+// Available returns the upstreams to which this entry may send a request now.
+func (tr *Tracker) Available(now time.Time, hosts []core.Host) []core.Host {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if len(tr.limits) == 0 {
+		return hosts
+	}
+	unavailable := func(ho core.Host) bool {
+		li := tr.limitOf(now, &ho)
+		return li != nil && !li.available(now)
+	}
+	if !slices.ContainsFunc(hosts, unavailable) {
+		return hosts // The slice is copied only when an upstream is left out.
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), unavailable)
+}
+
+// Acquire takes a token for a request to an upstream, or returns false if none is left. An upstream
+// without a limit needs none.
+func (tr *Tracker) Acquire(now time.Time, ho *core.Host) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	li := tr.limitOf(now, ho)
+	return li == nil || li.acquire(now)
+}
+
+// Interval returns the mean time between two requests that the upstreams of a list accept from all
+// entries together, or false if one of them has no limit.
+func (tr *Tracker) Interval(now time.Time, hosts []core.Host) (time.Duration, bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	sum := core.Rate(0)
+	for i := range hosts {
+		li := tr.limitOf(now, &hosts[i])
+		if li == nil {
+			return 0, false
+		}
+		sum += li.rate
+	}
+	if sum*core.Rate(maxInterval.Seconds()) <= 1 {
+		return maxInterval, len(hosts) > 0
+	}
+	return time.Duration(float64(time.Second) / float64(sum)), true
+}
+
 // Forget deletes the limit of an upstream that is gone.
 func (tr *Tracker) Forget(id core.UpstreamID) {
 	tr.mu.Lock()
@@ -93,14 +142,30 @@
 }
 
 // Count counts the limited upstreams of a list.
-func (tr *Tracker) Count(hosts []core.Host) int {
+func (tr *Tracker) Count(now time.Time, hosts []core.Host) int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	sum := 0
 	for i := range hosts {
-		if li := tr.limits[balance.Hash(hosts[i].ID)]; li != nil && li.startedAt == hosts[i].StartedAt {
+		if tr.limitOf(now, &hosts[i]) != nil {
 			sum++
 		}
 	}
 	return sum
 }
+
+// limitOf returns the limit of an upstream with this entry's current part of it, or nil if the
+// upstream has none.
+func (tr *Tracker) limitOf(now time.Time, ho *core.Host) *limit {
+	if len(tr.limits) == 0 {
+		return nil
+	}
+	li := tr.limits[balance.Hash(ho.ID)]
+	if li == nil || !li.appliesTo(ho) {
+		return nil
+	}
+	if now.Sub(li.dividedAt) >= divideInterval {
+		li.divide(now, ho.ID, tr.self, tr.entries())
+	}
+	return li
+}
--- a/core/ratelimit/tracker_test.go
+++ b/core/ratelimit/tracker_test.go
@@ -51,9 +51,9 @@
 				}
 				assert.Equal(t, tr.Observe(at(an.received), ratelimit.Answer{Host: newest, Sent: at(an.sent), Limit: an.limit}), an.want)
 			}
-			assert.Equal(t, tr.Count([]core.Host{ho}), sc.limited)
+			assert.Equal(t, tr.Count(at(3), []core.Host{ho}), sc.limited)
 			tr.Forget("up")
-			assert.Equal(t, tr.Count([]core.Host{ho}), 0)
+			assert.Equal(t, tr.Count(at(3), []core.Host{ho}), 0)
 		})
 	}
 }
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -12,6 +12,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
+	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/replica"
 )
 
@@ -42,6 +43,10 @@
 	TakeFacts() []balance.Fact
 	// ReceiveFacts records facts found by another entry.
 	ReceiveFacts(facts []balance.Fact)
+	// TakeRateLimits returns what this entry has learned of upstreams' rate limits since the
+	// previous call of TakeRateLimits. ReceiveRateLimits records what another entry has learned.
+	TakeRateLimits() []ratelimit.Notice
+	ReceiveRateLimits(notices []ratelimit.Notice)
 }
 
 // Digests provides this entry's replica digest and processes those of other entries.
@@ -153,6 +158,7 @@
 			return ctx.Err()
 		case <-ti.C:
 			gs.sendFacts(pc, true)
+			gs.sendRateLimits(pc)
 			gs.sendLoad(pc)
 		case <-remoteTicker.C:
 			gs.sendRegionLoad(pc)
@@ -332,6 +338,10 @@
 		gs.ld.ReceiveFacts(facts)
 		return
 	}
+	if notices, ok := decodeRateLimits(data); ok {
+		gs.ld.ReceiveRateLimits(notices)
+		return
+	}
 	if from, sent, ok := decodeSent(data); ok {
 		gs.ld.ReceiveCalls(from, sent)
 		return
--- a/io/sibling/gossip_test.go
+++ b/io/sibling/gossip_test.go
@@ -7,7 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkstand/core"
 	"skylarkstand/core/balance"
+	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/replica"
 )
 
@@ -88,3 +90,22 @@
 	assert.Assert(t, !ok)
 	assert.Assert(t, len(encodeSent(1, make([]balance.UpstreamLoad, 500))) <= 1472)
 }
+
+// Guards against an encoding that alters rate limits, and against decoding other bytes as rate
+// limits: a spurious limit keeps requests from a healthy upstream.
+func TestRateLimitsDatagram(t *testing.T) {
+	low, high := core.Rate(0.125), core.Rate(1e12)
+	notices := []ratelimit.Notice{{Upstream: 1 << 63, Start: 9, Limit: &low}, {Upstream: 3}, {Upstream: 4, Limit: &high}}
+	data := encodeRateLimits(notices)
+	got, ok := decodeRateLimits(data)
+	assert.Assert(t, ok)
+	high = core.Rate(noLimit-1) / rateLimitUnit
+	assert.DeepEqual(t, got, notices)
+	_, ok = decodeRateLimits(data[:len(data)-1])
+	assert.Assert(t, !ok)
+	_, ok = decodeRateLimits(encodeFacts([]balance.Fact{{}}))
+	assert.Assert(t, !ok)
+	_, ok = decodeFacts(data)
+	assert.Assert(t, !ok)
+	assert.Assert(t, len(encodeRateLimits(make([]ratelimit.Notice, maxRateLimits))) <= 1472)
+}
