Keep an answer when no upstream is left for a larger model

What callers would see: with all upstreams of a service at their rate limits, an answer with a low confidence was dropped for a larger model's, no upstream accepted that, and the caller got 502 although an answer had been there. The same could happen when the last permit of a cold upstream was taken between the check and the choice.

Cause: the answer was discarded before the next upstream was chosen. Now the attempt with the larger model is chosen first, with its permit and its token; without one the answer is kept, and the log says no-upstream. TestAnswerIsKeptAtTheRateLimits failed before with "overloaded (unknown)".

--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -36,6 +36,8 @@
 	// to escalate to. rejected is the stage and the confidence of the last discarded answer.
 	stage, nextStage int
 	rejected         *rejectedAnswer
+	// escalated is the attempt with the larger model, from its choice until it runs.
+	escalated *attempt
 	// threshold is the minimum confidence at the last check of an answer, and answerReason is
 	// why that answer was returned.
 	threshold    float64
@@ -68,7 +70,7 @@
 	jb.fw.countArrival(jb)
 	jb.selectResumeStage()
 	for {
-		at, fl := jb.beginAttempt(jb.ex.LastEventID)
+		at, fl := jb.nextAttempt()
 		if fl != nil {
 			return nil, fl
 		}
@@ -82,6 +84,15 @@
 	}
 }
 
+// nextAttempt returns the attempt with the larger model if one was chosen, and begins one otherwise.
+func (jb *job) nextAttempt() (*attempt, *core.Failure) {
+	if at := jb.escalated; at != nil {
+		jb.escalated = nil
+		return at, nil
+	}
+	return jb.beginAttempt(jb.ex.LastEventID)
+}
+
 // errOverdue is the cause when a job's context ends at its deadline.
 var errOverdue = errors.New("the time is up")
 
@@ -117,11 +128,14 @@
 		jb.mayHaveRun = true
 	}
 	jb.lastFailure = at.reason
+	if ve == unsure {
+		return nil // accept has chosen the next attempt, which has to end also if the context has.
+	}
 	if ctx.Err() != nil {
 		return jb.contextFailure(ctx)
 	}
 	switch ve {
-	case unsure, failed:
+	case failed:
 		return nil // accept has allowed another attempt.
 	case lost:
 		if !jb.mayRetry(ctx) {
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -58,6 +58,7 @@
 	reasonTooLate    answerReason = "too-late"
 	reasonNoAttempts answerReason = "attempts"
 	reasonNoBudget   answerReason = "repeats"
+	reasonNoUpstream answerReason = "no-upstream"
 )
 
 // rejectedAnswer is an answer whose confidence was too low.
@@ -101,7 +102,8 @@
 	return jb.rt.TargetLatency <= 0 || now.Sub(jb.ex.Arrived)+jb.fw.picker.ExpectedFirstByte(now, hosts, rq) <= jb.rt.TargetLatency
 }
 
-// escalate reports whether the larger model may be called, and moves to its stage.
+// escalate moves to the stage of the larger model and chooses its upstream. It returns false if the
+// larger model may not be called or no upstream accepts the request, so that the answer is kept.
 func (jb *job) escalate(ctx context.Context) bool {
 	switch {
 	case jb.runs >= jb.maxAttempts():
@@ -113,8 +115,15 @@
 		jb.answerReason = reasonNoBudget
 		return false
 	}
+	stage, tried := jb.stage, jb.tried
 	jb.stage = jb.nextStage
 	// The larger model may run on an upstream that ran the smaller one.
 	jb.tried = nil
+	at, fl := jb.beginAttempt(jb.ex.LastEventID)
+	if fl != nil {
+		jb.stage, jb.tried, jb.answerReason = stage, tried, reasonNoUpstream
+		return false
+	}
+	jb.escalated = at
 	return true
 }
--- a/core/forward/rate_limit_test.go
+++ b/core/forward/rate_limit_test.go
@@ -225,6 +225,27 @@
 	})
 }
 
+// Guards against a caller that loses an answer with a low confidence because no upstream is left for
+// a larger model.
+func TestAnswerIsKeptAtTheRateLimits(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		limit := core.Rate(0.1)
+		fx := newFixture(t, func(context.Context, *core.Call) (*core.Reply, error) {
+			re := reply(http.StatusOK, "data: hm\n\n")
+			re.Confidence, re.RateLimit = 5, &limit
+			return re, nil
+		})
+		for _, id := range []core.UpstreamID{"up-1", "up-2", "up-3"} {
+			fx.fl.Remove(id, time.Now(), false)
+		}
+		_, text, err := fx.send(t.Context(), "/draft/1")
+		assert.NilError(t, err)
+		assert.Equal(t, text, "data: hm\n\n")
+		assert.Equal(t, len(fx.calls), 1)
+		assert.Equal(t, fx.logLines("exchange-ended")[0].AnswerReason, "no-upstream")
+	})
+}
+
 // Guards against a session that moves to another version while the upstreams of its own are at
 // their rate limits.
 func TestRateLimitKeepsTheVersion(t *testing.T) {
--- a/core/losses/cause.go
+++ b/core/losses/cause.go
@@ -51,11 +51,12 @@
 	Paused Cause = "paused"
 	// Doubtful is an answer of low confidence although a larger model exists. The other Doubtful
 	// causes are the known reasons why the request was not escalated.
-	Doubtful          Cause = "doubtful answer"
-	DoubtfulSufficed  Cause = "doubtful: sufficed under load"
-	DoubtfulTooLate   Cause = "doubtful: a larger model would be late"
-	DoubtfulAttempts  Cause = "doubtful: attempts used up"
-	DoubtfulNoRetries Cause = "doubtful: no retries left"
+	Doubtful           Cause = "doubtful answer"
+	DoubtfulSufficed   Cause = "doubtful: sufficed under load"
+	DoubtfulTooLate    Cause = "doubtful: a larger model would be late"
+	DoubtfulAttempts   Cause = "doubtful: attempts used up"
+	DoubtfulNoRetries  Cause = "doubtful: no retries left"
+	DoubtfulNoUpstream Cause = "doubtful: no upstream for a larger model"
 	// Unknown is an end that none of the other causes describes.
 	Unknown Cause = "unknown"
 )
@@ -74,7 +75,7 @@
 
 // causesByReason maps the reasons for returning a doubtful answer to its causes.
 var causesByReason = map[string]Cause{
-	"sufficed": DoubtfulSufficed, "too-late": DoubtfulTooLate, "attempts": DoubtfulAttempts, "repeats": DoubtfulNoRetries,
+	"sufficed": DoubtfulSufficed, "too-late": DoubtfulTooLate, "attempts": DoubtfulAttempts, "repeats": DoubtfulNoRetries, "no-upstream": DoubtfulNoUpstream,
 }
 
 // cause returns the cause of the request's loss, or [OnTime].
--- a/core/losses/losses_test.go
+++ b/core/losses/losses_test.go
@@ -50,6 +50,7 @@
 		{"on time", []string{begun, answered()}, losses.OnTime},
 		{"doubtful", []string{begun, answered(`"confidence":80`, `"confidence":30`, `"larger":0`, `"larger":1`)}, losses.Doubtful},
 		{"doubtful without retries left", []string{begun, answered(`"confidence":80`, `"confidence":30,"kept-answer":"repeats"`, `"larger":0`, `"larger":1`)}, losses.DoubtfulNoRetries},
+		{"doubtful without an upstream for a larger model", []string{begun, answered(`"confidence":80`, `"confidence":30,"kept-answer":"no-upstream"`, `"larger":0`, `"larger":1`)}, losses.DoubtfulNoUpstream},
 		{"doubtful under load", []string{begun, answered(`"confidence":80`, `"confidence":30,"kept-answer":"sufficed"`, `"larger":0`, `"larger":1`)}, losses.DoubtfulSufficed},
 		{"doubtful by the largest model", []string{begun, answered(`"confidence":80`, `"confidence":30`)}, losses.OnTime},
 		{"paused", []string{begun, answered(`"pause":0.2`, `"pause":1.2`)}, losses.Paused},
