Keep agents within the rate limit that their upstream names

An engine or a service could not say that it accepts fewer requests, and an agent would not have kept to it.

Engines and services name a limit in the header Skylarkstand-Rate-Limit (io/header), the stand-ins speak it, and the agent, which is the only way to its upstream, keeps all entries together within it by the same tracker, with itself as the only entry.

--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -63,6 +63,9 @@
 		// group writes per call before it is refused.
 		return nil, core.Refuse(core.CodeOverloaded, minRetryAfter, "the queue of upstream %s is full", ex.host.ID)
 	}
+	if fl := ex.checkLimit(); fl != nil {
+		return nil, fl
+	}
 	req := claim.Request{
 		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
 		Digest: digest(at.Body), Attempt: at.ID,
@@ -191,7 +194,7 @@
 	}
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), runTimeout)
 	defer cancel()
-	ans, err := ex.runner.Run(rctx, at)
+	ans, err := ex.call(rctx, at)
 	if err != nil {
 		return claim.Answer{}, err
 	}
--- a/core/execute/claimed_test.go
+++ b/core/execute/claimed_test.go
@@ -22,10 +22,20 @@
 	runs     int
 	err      error
 	duration time.Duration
+	// signals are what it says of itself.
+	signals   core.Signals
+	onSignals func(time.Time, core.Signals)
 }
 
+// OnSignals implements core.SignalSource.
+func (bo *booking) OnSignals(fn func(time.Time, core.Signals)) { bo.onSignals = fn }
+
 func (bo *booking) Run(context.Context, *core.Attempt) (core.Answer, error) {
+	sent := time.Now()
 	time.Sleep(bo.duration)
+	if bo.onSignals != nil {
+		bo.onSignals(sent, bo.signals)
+	}
 	var fl *core.Failure
 	if errors.As(bo.err, &fl) && fl.Ran == core.NotRun {
 		return nil, bo.err
@@ -68,7 +78,7 @@
 	tbl, cleanup := claim.New(deps, fx.st)
 	t.Cleanup(cleanup)
 	gen := declaration.Generation{Number: 1, Document: declaration.Document{
-		Services:   []declaration.Service{{ID: "booking", Operations: []declaration.Operation{{ID: "survey", AtMostOnce: true}}}},
+		Services:   []declaration.Service{{ID: "booking", Operations: []declaration.Operation{{ID: "survey", AtMostOnce: true}, {ID: "lookup"}}}},
 		Workspaces: []declaration.Workspace{{ID: "school", Services: []core.ServiceID{"booking"}}},
 	}}
 	raw, err := gen.Encode()
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -21,6 +21,7 @@
 	"skylarkstand/core/claim"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/guard"
+	"skylarkstand/core/ratelimit"
 )
 
 // Executor runs attempts on the agent's upstream. It is safe for concurrent use.
@@ -31,6 +32,7 @@
 	runner core.Runner
 	claims *claim.Table
 	queue  sharedSlotQueue
+	limits *ratelimit.Tracker
 
 	gate     exclusiveGate
 	draining atomic.Bool
@@ -58,6 +60,10 @@
 func New(deps core.Deps, ho core.Host, inf *declaration.InForce, ru core.Runner, tbl *claim.Table, opts ...Option) *Executor {
 	ex := &Executor{deps: deps, host: ho, inf: inf, runner: ru, claims: tbl}
 	ex.queue.sq = NewSlotQueue(defaultSlots, defaultQueue)
+	ex.limits = ratelimit.New(deps.Self, func() []core.ProcessID { return []core.ProcessID{deps.Self} })
+	if so, ok := ru.(core.SignalSource); ok {
+		so.OnSignals(ex.observe)
+	}
 	for _, opt := range opts {
 		opt(ex)
 	}
@@ -127,7 +133,7 @@
 		release()
 		return nil, fl
 	}
-	ans, err := ex.runner.Run(ctx, at)
+	ans, err := ex.call(ctx, at)
 	if err != nil {
 		release()
 		return nil, err
--- /dev/null
+++ b/core/execute/signals_test.go
@@ -0,0 +1,55 @@
+package execute_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+)
+
+// Guards against an agent that sends its upstream more requests than the rate limit that the
+// upstream has named, whether these run at most once or may be repeated.
+func TestAgentKeepsToTheRateLimit(t *testing.T) {
+	for _, operation := range []core.OperationID{"survey", "lookup"} {
+		t.Run(string(operation), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t)
+				limit := core.Rate(1)
+				fx.bo.signals.RateLimit = &limit
+				var sent []time.Time
+				for n := range 400 {
+					before := fx.bo.runs
+					at := &core.Attempt{
+						ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: operation,
+						IdempotencyKey: fmt.Sprint("k", n), Generation: 1, Body: []byte("{}"),
+					}
+					ans, err := fx.ex.Run(t.Context(), at)
+					if err == nil {
+						ans.Close()
+					}
+					if fx.bo.runs > before {
+						sent = append(sent, time.Now())
+						continue
+					}
+					var fl *core.Failure
+					assert.Assert(t, errors.As(err, &fl))
+					assert.Equal(t, fl.Ran, core.NotRun)
+					assert.Equal(t, fl.Code, core.CodeOverloaded)
+					assert.Assert(t, fl.RetryAfter > 0)
+					time.Sleep(50 * time.Millisecond)
+				}
+				assert.Assert(t, len(sent) >= 15, "%d requests in 20 s", len(sent))
+				for i := range sent {
+					if last := i + 11; last < len(sent) {
+						assert.Assert(t, sent[last].Sub(sent[i]) > 4*time.Second, "12 requests in %s", sent[last].Sub(sent[i]))
+					}
+				}
+			})
+		})
+	}
+}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -23,6 +23,7 @@
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
+	"skylarkstand/io/header"
 )
 
 // Engine is the client of one model engine. It implements [core.Runner].
@@ -30,6 +31,8 @@
 	deps core.Deps
 	url  string
 	cli  *http.Client
+	// onSignals receives the signals of each answer; nil until it is set.
+	onSignals func(sent time.Time, si core.Signals)
 }
 
 const (
@@ -48,6 +51,9 @@
 	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr}}
 }
 
+// OnSignals implements [core.SignalSource].
+func (eng *Engine) OnSignals(fn func(sent time.Time, si core.Signals)) { eng.onSignals = fn }
+
 // Run implements [core.Runner].
 func (eng *Engine) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, eng.url+"/v1/chat/completions", bytes.NewReader(at.Body))
@@ -56,10 +62,14 @@
 	}
 	rq.Header.Set("Content-Type", "application/json")
 	rq.Header.Set("X-Request-Id", string(at.ID))
+	sent := time.Now()
 	rs, err := eng.cli.Do(rq)
 	if err != nil {
 		return nil, eng.callFailure(ctx, err)
 	}
+	if eng.onSignals != nil {
+		eng.onSignals(sent, header.Signals(rs.Header))
+	}
 	if rs.StatusCode != http.StatusOK {
 		defer rs.Body.Close()
 		msg, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
--- /dev/null
+++ b/io/header/header_test.go
@@ -0,0 +1,65 @@
+package header_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+	"skylarkstand/io/engine"
+	"skylarkstand/io/service"
+	standinengine "skylarkstand/standin/engine"
+	standinservice "skylarkstand/standin/service"
+)
+
+// Guards against an engine or a service whose agent does not hear what it says of its state.
+func TestSignalsOfRunners(t *testing.T) {
+	en := httptest.NewServer(standinengine.New(standinengine.Config{Slots: 1, DefaultTokens: 1}))
+	defer en.Close()
+	sv := httptest.NewServer(standinservice.New(0))
+	defer sv.Close()
+	scenarios := []struct {
+		testName, url string
+		runner        interface {
+			core.Runner
+			core.SignalSource
+		}
+	}{
+		{"engine", en.URL, engine.New(core.NewDeps(), en.URL)},
+		{"service", sv.URL, service.New(sv.URL)},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			var got core.Signals
+			sc.runner.OnSignals(func(_ time.Time, si core.Signals) { got = si })
+			run := func() {
+				ans, err := sc.runner.Run(t.Context(), &core.Attempt{ID: "a1", Operation: "survey", Body: []byte(`{"messages":[]}`)})
+				assert.NilError(t, err)
+				ans.Close()
+			}
+			run()
+			assert.DeepEqual(t, got, core.Signals{})
+			inject(t, sc.url, map[string]any{"rate-limit": 2.5})
+			run()
+			assert.Equal(t, *got.RateLimit, core.Rate(2.5))
+		})
+	}
+}
+
+// inject makes a stand-in add signals to its answers.
+func inject(t *testing.T, url string, faults map[string]any) {
+	t.Helper()
+	raw, err := json.Marshal(faults)
+	assert.NilError(t, err)
+	rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/faults", bytes.NewReader(raw))
+	assert.NilError(t, err)
+	rs, err := http.DefaultClient.Do(rq)
+	assert.NilError(t, err)
+	assert.NilError(t, rs.Body.Close())
+	assert.Equal(t, rs.StatusCode, http.StatusOK)
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -17,12 +17,15 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/io/header"
 )
 
 // Service is the client of one plain service. It implements [core.Runner].
 type Service struct {
 	url string
 	cli *http.Client
+	// onSignals receives the signals of each answer; nil until it is set.
+	onSignals func(sent time.Time, si core.Signals)
 }
 
 const (
@@ -48,6 +51,9 @@
 // IdempotencyKeyHeader is the header that carries the caller's idempotency key to the service.
 const IdempotencyKeyHeader = "Skylarkstand-Idempotency-Key"
 
+// OnSignals implements [core.SignalSource].
+func (svc *Service) OnSignals(fn func(sent time.Time, si core.Signals)) { svc.onSignals = fn }
+
 // Run implements [core.Runner].
 func (svc *Service) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	body := io.NopCloser(bytes.NewReader(at.Body))
@@ -62,6 +68,7 @@
 	if at.IdempotencyKey != "" {
 		rq.Header.Set(IdempotencyKeyHeader, at.IdempotencyKey)
 	}
+	sent := time.Now()
 	rs, err := svc.cli.Do(rq)
 	if err != nil {
 		var op *net.OpError
@@ -71,6 +78,9 @@
 		return nil, core.OutcomeUnknown("the service broke the call off")
 	}
 	defer rs.Body.Close()
+	if svc.onSignals != nil {
+		svc.onSignals(sent, header.Signals(rs.Header))
+	}
 	raw, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer+1))
 	if err != nil {
 		return nil, core.OutcomeUnknown("the service broke its answer off")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,6 +20,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"skylarkstand/standin/signals"
 )
 
 // Config configures an engine.
@@ -45,6 +47,7 @@
 	SlowFactor int `json:"slow-factor"`
 	// Fail answers every request with status 500.
 	Fail bool `json:"fail"`
+	signals.Signals
 }
 
 // JournalEntry is one entry of the engine's journal, added when the run begins. Tag is the
@@ -111,6 +114,7 @@
 	en.mu.Lock()
 	fa := en.faults
 	en.mu.Unlock()
+	fa.WriteTo(w.Header())
 	if fa.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"skylarkstand/standin/signals"
 )
 
 // JournalEntry is one entry of the journal.
@@ -27,6 +29,7 @@
 
 	mu      sync.Mutex
 	journal []JournalEntry
+	signals signals.Signals
 }
 
 // New returns a service whose operations each take the given time.
@@ -34,6 +37,7 @@
 	sv := &Service{mux: http.NewServeMux(), duration: duration}
 	sv.mux.HandleFunc("POST /{operation}", sv.run)
 	sv.mux.HandleFunc("GET /journal", sv.showJournal)
+	sv.mux.HandleFunc("POST /faults", sv.setSignals)
 	return sv
 }
 
@@ -44,13 +48,26 @@
 	je := JournalEntry{Operation: rq.PathValue("operation"), Key: rq.Header.Get("Skylarkstand-Idempotency-Key"), Attempt: rq.Header.Get("X-Request-Id")}
 	sv.mu.Lock()
 	sv.journal = append(sv.journal, je)
-	n := len(sv.journal)
+	n, si := len(sv.journal), sv.signals
 	sv.mu.Unlock()
 	time.Sleep(sv.duration)
+	si.WriteTo(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"confirmation": n, "operation": je.Operation})
 }
 
+// setSignals sets what all further answers say of the service's state.
+func (sv *Service) setSignals(w http.ResponseWriter, rq *http.Request) {
+	var si signals.Signals
+	if json.NewDecoder(rq.Body).Decode(&si) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.signals = si
+}
+
 func (sv *Service) showJournal(w http.ResponseWriter, _ *http.Request) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
