Log the Retry-After of an upstream's refusals

What operators saw: an upstream had asked an entry for 3 s without requests and got 4 within that time.

Malformed values count as none and long ones as an hour. Nothing decides by it yet.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -90,6 +90,9 @@
 		"Find out what keeps the upstream from its usual capacity."}
 	UpstreamUnlimited = &Event{359, "upstream-unlimited", slog.LevelInfo,
 		"An upstream's answers name no rate limit any more.", "Nothing."}
+	UpstreamCooldown = &Event{360, "upstream-cooldown", slog.LevelWarn,
+		"An upstream refused a request and asked this entry to send none for the time `retry-after`.",
+		"Find out what keeps the upstream from its usual capacity."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
@@ -167,7 +170,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -87,6 +87,9 @@
 	// RateLimit is how many requests a second the upstream accepts from all entries together; nil if
 	// it names no limit.
 	RateLimit *Rate
+	// RetryAfter is how long the upstream accepts no further request of the entry that it refused; 0
+	// if it names no time.
+	RetryAfter time.Duration
 }
 
 // Reply is an upstream's answer to a call.
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -69,6 +69,7 @@
 	at.permit.Release(at.began)
 	at.recordHeader()
 	at.recordRateLimit()
+	at.logRetryAfter()
 	ve := classify(re)
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.shouldEscalate(re) {
 		ve = unsure
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// logRetryAfter logs that the upstream has asked for no further request for a time.
+func (at *attempt) logRetryAfter() {
+	if re := at.reply; re.FromUpstream() && re.RetryAfter > 0 {
+		event.Log(at.jb.fw.deps.Log, event.UpstreamCooldown, "upstream", at.to.ID, "retry-after", re.RetryAfter, "request", at.jb.ex.ID)
+	}
+}
+
 // observeRateLimit records what an answer says of its upstream's rate limit, and logs a change.
 func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Answer, attrs ...any) {
 	attrs = append([]any{"upstream", an.Host.ID, "by", "answer"}, attrs...)
--- a/core/units.go
+++ b/core/units.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Tokens counts model tokens, of the prompt or generated.
@@ -25,6 +26,19 @@
 	return Rate(n), true
 }
 
+// maxRetryAfter bounds the time that ParseRetryAfter returns.
+const maxRetryAfter = time.Hour
+
+// ParseRetryAfter parses a decimal number of seconds, as in a Retry-After header. It returns 0 for
+// anything else, including a date, since the clocks of hosts differ.
+func ParseRetryAfter(val string) time.Duration {
+	n, err := strconv.ParseFloat(strings.TrimSpace(val), 64)
+	if err != nil || !(n > 0) {
+		return 0
+	}
+	return time.Duration(min(n, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // Quality is the fraction of answers that are good enough, from 0 to 1, as rated by the rating
 // service.
 type Quality float64
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -55,7 +55,9 @@
 	runs []Run
 	// rateLimit is the value of the rate limit header; empty for none.
 	rateLimit string
-	arrivals  []time.Time
+	// retryAfter is the value of the Retry-After header of refusals; empty for none.
+	retryAfter string
+	arrivals   []time.Time
 }
 
 // New returns an upstream of a service and version.
@@ -96,6 +98,17 @@
 	up.rateLimit = val
 }
 
+// SetRetryAfter makes all further refusals ask for no request for a number of seconds; 0 makes them
+// ask for nothing.
+func (up *Upstream) SetRetryAfter(seconds float64) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.retryAfter = ""
+	if seconds > 0 {
+		up.retryAfter = strconv.FormatFloat(seconds, 'f', -1, 64)
+	}
+}
+
 // Arrivals returns the times at which requests arrived, in order, including those that were refused.
 func (up *Upstream) Arrivals() []time.Time {
 	up.mu.Lock()
@@ -129,6 +142,9 @@
 	if up.rateLimit != "" {
 		hd.Set("Server-Limit", up.rateLimit)
 	}
+	if mode == Overloaded && up.retryAfter != "" {
+		hd.Set("Retry-After", up.retryAfter)
+	}
 	if mode != Overloaded {
 		up.runs = append(up.runs, newRun(rq, body))
 	}
