Let tests of what upstreams say of their state share a pool

The pool of TestRateLimitIsSharedByAllEntries moves to a file of its own, with replies given by the test, so that other signals can be tested with all kinds of attempts.

--- /dev/null
+++ b/core/forward/pool_test.go
@@ -0,0 +1,164 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"skylarkstand/core"
+	"skylarkstand/core/canary"
+	"skylarkstand/core/fleet"
+	"skylarkstand/core/forward"
+	"skylarkstand/core/ratelimit"
+	"skylarkstand/core/retry"
+	"skylarkstand/core/route"
+	"skylarkstand/core/warmup"
+)
+
+// pool is a pool of upstreams behind several entries.
+type pool struct {
+	entries []*forward.Forwarder
+	fl      *fleet.Fleet
+	// replies are the replies of upstreams that say something of their state.
+	replies map[core.UpstreamID]func() *core.Reply
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	arrivals map[core.UpstreamID][]arrival
+}
+
+// arrival is a request that arrived at an upstream.
+type arrival struct {
+	at    time.Time
+	entry core.ProcessID
+	// firstTold and lastTold are when the entry got its first and its last answer there, if the upstream
+	// has replies of its own; they are zero before that.
+	firstTold, lastTold time.Time
+}
+
+// poolClient is an entry's client of a pool. It implements core.UpstreamClient.
+type poolClient struct {
+	po    *pool
+	entry core.ProcessID
+
+	mu   *sync.Mutex
+	told map[core.UpstreamID][2]time.Time
+}
+
+// newPool returns a pool of three upstreams in each of two regions. It must be called inside a
+// synctest bubble.
+func newPool(t *testing.T, entries int, replies map[core.UpstreamID]func() *core.Reply) *pool {
+	t.Helper()
+	fx := newUnconfiguredFixture(t)
+	fx.inf.Adopt(fx.tb)
+	po := &pool{replies: replies, fl: fleet.New(), rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}}
+	for _, re := range []core.Region{north, south} {
+		for i := range 3 {
+			po.fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint(re, "-", i)), Service: "pool", Version: "v1", Slots: 8, Region: re, StartedAt: 1})
+		}
+	}
+	ids := make([]core.ProcessID, entries)
+	for i := range ids {
+		ids[i] = core.ProcessID(fmt.Sprint("entry-", i))
+	}
+	for _, id := range ids {
+		po.entries = append(po.entries, po.newEntry(id, ids, fx.inf))
+	}
+	return po
+}
+
+func (po *pool) newEntry(id core.ProcessID, ids []core.ProcessID, inf *route.InForce) *forward.Forwarder {
+	deps := core.NewDeps()
+	deps.Self, deps.Region = id, north
+	cl := poolClient{po, id, new(sync.Mutex), map[core.UpstreamID][2]time.Time{}}
+	return forward.New(deps, cl, forward.Components{
+		InForce: inf, Fleet: po.fl, Warmup: warmup.New(id), Canary: canary.New(),
+		RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
+		ConfigAge:      func() time.Duration { return 0 },
+		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
+	}, forward.RandomSource(po.draw))
+}
+
+func (po *pool) draw() float64 {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.rnd.Float64()
+}
+
+// Call implements core.UpstreamClient. An upstream without replies of its own fails a part of its
+// calls in every way that is followed by another attempt.
+func (pc poolClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	id := ca.To.ID
+	pc.mu.Lock()
+	told := pc.told[id]
+	pc.mu.Unlock()
+	kind := pc.po.arrived(id, arrival{time.Now(), pc.entry, told[0], told[1]})
+	time.Sleep(20 * time.Millisecond)
+	if respond := pc.po.replies[id]; respond != nil {
+		re := respond()
+		pc.mu.Lock()
+		defer pc.mu.Unlock()
+		told = [2]time.Time{pc.told[id][0], time.Now()}
+		if told[0].IsZero() {
+			told[0] = told[1]
+		}
+		pc.told[id] = told
+		return re, nil
+	}
+	behaviors := []behavior{
+		answers(http.StatusInternalServerError, "no"), refuses, losesConnection, unreachable, breaksOff("id: 1\n\nid:"), withConfidence(5, "id: 1\n\n"),
+	}
+	if kind < len(behaviors) {
+		return behaviors[kind](ctx, ca)
+	}
+	return reply(http.StatusOK, "id: 1\n\nid: 2\n\n"), nil
+}
+
+// arrived records a request and returns a random number below 10.
+func (po *pool) arrived(id core.UpstreamID, ar arrival) int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.arrivals[id] = append(po.arrivals[id], ar)
+	return po.rnd.IntN(10)
+}
+
+// run sends requests of all kinds to all entries for a time, and returns the failures.
+func (po *pool) run(t *testing.T, duration, interval time.Duration) []error {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failures []error
+	until := time.Now().Add(duration)
+	for n := 0; time.Now().Before(until); n++ {
+		entry := po.entries[n%len(po.entries)]
+		path := []string{"/lookup/x", "/claim/x", "/draft/x", "/south/x"}[n/len(po.entries)%4]
+		wg.Go(func() {
+			ex := &core.Exchange{
+				ID: core.RequestID(fmt.Sprint("r", n)), Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: "key",
+				Header: http.Header{}, Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
+			}
+			ans, err := entry.Forward(t.Context(), ex)
+			for err == nil {
+				_, err = ans.Next()
+			}
+			if ans != nil {
+				ans.Close()
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failures = append(failures, err)
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return failures
+}
+
+// learningTime is how long after an answer that says something of an upstream's state an entry must
+// keep to it.
+const learningTime = 500 * time.Millisecond
