Record in the pool of tests when each entry was told something

A test that counts requests after each refusal needs all of an entry's refusals, not the first and the last.

--- a/core/forward/pool_test.go
+++ b/core/forward/pool_test.go
@@ -29,24 +29,26 @@
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	arrivals map[core.UpstreamID][]arrival
+	// told holds when entries got the replies of upstreams that say something of their state.
+	told map[told][]time.Time
 }
 
 // arrival is a request that arrived at an upstream.
 type arrival struct {
 	at    time.Time
 	entry core.ProcessID
-	// firstTold and lastTold are when the entry got its first and its last answer there, if the upstream
-	// has replies of its own; they are zero before that.
-	firstTold, lastTold time.Time
+}
+
+// told names an entry and an upstream that told it something.
+type told struct {
+	entry    core.ProcessID
+	upstream core.UpstreamID
 }
 
 // poolClient is an entry's client of a pool. It implements core.UpstreamClient.
 type poolClient struct {
 	po    *pool
 	entry core.ProcessID
-
-	mu   *sync.Mutex
-	told map[core.UpstreamID][2]time.Time
 }
 
 // newPool returns a pool of three upstreams in each of two regions. It must be called inside a
@@ -55,7 +57,7 @@
 	t.Helper()
 	fx := newUnconfiguredFixture(t)
 	fx.inf.Adopt(fx.tb)
-	po := &pool{replies: replies, fl: fleet.New(), rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}}
+	po := &pool{replies: replies, fl: fleet.New(), rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}, told: map[told][]time.Time{}}
 	for _, re := range []core.Region{north, south} {
 		for i := range 3 {
 			po.fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint(re, "-", i)), Service: "pool", Version: "v1", Slots: 8, Region: re, StartedAt: 1})
@@ -74,8 +76,7 @@
 func (po *pool) newEntry(id core.ProcessID, ids []core.ProcessID, inf *route.InForce) *forward.Forwarder {
 	deps := core.NewDeps()
 	deps.Self, deps.Region = id, north
-	cl := poolClient{po, id, new(sync.Mutex), map[core.UpstreamID][2]time.Time{}}
-	return forward.New(deps, cl, forward.Components{
+	return forward.New(deps, poolClient{po, id}, forward.Components{
 		InForce: inf, Fleet: po.fl, Warmup: warmup.New(id), Canary: canary.New(),
 		RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
 		ConfigAge:      func() time.Duration { return 0 },
@@ -92,22 +93,11 @@
 // Call implements core.UpstreamClient. An upstream without replies of its own fails a part of its
 // calls in every way that is followed by another attempt.
 func (pc poolClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
-	id := ca.To.ID
-	pc.mu.Lock()
-	told := pc.told[id]
-	pc.mu.Unlock()
-	kind := pc.po.arrived(id, arrival{time.Now(), pc.entry, told[0], told[1]})
+	kind := pc.po.arrived(pc.entry, ca.To.ID)
 	time.Sleep(20 * time.Millisecond)
-	if respond := pc.po.replies[id]; respond != nil {
-		re := respond()
-		pc.mu.Lock()
-		defer pc.mu.Unlock()
-		told = [2]time.Time{pc.told[id][0], time.Now()}
-		if told[0].IsZero() {
-			told[0] = told[1]
-		}
-		pc.told[id] = told
-		return re, nil
+	if respond := pc.po.replies[ca.To.ID]; respond != nil {
+		pc.po.tell(pc.entry, ca.To.ID)
+		return respond(), nil
 	}
 	behaviors := []behavior{
 		answers(http.StatusInternalServerError, "no"), refuses, losesConnection, unreachable, breaksOff("id: 1\n\nid:"), withConfidence(5, "id: 1\n\n"),
@@ -119,13 +109,19 @@
 }
 
 // arrived records a request and returns a random number below 10.
-func (po *pool) arrived(id core.UpstreamID, ar arrival) int {
+func (po *pool) arrived(entry core.ProcessID, id core.UpstreamID) int {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	po.arrivals[id] = append(po.arrivals[id], ar)
+	po.arrivals[id] = append(po.arrivals[id], arrival{time.Now(), entry})
 	return po.rnd.IntN(10)
 }
 
+func (po *pool) tell(entry core.ProcessID, id core.UpstreamID) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.told[told{entry, id}] = append(po.told[told{entry, id}], time.Now())
+}
+
 // run sends requests of all kinds to all entries for a time, and returns the failures.
 func (po *pool) run(t *testing.T, duration, interval time.Duration) []error {
 	t.Helper()
--- a/core/forward/rate_limit_test.go
+++ b/core/forward/rate_limit_test.go
@@ -20,12 +20,14 @@
 // allowedInWindow returns how many requests an upstream may get in a limitWindow.
 func allowedInWindow(rate core.Rate) int { return int(1.5*float64(rate)*limitWindow.Seconds() + 5) }
 
-// maxInWindow returns the most arrivals within any limitWindow, from entries that know the limit.
-func maxInWindow(arrivals []arrival) int {
+// maxInWindow returns the most arrivals at an upstream within any limitWindow, from entries that know
+// its limit.
+func (po *pool) maxInWindow(id core.UpstreamID) int {
 	var times []time.Time
 	most := 0
-	for _, ar := range arrivals {
-		if ar.firstTold.IsZero() || ar.at.Sub(ar.firstTold) < learningTime {
+	for _, ar := range po.arrivals[id] {
+		since := po.told[told{ar.entry, id}]
+		if len(since) == 0 || ar.at.Sub(since[0]) < learningTime {
 			continue
 		}
 		times = append(times, ar.at)
@@ -57,7 +59,7 @@
 					po := newPool(t, entries, map[core.UpstreamID]func() *core.Reply{limited: namesLimit(rate), "south-1": namesLimit(rate)})
 					po.run(t, 30*time.Second, 5*time.Millisecond)
 					for _, id := range []core.UpstreamID{limited, "south-1"} {
-						got := maxInWindow(po.arrivals[id])
+						got := po.maxInWindow(id)
 						assert.Assert(t, got <= allowedInWindow(rate), "%s got %d requests in %s; allowed %d", id, got, limitWindow, allowedInWindow(rate))
 					}
 				})
