Add a failing test for requests before a Retry-After

What operators saw: an upstream had asked an entry for 3 s without requests and got 4 from it; 2 are allowed.

--- /dev/null
+++ b/core/forward/cooldown_test.go
@@ -0,0 +1,60 @@
+package forward_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
+)
+
+// maxInCooldown is how many requests of an entry may reach an upstream in the time for which it has
+// asked for none.
+const maxInCooldown = 2
+
+// refusesFor makes an upstream refuse all requests, and ask for none for a time.
+func refusesFor(retryAfter time.Duration) func() *core.Reply {
+	return func() *core.Reply {
+		re := reply(http.StatusServiceUnavailable, "")
+		re.NotRun, re.RetryAfter = true, retryAfter
+		return re
+	}
+}
+
+// Guards against requests of any kind to an upstream that has asked this entry for none for a time.
+func TestNoRequestBeforeTheRetryAfter(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		const retryAfter = 3 * time.Second
+		po := newPool(t, 3, map[core.UpstreamID]func() *core.Reply{"north-1": refusesFor(retryAfter), "south-1": refusesFor(retryAfter)})
+		po.run(t, 30*time.Second, 5*time.Millisecond)
+		for _, id := range []core.UpstreamID{"north-1", "south-1"} {
+			assert.Assert(t, len(po.arrivals[id]) > 3*30/4, "%s is used again after each cooldown", id)
+			for entry, n := range po.maxInCooldown(id, retryAfter) {
+				assert.Assert(t, n <= maxInCooldown, "%s had asked %s for %s without requests and got %d", id, entry, retryAfter, n)
+			}
+		}
+	})
+}
+
+// maxInCooldown returns the most arrivals of each entry at an upstream from learningTime after a
+// refusal until its Retry-After.
+func (po *pool) maxInCooldown(id core.UpstreamID, retryAfter time.Duration) map[core.ProcessID]int {
+	most := map[core.ProcessID]int{}
+	for to, refusals := range po.told {
+		if to.upstream != id {
+			continue
+		}
+		for _, refused := range refusals {
+			n := 0
+			for _, ar := range po.arrivals[id] {
+				if since := ar.at.Sub(refused); ar.entry == to.entry && since >= learningTime && since < retryAfter {
+					n++
+				}
+			}
+			most[to.entry] = max(most[to.entry], n)
+		}
+	}
+	return most
+}
