Send an upstream nothing before the Retry-After of its refusal

What callers saw: attempts that were bound to fail, one after the other, and refusals after three of them, while upstreams had asked this entry for 3 s without requests; one got 4 in that time, 2 are allowed.

Cause: the time was not read. A refusal only added a cost of its upstream for 250 ms, so that requests went there again as soon as others were busier. Class: an upstream's own word on its state was not an input of the choice.

core/cooldown keeps the time by upstream and incarnation, and the same filter as for other states of an upstream leaves it out, after the choice of the version: for first attempts, retries, escalations, resumed streams, other regions, calls of plain services and queries of the prefix cache. When all upstreams cool down, a caller is refused at once and told when the first of them is back. upstream-cooldown and upstreams{state="cooldown"} show it.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -11,6 +11,7 @@
 	"skylarkstand/app/settings"
 	"skylarkstand/core"
 	"skylarkstand/core/canary"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/mechanism"
@@ -205,7 +206,7 @@
 	re := set.RetryBudget
 	slack := func() float64 { return retry.BurstShare(re.Slack, me.count()) }
 	return forward.New(deps, ac, forward.Components{
-		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl,
+		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl, Cooldowns: cooldown.New(),
 		ConfigAge:      func() time.Duration { return rep.Age(time.Now()) },
 		NewRetryWindow: forward.RetryWindows(time.Duration(re.Window), re.Ratio, slack),
 		Stopping:       sc.remaining, Off: off,
--- a/app/gauges.go
+++ b/app/gauges.go
@@ -68,6 +68,7 @@
 		ga.upstreams(sv, "evacuated", co.Evacuated)
 		ga.upstreams(sv, "avoided", ga.fw.Avoided(sv))
 		ga.upstreams(sv, "limited", ga.fw.RateLimited(sv))
+		ga.upstreams(sv, "cooldown", ga.fw.Cooling(sv))
 	}
 }
 
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -91,7 +91,7 @@
 	UpstreamUnlimited = &Event{359, "upstream-unlimited", slog.LevelInfo,
 		"An upstream's answers name no rate limit any more.", "Nothing."}
 	UpstreamCooldown = &Event{360, "upstream-cooldown", slog.LevelWarn,
-		"An upstream refused a request and asked this entry to send none for the time `retry-after`.",
+		"An upstream refused a request and asked for none for the time `retry-after`; this entry sends it none until then.",
 		"Find out what keeps the upstream from its usual capacity."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -68,8 +68,7 @@
 	at.reply, at.began = re, time.Now()
 	at.permit.Release(at.began)
 	at.recordHeader()
-	at.recordRateLimit()
-	at.logRetryAfter()
+	at.recordSignals()
 	ve := classify(re)
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.shouldEscalate(re) {
 		ve = unsure
@@ -187,12 +186,14 @@
 	fw.picker.RecordHeader(at.began, at.flight, at.rq, at.reply.Load)
 }
 
-// recordRateLimit records the rate limit that the response header names, if any.
-func (at *attempt) recordRateLimit() {
-	if at.reply.FromUpstream() {
-		an := ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: at.reply.RateLimit}
-		at.jb.fw.observeRateLimit(at.began, an, "request", at.jb.ex.ID)
+// recordSignals records what the response header says of the upstream's state.
+func (at *attempt) recordSignals() {
+	re, fw := at.reply, at.jb.fw
+	if !re.FromUpstream() {
+		return
 	}
+	fw.observeRateLimit(at.began, ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: re.RateLimit}, "request", at.jb.ex.ID)
+	fw.observeRetryAfter(at.began, &at.to, re.RetryAfter, "request", at.jb.ex.ID)
 }
 
 // discard ends an attempt whose answer is not used.
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -51,12 +51,12 @@
 
 // accepting leaves out the upstreams that accept no request of this entry at this moment.
 func (fw *Forwarder) accepting(now time.Time, hosts []core.Host) []core.Host {
-	return fw.components.RateLimits.Available(now, hosts)
+	return fw.components.RateLimits.Available(now, fw.components.Cooldowns.Available(now, hosts))
 }
 
 // eligible lists the upstreams from which the version of a request is chosen: those that may serve
 // it, including the ones that accept no request at this moment. Otherwise a session would move to
-// another version when the upstreams of its own are limited. Every choice of an upstream starts
+// another version when the upstreams of its own accept none. Every choice of an upstream starts
 // here: no other part of this package queries the fleet. The forwarder's lock is held.
 func (jb *job) eligible(now time.Time) []core.Host {
 	hosts := jb.fw.components.Fleet.Serving(jb.service, now, jb.regions())
@@ -93,13 +93,30 @@
 // unavailableFailure is the failure of a request for which no upstream is left. hosts are those that
 // would be allowed.
 func (jb *job) unavailableFailure(now time.Time, hosts []core.Host) *core.Failure {
-	retryAfter := jb.backoff()
-	if interval, limited := jb.fw.components.RateLimits.Interval(now, hosts); limited {
+	co, retryAfter := &jb.fw.components, jb.backoff()
+	open := co.Cooldowns.Available(now, hosts)
+	if len(hosts) > 0 && len(open) == 0 {
+		return jb.failure(core.CodeOverloaded, retryAfter+co.Cooldowns.Remaining(now, hosts), "all upstreams have asked for no requests for a time")
+	}
+	if interval, limited := co.RateLimits.Interval(now, open); limited {
 		return jb.failure(core.CodeOverloaded, retryAfter+interval, "the upstreams accept no more requests at their rate limits")
 	}
 	return jb.failure(core.CodeNoUpstream, retryAfter, "no upstream takes this work now")
 }
 
+// refusedFailure is the failure of a request that upstreams have refused and that is not sent to
+// another one.
+func (jb *job) refusedFailure() *core.Failure {
+	now, fw := time.Now(), jb.fw
+	fw.mu.Lock()
+	hosts := jb.eligible(now)
+	fw.mu.Unlock()
+	if len(fw.accepting(now, hosts)) == 0 {
+		return jb.unavailableFailure(now, hosts)
+	}
+	return jb.failure(core.CodeOverloaded, jb.backoff(), "the upstreams take no more work")
+}
+
 // hasUntried reports whether there is an upstream that was not called yet.
 func (jb *job) hasUntried() bool {
 	jb.fw.mu.Lock()
--- a/core/forward/cooldown_test.go
+++ b/core/forward/cooldown_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -58,3 +60,26 @@
 	}
 	return most
 }
+
+// Guards against a caller that waits, or comes back too early, while all upstreams have asked for no
+// requests.
+func TestRefusalDuringCooldowns(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		fx := newFixture(t, func(context.Context, *core.Call) (*core.Reply, error) { return refusesFor(3 * time.Second)(), nil })
+		_, _, err := fx.send(t.Context(), "/claim/x")
+		var fl *core.Failure
+		for range 2 {
+			assert.Assert(t, errors.As(err, &fl))
+			assert.Equal(t, fl.Ran, core.NotRun)
+			assert.Equal(t, len(fx.calls), 4)
+			assert.Assert(t, fl.RetryAfter >= 2*time.Second && fl.RetryAfter < 4*time.Second, "%s", fl.RetryAfter)
+			time.Sleep(time.Second)
+			began := time.Now()
+			_, _, err = fx.send(t.Context(), "/claim/x")
+			assert.Equal(t, time.Since(began), time.Duration(0))
+		}
+		time.Sleep(2 * time.Second)
+		_, _, _ = fx.send(t.Context(), "/claim/x")
+		assert.Equal(t, len(fx.calls), 8)
+	})
+}
--- a/core/forward/fixture_test.go
+++ b/core/forward/fixture_test.go
@@ -20,6 +20,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/canary"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/ratelimit"
@@ -96,7 +97,7 @@
 	deps := core.NewDeps()
 	deps.Log = slog.New(slog.NewJSONHandler(&fx.log, nil))
 	fx.fw = forward.New(deps, fx, forward.Components{
-		InForce: fx.inf, Fleet: fx.fl, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return []core.ProcessID{"self"} }), Canary: fx.gu,
+		InForce: fx.inf, Fleet: fx.fl, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return []core.ProcessID{"self"} }), Canary: fx.gu, Cooldowns: cooldown.New(),
 		ConfigAge:      func() time.Duration { return fx.age },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 		Stopping:       func() (time.Duration, bool) { return fx.left, fx.left > 0 },
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -9,6 +9,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/escalation"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/mechanism"
@@ -28,6 +29,8 @@
 	Warmup *warmup.Tracker
 	// RateLimits tracks the rate limits that upstreams name.
 	RateLimits *ratelimit.Tracker
+	// Cooldowns tracks the upstreams that accept no request of this entry for a time.
+	Cooldowns *cooldown.Tracker
 	// ConfigAge returns the time since the entry's configuration was last confirmed to be the
 	// newest.
 	ConfigAge func() time.Duration
@@ -239,6 +242,7 @@
 // Forget deletes the state of an upstream that is gone.
 func (fw *Forwarder) Forget(id core.UpstreamID) {
 	fw.components.RateLimits.Forget(id)
+	fw.components.Cooldowns.Forget(id)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	fw.picker.Forget(id)
@@ -247,15 +251,18 @@
 // AdmitQuery reports whether an engine accepts a query of its prefix cache now, and takes a token if
 // it has a rate limit. It implements prefixsync's Learner.
 func (fw *Forwarder) AdmitQuery(ho core.Host) bool {
-	return fw.components.RateLimits.Acquire(time.Now(), &ho)
+	now := time.Now()
+	return len(fw.components.Cooldowns.Available(now, []core.Host{ho})) > 0 && fw.components.RateLimits.Acquire(now, &ho)
 }
 
 // ObserveSignals records what an engine's answer to a query says of its state. It implements
 // prefixsync's Learner. The absence of a signal proves nothing, since queries are not requests.
 func (fw *Forwarder) ObserveSignals(ho core.Host, sent time.Time, si core.Signals) {
+	now := time.Now()
 	if si.RateLimit != nil {
-		fw.observeRateLimit(time.Now(), ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit})
+		fw.observeRateLimit(now, ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit})
 	}
+	fw.observeRetryAfter(now, &ho, si.RetryAfter)
 }
 
 // RecordCached records the prompts in an upstream's prefix cache. It implements prefixsync's Learner.
@@ -289,6 +296,12 @@
 	return fw.components.RateLimits.Count(fw.serving(sv))
 }
 
+// Cooling counts the upstreams of a service that accept no request of this entry for a time.
+func (fw *Forwarder) Cooling(sv core.ServiceID) int {
+	now, hosts := fw.serving(sv)
+	return len(hosts) - len(fw.components.Cooldowns.Available(now, hosts))
+}
+
 // serving lists the upstreams of a service in all regions, for metrics.
 func (fw *Forwarder) serving(sv core.ServiceID) (time.Time, []core.Host) {
 	now := time.Now()
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -143,7 +143,7 @@
 		}
 	case refused:
 		if jb.sends >= maxSends || !jb.spendRetry(retry.Retry) {
-			return jb.failure(core.CodeOverloaded, jb.backoff(), "the upstreams take no more work")
+			return jb.refusedFailure()
 		}
 	case stranger:
 		// The process that now has the address counts this as an arrival.
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -32,10 +32,10 @@
 	}
 }
 
-// logRetryAfter logs that the upstream has asked for no further request for a time.
-func (at *attempt) logRetryAfter() {
-	if re := at.reply; re.FromUpstream() && re.RetryAfter > 0 {
-		event.Log(at.jb.fw.deps.Log, event.UpstreamCooldown, "upstream", at.to.ID, "retry-after", re.RetryAfter, "request", at.jb.ex.ID)
+// observeRetryAfter begins the cooldown that an upstream has asked for, and logs it; 0 is none.
+func (fw *Forwarder) observeRetryAfter(now time.Time, ho *core.Host, du time.Duration, attrs ...any) {
+	if du > 0 && fw.components.Cooldowns.Begin(now, ho, du) {
+		event.Log(fw.deps.Log, event.UpstreamCooldown, append([]any{"upstream", ho.ID, "retry-after", du}, attrs...)...)
 	}
 }
 
--- a/core/forward/pool_test.go
+++ b/core/forward/pool_test.go
@@ -11,6 +11,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/canary"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/ratelimit"
@@ -77,7 +78,7 @@
 	deps := core.NewDeps()
 	deps.Self, deps.Region = id, north
 	return forward.New(deps, poolClient{po, id}, forward.Components{
-		InForce: inf, Fleet: po.fl, Warmup: warmup.New(id), Canary: canary.New(),
+		InForce: inf, Fleet: po.fl, Warmup: warmup.New(id), Canary: canary.New(), Cooldowns: cooldown.New(),
 		RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
 		ConfigAge:      func() time.Duration { return 0 },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -16,6 +16,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/canary"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/ratelimit"
@@ -71,7 +72,7 @@
 	fl := fleet.New()
 	fl.Put(core.Host{ID: "desk-1", Addr: "desk-1", Service: "desk", Slots: 4, Version: "v1"})
 	fw := forward.New(core.NewDeps(), ac, forward.Components{
-		InForce: inf, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return nil }), Fleet: fl, Canary: canary.New(),
+		InForce: inf, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return nil }), Fleet: fl, Canary: canary.New(), Cooldowns: cooldown.New(),
 		ConfigAge:      func() time.Duration { return 0 },
 		NewRetryWindow: forward.RetryWindows(10*time.Second, 1, func() float64 { return 10 }),
 	})
