Let agents keep to the Retry-After of their upstream

An engine or a service that asked for no requests for a time got them all the same, and callers were told to come back after a second.

The agent reads the header of a 503, refuses attempts as not run until then, before a claim is written, and says when the upstream is back; the entry tries another agent. The stand-ins of engines and services refuse with a time on demand. A failure with status 503 passes the time on.

TestAgentKeepsToTheRetryAfter failed before with requests at the same moment, and passes now, for operations that run at most once and others.

--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -19,6 +19,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/core/claim"
+	"skylarkstand/core/cooldown"
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/guard"
 	"skylarkstand/core/ratelimit"
@@ -32,7 +33,9 @@
 	runner core.Runner
 	claims *claim.Table
 	queue  sharedSlotQueue
-	limits *ratelimit.Tracker
+	// limits and cooldowns hold what the upstream has said of the requests that it accepts.
+	limits    *ratelimit.Tracker
+	cooldowns *cooldown.Tracker
 
 	gate     exclusiveGate
 	draining atomic.Bool
@@ -61,6 +64,7 @@
 	ex := &Executor{deps: deps, host: ho, inf: inf, runner: ru, claims: tbl}
 	ex.queue.sq = NewSlotQueue(defaultSlots, defaultQueue)
 	ex.limits = ratelimit.New(deps.Self, func() []core.ProcessID { return []core.ProcessID{deps.Self} })
+	ex.cooldowns = cooldown.New()
 	if so, ok := ru.(core.SignalSource); ok {
 		so.OnSignals(ex.observe)
 	}
--- a/core/execute/signals.go
+++ b/core/execute/signals.go
@@ -13,17 +13,22 @@
 // The agent is the only way to its upstream, so a limit on the requests of all entries together is a
 // limit on this agent's calls.
 func (ex *Executor) call(ctx context.Context, at *core.Attempt) (core.Answer, error) {
-	now := time.Now()
-	if !ex.limits.Acquire(now, &ex.host) {
+	if fl := ex.checkAccepting(); fl != nil {
+		return nil, fl
+	}
+	if now := time.Now(); !ex.limits.Acquire(now, &ex.host) {
 		return nil, ex.limitedFailure(now)
 	}
 	return ex.runner.Run(ctx, at)
 }
 
-// checkLimit refuses an attempt that could not be called now, before it waits for a claim.
-func (ex *Executor) checkLimit() *core.Failure {
-	now := time.Now()
-	if len(ex.limits.Available(now, []core.Host{ex.host})) == 0 {
+// checkAccepting refuses an attempt that could not be called now.
+func (ex *Executor) checkAccepting() *core.Failure {
+	now, hosts := time.Now(), []core.Host{ex.host}
+	if left := ex.cooldowns.Remaining(now, hosts); left > 0 {
+		return core.Refuse(core.CodeOverloaded, max(left, minRetryAfter), "upstream %s has asked for no requests for %s", ex.host.ID, left)
+	}
+	if len(ex.limits.Available(now, hosts)) == 0 {
 		return ex.limitedFailure(now)
 	}
 	return nil
@@ -36,8 +41,12 @@
 
 // observe records what the upstream says of itself.
 func (ex *Executor) observe(sent time.Time, si core.Signals) {
+	now := time.Now()
+	if si.RetryAfter > 0 && ex.cooldowns.Begin(now, &ex.host, si.RetryAfter) {
+		event.Log(ex.deps.Log, event.UpstreamCooldown, "upstream", ex.host.ID, "retry-after", si.RetryAfter)
+	}
 	an := ratelimit.Answer{Host: ex.host, Sent: sent, Limit: si.RateLimit}
-	switch ex.limits.Observe(time.Now(), an) {
+	switch ex.limits.Observe(now, an) {
 	case ratelimit.Limited:
 		event.Log(ex.deps.Log, event.UpstreamLimited, "upstream", ex.host.ID, "by", "answer", "limit", float64(*an.Limit))
 	case ratelimit.Lifted:
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -53,3 +53,42 @@
 		})
 	}
 }
+
+// Guards against an agent that sends its upstream requests before the time that the upstream has
+// named in a refusal, whether these run at most once or may be repeated.
+func TestAgentKeepsToTheRetryAfter(t *testing.T) {
+	const retryAfter = 3 * time.Second
+	for _, operation := range []core.OperationID{"survey", "lookup"} {
+		t.Run(string(operation), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t)
+				fx.bo.signals.RetryAfter = retryAfter
+				fx.bo.err = &core.Failure{Code: core.CodeUpstream, Ran: core.RanFailed, Message: "refused"}
+				var sent []time.Time
+				for n := range 200 {
+					before := fx.bo.runs
+					at := &core.Attempt{
+						ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: operation,
+						IdempotencyKey: fmt.Sprint("k", n), Generation: 1, Body: []byte("{}"),
+					}
+					_, err := fx.ex.Run(t.Context(), at)
+					var fl *core.Failure
+					assert.Assert(t, errors.As(err, &fl))
+					if fx.bo.runs > before {
+						sent = append(sent, time.Now())
+						continue
+					}
+					assert.Equal(t, fl.Ran, core.NotRun)
+					assert.Equal(t, fl.Code, core.CodeOverloaded)
+					left := retryAfter - time.Since(sent[len(sent)-1])
+					assert.Assert(t, fl.RetryAfter >= left && fl.RetryAfter <= max(left, time.Second), "%s of %s", fl.RetryAfter, left)
+					time.Sleep(50 * time.Millisecond)
+				}
+				assert.Assert(t, len(sent) >= 3)
+				for i, at := range sent[1:] {
+					assert.Assert(t, at.Sub(sent[i]) >= retryAfter, "%s", at.Sub(sent[i]))
+				}
+			})
+		})
+	}
+}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -68,12 +68,12 @@
 		return nil, eng.callFailure(ctx, err)
 	}
 	if eng.onSignals != nil {
-		eng.onSignals(sent, header.Signals(rs.Header))
+		eng.onSignals(sent, header.Signals(rs))
 	}
 	if rs.StatusCode != http.StatusOK {
 		defer rs.Body.Close()
 		msg, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
-		return nil, &core.Failure{Code: core.CodeUpstream, Ran: core.RanFailed, RetryAfter: time.Second,
+		return nil, &core.Failure{Code: core.CodeUpstream, Ran: core.RanFailed, RetryAfter: max(header.Signals(rs).RetryAfter, time.Second),
 			Message: "the engine answered " + rs.Status + ": " + string(bytes.TrimSpace(msg))}
 	}
 	if at.Stream {
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	onSignals(sent, header.Signals(rs.Header))
+//	onSignals(sent, header.Signals(rs))
 package header
 
 import (
@@ -12,15 +12,23 @@
 	"skylarkstand/core"
 )
 
-// rateLimit is the number of requests a second that the upstream accepts; it is absent while the
-// upstream has no limit.
-const rateLimit = "Skylarkstand-Rate-Limit"
+const (
+	// rateLimit is the number of requests a second that the upstream accepts; it is absent while the
+	// upstream has no limit.
+	rateLimit = "Skylarkstand-Rate-Limit"
+	// retryAfter is, with status 503, the number of seconds for which the upstream accepts no further
+	// request.
+	retryAfter = "Retry-After"
+)
 
 // Signals decodes the headers of a response. Malformed ones are ignored.
-func Signals(hd http.Header) core.Signals {
+func Signals(rs *http.Response) core.Signals {
 	var si core.Signals
-	if rate, ok := core.ParseRate(hd.Get(rateLimit)); ok {
+	if rate, ok := core.ParseRate(rs.Header.Get(rateLimit)); ok {
 		si.RateLimit = &rate
 	}
+	if rs.StatusCode == http.StatusServiceUnavailable {
+		si.RetryAfter = core.ParseRetryAfter(rs.Header.Get(retryAfter))
+	}
 	return si
 }
--- a/io/header/header_test.go
+++ b/io/header/header_test.go
@@ -33,12 +33,13 @@
 		{"engine", en.URL, engine.New(core.NewDeps(), en.URL)},
 		{"service", sv.URL, service.New(sv.URL)},
 	}
+	attempt := &core.Attempt{ID: "a1", Operation: "survey", Body: []byte(`{"messages":[]}`)}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			var got core.Signals
 			sc.runner.OnSignals(func(_ time.Time, si core.Signals) { got = si })
 			run := func() {
-				ans, err := sc.runner.Run(t.Context(), &core.Attempt{ID: "a1", Operation: "survey", Body: []byte(`{"messages":[]}`)})
+				ans, err := sc.runner.Run(t.Context(), attempt)
 				assert.NilError(t, err)
 				ans.Close()
 			}
@@ -47,6 +48,11 @@
 			inject(t, sc.url, map[string]any{"rate-limit": 2.5})
 			run()
 			assert.Equal(t, *got.RateLimit, core.Rate(2.5))
+			inject(t, sc.url, map[string]any{"retry-after": 1.5})
+			if ans, err := sc.runner.Run(t.Context(), attempt); err == nil {
+				ans.Close()
+			}
+			assert.DeepEqual(t, got, core.Signals{RetryAfter: 1500 * time.Millisecond})
 		})
 	}
 }
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -79,7 +79,7 @@
 	}
 	defer rs.Body.Close()
 	if svc.onSignals != nil {
-		svc.onSignals(sent, header.Signals(rs.Header))
+		svc.onSignals(sent, header.Signals(rs))
 	}
 	raw, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer+1))
 	if err != nil {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -114,7 +114,9 @@
 	en.mu.Lock()
 	fa := en.faults
 	en.mu.Unlock()
-	fa.WriteTo(w.Header())
+	if fa.Write(w) {
+		return
+	}
 	if fa.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -47,11 +47,16 @@
 func (sv *Service) run(w http.ResponseWriter, rq *http.Request) {
 	je := JournalEntry{Operation: rq.PathValue("operation"), Key: rq.Header.Get("Skylarkstand-Idempotency-Key"), Attempt: rq.Header.Get("X-Request-Id")}
 	sv.mu.Lock()
+	si := sv.signals
+	sv.mu.Unlock()
+	if si.Write(w) {
+		return
+	}
+	sv.mu.Lock()
 	sv.journal = append(sv.journal, je)
-	n, si := len(sv.journal), sv.signals
+	n := len(sv.journal)
 	sv.mu.Unlock()
 	time.Sleep(sv.duration)
-	si.WriteTo(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"confirmation": n, "operation": je.Operation})
 }
--- a/standin/signals/signals.go
+++ b/standin/signals/signals.go
@@ -16,11 +16,22 @@
 	// RateLimit is the limit that is named, in requests a second; nil names none. The stand-in does
 	// not enforce it.
 	RateLimit *float64 `json:"rate-limit"`
+	// RetryAfter makes every answer a refusal with this time in seconds; 0 refuses nothing.
+	RetryAfter float64 `json:"retry-after"`
 }
 
-// WriteTo sets the headers of an answer.
-func (si Signals) WriteTo(hd http.Header) {
+// Write sets the headers of an answer, and reports whether it has written a refusal.
+func (si Signals) Write(w http.ResponseWriter) bool {
+	hd := w.Header()
 	if si.RateLimit != nil {
-		hd.Set("Skylarkstand-Rate-Limit", strconv.FormatFloat(*si.RateLimit, 'f', -1, 64))
+		hd.Set("Skylarkstand-Rate-Limit", format(*si.RateLimit))
 	}
+	if si.RetryAfter <= 0 {
+		return false
+	}
+	hd.Set("Retry-After", format(si.RetryAfter))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
 }
+
+func format(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
