Send nothing new to an upstream that says in an answer that it leaves

What callers would see: attempts at an upstream that is going away, which some upstreams tell in their answers (and some never tell the host list). An entry used them until the list had changed.

Cause: the header was not read. The entry now marks the incarnation as draining in core/fleet, the one place that says which upstreams may get new work, so that it binds every kind of attempt, the choice of the version and the query of the prefix cache; it stays marked when the list calls it ready, loses it and lists it again, and ends with the next start. Entries tell one another, in all regions, and find the upstream of a message in the list, since an entry without requests has ranked none. upstream-draining shows it, and the stand-in speaks it.

--- a/core/balance/fact.go
+++ b/core/balance/fact.go
@@ -7,6 +7,18 @@
 	"skylarkstand/core/mechanism"
 )
 
+// Incarnation identifies one start of an upstream in messages between entries.
+type Incarnation struct {
+	// Upstream is the hash of the upstream's id, see [Hash]; Start is the low bits of its start.
+	Upstream uint64
+	Start    uint16
+}
+
+// NewIncarnation returns the incarnation of an upstream that is listed now.
+func NewIncarnation(ho *core.Host) Incarnation {
+	return Incarnation{Hash(ho.ID), uint16(ho.StartedAt)} //nolint:gosec // The low bits distinguish one start from another.
+}
+
 // Fact is an observation of an upstream that leaves no doubt: nothing listens at its address,
 // another upstream has the address, or it answers again. Slowness and failures are no facts: they
 // may be caused by this entry's own network.
--- a/core/balance/upstream_state.go
+++ b/core/balance/upstream_state.go
@@ -9,7 +9,6 @@
 
 // upstreamState is the state of one upstream.
 type upstreamState struct {
-	id        core.UpstreamID
 	startedAt int64
 	hash      uint64
 	// remote is set for an upstream of another region; region is the hash of its region.
@@ -128,20 +127,12 @@
 func (pk *Picker) stateOf(ho *core.Host) *upstreamState {
 	us := pk.states[ho.ID]
 	if us == nil || us.startedAt != ho.StartedAt {
-		us = &upstreamState{id: ho.ID, startedAt: ho.StartedAt, hash: Hash(ho.ID), remote: ho.Region != pk.region, region: Hash(ho.Region), slowRatio: 1, cache: newPrefixCache()}
+		us = &upstreamState{startedAt: ho.StartedAt, hash: Hash(ho.ID), remote: ho.Region != pk.region, region: Hash(ho.Region), slowRatio: 1, cache: newPrefixCache()}
 		pk.states[ho.ID], pk.byHash[us.hash] = us, us
 	}
 	return us
 }
 
-// ID returns the id of an upstream by its hash, or an empty id if the picker has no state of it.
-func (pk *Picker) ID(hash uint64) core.UpstreamID {
-	if us := pk.byHash[hash]; us != nil {
-		return us.id
-	}
-	return ""
-}
-
 // Forget deletes the state of an upstream that is gone.
 func (pk *Picker) Forget(id core.UpstreamID) {
 	delete(pk.states, id)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -93,6 +93,8 @@
 	UpstreamCooldown = &Event{360, "upstream-cooldown", slog.LevelWarn,
 		"An upstream refused a request and asked for none for the time `retry-after`; this entry sends it none until then.",
 		"Find out what keeps the upstream from its usual capacity."}
+	UpstreamDraining = &Event{361, "upstream-draining", slog.LevelInfo,
+		"An upstream has said in an answer that it is about to leave; it gets no new work until it has started again. `by` says whether this entry got the answer or a sibling.", "Nothing."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
@@ -170,7 +172,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown, UpstreamDraining,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -90,6 +90,8 @@
 	// RetryAfter is how long the upstream accepts no further request of the entry that it refused; 0
 	// if it names no time.
 	RetryAfter time.Duration
+	// Draining is set when the upstream is about to leave and must get no new requests.
+	Draining bool
 }
 
 // Reply is an upstream's answer to a call.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,7 +8,7 @@
 //
 // The package is also the one place that decides which upstreams may get new work: those that are
 // ready, in a region in which the request may be served, and in an availability zone that is not
-// evacuated.
+// evacuated. An upstream also leaves when it says so in an answer, whatever the list says.
 //
 // # Usage
 //
@@ -42,6 +42,7 @@
 	members map[core.UpstreamID]*member
 	// evacuated holds the availability zones that get no new work.
 	evacuated map[core.Zone]bool
+	draining  map[core.UpstreamID]draining
 	// lists caches the lists by key; every change clears it.
 	lists map[listKey][]core.Host
 	// nextExpiry is when the first grace period ends; zero when none runs.
@@ -69,7 +70,7 @@
 
 // New returns an empty fleet.
 func New(opts ...Option) *Fleet {
-	fl := &Fleet{grace: DefaultGrace, members: map[core.UpstreamID]*member{}, evacuated: map[core.Zone]bool{}, lists: map[listKey][]core.Host{}}
+	fl := &Fleet{grace: DefaultGrace, members: map[core.UpstreamID]*member{}, evacuated: map[core.Zone]bool{}, draining: map[core.UpstreamID]draining{}, lists: map[listKey][]core.Host{}}
 	for _, opt := range opts {
 		opt(fl)
 	}
@@ -80,6 +81,7 @@
 func (fl *Fleet) Put(ho core.Host) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	ho.Leaving = ho.Leaving || fl.isDraining(&ho)
 	fl.members[ho.ID] = &member{host: ho}
 	clear(fl.lists)
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -194,6 +194,9 @@
 	}
 	fw.observeRateLimit(at.began, ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: re.RateLimit}, "request", at.jb.ex.ID)
 	fw.observeRetryAfter(at.began, &at.to, re.RetryAfter, "request", at.jb.ex.ID)
+	if re.Draining {
+		fw.observeDraining(at.began, &at.to, "request", at.jb.ex.ID)
+	}
 }
 
 // discard ends an attempt whose answer is not used.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -58,6 +58,8 @@
 	escalationPolicies map[trafficClass]*escalation.Policy
 	admissionGates     map[trafficClass]*shed.Gate
 	meters             meters
+	// newDraining are the draining upstreams that were not announced yet.
+	newDraining []balance.Incarnation
 	// sentSignal wakes the goroutine that announces sent work to sibling entries.
 	sentSignal chan struct{}
 }
@@ -263,6 +265,9 @@
 		fw.observeRateLimit(now, ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit})
 	}
 	fw.observeRetryAfter(now, &ho, si.RetryAfter)
+	if si.Draining {
+		fw.observeDraining(now, &ho)
+	}
 }
 
 // RecordCached records the prompts in an upstream's prefix cache. It implements prefixsync's Learner.
--- a/core/forward/gossip.go
+++ b/core/forward/gossip.go
@@ -33,17 +33,34 @@
 // ReceiveRateLimits processes what a sibling entry has learned of upstreams' rate limits.
 func (fw *Forwarder) ReceiveRateLimits(notices []ratelimit.Notice) {
 	for _, no := range fw.components.RateLimits.ReceiveNotices(time.Now(), notices) {
-		id := fw.upstreamID(no.Upstream)
-		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", id, "limit", float64(*no.Limit), "by", "sibling")
+		ho, _ := fw.listed(no.Incarnation) // The id is empty in the line if the list lags.
+		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", ho.ID, "limit", float64(*no.Limit), "by", "sibling")
 	}
 }
 
-// upstreamID returns the id of an upstream by its hash, or an empty id for one that this entry has
-// never used.
-func (fw *Forwarder) upstreamID(hash uint64) core.UpstreamID {
+// TakeDraining returns the upstreams that have told this entry since the last call that they are
+// about to leave.
+func (fw *Forwarder) TakeDraining() []balance.Incarnation {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	return fw.picker.ID(hash)
+	out := fw.newDraining
+	fw.newDraining = nil
+	return out
+}
+
+// ReceiveDraining processes the upstreams that have told a sibling entry that they are about to
+// leave.
+func (fw *Forwarder) ReceiveDraining(ups []balance.Incarnation) {
+	for _, in := range ups {
+		if ho, ok := fw.listed(in); ok && fw.components.Fleet.MarkDraining(time.Now(), ho.ID, ho.StartedAt) {
+			event.Log(fw.deps.Log, event.UpstreamDraining, "upstream", ho.ID, "by", "sibling")
+		}
+	}
+}
+
+// listed returns the upstream of an incarnation.
+func (fw *Forwarder) listed(in balance.Incarnation) (core.Host, bool) {
+	return fw.components.Fleet.Find(func(ho core.Host) bool { return balance.NewIncarnation(&ho) == in })
 }
 
 // SentSignal returns a channel that receives whenever TakeCalls has something to return.
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// observeDraining keeps new work from an upstream that says that it is about to leave.
+func (fw *Forwarder) observeDraining(now time.Time, ho *core.Host, attrs ...any) {
+	if !fw.components.Fleet.MarkDraining(now, ho.ID, ho.StartedAt) {
+		return
+	}
+	event.Log(fw.deps.Log, event.UpstreamDraining, append([]any{"upstream", ho.ID, "by", "answer"}, attrs...)...)
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.newDraining = append(fw.newDraining, balance.NewIncarnation(ho))
+}
+
 // observeRateLimit records what an answer says of its upstream's rate limit, and logs a change.
 func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Answer, attrs ...any) {
 	attrs = append([]any{"upstream", an.Host.ID, "by", "answer"}, attrs...)
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"skylarkstand/core"
+	"skylarkstand/core/balance"
 	"skylarkstand/core/rendezvous"
 )
 
@@ -31,8 +32,8 @@
 // limit is the rate limit of one upstream, and this entry's part of it.
 type limit struct {
 	rate core.Rate
-	// start is the start of the upstream's incarnation that named the limit, see [startOf], and
-	// startedAt the complete time, or 0 while only siblings have told of the limit.
+	// start is the start of the upstream's incarnation that named the limit, see
+	// [balance.Incarnation], and startedAt the complete time, or 0 while only siblings have told of the limit.
 	start     uint16
 	startedAt int64
 	// namedAt is when an answer last named the limit, or a sibling told of it first; heardAt is when
@@ -49,16 +50,12 @@
 	trialDue, tried bool
 }
 
-// startOf returns the low bits of the start of an upstream's incarnation, which distinguish it from
-// others in messages between entries.
-func startOf(ho *core.Host) uint16 { return uint16(ho.StartedAt) } //nolint:gosec // The low bits do.
-
 func newLimit(start uint16) *limit { return &limit{rate: -1, start: start} }
 
 // appliesTo reports whether the limit was named by this incarnation of the upstream.
 func (li *limit) appliesTo(ho *core.Host) bool {
 	if li.startedAt == 0 {
-		return li.start == startOf(ho)
+		return li.start == balance.NewIncarnation(ho).Start
 	}
 	return li.startedAt == ho.StartedAt
 }
--- a/core/ratelimit/notice.go
+++ b/core/ratelimit/notice.go
@@ -6,14 +6,12 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/balance"
 )
 
 // Notice tells sibling entries of an upstream's limit.
 type Notice struct {
-	// Upstream is the hash of the upstream's id, see [balance.Hash]; Start distinguishes one
-	// incarnation of it from another.
-	Upstream uint64
-	Start    uint16
+	balance.Incarnation
 	// Limit is the limit; nil if it has ended.
 	Limit *core.Rate
 }
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -55,7 +55,8 @@
 func (tr *Tracker) Observe(now time.Time, an Answer) Change {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	key := balance.Hash(an.Host.ID)
+	in := balance.NewIncarnation(&an.Host)
+	key := in.Upstream
 	li := tr.limits[key]
 	switch {
 	case li != nil && li.isNewerThan(&an.Host):
@@ -70,18 +71,18 @@
 		}
 		delete(tr.limits, key)
 		tr.liftedAt[key] = now
-		tr.pending[key] = Notice{Upstream: key, Start: startOf(&an.Host)}
+		tr.pending[key] = Notice{Incarnation: in}
 		return Lifted
 	}
 	if li == nil {
-		li = newLimit(startOf(&an.Host))
+		li = newLimit(in.Start)
 		tr.limits[key] = li
 	}
 	changed := li.setRate(*an.Limit)
 	li.startedAt, li.namedAt, li.heardAt, li.trialDue, li.tried = an.Host.StartedAt, now, now, false, false
 	if changed || now.Sub(li.announcedAt) >= announceInterval {
 		li.announcedAt = now
-		tr.pending[key] = Notice{Upstream: key, Start: li.start, Limit: an.Limit}
+		tr.pending[key] = Notice{Incarnation: in, Limit: an.Limit}
 	}
 	if changed {
 		return Limited
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -47,6 +47,11 @@
 	// previous call of TakeRateLimits. ReceiveRateLimits records what another entry has learned.
 	TakeRateLimits() []ratelimit.Notice
 	ReceiveRateLimits(notices []ratelimit.Notice)
+	// TakeDraining returns the upstreams that have told this entry since the previous call of
+	// TakeDraining that they are about to leave. ReceiveDraining records those that have told
+	// another entry.
+	TakeDraining() []balance.Incarnation
+	ReceiveDraining(ups []balance.Incarnation)
 }
 
 // Digests provides this entry's replica digest and processes those of other entries.
@@ -159,6 +164,7 @@
 		case <-ti.C:
 			gs.sendFacts(pc, true)
 			gs.sendRateLimits(pc)
+			gs.sendDraining(pc)
 			gs.sendLoad(pc)
 		case <-remoteTicker.C:
 			gs.sendRegionLoad(pc)
@@ -338,6 +344,10 @@
 		gs.ld.ReceiveFacts(facts)
 		return
 	}
+	if ups, ok := decodeDraining(data); ok {
+		gs.ld.ReceiveDraining(ups)
+		return
+	}
 	if notices, ok := decodeRateLimits(data); ok {
 		gs.ld.ReceiveRateLimits(notices)
 		return
--- a/io/sibling/gossip_test.go
+++ b/io/sibling/gossip_test.go
@@ -95,7 +95,11 @@
 // limits: a spurious limit keeps requests from a healthy upstream.
 func TestRateLimitsDatagram(t *testing.T) {
 	low, high := core.Rate(0.125), core.Rate(1e12)
-	notices := []ratelimit.Notice{{Upstream: 1 << 63, Start: 9, Limit: &low}, {Upstream: 3}, {Upstream: 4, Limit: &high}}
+	notices := []ratelimit.Notice{
+		{Incarnation: balance.Incarnation{Upstream: 1 << 63, Start: 9}, Limit: &low},
+		{Incarnation: balance.Incarnation{Upstream: 3}},
+		{Incarnation: balance.Incarnation{Upstream: 4}, Limit: &high},
+	}
 	data := encodeRateLimits(notices)
 	got, ok := decodeRateLimits(data)
 	assert.Assert(t, ok)
@@ -109,3 +113,20 @@
 	assert.Assert(t, !ok)
 	assert.Assert(t, len(encodeRateLimits(make([]ratelimit.Notice, maxRateLimits))) <= 1472)
 }
+
+// Guards against an encoding that alters draining upstreams, and against decoding other bytes as
+// some: a healthy upstream would get no work until it starts again.
+func TestDrainingDatagram(t *testing.T) {
+	ups := []balance.Incarnation{{Upstream: 1 << 63, Start: 9}, {Upstream: 3}}
+	data := encodeDraining(ups)
+	got, ok := decodeDraining(data)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, ups)
+	_, ok = decodeDraining(data[:len(data)-1])
+	assert.Assert(t, !ok)
+	_, ok = decodeDraining(encodeFacts([]balance.Fact{{}}))
+	assert.Assert(t, !ok)
+	_, ok = decodeRateLimits(data)
+	assert.Assert(t, !ok)
+	assert.Assert(t, len(encodeDraining(make([]balance.Incarnation, maxDraining))) <= 1472)
+}
--- a/io/sibling/rate_limits.go
+++ b/io/sibling/rate_limits.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"skylarkstand/core"
+	"skylarkstand/core/balance"
 	"skylarkstand/core/ratelimit"
 )
 
@@ -26,15 +27,8 @@
 // regions, which share them.
 func (gs *Gossiper) sendRateLimits(pc net.PacketConn) {
 	notices := gs.ld.TakeRateLimits()
-	if len(notices) == 0 {
-		return
-	}
-	addrs := slices.Clone(gs.addrs())
-	for _, remote := range gs.remote() {
-		addrs = append(addrs, remote...)
-	}
 	for part := range slices.Chunk(notices, maxRateLimits) {
-		sendDatagrams(pc, addrs, encodeRateLimits(part))
+		sendDatagrams(pc, gs.allAddrs(), encodeRateLimits(part))
 	}
 }
 
@@ -60,7 +54,7 @@
 	}
 	var out []ratelimit.Notice
 	for row := data[1:]; len(row) > 0; row = row[rateLimitSize:] {
-		no := ratelimit.Notice{Upstream: binary.BigEndian.Uint64(row), Start: binary.BigEndian.Uint16(row[8:])}
+		no := ratelimit.Notice{Incarnation: balance.Incarnation{Upstream: binary.BigEndian.Uint64(row), Start: binary.BigEndian.Uint16(row[8:])}}
 		if limit := binary.BigEndian.Uint32(row[10:]); limit != noLimit {
 			rate := core.Rate(limit) / rateLimitUnit
 			no.Limit = &rate
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -57,7 +57,9 @@
 	rateLimit string
 	// retryAfter is the value of the Retry-After header of refusals; empty for none.
 	retryAfter string
-	arrivals   []time.Time
+	// draining makes all answers say that the upstream is about to leave.
+	draining bool
+	arrivals []time.Time
 }
 
 // New returns an upstream of a service and version.
@@ -109,6 +111,14 @@
 	}
 }
 
+// StartDraining makes all further answers say that the upstream is about to leave. Its entry in the
+// host list stays as it is.
+func (up *Upstream) StartDraining() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.draining = true
+}
+
 // Arrivals returns the times at which requests arrived, in order, including those that were refused.
 func (up *Upstream) Arrivals() []time.Time {
 	up.mu.Lock()
@@ -142,6 +152,9 @@
 	if up.rateLimit != "" {
 		hd.Set("Server-Limit", up.rateLimit)
 	}
+	if up.draining {
+		hd.Set("Server-Leaving", "1")
+	}
 	if mode == Overloaded && up.retryAfter != "" {
 		hd.Set("Retry-After", up.retryAfter)
 	}
