Let agents refuse new work when their upstream says that it leaves

The agent reads Skylarkstand-Draining in answers, refuses new work as not run and reports itself as leaving, as it does for a planned stop of its own; entries take that back when the agent does. It ends when a probe finds the upstream down, or with an answer that does not say it any more: one trial in 30 s may find that out, since an upstream may start again between two probes.

TestAgentOfADrainingUpstream failed before (the second request ran) and passes now. The table of core/fleet has rows for what answers say, also against the list and after a removal.

--- a/core/execute/claimed_test.go
+++ b/core/execute/claimed_test.go
@@ -25,8 +25,13 @@
 	// signals are what it says of itself.
 	signals   core.Signals
 	onSignals func(time.Time, core.Signals)
+	// down is the error of a probe.
+	down error
 }
 
+// Probe implements the probe of a runner.
+func (bo *booking) Probe() error { return bo.down }
+
 // OnSignals implements core.SignalSource.
 func (bo *booking) OnSignals(fn func(time.Time, core.Signals)) { bo.onSignals = fn }
 
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -39,6 +39,8 @@
 
 	gate     exclusiveGate
 	draining atomic.Bool
+	// upstreamDraining is set by the upstream's answers, draining by this process.
+	upstreamDraining upstreamDraining
 }
 
 // Option configures an Executor at construction.
@@ -77,8 +79,11 @@
 // StartDraining makes the executor refuse all new work.
 func (ex *Executor) StartDraining() { ex.draining.Store(true) }
 
-// Draining reports whether StartDraining was called.
-func (ex *Executor) Draining() bool { return ex.draining.Load() }
+// Draining reports whether new work is refused, because StartDraining was called or the upstream is
+// about to leave.
+func (ex *Executor) Draining() bool {
+	return ex.draining.Load() || ex.upstreamDraining.active(time.Now())
+}
 
 // Load returns the current load of the upstream.
 func (ex *Executor) Load() core.Load { return ex.queue.load() }
@@ -86,10 +91,15 @@
 // Probe returns an error if the upstream does not accept connections. It returns nil if the runner
 // has no probe.
 func (ex *Executor) Probe() error {
-	if pr, ok := ex.runner.(interface{ Probe() error }); ok {
-		return pr.Probe()
+	pr, ok := ex.runner.(interface{ Probe() error })
+	if !ok {
+		return nil
+	}
+	err := pr.Probe()
+	if err != nil {
+		ex.upstreamDraining.ended()
 	}
-	return nil
+	return err
 }
 
 // ErrNoOrders is returned if the upstream accepts no orders.
@@ -146,7 +156,7 @@
 }
 
 func (ex *Executor) check(at *core.Attempt) *core.Failure {
-	return guard.Check(ex.inf.Current(), ex.host, ex.draining.Load(), at)
+	return guard.Check(ex.inf.Current(), ex.host, ex.Draining(), at)
 }
 
 // awaitGeneration waits until the agent's configuration is at least as new as the entry's, up to
--- a/core/execute/signals.go
+++ b/core/execute/signals.go
@@ -16,7 +16,11 @@
 	if fl := ex.checkAccepting(); fl != nil {
 		return nil, fl
 	}
-	if now := time.Now(); !ex.limits.Acquire(now, &ex.host) {
+	now := time.Now()
+	if !ex.upstreamDraining.admit(now) {
+		return nil, core.Refuse(core.CodeLeaving, minRetryAfter, "upstream %s is leaving", ex.host.ID)
+	}
+	if !ex.limits.Acquire(now, &ex.host) {
 		return nil, ex.limitedFailure(now)
 	}
 	return ex.runner.Run(ctx, at)
@@ -45,6 +49,9 @@
 	if si.RetryAfter > 0 && ex.cooldowns.Begin(now, &ex.host, si.RetryAfter) {
 		event.Log(ex.deps.Log, event.UpstreamCooldown, "upstream", ex.host.ID, "retry-after", si.RetryAfter)
 	}
+	if ex.upstreamDraining.observe(now, sent, si.Draining) {
+		event.Log(ex.deps.Log, event.UpstreamDraining, "upstream", ex.host.ID, "by", "answer")
+	}
 	an := ratelimit.Answer{Host: ex.host, Sent: sent, Limit: si.RateLimit}
 	switch ex.limits.Observe(now, an) {
 	case ratelimit.Limited:
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -92,3 +92,31 @@
 		})
 	}
 }
+
+// Guards against new work for an upstream that has said in an answer that it is about to leave, and
+// against an upstream that gets none after it has started again.
+func TestAgentOfADrainingUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t)
+		keys := 0
+		call := func() result {
+			keys++
+			return fx.call(t.Context(), fmt.Sprint("k", keys))
+		}
+		fx.bo.signals.Draining = true
+		assert.Equal(t, call().text, "booked")
+		assert.Assert(t, fx.ex.Draining(), "entries are told")
+		for range 29 {
+			assert.Equal(t, call(), result{core.NotRun, string(core.CodeLeaving)})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, call().text, "booked", "one trial, whose answer says that it still leaves")
+		assert.Equal(t, call(), result{core.NotRun, string(core.CodeLeaving)})
+		assert.Equal(t, fx.bo.runs, 2)
+		fx.bo.signals.Draining, fx.bo.down = false, errors.New("connection refused")
+		assert.Assert(t, fx.ex.Probe() != nil)
+		assert.Assert(t, !fx.ex.Draining())
+		assert.Equal(t, call().text, "booked")
+	})
+}
--- a/core/fleet/draining.go
+++ b/core/fleet/draining.go
@@ -7,8 +7,8 @@
 	"skylarkstand/core"
 )
 
-// drainingTTL is how long a draining upstream is remembered after its last answer, or after its entry
-// was removed. It may be listed again while it lives, as when a lease ran out.
+// drainingTTL is how long a draining upstream that is not listed is remembered after its last answer.
+// It may be listed again while it lives, as when a lease ran out.
 const drainingTTL = 10 * time.Minute
 
 // draining is an incarnation of an upstream that has said in an answer that it is about to leave.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -52,6 +52,21 @@
 		leave    func(fl *fleet.Fleet)
 	}{
 		{"announces it", func(fl *fleet.Fleet) { fl.Put(core.Host{ID: "b", Service: "desk", Leaving: true}) }},
+		{"says it in an answer", func(fl *fleet.Fleet) { fl.MarkDraining(start, "b", 0) }},
+		{"says it in an answer and is listed as ready", func(fl *fleet.Fleet) {
+			fl.MarkDraining(start, "b", 0)
+			fl.Put(core.Host{ID: "b", Service: "desk"})
+		}},
+		{"says it in an answer before it is listed", func(fl *fleet.Fleet) {
+			fl.Remove("b", start, false)
+			fl.MarkDraining(start, "b", 0)
+			fl.Put(core.Host{ID: "b", Service: "desk"})
+		}},
+		{"says it in an answer, after one of an earlier incarnation", func(fl *fleet.Fleet) {
+			fl.Put(core.Host{ID: "b", Service: "desk", StartedAt: 2})
+			fl.MarkDraining(start, "b", 2)
+			fl.MarkDraining(start, "b", 1)
+		}},
 		{"is removed", func(fl *fleet.Fleet) { fl.Remove("b", start, false) }},
 		{"announces it and is doubtfully removed", func(fl *fleet.Fleet) {
 			fl.Put(core.Host{ID: "b", Service: "desk", Leaving: true})
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -104,7 +104,8 @@
 		at:   time.Now(), own: int(ln.ownInFlight.Load()),
 	})
 	ln.upstreamDown.Store(st.Down)
-	if st.Leaving && !ln.announcedLeaving.Swap(true) {
+	// An upstream that was about to leave may have started again.
+	if was := ln.announcedLeaving.Swap(st.Leaving); st.Leaving && !was {
 		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
 	}
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -225,14 +225,19 @@
 func (srv *Server) reportState(ctx context.Context) {
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
-	var last core.Load
+	type state struct {
+		load     core.Load
+		draining bool
+	}
+	var last state
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		now, changed := srv.ex.Load(), srv.probe()
+		changed := srv.probe()
+		now := state{srv.ex.Load(), srv.ex.Draining()}
 		if now != last || changed {
 			last = now
 			srv.broadcast()
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -19,11 +19,13 @@
 	// retryAfter is, with status 503, the number of seconds for which the upstream accepts no further
 	// request.
 	retryAfter = "Retry-After"
+	// draining is "1" in all answers of an upstream that is about to leave.
+	draining = "Skylarkstand-Draining"
 )
 
 // Signals decodes the headers of a response. Malformed ones are ignored.
 func Signals(rs *http.Response) core.Signals {
-	var si core.Signals
+	si := core.Signals{Draining: rs.Header.Get(draining) == "1"}
 	if rate, ok := core.ParseRate(rs.Header.Get(rateLimit)); ok {
 		si.RateLimit = &rate
 	}
--- a/io/header/header_test.go
+++ b/io/header/header_test.go
@@ -45,9 +45,10 @@
 			}
 			run()
 			assert.DeepEqual(t, got, core.Signals{})
-			inject(t, sc.url, map[string]any{"rate-limit": 2.5})
+			inject(t, sc.url, map[string]any{"rate-limit": 2.5, "draining": true})
 			run()
 			assert.Equal(t, *got.RateLimit, core.Rate(2.5))
+			assert.Assert(t, got.Draining)
 			inject(t, sc.url, map[string]any{"retry-after": 1.5})
 			if ans, err := sc.runner.Run(t.Context(), attempt); err == nil {
 				ans.Close()
--- a/standin/signals/signals.go
+++ b/standin/signals/signals.go
@@ -18,6 +18,8 @@
 	RateLimit *float64 `json:"rate-limit"`
 	// RetryAfter makes every answer a refusal with this time in seconds; 0 refuses nothing.
 	RetryAfter float64 `json:"retry-after"`
+	// Draining says that the stand-in is about to leave.
+	Draining bool `json:"draining"`
 }
 
 // Write sets the headers of an answer, and reports whether it has written a refusal.
@@ -26,6 +28,9 @@
 	if si.RateLimit != nil {
 		hd.Set("Skylarkstand-Rate-Limit", format(*si.RateLimit))
 	}
+	if si.Draining {
+		hd.Set("Skylarkstand-Draining", "1")
+	}
 	if si.RetryAfter <= 0 {
 		return false
 	}
