Let the soak inject what upstreams say of their state

Upstreams of the soak name limits, refuse with a time, drain by their answers and start again as new incarnations, in series and beside the other faults; 25 faults a seed in place of 20, so that the old ones stay as frequent. The promises checked are the same.

--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -59,6 +59,7 @@
 	retryAfter string
 	// draining makes all answers say that the upstream is about to leave.
 	draining bool
+	restarts int
 	arrivals []time.Time
 }
 
@@ -71,7 +72,7 @@
 func (up *Upstream) HostEntry(addr, zone, state string) map[string]any {
 	return map[string]any{
 		"service": up.service, "address": addr, "zone": zone, "version": up.version, "slots": 6, "state": state,
-		"warmup_left_ms": 0, "sequence": 1, "born": 1,
+		"warmup_left_ms": 0, "sequence": 1, "born": up.born(),
 	}
 }
 
@@ -119,6 +120,22 @@
 	up.draining = true
 }
 
+// Restart ends what the upstream says of its state and makes it a new incarnation, once its entry in
+// the host list is written anew.
+func (up *Upstream) Restart() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.rateLimit, up.retryAfter, up.draining = "", "", false
+	up.restarts++
+}
+
+// born returns the start of this incarnation, in milliseconds since 1970.
+func (up *Upstream) born() int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return 1 + up.restarts
+}
+
 // Arrivals returns the times at which requests arrived, in order, including those that were refused.
 func (up *Upstream) Arrivals() []time.Time {
 	up.mu.Lock()
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -44,7 +44,7 @@
 const (
 	soakDuration   = 6 * time.Second
 	soakCallers    = 10
-	soakFaults     = 20
+	soakFaults     = 25
 	requestTimeout = 6 * time.Second
 )
 
@@ -92,7 +92,7 @@
 func newSoakFixture(t *testing.T, seed uint64) *soakFixture {
 	t.Helper()
 	sf := &soakFixture{fixture: newFixture(t, 0), rnd: rand.New(rand.NewPCG(seed, 1)), version: 10}
-	for _, up := range append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...) {
+	for _, up := range sf.upstreams() {
 		re, cleanup, err := fleet.NewRelay(sf.addrs[up.ID()])
 		assert.NilError(t, err)
 		t.Cleanup(cleanup)
@@ -179,10 +179,10 @@
 // injectFault injects or removes one random fault.
 func (sf *soakFixture) injectFault() {
 	modes := []upstream.Mode{upstream.Fail, upstream.Overloaded, upstream.CutOff, upstream.Slow, upstream.Answer}
-	all := append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...)
+	all := sf.upstreams()
 	re, st := sf.relays[sf.rnd.IntN(len(sf.relays))], sf.stores[sf.rnd.IntN(len(sf.stores))]
 	gw := sf.rnd.IntN(len(sf.gws))
-	switch sf.rnd.IntN(14) {
+	switch sf.rnd.IntN(18) {
 	case 0:
 		re.Cut()
 	case 1:
@@ -220,6 +220,14 @@
 		sf.mu.Lock()
 		sf.terminated = append(sf.terminated, old)
 		sf.mu.Unlock()
+	case 14:
+		all[sf.rnd.IntN(len(all))].SetRateLimit(float64(sf.rnd.IntN(20)))
+	case 15:
+		all[sf.rnd.IntN(len(all))].SetRetryAfter(0.2 + sf.rnd.Float64())
+	case 16:
+		all[sf.rnd.IntN(len(all))].StartDraining()
+	case 17:
+		sf.restart(sf.rnd.IntN(len(all)))
 	}
 }
 
@@ -229,11 +237,24 @@
 		re.Restore()
 	}
 	sf.st.SetFault(kv.None)
-	for _, up := range append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...) {
+	for i, up := range sf.upstreams() {
 		up.SetMode(upstream.Answer)
+		sf.restart(i)
 	}
 }
 
+// upstreams lists the upstreams in the order of their relays.
+func (sf *soakFixture) upstreams() []*upstream.Upstream {
+	return append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...)
+}
+
+// restart makes an upstream a new incarnation, as the host list says.
+func (sf *soakFixture) restart(i int) {
+	up := sf.upstreams()[i]
+	up.Restart()
+	sf.st.Put("servers/"+up.ID(), up.HostEntry(sf.relays[i].Addr, "muc-a", "ready"))
+}
+
 // check compares what callers received with what upstreams ran.
 func (sf *soakFixture) check() {
 	t := sf.t
@@ -248,7 +269,7 @@
 		assert.NilError(t, gw.Wait(), "exit of a gateway after a planned stop")
 	}
 	ran := map[string][]upstream.Run{}
-	for _, up := range append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...) {
+	for _, up := range sf.upstreams() {
 		for _, run := range up.Runs() {
 			ran[run.ID] = append(ran[run.ID], run)
 		}
