--- a/core/forward/draining_test.go
+++ b/core/forward/draining_test.go
@@ -22,18 +22,22 @@
 			return re
 		}
 		po := newPool(t, 3, map[core.UpstreamID]func() *core.Reply{"north-1": drains, "south-1": drains})
-		listed := po.fl.Serving("pool", time.Now(), core.Regions{})
+		listed := po.fleets[0].Serving("pool", time.Now(), core.Regions{})
 		relist := func(startedAt int64) {
 			for _, ho := range listed {
 				ho.StartedAt = startedAt
-				po.fl.Put(ho)
+				for _, fl := range po.fleets {
+					fl.Put(ho)
+				}
 			}
 		}
 		po.run(t, 5*time.Second, 5*time.Millisecond)
 		relist(1)
 		po.run(t, 5*time.Second, 5*time.Millisecond)
 		for _, ho := range listed {
-			po.fl.Remove(ho.ID, time.Now(), false)
+			for _, fl := range po.fleets {
+				fl.Remove(ho.ID, time.Now(), false)
+			}
 		}
 		relist(1)
 		po.run(t, 5*time.Second, 5*time.Millisecond)
--- a/core/forward/pool_test.go
+++ b/core/forward/pool_test.go
@@ -23,7 +23,8 @@
 // pool is a pool of upstreams behind several entries.
 type pool struct {
 	entries []*forward.Forwarder
-	fl      *fleet.Fleet
+	// fleets are the host lists of the entries.
+	fleets []*fleet.Fleet
 	// replies are the replies of upstreams that say something of their state.
 	replies map[core.UpstreamID]func() *core.Reply
 
@@ -52,18 +53,19 @@
 	entry core.ProcessID
 }
 
-// newPool returns a pool of three upstreams in each of two regions. It must be called inside a
+// upstreamsPerRegion is the number of upstreams in each of the pool's two regions.
+const upstreamsPerRegion = 3
+
+// answerTime is the time until an upstream answers.
+const answerTime = 20 * time.Millisecond
+
+// newPool returns a pool of upstreams in two regions. It must be called inside a
 // synctest bubble.
 func newPool(t *testing.T, entries int, replies map[core.UpstreamID]func() *core.Reply) *pool {
 	t.Helper()
 	fx := newUnconfiguredFixture(t)
 	fx.inf.Adopt(fx.tb)
-	po := &pool{replies: replies, fl: fleet.New(), rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}, told: map[told][]time.Time{}}
-	for _, re := range []core.Region{north, south} {
-		for i := range 3 {
-			po.fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint(re, "-", i)), Service: "pool", Version: "v1", Slots: 8, Region: re, StartedAt: 1})
-		}
-	}
+	po := &pool{replies: replies, rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}, told: map[told][]time.Time{}}
 	ids := make([]core.ProcessID, entries)
 	for i := range ids {
 		ids[i] = core.ProcessID(fmt.Sprint("entry-", i))
@@ -75,10 +77,17 @@
 }
 
 func (po *pool) newEntry(id core.ProcessID, ids []core.ProcessID, inf *route.InForce) *forward.Forwarder {
+	fl := fleet.New()
+	for _, re := range []core.Region{north, south} {
+		for i := range upstreamsPerRegion {
+			fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint(re, "-", i)), Service: "pool", Version: "v1", Slots: 8, Region: re, StartedAt: 1})
+		}
+	}
+	po.fleets = append(po.fleets, fl)
 	deps := core.NewDeps()
 	deps.Self, deps.Region = id, north
 	return forward.New(deps, poolClient{po, id}, forward.Components{
-		InForce: inf, Fleet: po.fl, Warmup: warmup.New(id), Canary: canary.New(), Cooldowns: cooldown.New(),
+		InForce: inf, Fleet: fl, Warmup: warmup.New(id), Canary: canary.New(), Cooldowns: cooldown.New(),
 		RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
 		ConfigAge:      func() time.Duration { return 0 },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
@@ -95,7 +104,7 @@
 // calls in every way that is followed by another attempt.
 func (pc poolClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
 	kind := pc.po.arrived(pc.entry, ca.To.ID)
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(answerTime)
 	if respond := pc.po.replies[ca.To.ID]; respond != nil {
 		pc.po.tell(pc.entry, ca.To.ID)
 		return respond(), nil
