--- a/core/execute/claimed.go
+++ b/core/execute/claimed.go
@@ -63,9 +63,6 @@
 		// group writes per call before it is refused.
 		return nil, core.Refuse(core.CodeOverloaded, minRetryAfter, "the queue of upstream %s is full", ex.host.ID)
 	}
-	if fl := ex.checkAccepting(); fl != nil {
-		return nil, fl
-	}
 	req := claim.Request{
 		Key:    claim.Key{Workspace: at.Workspace, Service: at.Service, Operation: at.Operation, Idempotency: at.IdempotencyKey},
 		Digest: digest(at.Body), Attempt: at.ID,
--- a/core/execute/signals.go
+++ b/core/execute/signals.go
@@ -9,40 +9,25 @@
 	"skylarkstand/core/ratelimit"
 )
 
-// call calls the upstream, unless it accepts no request at this moment. All calls go through here.
-// The agent is the only way to its upstream, so a limit on the requests of all entries together is a
-// limit on this agent's calls.
+// call calls the upstream, unless it accepts no request at this moment. All calls go through here,
+// and only calls: an operation that has run is answered from its claim at any time. The agent is the
+// only way to its upstream, so a limit on the requests of all entries together is a limit on this
+// agent's calls.
 func (ex *Executor) call(ctx context.Context, at *core.Attempt) (core.Answer, error) {
-	if fl := ex.checkAccepting(); fl != nil {
-		return nil, fl
-	}
 	now := time.Now()
+	if left := ex.cooldowns.Remaining(now, []core.Host{ex.host}); left > 0 {
+		return nil, core.Refuse(core.CodeOverloaded, max(left, minRetryAfter), "upstream %s has asked for no requests for %s", ex.host.ID, left)
+	}
 	if !ex.upstreamDraining.admit(now) {
 		return nil, core.Refuse(core.CodeLeaving, minRetryAfter, "upstream %s is leaving", ex.host.ID)
 	}
 	if !ex.limits.Acquire(now, &ex.host) {
-		return nil, ex.limitedFailure(now)
+		interval, _ := ex.limits.Interval(now, []core.Host{ex.host})
+		return nil, core.Refuse(core.CodeOverloaded, max(interval, minRetryAfter), "upstream %s accepts no more requests at its rate limit", ex.host.ID)
 	}
 	return ex.runner.Run(ctx, at)
 }
 
-// checkAccepting refuses an attempt that could not be called now.
-func (ex *Executor) checkAccepting() *core.Failure {
-	now, hosts := time.Now(), []core.Host{ex.host}
-	if left := ex.cooldowns.Remaining(now, hosts); left > 0 {
-		return core.Refuse(core.CodeOverloaded, max(left, minRetryAfter), "upstream %s has asked for no requests for %s", ex.host.ID, left)
-	}
-	if len(ex.limits.Available(now, hosts)) == 0 {
-		return ex.limitedFailure(now)
-	}
-	return nil
-}
-
-func (ex *Executor) limitedFailure(now time.Time) *core.Failure {
-	interval, _ := ex.limits.Interval(now, []core.Host{ex.host})
-	return core.Refuse(core.CodeOverloaded, max(interval, minRetryAfter), "upstream %s accepts no more requests at its rate limit", ex.host.ID)
-}
-
 // observe records what the upstream says of itself.
 func (ex *Executor) observe(sent time.Time, si core.Signals) {
 	now := time.Now()
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -71,6 +71,7 @@
 						ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: operation,
 						IdempotencyKey: fmt.Sprint("k", n), Generation: 1, Body: []byte("{}"),
 					}
+					asked := time.Now()
 					_, err := fx.ex.Run(t.Context(), at)
 					var fl *core.Failure
 					assert.Assert(t, errors.As(err, &fl))
@@ -80,8 +81,8 @@
 					}
 					assert.Equal(t, fl.Ran, core.NotRun)
 					assert.Equal(t, fl.Code, core.CodeOverloaded)
-					left := retryAfter - time.Since(sent[len(sent)-1])
-					assert.Assert(t, fl.RetryAfter >= left && fl.RetryAfter <= max(left, time.Second), "%s of %s", fl.RetryAfter, left)
+					last := sent[len(sent)-1]
+					assert.Assert(t, fl.RetryAfter >= retryAfter-time.Since(last) && fl.RetryAfter <= max(retryAfter-asked.Sub(last), time.Second), "%s", fl.RetryAfter)
 					time.Sleep(50 * time.Millisecond)
 				}
 				assert.Assert(t, len(sent) >= 3)
@@ -120,3 +121,18 @@
 		assert.Equal(t, call().text, "booked")
 	})
 }
+
+// Guards against a caller that is refused its stored answer, as not run, while the upstream accepts no
+// request.
+func TestStoredAnswerDuringACooldown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t)
+		assert.Equal(t, fx.call(t.Context(), "k1").text, "booked")
+		limit := core.Rate(0)
+		fx.bo.signals = core.Signals{RateLimit: &limit, RetryAfter: time.Minute}
+		fx.call(t.Context(), "k2")
+		assert.Equal(t, fx.call(t.Context(), "k1").text, "booked")
+		assert.Equal(t, fx.call(t.Context(), "k3"), result{core.NotRun, string(core.CodeOverloaded)})
+		assert.Equal(t, fx.bo.runs, 2)
+	})
+}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -12,7 +12,6 @@
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/event"
-	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/warmup"
 )
 
@@ -186,19 +185,6 @@
 	fw.picker.RecordHeader(at.began, at.flight, at.rq, at.reply.Load)
 }
 
-// recordSignals records what the response header says of the upstream's state.
-func (at *attempt) recordSignals() {
-	re, fw := at.reply, at.jb.fw
-	if !re.FromUpstream() {
-		return
-	}
-	fw.observeRateLimit(at.began, ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: re.RateLimit}, "request", at.jb.ex.ID)
-	fw.observeRetryAfter(at.began, &at.to, re.RetryAfter, "request", at.jb.ex.ID)
-	if re.Draining {
-		fw.observeDraining(at.began, &at.to, "request", at.jb.ex.ID)
-	}
-}
-
 // discard ends an attempt whose answer is not used.
 func (at *attempt) discard(ve verdict) {
 	if ve.notRun() {
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -250,26 +250,6 @@
 	fw.picker.Forget(id)
 }
 
-// AdmitQuery reports whether an engine accepts a query of its prefix cache now, and takes a token if
-// it has a rate limit. It implements prefixsync's Learner.
-func (fw *Forwarder) AdmitQuery(ho core.Host) bool {
-	now := time.Now()
-	return len(fw.components.Cooldowns.Available(now, []core.Host{ho})) > 0 && fw.components.RateLimits.Acquire(now, &ho)
-}
-
-// ObserveSignals records what an engine's answer to a query says of its state. It implements
-// prefixsync's Learner. The absence of a signal proves nothing, since queries are not requests.
-func (fw *Forwarder) ObserveSignals(ho core.Host, sent time.Time, si core.Signals) {
-	now := time.Now()
-	if si.RateLimit != nil {
-		fw.observeRateLimit(now, ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit})
-	}
-	fw.observeRetryAfter(now, &ho, si.RetryAfter)
-	if si.Draining {
-		fw.observeDraining(now, &ho)
-	}
-}
-
 // RecordCached records the prompts in an upstream's prefix cache. It implements prefixsync's Learner.
 func (fw *Forwarder) RecordCached(ho core.Host, held []core.CachedPart) {
 	fw.mu.Lock()
--- a/core/forward/gossip.go
+++ b/core/forward/gossip.go
@@ -3,11 +3,8 @@
 import (
 	"time"
 
-	"skylarkstand/core"
 	"skylarkstand/core/balance"
-	"skylarkstand/core/event"
 	"skylarkstand/core/mechanism"
-	"skylarkstand/core/ratelimit"
 )
 
 // TakeFacts returns the facts about upstreams that this entry has observed since the last call, and
@@ -25,44 +22,6 @@
 	fw.picker.ReceiveFacts(time.Now(), facts)
 }
 
-// TakeRateLimits returns what this entry has learned of upstreams' rate limits since the last call.
-func (fw *Forwarder) TakeRateLimits() []ratelimit.Notice {
-	return fw.components.RateLimits.TakeNotices(time.Now())
-}
-
-// ReceiveRateLimits processes what a sibling entry has learned of upstreams' rate limits.
-func (fw *Forwarder) ReceiveRateLimits(notices []ratelimit.Notice) {
-	for _, no := range fw.components.RateLimits.ReceiveNotices(time.Now(), notices) {
-		ho, _ := fw.listed(no.Incarnation) // The id is empty in the line if the list lags.
-		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", ho.ID, "limit", float64(*no.Limit), "by", "sibling")
-	}
-}
-
-// TakeDraining returns the upstreams that have told this entry since the last call that they are
-// about to leave.
-func (fw *Forwarder) TakeDraining() []balance.Incarnation {
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	out := fw.newDraining
-	fw.newDraining = nil
-	return out
-}
-
-// ReceiveDraining processes the upstreams that have told a sibling entry that they are about to
-// leave.
-func (fw *Forwarder) ReceiveDraining(ups []balance.Incarnation) {
-	for _, in := range ups {
-		if ho, ok := fw.listed(in); ok && fw.components.Fleet.MarkDraining(time.Now(), ho.ID, ho.StartedAt) {
-			event.Log(fw.deps.Log, event.UpstreamDraining, "upstream", ho.ID, "by", "sibling")
-		}
-	}
-}
-
-// listed returns the upstream of an incarnation.
-func (fw *Forwarder) listed(in balance.Incarnation) (core.Host, bool) {
-	return fw.components.Fleet.Find(func(ho core.Host) bool { return balance.NewIncarnation(&ho) == in })
-}
-
 // SentSignal returns a channel that receives whenever TakeCalls has something to return.
 func (fw *Forwarder) SentSignal() <-chan struct{} { return fw.sentSignal }
 
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -7,7 +7,6 @@
 	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/event"
-	"skylarkstand/core/ratelimit"
 )
 
 // logBegin logs the choice of the upstream with its inputs.
@@ -32,36 +31,6 @@
 	}
 }
 
-// observeRetryAfter begins the cooldown that an upstream has asked for, and logs it; 0 is none.
-func (fw *Forwarder) observeRetryAfter(now time.Time, ho *core.Host, du time.Duration, attrs ...any) {
-	if du > 0 && fw.components.Cooldowns.Begin(now, ho, du) {
-		event.Log(fw.deps.Log, event.UpstreamCooldown, append([]any{"upstream", ho.ID, "retry-after", du}, attrs...)...)
-	}
-}
-
-// observeDraining keeps new work from an upstream that says that it is about to leave.
-func (fw *Forwarder) observeDraining(now time.Time, ho *core.Host, attrs ...any) {
-	if !fw.components.Fleet.MarkDraining(now, ho.ID, ho.StartedAt) {
-		return
-	}
-	event.Log(fw.deps.Log, event.UpstreamDraining, append([]any{"upstream", ho.ID, "by", "answer"}, attrs...)...)
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	fw.newDraining = append(fw.newDraining, balance.NewIncarnation(ho))
-}
-
-// observeRateLimit records what an answer says of its upstream's rate limit, and logs a change.
-func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Answer, attrs ...any) {
-	attrs = append([]any{"upstream", an.Host.ID, "by", "answer"}, attrs...)
-	switch fw.components.RateLimits.Observe(now, an) {
-	case ratelimit.Limited:
-		event.Log(fw.deps.Log, event.UpstreamLimited, append(attrs, "limit", float64(*an.Limit))...)
-	case ratelimit.Lifted:
-		event.Log(fw.deps.Log, event.UpstreamUnlimited, attrs...)
-	case ratelimit.Unchanged:
-	}
-}
-
 // log writes the single line about the end of an exchange with an answer.
 func (ans *Answer) log(code core.Code, took time.Duration) {
 	jb, at := ans.jb, ans.at
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -55,6 +55,9 @@
 func (tr *Tracker) Observe(now time.Time, an Answer) Change {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	if an.Limit == nil && len(tr.limits) == 0 {
+		return Unchanged
+	}
 	in := balance.NewIncarnation(&an.Host)
 	key := in.Upstream
 	li := tr.limits[key]
