Let entries agree on a limit to a thousandth, and keep a lowered one

Found while reading. Entries tell one another a limit in thousandths of a request a second. One of 1/3 came back as 0.333, which counted as another limit: each answer and each message changed it back and was told to all entries again. Limits are now kept in thousandths everywhere; TestRoundedLimitIsTheSame failed before.

An answer with a higher limit whose request was sent before the limit was lowered raised it again until the next answer. It is ignored now; a row of TestEndOfALimit failed before.

--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -33,7 +33,8 @@
 type limit struct {
 	rate core.Rate
 	// start is the start of the upstream's incarnation that named the limit, see
-	// [balance.Incarnation], and startedAt the complete time, or 0 while only siblings have told of the limit.
+	// [balance.Incarnation], and startedAt the complete time, or 0 while only siblings have told of
+	// the limit.
 	start     uint16
 	startedAt int64
 	// namedAt is when an answer last named the limit, or a sibling told of it first; heardAt is when
--- a/core/ratelimit/notice.go
+++ b/core/ratelimit/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,18 @@
 	Limit *core.Rate
 }
 
+// maxThousandths bounds a limit in thousandths of a request a second.
+const maxThousandths = math.MaxUint32 - 1
+
+// Thousandths returns a limit in thousandths of a request a second. Entries agree on limits with this
+// resolution.
+func Thousandths(ra core.Rate) uint32 {
+	return uint32(math.Round(min(float64(ra)*1000, maxThousandths)))
+}
+
+// FromThousandths returns the limit of which Thousandths returns n.
+func FromThousandths(n uint32) core.Rate { return core.Rate(n) / 1000 }
+
 const (
 	// announceInterval is how often an entry tells of a limit that its upstream continues to name.
 	announceInterval = 5 * time.Second
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -81,11 +81,15 @@
 		li = newLimit(in.Start)
 		tr.limits[key] = li
 	}
-	changed := li.setRate(*an.Limit)
+	limit := FromThousandths(Thousandths(*an.Limit))
+	if limit > li.rate && li.rate >= 0 && an.Sent.Before(li.namedAt) {
+		return Unchanged // The limit was lowered while this answer was under way.
+	}
+	changed := li.setRate(limit)
 	li.startedAt, li.namedAt, li.heardAt, li.trialDue, li.tried = an.Host.StartedAt, now, now, false, false
 	if changed || now.Sub(li.announcedAt) >= announceInterval {
 		li.announcedAt = now
-		tr.pending[key] = Notice{Incarnation: in, Limit: an.Limit}
+		tr.pending[key] = Notice{Incarnation: in, Limit: &limit}
 	}
 	if changed {
 		return Limited
--- a/core/ratelimit/tracker_test.go
+++ b/core/ratelimit/tracker_test.go
@@ -37,6 +37,8 @@
 		{"named anew", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(3), ratelimit.Limited}}, 1},
 		{"not named by a later answer", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1.1, 2, 1, nil, ratelimit.Lifted}}, 0},
 		{"not named by an answer that was under way", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
+		{"raised by an answer that was under way when it was lowered", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(3), ratelimit.Unchanged}}, 1},
+		{"lowered by an answer that was under way", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(1), ratelimit.Limited}}, 1},
 		{"restarted", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 2, nil, ratelimit.Unchanged}}, 0},
 		{"named by the incarnation before", []answer{{0, 1, 2, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(9), ratelimit.Unchanged}, {1.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
 	}
@@ -57,3 +59,18 @@
 		})
 	}
 }
+
+// Guards against entries that take a limit for another one after it was rounded in a message, and
+// tell one another of the change for ever.
+func TestRoundedLimitIsTheSame(t *testing.T) {
+	third := core.Rate(1) / 3
+	tr := ratelimit.New("self", func() []core.ProcessID { return nil })
+	ho := core.Host{ID: "up"}
+	assert.Equal(t, tr.Observe(at(1), ratelimit.Answer{Host: ho, Sent: at(0), Limit: &third}), ratelimit.Limited)
+	no := tr.TakeNotices(at(1))[0]
+	rounded := ratelimit.FromThousandths(ratelimit.Thousandths(*no.Limit))
+	no.Limit = &rounded
+	assert.Equal(t, len(tr.ReceiveNotices(at(2), []ratelimit.Notice{no})), 0)
+	assert.Equal(t, tr.Observe(at(3), ratelimit.Answer{Host: ho, Sent: at(2), Limit: &third}), ratelimit.Unchanged)
+	assert.Equal(t, len(tr.TakeNotices(at(3))), 0)
+}
--- a/io/sibling/gossip_test.go
+++ b/io/sibling/gossip_test.go
@@ -103,7 +103,7 @@
 	data := encodeRateLimits(notices)
 	got, ok := decodeRateLimits(data)
 	assert.Assert(t, ok)
-	high = core.Rate(noLimit-1) / rateLimitUnit
+	high = ratelimit.FromThousandths(noLimit - 1)
 	assert.DeepEqual(t, got, notices)
 	_, ok = decodeRateLimits(data[:len(data)-1])
 	assert.Assert(t, !ok)
--- a/io/sibling/rate_limits.go
+++ b/io/sibling/rate_limits.go
@@ -6,7 +6,6 @@
 	"net"
 	"slices"
 
-	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/ratelimit"
 )
@@ -17,7 +16,6 @@
 const (
 	rateLimitsFormat = 0x86
 	rateLimitSize    = 8 + 2 + 4
-	rateLimitUnit    = 1000
 	noLimit          = math.MaxUint32
 	// maxRateLimits keeps a datagram below the usual packet size.
 	maxRateLimits = 100
@@ -40,7 +38,7 @@
 		data = binary.BigEndian.AppendUint16(data, no.Start)
 		limit := uint32(noLimit)
 		if no.Limit != nil {
-			limit = uint32(min(float64(*no.Limit)*rateLimitUnit, noLimit-1))
+			limit = ratelimit.Thousandths(*no.Limit)
 		}
 		data = binary.BigEndian.AppendUint32(data, limit)
 	}
@@ -56,7 +54,7 @@
 	for row := data[1:]; len(row) > 0; row = row[rateLimitSize:] {
 		no := ratelimit.Notice{Incarnation: balance.Incarnation{Upstream: binary.BigEndian.Uint64(row), Start: binary.BigEndian.Uint16(row[8:])}}
 		if limit := binary.BigEndian.Uint32(row[10:]); limit != noLimit {
-			rate := core.Rate(limit) / rateLimitUnit
+			rate := ratelimit.FromThousandths(limit)
 			no.Limit = &rate
 		}
 		out = append(out, no)
