--- a/core/cooldown/tracker.go
+++ b/core/cooldown/tracker.go
@@ -1,5 +1,5 @@
-// Package cooldown keeps an entry's requests from upstreams that have refused one and named the time
-// after which the entry may send the next.
+// Package cooldown keeps an entry from sending requests to upstreams that have refused one with a
+// Retry-After.
 //
 // It answers overload of single upstreams: a request that is sent too early is refused again, and
 // costs its caller an attempt and the upstream the refusal. The time applies to this entry alone;
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -86,15 +86,15 @@
 	UpstreamCold = &Event{357, "upstream-cold", slog.LevelInfo,
 		"An upstream has started or is cold again, and gets only few requests for the time `cold-for` (negative: the duration that its service declares), shared by as many entries as `entries` says. Without `exact`, this entry sends it none during that time.", "Nothing."}
 	UpstreamLimited = &Event{358, "upstream-limited", slog.LevelWarn,
-		"An upstream named in an answer how many requests a second it accepts from all entries together (`limit`), or changed that number; `by` says whether this entry got the answer or a sibling. This entry keeps to its part of the limit from now on.",
+		"An upstream reported in a response how many requests a second it accepts from all entries together (`limit`), or changed that number; `by` is `answer` if this entry received the response and `sibling` if another one did. This entry keeps to its share of the limit from now on.",
 		"Find out what keeps the upstream from its usual capacity."}
 	UpstreamUnlimited = &Event{359, "upstream-unlimited", slog.LevelInfo,
-		"An upstream's answers name no rate limit any more.", "Nothing."}
+		"An upstream's responses contain no rate limit any more.", "Nothing."}
 	UpstreamCooldown = &Event{360, "upstream-cooldown", slog.LevelWarn,
-		"An upstream refused a request and asked for none for the time `retry-after`; this entry sends it none until then.",
+		"An upstream refused a request with a Retry-After; this entry sends it none for the time `retry-after`.",
 		"Find out what keeps the upstream from its usual capacity."}
 	UpstreamDraining = &Event{361, "upstream-draining", slog.LevelInfo,
-		"An upstream has said in an answer that it is about to leave; it gets no new work until it has started again. `by` says whether this entry got the answer or a sibling.", "Nothing."}
+		"An upstream reported in a response that it is draining; it gets no new work until it has restarted. `by` is `answer` if this entry received the response and `sibling` if another one did.", "Nothing."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -82,15 +82,15 @@
 // NoConfidence is the confidence of a reply that reports none.
 const NoConfidence = -1
 
-// Signals are what an upstream says of itself in the header of an answer.
+// Signals are what an upstream reports about its state in a response header.
 type Signals struct {
 	// RateLimit is how many requests a second the upstream accepts from all entries together; nil if
-	// it names no limit.
+	// it has no limit.
 	RateLimit *Rate
 	// RetryAfter is how long the upstream accepts no further request of the entry that it refused; 0
-	// if it names no time.
+	// without a refusal.
 	RetryAfter time.Duration
-	// Draining is set when the upstream is about to leave and must get no new requests.
+	// Draining is set when the upstream is shutting down and must get no new requests.
 	Draining bool
 }
 
--- a/core/execute/claimed_test.go
+++ b/core/execute/claimed_test.go
@@ -22,7 +22,7 @@
 	runs     int
 	err      error
 	duration time.Duration
-	// signals are what it says of itself.
+	// signals are reported with each answer.
 	signals   core.Signals
 	onSignals func(time.Time, core.Signals)
 	// down is the error of a probe.
--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -33,7 +33,7 @@
 	runner core.Runner
 	claims *claim.Table
 	queue  sharedSlotQueue
-	// limits and cooldowns hold what the upstream has said of the requests that it accepts.
+	// limits and cooldowns restrict the requests that the upstream accepts.
 	limits    *ratelimit.Tracker
 	cooldowns *cooldown.Tracker
 
@@ -80,7 +80,7 @@
 func (ex *Executor) StartDraining() { ex.draining.Store(true) }
 
 // Draining reports whether new work is refused, because StartDraining was called or the upstream is
-// about to leave.
+// draining.
 func (ex *Executor) Draining() bool {
 	return ex.draining.Load() || ex.upstreamDraining.active(time.Now())
 }
--- a/core/execute/signals.go
+++ b/core/execute/signals.go
@@ -16,19 +16,19 @@
 func (ex *Executor) call(ctx context.Context, at *core.Attempt) (core.Answer, error) {
 	now := time.Now()
 	if left := ex.cooldowns.Remaining(now, []core.Host{ex.host}); left > 0 {
-		return nil, core.Refuse(core.CodeOverloaded, max(left, minRetryAfter), "upstream %s has asked for no requests for %s", ex.host.ID, left)
+		return nil, core.Refuse(core.CodeOverloaded, max(left, minRetryAfter), "upstream %s accepts no requests for another %s, by its Retry-After", ex.host.ID, left)
 	}
 	if !ex.upstreamDraining.admit(now) {
-		return nil, core.Refuse(core.CodeLeaving, minRetryAfter, "upstream %s is leaving", ex.host.ID)
+		return nil, core.Refuse(core.CodeLeaving, minRetryAfter, "upstream %s is draining", ex.host.ID)
 	}
 	if !ex.limits.Acquire(now, &ex.host) {
 		interval, _ := ex.limits.Interval(now, []core.Host{ex.host})
-		return nil, core.Refuse(core.CodeOverloaded, max(interval, minRetryAfter), "upstream %s accepts no more requests at its rate limit", ex.host.ID)
+		return nil, core.Refuse(core.CodeOverloaded, max(interval, minRetryAfter), "the rate limit of upstream %s is exhausted", ex.host.ID)
 	}
 	return ex.runner.Run(ctx, at)
 }
 
-// observe records what the upstream says of itself.
+// observe records the signals of a response.
 func (ex *Executor) observe(sent time.Time, si core.Signals) {
 	now := time.Now()
 	if si.RetryAfter > 0 && ex.cooldowns.Begin(now, &ex.host, si.RetryAfter) {
@@ -37,7 +37,7 @@
 	if ex.upstreamDraining.observe(now, sent, si.Draining) {
 		event.Log(ex.deps.Log, event.UpstreamDraining, "upstream", ex.host.ID, "by", "answer")
 	}
-	an := ratelimit.Answer{Host: ex.host, Sent: sent, Limit: si.RateLimit}
+	an := ratelimit.Observation{Host: ex.host, Sent: sent, Limit: si.RateLimit}
 	switch ex.limits.Observe(now, an) {
 	case ratelimit.Limited:
 		event.Log(ex.deps.Log, event.UpstreamLimited, "upstream", ex.host.ID, "by", "answer", "limit", float64(*an.Limit))
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -12,8 +12,8 @@
 	"skylarkstand/core"
 )
 
-// Guards against an agent that sends its upstream more requests than the rate limit that the
-// upstream has named, whether these run at most once or may be repeated.
+// Guards against an agent that exceeds the rate limit of its upstream, with at-most-once operations
+// or others.
 func TestAgentKeepsToTheRateLimit(t *testing.T) {
 	for _, operation := range []core.OperationID{"survey", "lookup"} {
 		t.Run(string(operation), func(t *testing.T) {
@@ -54,8 +54,8 @@
 	}
 }
 
-// Guards against an agent that sends its upstream requests before the time that the upstream has
-// named in a refusal, whether these run at most once or may be repeated.
+// Guards against an agent that sends requests before its upstream's Retry-After, with at-most-once
+// operations or others.
 func TestAgentKeepsToTheRetryAfter(t *testing.T) {
 	const retryAfter = 3 * time.Second
 	for _, operation := range []core.OperationID{"survey", "lookup"} {
@@ -71,7 +71,7 @@
 						ID: core.AttemptID(core.NewID()), Workspace: "school", Service: "booking", Operation: operation,
 						IdempotencyKey: fmt.Sprint("k", n), Generation: 1, Body: []byte("{}"),
 					}
-					asked := time.Now()
+					began := time.Now()
 					_, err := fx.ex.Run(t.Context(), at)
 					var fl *core.Failure
 					assert.Assert(t, errors.As(err, &fl))
@@ -82,7 +82,7 @@
 					assert.Equal(t, fl.Ran, core.NotRun)
 					assert.Equal(t, fl.Code, core.CodeOverloaded)
 					last := sent[len(sent)-1]
-					assert.Assert(t, fl.RetryAfter >= retryAfter-time.Since(last) && fl.RetryAfter <= max(retryAfter-asked.Sub(last), time.Second), "%s", fl.RetryAfter)
+					assert.Assert(t, fl.RetryAfter >= retryAfter-time.Since(last) && fl.RetryAfter <= max(retryAfter-began.Sub(last), time.Second), "%s", fl.RetryAfter)
 					time.Sleep(50 * time.Millisecond)
 				}
 				assert.Assert(t, len(sent) >= 3)
@@ -94,8 +94,8 @@
 	}
 }
 
-// Guards against new work for an upstream that has said in an answer that it is about to leave, and
-// against an upstream that gets none after it has started again.
+// Guards against new work for a draining upstream, and against an upstream that gets none after it
+// has restarted.
 func TestAgentOfADrainingUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t)
@@ -106,13 +106,13 @@
 		}
 		fx.bo.signals.Draining = true
 		assert.Equal(t, call().text, "booked")
-		assert.Assert(t, fx.ex.Draining(), "entries are told")
+		assert.Assert(t, fx.ex.Draining(), "the agent reports it to entries")
 		for range 29 {
 			assert.Equal(t, call(), result{core.NotRun, string(core.CodeLeaving)})
 			time.Sleep(time.Second)
 		}
 		time.Sleep(time.Second)
-		assert.Equal(t, call().text, "booked", "one trial, whose answer says that it still leaves")
+		assert.Equal(t, call().text, "booked", "one trial; the upstream is still draining")
 		assert.Equal(t, call(), result{core.NotRun, string(core.CodeLeaving)})
 		assert.Equal(t, fx.bo.runs, 2)
 		fx.bo.signals.Draining, fx.bo.down = false, errors.New("connection refused")
--- a/core/fleet/draining.go
+++ b/core/fleet/draining.go
@@ -11,15 +11,15 @@
 // It may be listed again while it lives, as when a lease ran out.
 const drainingTTL = 10 * time.Minute
 
-// draining is an incarnation of an upstream that has said in an answer that it is about to leave.
+// draining is an incarnation of an upstream that has reported in a response that it is draining.
 type draining struct {
 	startedAt int64
 	at        time.Time
 }
 
-// MarkDraining keeps new work from an upstream that has said in an answer that it is about to leave,
-// until it has started again. The host list may call it ready for as long as it lives. It reports
-// whether that is news.
+// MarkDraining keeps new work from an upstream that has reported in a response that it is draining,
+// until it has restarted. The host list may show it as ready until it exits. MarkDraining returns
+// false if the upstream was marked before.
 func (fl *Fleet) MarkDraining(now time.Time, id core.UpstreamID, startedAt int64) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -50,7 +50,7 @@
 	return core.Host{}, false
 }
 
-// isDraining reports whether this incarnation of an upstream has said that it is about to leave.
+// isDraining reports whether this incarnation of an upstream is marked as draining.
 func (fl *Fleet) isDraining(ho *core.Host) bool {
 	dr, ok := fl.draining[ho.ID]
 	return ok && dr.startedAt == ho.StartedAt
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,7 +8,8 @@
 //
 // The package is also the one place that decides which upstreams may get new work: those that are
 // ready, in a region in which the request may be served, and in an availability zone that is not
-// evacuated. An upstream also leaves when it says so in an answer, whatever the list says.
+// evacuated. An upstream that reports in a response that it is draining gets none either, whatever the
+// list shows.
 //
 // # Usage
 //
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -52,17 +52,17 @@
 		leave    func(fl *fleet.Fleet)
 	}{
 		{"announces it", func(fl *fleet.Fleet) { fl.Put(core.Host{ID: "b", Service: "desk", Leaving: true}) }},
-		{"says it in an answer", func(fl *fleet.Fleet) { fl.MarkDraining(start, "b", 0) }},
-		{"says it in an answer and is listed as ready", func(fl *fleet.Fleet) {
+		{"reports it in a response", func(fl *fleet.Fleet) { fl.MarkDraining(start, "b", 0) }},
+		{"reports it in a response and is listed as ready", func(fl *fleet.Fleet) {
 			fl.MarkDraining(start, "b", 0)
 			fl.Put(core.Host{ID: "b", Service: "desk"})
 		}},
-		{"says it in an answer before it is listed", func(fl *fleet.Fleet) {
+		{"reports it in a response before it is listed", func(fl *fleet.Fleet) {
 			fl.Remove("b", start, false)
 			fl.MarkDraining(start, "b", 0)
 			fl.Put(core.Host{ID: "b", Service: "desk"})
 		}},
-		{"says it in an answer, after one of an earlier incarnation", func(fl *fleet.Fleet) {
+		{"reports it in a response, before one of an earlier incarnation", func(fl *fleet.Fleet) {
 			fl.Put(core.Host{ID: "b", Service: "desk", StartedAt: 2})
 			fl.MarkDraining(start, "b", 2)
 			fl.MarkDraining(start, "b", 1)
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -49,13 +49,14 @@
 // their load starts here. The forwarder's lock is held.
 func (jb *job) upstreams(now time.Time) []core.Host { return jb.fw.accepting(now, jb.eligible(now)) }
 
-// accepting leaves out the upstreams that accept no request of this entry at this moment.
+// accepting leaves out the upstreams that accept no request of this entry now, by their rate limit or
+// Retry-After.
 func (fw *Forwarder) accepting(now time.Time, hosts []core.Host) []core.Host {
 	return fw.components.RateLimits.Available(now, fw.components.Cooldowns.Available(now, hosts))
 }
 
 // eligible lists the upstreams from which the version of a request is chosen: those that may serve
-// it, including the ones that accept no request at this moment. Otherwise a session would move to
+// it, including the ones that accept no request now. Otherwise a session would move to
 // another version when the upstreams of its own accept none. Every choice of an upstream starts
 // here: no other part of this package queries the fleet. The forwarder's lock is held.
 func (jb *job) eligible(now time.Time) []core.Host {
@@ -96,10 +97,10 @@
 	co, retryAfter := &jb.fw.components, jb.backoff()
 	open := co.Cooldowns.Available(now, hosts)
 	if len(hosts) > 0 && len(open) == 0 {
-		return jb.failure(core.CodeOverloaded, retryAfter+co.Cooldowns.Remaining(now, hosts), "all upstreams have asked for no requests for a time")
+		return jb.failure(core.CodeOverloaded, retryAfter+co.Cooldowns.Remaining(now, hosts), "no upstream accepts requests before its Retry-After")
 	}
 	if interval, limited := co.RateLimits.Interval(now, open); limited {
-		return jb.failure(core.CodeOverloaded, retryAfter+interval, "the upstreams accept no more requests at their rate limits")
+		return jb.failure(core.CodeOverloaded, retryAfter+interval, "the rate limits of the upstreams are exhausted")
 	}
 	return jb.failure(core.CodeNoUpstream, retryAfter, "no upstream takes this work now")
 }
--- a/core/forward/cooldown_test.go
+++ b/core/forward/cooldown_test.go
@@ -12,11 +12,10 @@
 	"skylarkstand/core"
 )
 
-// maxInCooldown is how many requests of an entry may reach an upstream in the time for which it has
-// asked for none.
+// maxInCooldown is how many requests of an entry may reach an upstream before its Retry-After.
 const maxInCooldown = 2
 
-// refusesFor makes an upstream refuse all requests, and ask for none for a time.
+// refusesFor makes an upstream refuse all requests with a Retry-After.
 func refusesFor(retryAfter time.Duration) func() *core.Reply {
 	return func() *core.Reply {
 		re := reply(http.StatusServiceUnavailable, "")
@@ -25,7 +24,7 @@
 	}
 }
 
-// Guards against requests of any kind to an upstream that has asked this entry for none for a time.
+// Guards against attempts of any kind at an upstream before its Retry-After.
 func TestNoRequestBeforeTheRetryAfter(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		const retryAfter = 3 * time.Second
@@ -34,7 +33,7 @@
 		for _, id := range []core.UpstreamID{"north-1", "south-1"} {
 			assert.Assert(t, len(po.arrivals[id]) > 3*30/4, "%s is used again after each cooldown", id)
 			for entry, n := range po.maxInCooldown(id, retryAfter) {
-				assert.Assert(t, n <= maxInCooldown, "%s had asked %s for %s without requests and got %d", id, entry, retryAfter, n)
+				assert.Assert(t, n <= maxInCooldown, "%s got %d requests of %s before its Retry-After of %s", id, n, entry, retryAfter)
 			}
 		}
 	})
@@ -44,7 +43,7 @@
 // refusal until its Retry-After.
 func (po *pool) maxInCooldown(id core.UpstreamID, retryAfter time.Duration) map[core.ProcessID]int {
 	most := map[core.ProcessID]int{}
-	for to, refusals := range po.told {
+	for to, refusals := range po.signals {
 		if to.upstream != id {
 			continue
 		}
@@ -61,8 +60,8 @@
 	return most
 }
 
-// Guards against a caller that waits, or comes back too early, while all upstreams have asked for no
-// requests.
+// Guards against a caller that waits, or gets a Retry-After that is too short, while no upstream
+// accepts requests.
 func TestRefusalDuringCooldowns(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		fx := newFixture(t, func(context.Context, *core.Call) (*core.Reply, error) { return refusesFor(3 * time.Second)(), nil })
--- a/core/forward/draining_test.go
+++ b/core/forward/draining_test.go
@@ -12,8 +12,8 @@
 	"skylarkstand/core/balance"
 )
 
-// Guards against new requests of any kind to an upstream that has said in an answer that it is about
-// to leave, also while the host list calls it ready, loses it and lists it again.
+// Guards against attempts of any kind at an upstream that has reported that it is draining, also while
+// the host list shows it as ready, loses it and lists it again.
 func TestNoRequestToADrainingUpstream(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		drains := func() *core.Reply {
@@ -44,21 +44,21 @@
 		for _, id := range []core.UpstreamID{"north-1", "south-1"} {
 			assert.Assert(t, len(po.arrivals[id]) > 0)
 			for _, ar := range po.arrivals[id] {
-				since := po.told[told{ar.entry, id}]
-				assert.Assert(t, len(since) == 0 || ar.at.Sub(since[0]) < learningTime, "%s got a request of %s %s after it had said that it leaves", id, ar.entry, ar.at.Sub(since[0]))
+				since := po.signals[signalKey{ar.entry, id}]
+				assert.Assert(t, len(since) == 0 || ar.at.Sub(since[0]) < learningTime, "%s got a request of %s %s after it had reported that it is draining", id, ar.entry, ar.at.Sub(since[0]))
 			}
 		}
 		clear(po.replies)
 		clear(po.arrivals)
 		relist(2)
 		po.run(t, time.Second, 5*time.Millisecond)
-		assert.Assert(t, len(po.arrivals["north-1"]) > 0, "an upstream that has started again is used")
+		assert.Assert(t, len(po.arrivals["north-1"]) > 0, "a restarted upstream is used")
 	})
 }
 
-// Guards against entries that each have to be told by an upstream itself that it leaves, and against
-// news of an earlier incarnation.
-func TestDrainingIsToldToSiblings(t *testing.T) {
+// Guards against entries that each send a draining upstream a request, and against applying a
+// sibling's report to another incarnation.
+func TestDrainingIsAnnouncedToSiblings(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		drains := func(context.Context, *core.Call) (*core.Reply, error) {
 			re := reply(http.StatusOK, "ok")
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -27,9 +27,9 @@
 	Canary  *canary.Guard
 	// Warmup limits the requests to cold upstreams.
 	Warmup *warmup.Tracker
-	// RateLimits tracks the rate limits that upstreams name.
+	// RateLimits tracks the rate limits of upstreams.
 	RateLimits *ratelimit.Tracker
-	// Cooldowns tracks the upstreams that accept no request of this entry for a time.
+	// Cooldowns tracks the upstreams that accept no request of this entry before their Retry-After.
 	Cooldowns *cooldown.Tracker
 	// ConfigAge returns the time since the entry's configuration was last confirmed to be the
 	// newest.
@@ -276,12 +276,12 @@
 	return fw.picker.CountAvoided(now, hosts)
 }
 
-// RateLimited counts the upstreams of a service that name a rate limit.
+// RateLimited counts the upstreams of a service that have a rate limit.
 func (fw *Forwarder) RateLimited(sv core.ServiceID) int {
 	return fw.components.RateLimits.Count(fw.serving(sv))
 }
 
-// Cooling counts the upstreams of a service that accept no request of this entry for a time.
+// Cooling counts the upstreams of a service that are in a cooldown.
 func (fw *Forwarder) Cooling(sv core.ServiceID) int {
 	now, hosts := fw.serving(sv)
 	return len(hosts) - len(fw.components.Cooldowns.Available(now, hosts))
--- a/core/forward/pool_test.go
+++ b/core/forward/pool_test.go
@@ -25,14 +25,14 @@
 	entries []*forward.Forwarder
 	// fleets are the host lists of the entries.
 	fleets []*fleet.Fleet
-	// replies are the replies of upstreams that say something of their state.
+	// replies are the replies of upstreams that send signals.
 	replies map[core.UpstreamID]func() *core.Reply
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	arrivals map[core.UpstreamID][]arrival
-	// told holds when entries got the replies of upstreams that say something of their state.
-	told map[told][]time.Time
+	// signals holds when entries received replies with signals.
+	signals map[signalKey][]time.Time
 }
 
 // arrival is a request that arrived at an upstream.
@@ -41,8 +41,8 @@
 	entry core.ProcessID
 }
 
-// told names an entry and an upstream that told it something.
-type told struct {
+// signalKey identifies an entry and an upstream that sent it signals.
+type signalKey struct {
 	entry    core.ProcessID
 	upstream core.UpstreamID
 }
@@ -65,7 +65,7 @@
 	t.Helper()
 	fx := newUnconfiguredFixture(t)
 	fx.inf.Adopt(fx.tb)
-	po := &pool{replies: replies, rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}, told: map[told][]time.Time{}}
+	po := &pool{replies: replies, rnd: rand.New(rand.NewPCG(1, 1)), arrivals: map[core.UpstreamID][]arrival{}, signals: map[signalKey][]time.Time{}}
 	ids := make([]core.ProcessID, entries)
 	for i := range ids {
 		ids[i] = core.ProcessID(fmt.Sprint("entry-", i))
@@ -106,7 +106,7 @@
 	kind := pc.po.arrived(pc.entry, ca.To.ID)
 	time.Sleep(answerTime)
 	if respond := pc.po.replies[ca.To.ID]; respond != nil {
-		pc.po.tell(pc.entry, ca.To.ID)
+		pc.po.recordSignal(pc.entry, ca.To.ID)
 		return respond(), nil
 	}
 	behaviors := []behavior{
@@ -126,10 +126,10 @@
 	return po.rnd.IntN(10)
 }
 
-func (po *pool) tell(entry core.ProcessID, id core.UpstreamID) {
+func (po *pool) recordSignal(entry core.ProcessID, id core.UpstreamID) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	po.told[told{entry, id}] = append(po.told[told{entry, id}], time.Now())
+	po.signals[signalKey{entry, id}] = append(po.signals[signalKey{entry, id}], time.Now())
 }
 
 // run sends requests of all kinds to all entries for a time, and returns the failures.
@@ -165,6 +165,5 @@
 	return failures
 }
 
-// learningTime is how long after an answer that says something of an upstream's state an entry must
-// keep to it.
+// learningTime is how long after a reply with signals an entry must comply with them.
 const learningTime = 500 * time.Millisecond
--- a/core/forward/rate_limit_test.go
+++ b/core/forward/rate_limit_test.go
@@ -26,7 +26,7 @@
 	var times []time.Time
 	most := 0
 	for _, ar := range po.arrivals[id] {
-		since := po.told[told{ar.entry, id}]
+		since := po.signals[signalKey{ar.entry, id}]
 		if len(since) == 0 || ar.at.Sub(since[0]) < learningTime {
 			continue
 		}
@@ -39,8 +39,8 @@
 	return most
 }
 
-// namesLimit makes an upstream answer all requests and name a rate limit.
-func namesLimit(limit core.Rate) func() *core.Reply {
+// reportsLimit makes an upstream answer all requests with a rate limit.
+func reportsLimit(limit core.Rate) func() *core.Reply {
 	return func() *core.Reply {
 		re := reply(http.StatusOK, "id: 1\n\nid: 2\n\n")
 		re.RateLimit = &limit
@@ -48,15 +48,15 @@
 	}
 }
 
-// Guards against entries that together send an upstream more requests than the rate limit that it
-// has named to each of them, by first attempts, retries, escalations or resumed streams.
+// Guards against entries that together exceed the rate limit of an upstream, by first attempts,
+// retries, escalations or resumed streams.
 func TestRateLimitIsSharedByAllEntries(t *testing.T) {
 	const limited = "north-1"
 	for _, entries := range []int{1, 4, 33} {
 		for _, rate := range []core.Rate{0, 0.5, 1, 8} {
 			t.Run(fmt.Sprint(entries, " entries, ", rate, " a second"), func(t *testing.T) {
 				runInBubble(t, func(t *testing.T) {
-					po := newPool(t, entries, map[core.UpstreamID]func() *core.Reply{limited: namesLimit(rate), "south-1": namesLimit(rate)})
+					po := newPool(t, entries, map[core.UpstreamID]func() *core.Reply{limited: reportsLimit(rate), "south-1": reportsLimit(rate)})
 					po.run(t, 30*time.Second, 5*time.Millisecond)
 					for _, id := range []core.UpstreamID{limited, "south-1"} {
 						got := po.maxInWindow(id)
@@ -68,13 +68,12 @@
 	}
 }
 
-// Guards against a caller that waits, or is told "unknown", when all upstreams are at their rate
-// limits.
+// Guards against a caller that waits, or gets "unknown", when all rate limits are exhausted.
 func TestRefusalAtTheRateLimits(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		replies := map[core.UpstreamID]func() *core.Reply{}
 		for i := range 3 {
-			replies[core.UpstreamID(fmt.Sprint(north, "-", i))], replies[core.UpstreamID(fmt.Sprint(south, "-", i))] = namesLimit(0.5), namesLimit(0.5)
+			replies[core.UpstreamID(fmt.Sprint(north, "-", i))], replies[core.UpstreamID(fmt.Sprint(south, "-", i))] = reportsLimit(0.5), reportsLimit(0.5)
 		}
 		po := newPool(t, 4, replies)
 		po.run(t, 10*time.Second, 10*time.Millisecond)
@@ -128,7 +127,7 @@
 		for range 20 {
 			_, _, _ = fx.send(t.Context(), "/lookup/x")
 		}
-		assert.Equal(t, len(fx.calls), 1, "the first request tells the limit")
+		assert.Equal(t, len(fx.calls), 1, "the first response reports the limit")
 		assert.Equal(t, fx.calls[0].To.Version, core.VersionID("v2"))
 	})
 }
--- a/core/forward/signals.go
+++ b/core/forward/signals.go
@@ -9,13 +9,13 @@
 	"skylarkstand/core/ratelimit"
 )
 
-// recordSignals records what the response header says of the upstream's state.
+// recordSignals records the signals of the response header.
 func (at *attempt) recordSignals() {
 	re, fw, rq := at.reply, at.jb.fw, at.jb.ex.ID
 	if !re.FromUpstream() {
 		return
 	}
-	fw.observeRateLimit(at.began, ratelimit.Answer{Host: at.to, Sent: at.sent, Limit: re.RateLimit}, rq)
+	fw.observeRateLimit(at.began, ratelimit.Observation{Host: at.to, Sent: at.sent, Limit: re.RateLimit}, rq)
 	fw.observeRetryAfter(at.began, &at.to, re.RetryAfter, rq)
 	if re.Draining {
 		fw.observeDraining(at.began, &at.to, rq)
@@ -29,12 +29,12 @@
 	return len(fw.components.Cooldowns.Available(now, []core.Host{ho})) > 0 && fw.components.RateLimits.Acquire(now, &ho)
 }
 
-// ObserveSignals records what an engine's answer to a query says of its state. It implements
-// prefixsync's Learner. The absence of a signal proves nothing, since queries are not requests.
+// ObserveSignals records the signals of an engine's response to a query. It implements prefixsync's
+// Learner. The absence of a signal proves nothing, since queries are not requests.
 func (fw *Forwarder) ObserveSignals(ho core.Host, sent time.Time, si core.Signals) {
 	now := time.Now()
 	if si.RateLimit != nil {
-		fw.observeRateLimit(now, ratelimit.Answer{Host: ho, Sent: sent, Limit: si.RateLimit}, "")
+		fw.observeRateLimit(now, ratelimit.Observation{Host: ho, Sent: sent, Limit: si.RateLimit}, "")
 	}
 	fw.observeRetryAfter(now, &ho, si.RetryAfter, "")
 	if si.Draining {
@@ -42,9 +42,9 @@
 	}
 }
 
-// observeRateLimit records what an answer says of its upstream's rate limit, and logs a change. The
-// request is empty for a query.
-func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Answer, rq core.RequestID) {
+// observeRateLimit records the rate limit of a response and logs a change. The request is empty for a
+// query.
+func (fw *Forwarder) observeRateLimit(now time.Time, an ratelimit.Observation, rq core.RequestID) {
 	switch fw.components.RateLimits.Observe(now, an) {
 	case ratelimit.Limited:
 		event.Log(fw.deps.Log, event.UpstreamLimited, "upstream", an.Host.ID, "limit", float64(*an.Limit), "by", "answer", "request", rq)
@@ -54,14 +54,14 @@
 	}
 }
 
-// observeRetryAfter begins the cooldown that an upstream has asked for, if any, and logs it.
+// observeRetryAfter begins a cooldown if the upstream sent a Retry-After, and logs it.
 func (fw *Forwarder) observeRetryAfter(now time.Time, ho *core.Host, du time.Duration, rq core.RequestID) {
 	if du > 0 && fw.components.Cooldowns.Begin(now, ho, du) {
 		event.Log(fw.deps.Log, event.UpstreamCooldown, "upstream", ho.ID, "retry-after", du, "request", rq)
 	}
 }
 
-// observeDraining keeps new work from an upstream that says that it is about to leave.
+// observeDraining keeps new work from a draining upstream and logs it.
 func (fw *Forwarder) observeDraining(now time.Time, ho *core.Host, rq core.RequestID) {
 	if !fw.components.Fleet.MarkDraining(now, ho.ID, ho.StartedAt) {
 		return
@@ -72,12 +72,12 @@
 	fw.newDraining = append(fw.newDraining, balance.NewIncarnation(ho))
 }
 
-// TakeRateLimits returns what this entry has learned of upstreams' rate limits since the last call.
+// TakeRateLimits returns the changes of rate limits to announce since the last call.
 func (fw *Forwarder) TakeRateLimits() []ratelimit.Notice {
 	return fw.components.RateLimits.TakeNotices(time.Now())
 }
 
-// ReceiveRateLimits processes what a sibling entry has learned of upstreams' rate limits.
+// ReceiveRateLimits processes the rate limits that a sibling entry has announced.
 func (fw *Forwarder) ReceiveRateLimits(notices []ratelimit.Notice) {
 	for _, no := range fw.components.RateLimits.ReceiveNotices(time.Now(), notices) {
 		ho, _ := fw.listed(no.Incarnation) // The id is empty in the line if the list lags.
@@ -85,8 +85,7 @@
 	}
 }
 
-// TakeDraining returns the upstreams that have told this entry since the last call that they are
-// about to leave.
+// TakeDraining returns the upstreams that this entry has found draining since the last call.
 func (fw *Forwarder) TakeDraining() []balance.Incarnation {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
@@ -95,8 +94,7 @@
 	return out
 }
 
-// ReceiveDraining processes the upstreams that have told a sibling entry that they are about to
-// leave.
+// ReceiveDraining processes the upstreams that a sibling entry has found draining.
 func (fw *Forwarder) ReceiveDraining(ups []balance.Incarnation) {
 	for _, in := range ups {
 		if ho, ok := fw.listed(in); ok && fw.components.Fleet.MarkDraining(time.Now(), ho.ID, ho.StartedAt) {
--- a/core/forward/signals_soak_test.go
+++ b/core/forward/signals_soak_test.go
@@ -22,7 +22,7 @@
 	signalFirst = flag.Uint64("signal-first", 1, "the first seed")
 )
 
-// phase is a time in which an upstream says the same of its state.
+// phase is a time in which an upstream sends the same signals.
 type phase struct {
 	from, to   time.Time
 	limit      core.Rate // below 0: none
@@ -30,7 +30,7 @@
 	draining   bool
 }
 
-// signalingUpstream is an upstream that changes what it says of its state.
+// signalingUpstream is an upstream whose signals change.
 type signalingUpstream struct {
 	mu     sync.Mutex
 	phases []phase
@@ -63,8 +63,8 @@
 	return re
 }
 
-// Guards against requests beyond what upstreams say of their state, while several of them change it
-// at once and a part of what entries tell one another is lost.
+// Guards against entries that violate the signals of upstreams, while several upstreams change theirs
+// at once and announcements between entries are lost.
 func TestSignalsSoak(t *testing.T) {
 	for i := range uint64(*signalSeeds) {
 		seed := *signalFirst + i
@@ -102,8 +102,7 @@
 	}
 }
 
-// change lets an upstream say one thing after the other of its state. One that has drained starts
-// again as a new incarnation.
+// change changes the upstream's signals at random. After draining, it restarts as a new incarnation.
 func (su *signalingUpstream) change(po *pool, id core.UpstreamID, rnd *rand.Rand, duration time.Duration) {
 	for until, incarnation := time.Now().Add(duration), int64(1); time.Now().Before(until); {
 		time.Sleep(time.Duration(1+rnd.IntN(12)) * time.Second)
@@ -124,7 +123,7 @@
 	}
 }
 
-// restart lists an upstream as a new incarnation, which has told nobody anything.
+// restart lists an upstream as a new incarnation, which has not sent any signals yet.
 func (po *pool) restart(id core.UpstreamID, startedAt int64) {
 	for _, fl := range po.fleets {
 		ho, _ := fl.Find(func(ho core.Host) bool { return ho.ID == id })
@@ -133,14 +132,14 @@
 	}
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	for to := range po.told {
+	for to := range po.signals {
 		if to.upstream == id {
-			delete(po.told, to)
+			delete(po.signals, to)
 		}
 	}
 }
 
-// gossip passes on what entries tell one another, four times a second and with loss.
+// gossip delivers the announcements between entries, four times a second and with loss.
 func (po *pool) gossip(rnd *rand.Rand, duration time.Duration) {
 	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(250 * time.Millisecond) {
 		for _, from := range po.entries {
@@ -158,25 +157,25 @@
 // settleTime is how long after a change of its limit an upstream may get more than the new one.
 const settleTime = 4 * time.Second
 
-// checkPhase checks the requests of a phase against what the upstream said in it.
+// checkPhase checks the requests of a phase against the upstream's signals in it.
 func (po *pool) checkPhase(t *testing.T, id core.UpstreamID, ph phase) {
 	t.Helper()
 	if ph.to.IsZero() {
 		ph.to = time.Now()
 	}
-	told := map[core.ProcessID]time.Time{}
+	signaled := map[core.ProcessID]time.Time{}
 	var limited []time.Time
 	early := map[core.ProcessID]int{}
 	for _, ar := range po.arrivals[id] {
 		if ar.at.Before(ph.from) || !ar.at.Before(ph.to) {
 			continue
 		}
-		since, known := told[ar.entry]
+		since, known := signaled[ar.entry]
 		if !known {
-			told[ar.entry] = ar.at.Add(answerTime)
+			signaled[ar.entry] = ar.at.Add(answerTime)
 		}
 		knows := known && ar.at.Sub(since) >= learningTime
-		assert.Assert(t, !ph.draining || !knows, "%s got a request of %s %s after it had said that it leaves", id, ar.entry, ar.at.Sub(since))
+		assert.Assert(t, !ph.draining || !knows, "%s got a request of %s %s after it had reported that it is draining", id, ar.entry, ar.at.Sub(since))
 		if knows && ph.limit >= 0 && ar.at.Sub(ph.from) >= settleTime {
 			limited = append(limited, ar.at)
 		}
@@ -185,7 +184,7 @@
 				early[ar.entry]++
 			}
 		} else if ph.retryAfter > 0 {
-			told[ar.entry], early[ar.entry] = ar.at.Add(answerTime), 0
+			signaled[ar.entry], early[ar.entry] = ar.at.Add(answerTime), 0
 		}
 		assert.Assert(t, early[ar.entry] <= maxInCooldown, "%s got %d requests of %s before its Retry-After", id, early[ar.entry], ar.entry)
 	}
--- a/core/meter/catalogue.go
+++ b/core/meter/catalogue.go
@@ -41,7 +41,7 @@
 	ReplicaAge = &Metric{"news-age-seconds", Gauge, nil,
 		"Time since the replica of the store was last confirmed up to date.", "it is above 7 s"}
 	Upstreams = &Metric{"upstreams", Gauge, []string{"service", "state"},
-		"Upstreams by state: `serving`, `leaving`, `doubtful` (its listing was removed, possibly by a store outage), `evacuated` (its availability zone receives no new work), `avoided` (serving, but excluded by this process), `limited` (serving, but names a rate limit), `cooldown` (serving, but has asked this process for no requests for a time).",
+		"Upstreams by state: `serving`, `leaving`, `doubtful` (its listing was removed, possibly by a store outage), `evacuated` (its availability zone receives no new work), `avoided` (serving, but excluded by this process), `limited` (serving, with a rate limit), `cooldown` (serving, but accepts no requests of this process until its Retry-After).",
 		"`serving` minus `avoided` decreases"}
 	RollOutShare = &Metric{"roll-out-share", Gauge, []string{"service"},
 		"Fraction of new sessions that the version under roll-out may receive; 1 after completion, 0 after a rollback.", ""}
--- a/core/prefixsync/prefixsync.go
+++ b/core/prefixsync/prefixsync.go
@@ -34,8 +34,7 @@
 type Learner interface {
 	// AdmitQuery reports whether an engine accepts a query now.
 	AdmitQuery(ho core.Host) bool
-	// ObserveSignals records what an engine's answer says of its state. sent is when the query was
-	// sent.
+	// ObserveSignals records the signals of an engine's response. sent is when the query was sent.
 	ObserveSignals(ho core.Host, sent time.Time, si core.Signals)
 	// RecordCached records the prefixes cached by one engine.
 	RecordCached(ho core.Host, cached []core.CachedPart)
@@ -118,7 +117,7 @@
 
 func (sy *Syncer) query(ctx context.Context, ho core.Host) {
 	if !sy.le.AdmitQuery(ho) {
-		event.Log(sy.deps.Log, event.MemoryUnknown, "upstream", ho.ID, "error", "it accepts no more requests at its rate limit")
+		event.Log(sy.deps.Log, event.MemoryUnknown, "upstream", ho.ID, "error", "the engine accepts no requests now")
 		return
 	}
 	startedAt := time.Now()
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -18,42 +18,43 @@
 	// requests within 4 s; the rest is for entries that disagree about their siblings.
 	burstSeconds = 1.5
 	minBurst     = 4
-	// divideInterval is how often an entry checks whether its part of a limit has changed with the
-	// list of entries.
-	divideInterval = time.Second
-	// trialInterval is the time without news of a limit after which the first holder may send a
-	// request beyond its part. The others wait for longer, by their rank: the first answer makes the
-	// trials of the others needless. It is three times the interval of announcements.
+	// shareInterval is how often an entry computes its share of a limit, which changes with the list
+	// of entries.
+	shareInterval = time.Second
+	// trialInterval is the time without a confirmation of a limit after which the first holder may
+	// send a trial. The others wait for longer, by their rank: the first response makes the other
+	// trials needless. It is three times the interval of announcements.
 	trialInterval = 15 * time.Second
-	// maxInterval bounds the time that refused callers are told to wait.
+	// maxInterval bounds the result of [Tracker.Interval], which callers get as a Retry-After.
 	maxInterval = 5 * time.Second
 )
 
-// limit is the rate limit of one upstream, and this entry's part of it.
+// limit is the rate limit of one upstream, and this entry's share of it.
 type limit struct {
 	rate core.Rate
-	// start is the start of the upstream's incarnation that named the limit, see
-	// [balance.Incarnation], and startedAt the complete time, or 0 while only siblings have told of
+	// start is the start of the upstream's incarnation that reported the limit, see
+	// [balance.Incarnation], and startedAt the complete time, or 0 while only siblings have announced
 	// the limit.
 	start     uint16
 	startedAt int64
-	// namedAt is when an answer last named the limit, or a sibling told of it first; heardAt is when
-	// either of them last did, or a trial was sent. announcedAt is when this entry last told of it.
-	namedAt, heardAt, announcedAt time.Time
+	// reportedAt is when a response last contained the limit, or a sibling first announced it;
+	// confirmedAt is when either last happened, or a trial was sent. announcedAt is when this entry
+	// last announced it.
+	reportedAt, confirmedAt, announcedAt time.Time
 	// entries is the number of entries, holders that of those that share the limit, and rank this
-	// entry's place; it is a holder if the rank is below holders. They are as of dividedAt.
+	// entry's place; it is a holder if the rank is below holders. They are as of sharedAt.
 	entries, rank, holders int
-	dividedAt              time.Time
+	sharedAt               time.Time
 	// tokens is a holder's bucket.
 	tokens *rate.Limiter
-	// trialDue is set when a trial should be sent now, and tried when the last news is that a trial
-	// was sent.
+	// trialDue is set when a trial should be sent now, and tried when one was sent since the last
+	// confirmation.
 	trialDue, tried bool
 }
 
 func newLimit(start uint16) *limit { return &limit{rate: -1, start: start} }
 
-// appliesTo reports whether the limit was named by this incarnation of the upstream.
+// appliesTo reports whether this incarnation of the upstream reported the limit.
 func (li *limit) appliesTo(ho *core.Host) bool {
 	if li.startedAt == 0 {
 		return li.start == balance.NewIncarnation(ho).Start
@@ -61,7 +62,7 @@
 	return li.startedAt == ho.StartedAt
 }
 
-// isNewerThan reports whether a later incarnation of the upstream named the limit.
+// isNewerThan reports whether a later incarnation of the upstream reported the limit.
 func (li *limit) isNewerThan(ho *core.Host) bool { return li.startedAt > ho.StartedAt }
 
 // setRate sets the rate and reports whether it has changed.
@@ -69,14 +70,14 @@
 	if li.rate == ra {
 		return false
 	}
-	li.rate, li.dividedAt = ra, time.Time{}
+	li.rate, li.sharedAt = ra, time.Time{}
 	return true
 }
 
-// divide computes this entry's part of the limit. An entry that is not registered yet takes the
-// part that it will have.
-func (li *limit) divide(now time.Time, id core.UpstreamID, self core.ProcessID, entries []core.ProcessID) {
-	li.dividedAt = now
+// updateShare computes this entry's share of the limit. An entry that is not registered yet takes
+// the share that it will have.
+func (li *limit) updateShare(now time.Time, id core.UpstreamID, self core.ProcessID, entries []core.ProcessID) {
+	li.sharedAt = now
 	if !slices.Contains(entries, self) {
 		entries = append(slices.Clone(entries), self)
 	}
@@ -91,7 +92,7 @@
 	if li.tokens == nil {
 		// The bucket starts empty: the upstream has just had more requests than it accepts.
 		li.tokens = rate.NewLimiter(ownRate, ownBurst)
-		li.tokens.AllowN(li.namedAt, ownBurst)
+		li.tokens.AllowN(li.reportedAt, ownBurst)
 		return
 	}
 	li.tokens.SetLimitAt(now, ownRate)
@@ -109,16 +110,16 @@
 	if !li.mayTry(now) {
 		return false
 	}
-	li.heardAt, li.trialDue, li.tried = now, false, true
+	li.confirmedAt, li.trialDue, li.tried = now, false, true
 	return true
 }
 
-// mayTry reports whether this entry may send a request beyond its part. Without news, the entries
+// mayTry reports whether this entry may send a trial. Without confirmations of the limit, the entries
 // take turns, as many in a trialInterval as there are holders.
 func (li *limit) mayTry(now time.Time) bool {
 	turns := li.holders + li.rank
 	if li.tried {
 		turns = max(li.entries, li.holders)
 	}
-	return li.trialDue || now.Sub(li.heardAt) >= trialInterval*time.Duration(turns)/time.Duration(li.holders)
+	return li.trialDue || now.Sub(li.confirmedAt) >= trialInterval*time.Duration(turns)/time.Duration(li.holders)
 }
--- a/core/ratelimit/notice.go
+++ b/core/ratelimit/notice.go
@@ -10,7 +10,7 @@
 	"skylarkstand/core/balance"
 )
 
-// Notice tells sibling entries of an upstream's limit.
+// Notice announces an upstream's limit to sibling entries.
 type Notice struct {
 	balance.Incarnation
 	// Limit is the limit; nil if it has ended.
@@ -30,21 +30,21 @@
 func FromThousandths(n uint32) core.Rate { return core.Rate(n) / 1000 }
 
 const (
-	// announceInterval is how often an entry tells of a limit that its upstream continues to name.
+	// announceInterval is how often an entry announces a limit that its upstream continues to report.
 	announceInterval = 5 * time.Second
-	// noticeDelay is the age that a notice may have: a round of announcements and the way, with a
-	// margin.
+	// noticeDelay is the age that a notice may have: the time between two rounds of announcements and
+	// the delivery, with a margin.
 	noticeDelay = time.Second
-	// noticeTTL is how long a limit is kept that nobody has named again. By then every entry has
-	// sent trials, or has no requests for the upstream.
+	// noticeTTL is how long a limit is kept without a confirmation. By then every entry has sent
+	// trials, or has no requests for the upstream.
 	noticeTTL = 10 * time.Minute
 )
 
-// TakeNotices returns what this entry has learned since the last call.
+// TakeNotices returns the notices to announce since the last call.
 func (tr *Tracker) TakeNotices(now time.Time) []Notice {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	maps.DeleteFunc(tr.limits, func(_ uint64, li *limit) bool { return now.Sub(li.heardAt) >= noticeTTL })
+	maps.DeleteFunc(tr.limits, func(_ uint64, li *limit) bool { return now.Sub(li.confirmedAt) >= noticeTTL })
 	maps.DeleteFunc(tr.liftedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= noticeDelay })
 	if len(tr.pending) == 0 {
 		return nil
@@ -54,19 +54,18 @@
 	return out
 }
 
-// ReceiveNotices applies the notices of a sibling entry, and returns those of a limit that was not
-// known here, or not with this rate.
+// ReceiveNotices applies the notices of a sibling entry, and returns those that changed a limit here.
 //
 // The end of a limit is only a hint, since a notice may be older than the limit: this entry sends a
 // trial at once.
 func (tr *Tracker) ReceiveNotices(now time.Time, notices []Notice) []Notice {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	var news []Notice
+	var changed []Notice
 	for _, no := range notices {
 		li := tr.limits[no.Upstream]
 		if li != nil && li.start != no.Start {
-			continue // An answer will tell which incarnation is the newer one.
+			continue // A response will show which incarnation is the newer one.
 		}
 		switch lifted, ok := tr.liftedAt[no.Upstream]; {
 		case no.Limit == nil && li != nil:
@@ -76,10 +75,10 @@
 		case li == nil && ok && now.Sub(lifted) < noticeDelay:
 			// The notice may be older than the end of the limit.
 		case tr.applyNotice(now, li, no):
-			news = append(news, no)
+			changed = append(changed, no)
 		}
 	}
-	return news
+	return changed
 }
 
 // applyNotice applies a notice of a limit, and reports whether it is a new one or has another rate.
@@ -88,10 +87,10 @@
 		li = newLimit(no.Start)
 		tr.limits[no.Upstream] = li
 	}
-	li.heardAt, li.tried = now, false
+	li.confirmedAt, li.tried = now, false
 	if !li.setRate(*no.Limit) {
 		return false
 	}
-	li.namedAt = now
+	li.reportedAt = now
 	return true
 }
--- a/core/ratelimit/share_test.go
+++ b/core/ratelimit/share_test.go
@@ -34,7 +34,7 @@
 	for i, id := range ids {
 		cl.lists = append(cl.lists, ids)
 		tr := ratelimit.New(id, func() []core.ProcessID { return cl.lists[i] })
-		tr.Observe(start, ratelimit.Answer{Host: host, Sent: start, Limit: &cl.rate})
+		tr.Observe(start, ratelimit.Observation{Host: host, Sent: start, Limit: &cl.rate})
 		cl.trackers = append(cl.trackers, tr)
 	}
 	return cl
@@ -51,7 +51,7 @@
 			}
 			cl.arrivals = append(cl.arrivals, now)
 			if !cl.silent {
-				tr.Observe(now, ratelimit.Answer{Host: host, Sent: now, Limit: &cl.rate})
+				tr.Observe(now, ratelimit.Observation{Host: host, Sent: now, Limit: &cl.rate})
 			}
 		}
 	}
@@ -84,7 +84,7 @@
 				cl.run(rand.New(rand.NewPCG(1, 2)), 0, seconds)
 				assert.Assert(t, cl.mostInWindow() <= cl.allowed(), "%d in a window; allowed %d", cl.mostInWindow(), cl.allowed())
 				most := 1.5*float64(ra) + 4 + seconds*float64(ra)
-				// A holder of a limit near 0 gets no answers, so it sends trials.
+				// A holder of a limit near 0 gets no responses, so it sends trials.
 				most += float64(entries) * seconds / 15
 				least := 0.8*seconds*min(float64(ra), 20) - 4
 				assert.Assert(t, float64(len(cl.arrivals)) <= most && float64(len(cl.arrivals)) >= least, "%d requests; %.0f to %.0f expected", len(cl.arrivals), least, most)
@@ -93,7 +93,7 @@
 	}
 }
 
-// Guards against trials that exceed a limit when no entry hears of it any more.
+// Guards against trials that exceed a limit when no entry gets a confirmation any more.
 func TestTrialsKeepToALimit(t *testing.T) {
 	for _, entries := range []int{1, 4, 33, 360} {
 		for _, ra := range []core.Rate{0, 1, 8} {
@@ -118,7 +118,7 @@
 				cl.run(rnd, 0, 10)
 				changed := append([]core.ProcessID{"joined"}, cl.lists[0][1:]...)
 				joined := ratelimit.New("joined", func() []core.ProcessID { return changed })
-				joined.Observe(at(10), ratelimit.Answer{Host: host, Sent: at(10), Limit: &cl.rate})
+				joined.Observe(at(10), ratelimit.Observation{Host: host, Sent: at(10), Limit: &cl.rate})
 				cl.trackers[0] = joined
 				for i := 1; i < entries; i += 2 {
 					cl.lists[i] = changed
@@ -134,34 +134,34 @@
 	}
 }
 
-// Guards against a limit that an entry without a part of it, which gets no answers, keeps for long
-// after its end.
+// Guards against a limit that an entry without a share, which gets no responses, keeps for long after
+// its end.
 func TestEndOfALimitElsewhere(t *testing.T) {
 	cl := newCluster(40, 1)
 	holder, other := cl.holder(true), cl.holder(false)
 	holder.TakeNotices(at(8))
 	assert.Assert(t, !other.Acquire(at(10), &host))
-	assert.Equal(t, holder.Observe(at(10), ratelimit.Answer{Host: host, Sent: at(9)}), ratelimit.Lifted)
+	assert.Equal(t, holder.Observe(at(10), ratelimit.Observation{Host: host, Sent: at(9)}), ratelimit.Lifted)
 	other.ReceiveNotices(at(10.1), holder.TakeNotices(at(10.1)))
 	assert.Equal(t, other.Count(at(10.1), []core.Host{host}), 1, "a notice alone does not end a limit")
 	assert.Assert(t, other.Acquire(at(10.1), &host))
 	assert.Assert(t, !other.Acquire(at(10.2), &host), "one trial until its answer arrives")
-	assert.Equal(t, other.Observe(at(10.3), ratelimit.Answer{Host: host, Sent: at(10.1)}), ratelimit.Lifted)
+	assert.Equal(t, other.Observe(at(10.3), ratelimit.Observation{Host: host, Sent: at(10.1)}), ratelimit.Lifted)
 }
 
 // Guards against a limit that comes back, or does not end, by a notice from before its end.
 func TestLateNoticeOfALimit(t *testing.T) {
 	cl := newCluster(40, 1)
 	holder, other := cl.holder(true), cl.holder(false)
-	named := holder.TakeNotices(at(8))
-	assert.Equal(t, holder.Observe(at(10), ratelimit.Answer{Host: host, Sent: at(9)}), ratelimit.Lifted)
-	assert.Equal(t, len(holder.ReceiveNotices(at(10.2), named)), 0)
+	late := holder.TakeNotices(at(8))
+	assert.Equal(t, holder.Observe(at(10), ratelimit.Observation{Host: host, Sent: at(9)}), ratelimit.Lifted)
+	assert.Equal(t, len(holder.ReceiveNotices(at(10.2), late)), 0)
 	assert.Equal(t, holder.Count(at(10.2), []core.Host{host}), 0)
 	other.ReceiveNotices(at(10.1), holder.TakeNotices(at(10.1)))
-	other.ReceiveNotices(at(10.2), named)
+	other.ReceiveNotices(at(10.2), late)
 	assert.Assert(t, other.Acquire(at(10.3), &host), "a trial is due")
 	holder.TakeNotices(at(20))
-	assert.Equal(t, len(holder.ReceiveNotices(at(20), named)), 1, "a limit that is named again later is a new one")
+	assert.Equal(t, len(holder.ReceiveNotices(at(20), late)), 1, "a limit that is reported again later is a new one")
 }
 
 // Guards against entries that learn of a limit only by answers of their own: each of many would
@@ -169,19 +169,19 @@
 func TestNoticeOfALimit(t *testing.T) {
 	cl := newCluster(1, 1)
 	notices := cl.trackers[0].TakeNotices(start)
-	told := ratelimit.New("told", func() []core.ProcessID { return []core.ProcessID{"entry-0", "told"} })
-	assert.Equal(t, len(told.ReceiveNotices(at(0.2), notices)), 1)
-	assert.Equal(t, len(told.ReceiveNotices(at(0.2), notices)), 0, "known already")
-	assert.Equal(t, len(told.Available(at(0.3), []core.Host{host})), 0)
+	other := ratelimit.New("other", func() []core.ProcessID { return []core.ProcessID{"entry-0", "other"} })
+	assert.Equal(t, len(other.ReceiveNotices(at(0.2), notices)), 1)
+	assert.Equal(t, len(other.ReceiveNotices(at(0.2), notices)), 0, "known already")
+	assert.Equal(t, len(other.Available(at(0.3), []core.Host{host})), 0)
 	restarted := host
 	restarted.StartedAt++
-	assert.Equal(t, len(told.Available(at(0.3), []core.Host{restarted})), 1, "the limit of an earlier incarnation")
-	assert.Equal(t, told.Observe(at(0.4), ratelimit.Answer{Host: host, Sent: at(0.1)}), ratelimit.Unchanged, "the request was sent before the notice")
-	assert.Equal(t, len(told.Available(at(0.5), []core.Host{host})), 0)
-	assert.Equal(t, len(told.Available(at(5), []core.Host{host})), 1, "it has a part of the limit")
+	assert.Equal(t, len(other.Available(at(0.3), []core.Host{restarted})), 1, "the limit of an earlier incarnation")
+	assert.Equal(t, other.Observe(at(0.4), ratelimit.Observation{Host: host, Sent: at(0.1)}), ratelimit.Unchanged, "the request was sent before the notice")
+	assert.Equal(t, len(other.Available(at(0.5), []core.Host{host})), 0)
+	assert.Equal(t, len(other.Available(at(5), []core.Host{host})), 1, "it has a share of the limit")
 }
 
-// holder returns an entry that has a part of the limit, or one that has none.
+// holder returns an entry that has a share of the limit, or one that has none.
 func (cl *cluster) holder(has bool) *ratelimit.Tracker {
 	for _, tr := range cl.trackers {
 		if tr.Acquire(at(8), &host) == has {
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -9,21 +9,21 @@
 	"skylarkstand/core/balance"
 )
 
-// Answer is what the header of an upstream's answer says about its rate limit.
-type Answer struct {
+// Observation is the rate limit in the header of one response.
+type Observation struct {
 	Host core.Host
 	// Sent is when the request was sent.
 	Sent time.Time
-	// Limit is the limit that the answer names; nil if it names none.
+	// Limit is the limit in the response; nil if it contains none.
 	Limit *core.Rate
 }
 
-// Change is how an answer changes what is known of an upstream's limit.
+// Change is how a response changes an upstream's limit.
 type Change int
 
 // The changes.
 const (
-	// Unchanged: nothing new.
+	// Unchanged: no change.
 	Unchanged Change = iota
 	// Limited: the upstream has a limit, or another one than before.
 	Limited
@@ -31,7 +31,7 @@
 	Lifted
 )
 
-// Tracker tracks the limits of upstreams and this entry's part of each. It is safe for concurrent
+// Tracker tracks the limits of upstreams and this entry's share of each. It is safe for concurrent
 // use.
 type Tracker struct {
 	self    core.ProcessID
@@ -51,25 +51,25 @@
 	return &Tracker{self: self, entries: entries, limits: map[uint64]*limit{}, pending: map[uint64]Notice{}, liftedAt: map[uint64]time.Time{}}
 }
 
-// Observe records what an answer says.
-func (tr *Tracker) Observe(now time.Time, an Answer) Change {
+// Observe records the limit of a response.
+func (tr *Tracker) Observe(now time.Time, ob Observation) Change {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if an.Limit == nil && len(tr.limits) == 0 {
+	if ob.Limit == nil && len(tr.limits) == 0 {
 		return Unchanged
 	}
-	in := balance.NewIncarnation(&an.Host)
+	in := balance.NewIncarnation(&ob.Host)
 	key := in.Upstream
 	li := tr.limits[key]
 	switch {
-	case li != nil && li.isNewerThan(&an.Host):
+	case li != nil && li.isNewerThan(&ob.Host):
 		return Unchanged
-	case li != nil && !li.appliesTo(&an.Host):
+	case li != nil && !li.appliesTo(&ob.Host):
 		delete(tr.limits, key)
 		li = nil
 	}
-	if an.Limit == nil {
-		if li == nil || !an.Sent.After(li.namedAt) {
+	if ob.Limit == nil {
+		if li == nil || !ob.Sent.After(li.reportedAt) {
 			return Unchanged
 		}
 		delete(tr.limits, key)
@@ -81,12 +81,12 @@
 		li = newLimit(in.Start)
 		tr.limits[key] = li
 	}
-	limit := FromThousandths(Thousandths(*an.Limit))
-	if limit > li.rate && li.rate >= 0 && an.Sent.Before(li.namedAt) {
-		return Unchanged // The limit was lowered while this answer was under way.
+	limit := FromThousandths(Thousandths(*ob.Limit))
+	if limit > li.rate && li.rate >= 0 && ob.Sent.Before(li.reportedAt) {
+		return Unchanged // The limit was lowered while this response was in flight.
 	}
 	changed := li.setRate(limit)
-	li.startedAt, li.namedAt, li.heardAt, li.trialDue, li.tried = an.Host.StartedAt, now, now, false, false
+	li.startedAt, li.reportedAt, li.confirmedAt, li.trialDue, li.tried = ob.Host.StartedAt, now, now, false, false
 	if changed || now.Sub(li.announcedAt) >= announceInterval {
 		li.announcedAt = now
 		tr.pending[key] = Notice{Incarnation: in, Limit: &limit}
@@ -162,7 +162,7 @@
 	return sum
 }
 
-// limitOf returns the limit of an upstream with this entry's current part of it, or nil if the
+// limitOf returns the limit of an upstream with this entry's current share of it, or nil if the
 // upstream has none.
 func (tr *Tracker) limitOf(now time.Time, ho *core.Host) *limit {
 	if len(tr.limits) == 0 {
@@ -172,8 +172,8 @@
 	if li == nil || !li.appliesTo(ho) {
 		return nil
 	}
-	if now.Sub(li.dividedAt) >= divideInterval {
-		li.divide(now, ho.ID, tr.self, tr.entries())
+	if now.Sub(li.sharedAt) >= shareInterval {
+		li.updateShare(now, ho.ID, tr.self, tr.entries())
 	}
 	return li
 }
--- a/core/ratelimit/tracker_test.go
+++ b/core/ratelimit/tracker_test.go
@@ -24,23 +24,23 @@
 	want           ratelimit.Change
 }
 
-// Guards against a limit that ends by an answer that the upstream gave before it named the limit,
-// and against one that outlives the upstream.
+// Guards against a limit that ends by a response from before the limit, and against one that outlives
+// the upstream.
 func TestEndOfALimit(t *testing.T) {
 	scenarios := []struct {
 		testName string
 		answers  []answer
 		limited  int
 	}{
-		{"never named", []answer{{0, 1, 1, nil, ratelimit.Unchanged}}, 0},
-		{"named and kept", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(2), ratelimit.Unchanged}}, 1},
-		{"named anew", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(3), ratelimit.Limited}}, 1},
-		{"not named by a later answer", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1.1, 2, 1, nil, ratelimit.Lifted}}, 0},
-		{"not named by an answer that was under way", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
-		{"raised by an answer that was under way when it was lowered", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(3), ratelimit.Unchanged}}, 1},
-		{"lowered by an answer that was under way", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(1), ratelimit.Limited}}, 1},
+		{"never reported", []answer{{0, 1, 1, nil, ratelimit.Unchanged}}, 0},
+		{"reported again", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(2), ratelimit.Unchanged}}, 1},
+		{"changed", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1, 2, 1, rate(3), ratelimit.Limited}}, 1},
+		{"missing in a later response", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {1.1, 2, 1, nil, ratelimit.Lifted}}, 0},
+		{"missing in a response that was in flight", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
+		{"raised by a response that was in flight when it was lowered", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(3), ratelimit.Unchanged}}, 1},
+		{"lowered by a response that was in flight", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(1), ratelimit.Limited}}, 1},
 		{"restarted", []answer{{0, 1, 1, rate(2), ratelimit.Limited}, {0.5, 2, 2, nil, ratelimit.Unchanged}}, 0},
-		{"named by the incarnation before", []answer{{0, 1, 2, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(9), ratelimit.Unchanged}, {1.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
+		{"of an earlier incarnation", []answer{{0, 1, 2, rate(2), ratelimit.Limited}, {0.5, 2, 1, rate(9), ratelimit.Unchanged}, {1.5, 2, 1, nil, ratelimit.Unchanged}}, 1},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
@@ -51,7 +51,7 @@
 				if newest.StartedAt > ho.StartedAt {
 					ho = newest
 				}
-				assert.Equal(t, tr.Observe(at(an.received), ratelimit.Answer{Host: newest, Sent: at(an.sent), Limit: an.limit}), an.want)
+				assert.Equal(t, tr.Observe(at(an.received), ratelimit.Observation{Host: newest, Sent: at(an.sent), Limit: an.limit}), an.want)
 			}
 			assert.Equal(t, tr.Count(at(3), []core.Host{ho}), sc.limited)
 			tr.Forget("up")
@@ -61,16 +61,16 @@
 }
 
 // Guards against entries that take a limit for another one after it was rounded in a message, and
-// tell one another of the change for ever.
+// announce the change to one another for ever.
 func TestRoundedLimitIsTheSame(t *testing.T) {
 	third := core.Rate(1) / 3
 	tr := ratelimit.New("self", func() []core.ProcessID { return nil })
 	ho := core.Host{ID: "up"}
-	assert.Equal(t, tr.Observe(at(1), ratelimit.Answer{Host: ho, Sent: at(0), Limit: &third}), ratelimit.Limited)
+	assert.Equal(t, tr.Observe(at(1), ratelimit.Observation{Host: ho, Sent: at(0), Limit: &third}), ratelimit.Limited)
 	no := tr.TakeNotices(at(1))[0]
 	rounded := ratelimit.FromThousandths(ratelimit.Thousandths(*no.Limit))
 	no.Limit = &rounded
 	assert.Equal(t, len(tr.ReceiveNotices(at(2), []ratelimit.Notice{no})), 0)
-	assert.Equal(t, tr.Observe(at(3), ratelimit.Answer{Host: ho, Sent: at(2), Limit: &third}), ratelimit.Unchanged)
+	assert.Equal(t, tr.Observe(at(3), ratelimit.Observation{Host: ho, Sent: at(2), Limit: &third}), ratelimit.Unchanged)
 	assert.Equal(t, len(tr.TakeNotices(at(3))), 0)
 }
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -42,9 +42,9 @@
 	Run(ctx context.Context, at *Attempt) (Answer, error)
 }
 
-// SignalSource is a Runner that reports what its upstream says of itself in the headers of its
-// answers. It calls the function before Run returns; sent is when the request was sent. OnSignals
-// must be called before the first Run.
+// SignalSource is a Runner that passes on the signals in its upstream's response headers. It calls the
+// function before Run returns; sent is when the request was sent. OnSignals must be called before the
+// first Run.
 type SignalSource interface {
 	OnSignals(fn func(sent time.Time, si Signals))
 }
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -104,7 +104,7 @@
 		at:   time.Now(), own: int(ln.ownInFlight.Load()),
 	})
 	ln.upstreamDown.Store(st.Down)
-	// An upstream that was about to leave may have started again.
+	// A draining upstream may have restarted.
 	if was := ln.announcedLeaving.Swap(st.Leaving); st.Leaving && !was {
 		event.Log(ln.deps.Log, event.UpstreamLeaving, "upstream", ln.host.ID)
 	}
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -1,5 +1,5 @@
 // Package header decodes the response headers in which an agent's upstream, a model engine or a
-// plain service, says something of its state.
+// plain service, reports its state.
 //
 // # Usage
 //
@@ -19,7 +19,7 @@
 	// retryAfter is, with status 503, the number of seconds for which the upstream accepts no further
 	// request.
 	retryAfter = "Retry-After"
-	// draining is "1" in all answers of an upstream that is about to leave.
+	// draining is "1" in all responses of a draining upstream.
 	draining = "Skylarkstand-Draining"
 )
 
--- a/io/header/header_test.go
+++ b/io/header/header_test.go
@@ -17,7 +17,7 @@
 	standinservice "skylarkstand/standin/service"
 )
 
-// Guards against an engine or a service whose agent does not hear what it says of its state.
+// Guards against a runner that does not pass on the signals of its engine or service.
 func TestSignalsOfRunners(t *testing.T) {
 	en := httptest.NewServer(standinengine.New(standinengine.Config{Slots: 1, DefaultTokens: 1}))
 	defer en.Close()
--- a/io/sibling/rate_limits.go
+++ b/io/sibling/rate_limits.go
@@ -21,8 +21,7 @@
 	maxRateLimits = 100
 )
 
-// sendRateLimits sends what this entry has learned of upstreams' rate limits to the entries of all
-// regions, which share them.
+// sendRateLimits announces rate limits to the entries of all regions, which share them.
 func (gs *Gossiper) sendRateLimits(pc net.PacketConn) {
 	notices := gs.ld.TakeRateLimits()
 	for part := range slices.Chunk(notices, maxRateLimits) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -61,7 +61,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"confirmation": n, "operation": je.Operation})
 }
 
-// setSignals sets what all further answers say of the service's state.
+// setSignals sets the signals of all further answers.
 func (sv *Service) setSignals(w http.ResponseWriter, rq *http.Request) {
 	var si signals.Signals
 	if json.NewDecoder(rq.Body).Decode(&si) != nil {
--- a/standin/signals/signals.go
+++ b/standin/signals/signals.go
@@ -1,5 +1,5 @@
-// Package signals lets the stand-ins of engines and plain services say something of their state in
-// the headers of their answers, as faults that a test injects.
+// Package signals contains the signals that a test makes the stand-ins of engines and plain services
+// send in their response headers.
 //
 // # Usage
 //
@@ -13,12 +13,12 @@
 
 // Signals are added to every answer. The zero value adds nothing.
 type Signals struct {
-	// RateLimit is the limit that is named, in requests a second; nil names none. The stand-in does
-	// not enforce it.
+	// RateLimit is the reported limit in requests a second; nil for none. The stand-in does not
+	// enforce it.
 	RateLimit *float64 `json:"rate-limit"`
 	// RetryAfter makes every answer a refusal with this time in seconds; 0 refuses nothing.
 	RetryAfter float64 `json:"retry-after"`
-	// Draining says that the stand-in is about to leave.
+	// Draining is whether the stand-in reports that it is draining.
 	Draining bool `json:"draining"`
 }
 
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -57,7 +57,7 @@
 	rateLimit string
 	// retryAfter is the value of the Retry-After header of refusals; empty for none.
 	retryAfter string
-	// draining makes all answers say that the upstream is about to leave.
+	// draining is whether all responses report that the upstream is draining.
 	draining bool
 	restarts int
 	arrivals []time.Time
@@ -86,13 +86,13 @@
 	up.mode = mo
 }
 
-// SetRateLimit makes all further answers name a limit, in requests a second of all gateways
+// SetRateLimit makes all further responses contain a rate limit, in requests a second of all gateways
 // together. The upstream does not enforce it.
 func (up *Upstream) SetRateLimit(rate float64) {
 	up.setRateLimit(strconv.FormatFloat(rate, 'f', -1, 64))
 }
 
-// LiftRateLimit makes all further answers name no limit.
+// LiftRateLimit ends the rate limit.
 func (up *Upstream) LiftRateLimit() { up.setRateLimit("") }
 
 func (up *Upstream) setRateLimit(val string) {
@@ -101,8 +101,7 @@
 	up.rateLimit = val
 }
 
-// SetRetryAfter makes all further refusals ask for no request for a number of seconds; 0 makes them
-// ask for nothing.
+// SetRetryAfter sets the Retry-After of all further refusals, in seconds; 0 for none.
 func (up *Upstream) SetRetryAfter(seconds float64) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -112,16 +111,16 @@
 	}
 }
 
-// StartDraining makes all further answers say that the upstream is about to leave. Its entry in the
-// host list stays as it is.
+// StartDraining makes all further responses report that the upstream is draining. Its entry in the
+// host list does not change.
 func (up *Upstream) StartDraining() {
 	up.mu.Lock()
 	defer up.mu.Unlock()
 	up.draining = true
 }
 
-// Restart ends what the upstream says of its state and makes it a new incarnation, once its entry in
-// the host list is written anew.
+// Restart resets the upstream's signals and makes it a new incarnation. The caller must write its
+// entry in the host list again.
 func (up *Upstream) Restart() {
 	up.mu.Lock()
 	defer up.mu.Unlock()
--- a/test/gateway/cooldown_test.go
+++ b/test/gateway/cooldown_test.go
@@ -10,9 +10,8 @@
 	"skylarkstand/standin/upstream"
 )
 
-// An upstream refuses all requests and asks for none for some seconds. A gateway must send it no
-// more than the few that were under way, answer callers by the other upstream, and use the first one
-// again afterwards.
+// An upstream refuses all requests with a Retry-After. A gateway must send it no more than the few
+// that were in flight, answer callers by the other upstream, and use the first one again afterwards.
 func TestGatewayKeepsToTheRetryAfter(t *testing.T) {
 	const retryAfter = 4 * time.Second
 	fx := newFixture(t, 1)
--- a/test/gateway/rate_limit_test.go
+++ b/test/gateway/rate_limit_test.go
@@ -28,7 +28,7 @@
 	return most
 }
 
-// An upstream names a rate limit and lifts it later. All gateways together must keep to the limit,
+// An upstream reports a rate limit and lifts it later. All gateways together must keep to the limit,
 // answer callers by the other upstream, and use the first one again afterwards.
 func TestGatewaysShareARateLimit(t *testing.T) {
 	fx := newFixture(t, 3)
@@ -41,7 +41,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	// Each gateway learns of the limit by its first answer from there or from another gateway.
+	// Each gateway learns of the limit by its first response from there or from another gateway.
 	most := mostWithin(limited, 4*time.Second, began.Add(2*time.Second))
 	assert.Assert(t, most <= 11, "%d requests in 4 s", most)
 	limited.LiftRateLimit()
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -248,7 +248,7 @@
 	return append(append([]*upstream.Upstream{}, sf.desks...), sf.lms...)
 }
 
-// restart makes an upstream a new incarnation, as the host list says.
+// restart makes an upstream a new incarnation in the host list.
 func (sf *soakFixture) restart(i int) {
 	up := sf.upstreams()[i]
 	up.Restart()
