Announce a draining upstream in three rounds

Found by TestUpstreamThatReportsDraining, which failed in 3 of 8 runs: a second gateway sent the draining stand-in one request. Its first sibling had announced the upstream in a single datagram, which went nowhere while the second gateway's registration had not arrived; a lost datagram would have done the same. Draining upstreams are now announced in three consecutive rounds (TestDrainingIsAnnouncedRepeatedly).

--- a/io/sibling/digest_test.go
+++ b/io/sibling/digest_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"skylarkstand/core"
 	"skylarkstand/core/balance"
 	"skylarkstand/core/replica"
 )
@@ -61,3 +62,35 @@
 	assert.Equal(t, rg.digests[0].Revision, replica.Digest{Revision: 7}.Revision)
 	assert.Equal(t, rg.digests[0].From, "127.0.0.1:7342")
 }
+
+// drainingLoads provides one draining upstream.
+type drainingLoads struct {
+	Loads
+	ups []balance.Incarnation
+}
+
+func (dl *drainingLoads) TakeDraining() []balance.Incarnation {
+	ups := dl.ups
+	dl.ups = nil
+	return ups
+}
+
+// Guards against entries of any region that do not learn of a draining upstream because a datagram is
+// lost.
+func TestDrainingIsAnnouncedRepeatedly(t *testing.T) {
+	ups := []balance.Incarnation{{Upstream: 7, Start: 1}}
+	remote := func() map[core.Region][]string {
+		return map[core.Region][]string{"south": {"127.0.0.1:2", "127.0.0.1:3"}}
+	}
+	gs := NewGossiper("self", "127.0.0.1:0", &drainingLoads{ups: ups}, nil, func() []string { return []string{"127.0.0.1:1"} }, nil, RemoteEntries(remote))
+	rc := &recordingConn{}
+	for range 2 * drainingRounds {
+		gs.sendDraining(rc)
+	}
+	assert.Equal(t, len(rc.sent), 3*drainingRounds)
+	for _, data := range rc.sent {
+		got, ok := decodeDraining(data)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, got, ups)
+	}
+}
--- a/io/sibling/draining.go
+++ b/io/sibling/draining.go
@@ -8,21 +8,36 @@
 	"skylarkstand/core/balance"
 )
 
-// A draining datagram consists of a format byte and the upstreams that have said in an answer that
-// they are about to leave, each with its hash and its start.
+// A draining datagram consists of a format byte and the draining upstreams, each with its hash and
+// its start.
 const (
 	drainingFormat = 0x87
 	drainingSize   = 8 + 2
 	// maxDraining keeps a datagram below the usual packet size.
 	maxDraining = 140
+	// drainingRounds is the number of rounds in which a draining upstream is announced, since
+	// datagrams may be lost.
+	drainingRounds = 3
 )
 
-// sendDraining tells the entries of all regions which upstreams are about to leave.
+// drainingUpstreams are draining upstreams that are announced in some more rounds.
+type drainingUpstreams struct {
+	ups        []balance.Incarnation
+	roundsLeft int
+}
+
+// sendDraining announces draining upstreams to the entries of all regions.
 func (gs *Gossiper) sendDraining(pc net.PacketConn) {
-	ups := gs.ld.TakeDraining()
-	for part := range slices.Chunk(ups, maxDraining) {
-		sendDatagrams(pc, gs.allAddrs(), encodeDraining(part))
+	if ups := gs.ld.TakeDraining(); len(ups) > 0 {
+		gs.draining = append(gs.draining, drainingUpstreams{ups, drainingRounds})
+	}
+	for i := range gs.draining {
+		for part := range slices.Chunk(gs.draining[i].ups, maxDraining) {
+			sendDatagrams(pc, gs.allAddrs(), encodeDraining(part))
+		}
+		gs.draining[i].roundsLeft--
 	}
+	gs.draining = slices.DeleteFunc(gs.draining, func(du drainingUpstreams) bool { return du.roundsLeft == 0 })
 }
 
 // allAddrs returns the addresses of the other entries of all regions.
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -43,13 +43,12 @@
 	TakeFacts() []balance.Fact
 	// ReceiveFacts records facts found by another entry.
 	ReceiveFacts(facts []balance.Fact)
-	// TakeRateLimits returns what this entry has learned of upstreams' rate limits since the
-	// previous call of TakeRateLimits. ReceiveRateLimits records what another entry has learned.
+	// TakeRateLimits returns the changes of upstreams' rate limits since the previous call of
+	// TakeRateLimits. ReceiveRateLimits records those that another entry has announced.
 	TakeRateLimits() []ratelimit.Notice
 	ReceiveRateLimits(notices []ratelimit.Notice)
-	// TakeDraining returns the upstreams that have told this entry since the previous call of
-	// TakeDraining that they are about to leave. ReceiveDraining records those that have told
-	// another entry.
+	// TakeDraining returns the upstreams that this entry has found draining since the previous
+	// call of TakeDraining. ReceiveDraining records those that another entry has found.
 	TakeDraining() []balance.Incarnation
 	ReceiveDraining(ups []balance.Incarnation)
 }
@@ -83,6 +82,7 @@
 	limiter *rate.Limiter
 	// unsentFacts holds the facts that are not announced yet.
 	unsentFacts []balance.Fact
+	draining    []drainingUpstreams
 }
 
 // GossiperOption configures a Gossiper.
