End an agent's rate limit when its upstream is down

A gateway drops a limit with the incarnation of its upstream; an agent, whose upstream has no incarnations, kept the limit of a process that was gone until an answer without one, for which a limit of 0 left only a trial every 15 s. A probe that finds the upstream down now ends it, as it ends draining. TestRestartEndsTheRateLimit failed before (the second call was refused).

--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -97,7 +97,9 @@
 	}
 	err := pr.Probe()
 	if err != nil {
+		// What the upstream has reported ends with its process.
 		ex.upstreamDraining.ended()
+		ex.limits.Forget(ex.host.ID)
 	}
 	return err
 }
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -122,6 +122,20 @@
 	})
 }
 
+// Guards against a rate limit that outlives its upstream.
+func TestRestartEndsTheRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t)
+		limit := core.Rate(0)
+		fx.bo.signals.RateLimit = &limit
+		assert.Equal(t, fx.call(t.Context(), "k1").text, "booked")
+		assert.Equal(t, fx.call(t.Context(), "k2"), result{core.NotRun, string(core.CodeOverloaded)})
+		fx.bo.signals, fx.bo.down = core.Signals{}, errors.New("connection refused")
+		assert.Assert(t, fx.ex.Probe() != nil)
+		assert.Equal(t, fx.call(t.Context(), "k2").text, "booked")
+	})
+}
+
 // Guards against a caller that is refused its stored answer, as not run, while the upstream accepts no
 // request.
 func TestStoredAnswerDuringACooldown(t *testing.T) {
