End an agent's cooldown when its upstream is down

A Retry-After of up to an hour, from a process that was gone, kept an agent's upstream from work after its restart; a gateway drops it with the incarnation. A probe that finds the upstream down now ends it. TestRestartEndsTheCooldown failed before (the second call was refused). The comment of a test says what a gateway may do in plainer words.

--- a/core/execute/execute.go
+++ b/core/execute/execute.go
@@ -100,6 +100,7 @@
 		// What the upstream has reported ends with its process.
 		ex.upstreamDraining.ended()
 		ex.limits.Forget(ex.host.ID)
+		ex.cooldowns.Forget(ex.host.ID)
 	}
 	return err
 }
--- a/core/execute/signals_test.go
+++ b/core/execute/signals_test.go
@@ -136,6 +136,19 @@
 	})
 }
 
+// Guards against a cooldown that outlives its upstream.
+func TestRestartEndsTheCooldown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t)
+		fx.bo.signals.RetryAfter = time.Hour
+		assert.Equal(t, fx.call(t.Context(), "k1").text, "booked")
+		assert.Equal(t, fx.call(t.Context(), "k2"), result{core.NotRun, string(core.CodeOverloaded)})
+		fx.bo.signals, fx.bo.down = core.Signals{}, errors.New("connection refused")
+		assert.Assert(t, fx.ex.Probe() != nil)
+		assert.Equal(t, fx.call(t.Context(), "k2").text, "booked")
+	})
+}
+
 // Guards against a caller that is refused its stored answer, as not run, while the upstream accepts no
 // request.
 func TestStoredAnswerDuringACooldown(t *testing.T) {
--- a/test/gateway/draining_test.go
+++ b/test/gateway/draining_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// An upstream reports in its responses that it is draining, while the host list shows it as ready. It
-// may get one more request from each gateway, which such a response or another gateway reaches later.
+// An upstream reports in its responses that it is draining, while the host list shows it as ready. A
+// gateway may send it no request after its first response from there.
 func TestUpstreamThatReportsDraining(t *testing.T) {
 	fx := newFixture(t, 2)
 	leaving := fx.desks[0]
