Hold a roll-out without outcomes, move sessions at its second step, and ignore crashes

Cause, the same for both: the tests of a version count outcomes alone, and there are too few. Where nearly all requests belong to active sessions, which stay in the first step, 4 of 78 attempts a second reached the version in 12.7 s. A crash yields outcomes that say nothing of the version.

- An attempt before the last step without an outcome after twice the old version's median and half a second is overdue.
No step is taken while more attempts at all entries are overdue than answered.
- A test of its own for answers four times as slow as the median.
- The second step gives the version two thirds of the allowed exposure as its share, from 0.62 of the duration, and includes active sessions.
The step with a third of the sessions for a twenty-fifth of the duration is gone.
- A lost answer is held back for a second and dropped when its upstream is unreachable, unlisted or restarted by then.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// TestSlowVersionWithoutOutcomesIsNotCompleted guards against a completion for lack of evidence: the
+// version is so slow that hardly any of its few answers has ended when the last steps are due.
+func TestSlowVersionWithoutOutcomesIsNotCompleted(t *testing.T) {
+	slow := func(*rand.Rand, int, time.Duration, int) (bool, float64) { return false, 8 }
+	for _, rate := range []float64{15, 40} {
+		for seed := range uint64(12) {
+			si := simulation{seed: seed, entries: 4, rate: rate, exposure: 0.15, duration: 14 * time.Second, fault: slow, answerChunks: 140}
+			re := si.run(t)
+			assert.Assert(t, re.state != canary.Completed, "seed %d: at %s after %d requests", seed, re.at, re.sent)
+			re.assertWithin(t, 0.15)
+		}
+	}
+}
+
+// TestGoodVersionWithLongAnswersIsCompleted guards against a hold for answers that are still under way
+// because they are long.
+func TestGoodVersionWithLongAnswersIsCompleted(t *testing.T) {
+	for seed := range uint64(12) {
+		si := simulation{seed: seed, entries: 4, rate: 40, exposure: 0.15, duration: 14 * time.Second, answerChunks: 140}
+		re := si.run(t)
+		assert.Equal(t, re.state, canary.Completed, "seed %d: at %s after %d requests", seed, re.at, re.sent)
+	}
+}
+
 // Twenty entries share fifteen requests a second, so that each alone sees one or two answers of a
 // new version that fails half of them. Only the combined evidence suffices; without it two in three
 // such versions are completed, and seven times as many callers are affected.
--- a/core/canary/doc.go
+++ b/core/canary/doc.go
@@ -97,11 +97,13 @@
 	// an exposure of 0.15 and forty requests a second, one request a second goes to the new
 	// version; all entries together detect a version that fails half of them within ten seconds.
 	firstStepFraction = 0.22
-	// secondShare and secondTime define the second step: a third of the sessions for a twenty-fifth
-	// of the duration. It detects a version that is bad only under load or on a route that the
-	// first step rarely reached.
-	secondShare = 0.3
-	secondTime  = 0.04
+	// secondStepFraction is the share of the second step, as a fraction of the allowed exposure, and
+	// secondFrom when it begins. Active sessions stay on their version in the first step, so that hardly
+	// any request reaches the new one where most belong to long sessions; from here on they move. Until half
+	// of the duration, every session must keep its version. The step also detects a version that is bad on
+	// a route that the first one rarely reached.
+	secondStepFraction = 0.67
+	secondFrom         = 0.62
 	// completeBy is the fraction of the duration after which a roll-out completes even if the old
 	// version still has requests in flight: streams are then resumed on the new version. Between
 	// the last step and this point, short requests finish.
@@ -123,12 +125,12 @@
 // remains at the last step, which moves everything. A version that is found bad earlier is rolled
 // back earlier; a good version serves all requests only shortly before the order's duration ends,
 // which does no harm.
-func planSteps(exposure float64) [3]step {
-	first := firstStepFraction * exposure
-	last := max(plannedFraction*exposure-first-secondShare*secondTime, completeAfter+0.01)
-	// The new version receives nothing during the settling time (see settleTime). In a longer
-	// roll-out, where that time is less than maxSettleFraction of the duration, the share is up to
-	// a seventh too large, which is within the reserve of plannedFraction: 0.140 of 0.15.
-	share := first / (1 - maxSettleFraction)
-	return [3]step{{share, 0}, {secondShare, 1 - last - secondTime}, {1, 1 - last}}
+func planSteps(exposure float64) [lastStep + 1]step {
+	// The new version receives nothing during the settling time (see settleTime).
+	first := firstStepFraction * exposure / (1 - maxSettleFraction)
+	second := secondStepFraction * exposure
+	unused := plannedFraction*exposure - first*secondFrom - second*(1-secondFrom)
+	// A longer last step shortens the second one.
+	last := max(unused/(1-second), completeAfter+0.01)
+	return [lastStep + 1]step{{first, 0}, {second, secondFrom}, {1, 1 - last}}
 }
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -25,6 +25,8 @@
 	// its chunks; 0 means unknown. SingleChunk reports that the answer arrived as a single chunk.
 	TimeToHeader, ChunkInterval time.Duration
 	SingleChunk                 bool
+	// Elapsed is the time from the sending of the attempt to this outcome; 0 means unknown.
+	Elapsed time.Duration
 }
 
 // evidence compares the outcomes of the new version with those of the old one, for each pool and
@@ -32,12 +34,14 @@
 type evidence struct {
 	pools map[string]*comparison
 	all   comparison
+	// timeToOutcome is the old version's time until an attempt yields its first outcome.
+	timeToOutcome median
 }
 
 // comparison holds a test for failures, a test for slow answers and the old version's median
 // latencies.
 type comparison struct {
-	fails, slows                cusum
+	fails, slows, verySlows     cusum
 	timeToHeader, chunkInterval median
 }
 
@@ -72,7 +76,7 @@
 	rateSmoothing = 0.05
 	minRate       = 0.02
 	maxRate       = 0.6
-	// maxIdleSlowRate limits the old version's slow rate that the first step is compared with. The
+	// maxIdleSlowRate limits the old version's slow rate that the first two steps are compared with. The
 	// new version's upstreams are nearly idle then while the old version's are loaded, so slow
 	// answers there are not caused by load.
 	maxIdleSlowRate = 0.2
@@ -102,6 +106,9 @@
 	// these 42 with 1.4. A slow version is detected in the earlier steps, or is slower by a factor
 	// of eight.
 	lastStepChunkFactor = 6.0
+	// verySlowFactor is the multiple of the old version's median above which an answer is very slow,
+	// which has a test of its own: few answers suffice for it. It does not apply to the last step.
+	verySlowFactor = 4.0
 	// overdueFactor and overdueSlack determine when an attempt without a response header counts as
 	// failed.
 	overdueFactor = 8
@@ -114,7 +121,7 @@
 )
 
 func newComparison() comparison {
-	return comparison{fails: cusum{rate: initialFailRate}, slows: cusum{rate: initialSlowRate}}
+	return comparison{fails: cusum{rate: initialFailRate}, slows: cusum{rate: initialSlowRate}, verySlows: cusum{rate: initialFailRate}}
 }
 
 func newEvidence() evidence { return evidence{pools: map[string]*comparison{}, all: newComparison()} }
@@ -128,7 +135,7 @@
 }
 
 func (co *comparison) reset() {
-	for _, cu := range []*cusum{&co.fails, &co.slows} {
+	for _, cu := range []*cusum{&co.fails, &co.slows, &co.verySlows} {
 		cu.sum, cu.drift, cu.bad, cu.seen = 0, 0, 0, 0
 	}
 }
@@ -146,53 +153,63 @@
 // observeOld updates the rates and medians from an outcome of the old version.
 func (ev *evidence) observeOld(ou Outcome) {
 	po := ev.pool(ou.Pool)
-	slow, timed := po.isSlow(ou, slowChunkFactor)
+	slow, timed := po.isSlow(ou, slowChunkFactor, slowHeaderFactor)
+	verySlow, _ := po.isSlow(ou, verySlowFactor, verySlowFactor)
 	for _, co := range []*comparison{po, &ev.all} {
 		if !ou.Streaming {
 			co.fails.updateRate(ou.Failed)
 		}
 		if timed {
 			co.slows.updateRate(slow)
+			co.verySlows.updateRate(verySlow)
 		}
 	}
 	if !ou.Failed {
 		po.timeToHeader.update(ou.TimeToHeader)
 		po.chunkInterval.update(ou.ChunkInterval)
+		if ou.Streaming || ou.SingleChunk {
+			ev.timeToOutcome.update(ou.Elapsed)
+		}
 	}
 }
 
 // observeNew records an outcome of the new version in a step and returns the reason if the version
-// is bad, else "". In the first step the new version's upstreams are nearly idle.
+// is bad, else "".
 func (ev *evidence) observeNew(ou Outcome, current int) string {
 	po := ev.pool(ou.Pool)
 	factor := slowChunkFactor
 	if current == lastStep {
 		factor = lastStepChunkFactor
 	}
-	slow, timed := po.isSlow(ou, factor)
+	slow, timed := po.isSlow(ou, factor, slowHeaderFactor)
+	verySlow, _ := po.isSlow(ou, verySlowFactor, verySlowFactor)
 	for _, co := range []*comparison{po, &ev.all} {
 		if !ou.Streaming && co.fails.observe(ou.Failed, maxRate) {
 			return co.fails.describe("failed")
 		}
 		maxSlow := maxRate
-		if current == 0 {
+		if current < lastStep {
 			maxSlow = maxIdleSlowRate
 		}
 		if timed && !ou.Failed && co.slows.observe(slow, maxSlow) {
 			return co.slows.describe("were slow")
 		}
+		if timed && !ou.Failed && current < lastStep && co.verySlows.observe(verySlow, maxRate) {
+			return co.verySlows.describe("were very slow")
+		}
 	}
 	return ""
 }
 
-// isSlow reports whether an answer was slow, and whether that can be determined. The factor is the
-// multiple of the median chunk interval above which an answer is slow.
-func (co *comparison) isSlow(ou Outcome, factor float64) (slow, timed bool) {
+// isSlow reports whether an answer was slow, and whether that can be determined. The factors are the
+// multiples of the median chunk interval, and of the median time to the header, above which an answer
+// is slow.
+func (co *comparison) isSlow(ou Outcome, chunkFactor, headerFactor float64) (slow, timed bool) {
 	switch {
 	case ou.ChunkInterval > 0:
-		return co.chunkInterval.exceeded(ou.ChunkInterval, factor), co.chunkInterval.reliable()
+		return co.chunkInterval.exceeded(ou.ChunkInterval, chunkFactor), co.chunkInterval.reliable()
 	case ou.SingleChunk && ou.TimeToHeader > 0:
-		return co.timeToHeader.exceeded(ou.TimeToHeader, slowHeaderFactor), co.timeToHeader.reliable()
+		return co.timeToHeader.exceeded(ou.TimeToHeader, headerFactor), co.timeToHeader.reliable()
 	}
 	return false, false
 }
@@ -257,6 +274,9 @@
 		ro.evidence.observeOld(ou)
 		return
 	}
+	if ou.Streaming {
+		ro.trial.timed++
+	}
 	if why := ro.evidence.observeNew(ou, ro.currentStep()); why != "" && ro.badReason == "" && !ro.final() {
 		ro.badReason = why
 	}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -12,7 +12,7 @@
 type Guard struct {
 	off   mechanism.Disabled
 	gap   time.Duration
-	steps [3]step
+	steps [lastStep + 1]step
 
 	mu        sync.Mutex
 	rollouts  map[core.ServiceID]*rollout
@@ -49,8 +49,8 @@
 	// of the two known deployments.
 	defaultSessionGap = 5 * time.Second
 	defaultExposure   = 0.15
-	// capFactor and capSlack limit what an entry sends to the new version in the first step,
-	// relative to its own requests and the step's share.
+	// capFactor and capSlack limit what an entry sends to the new version before the last step, relative
+	// to its own requests and the planned share.
 	capFactor = 1.3
 	capSlack  = 2
 	// settleTime is the time after an order in which no session is assigned to the new version:
@@ -83,6 +83,9 @@
 	// the order.
 	all, sent int
 	evidence  evidence
+	trial     trial
+	// siblingTrials is the state of the siblings' trials, as of the last reports.
+	siblingTrials trialCount
 	// remoteOldSessions are the sessions within the first step's share that continue on the old
 	// version at other entries, and when each was last reported.
 	remoteOldSessions map[core.SessionID]time.Time
@@ -118,6 +121,7 @@
 	ro.order, ro.startedAt, ro.steppedAt = or, now, now
 	ro.all, ro.sent, ro.badReason, ro.reported, ro.pooledSum = 0, 0, "", false, 0
 	ro.evidence.reset()
+	ro.trial, ro.siblingTrials = trial{}, trialCount{}
 	clear(ro.remoteOldSessions)
 }
 
@@ -230,7 +234,18 @@
 	if draw >= share || !fresh {
 		return false
 	}
-	return current > 0 || float64(ro.sent) < capFactor*share*float64(ro.all)+capSlack
+	return current == lastStep || float64(ro.sent) < capFactor*gu.plannedShare(now, ro)*float64(ro.all)+capSlack
+}
+
+// plannedShare returns the share of all requests since the order that the new version should have
+// received by now. Sessions differ in size, so that a step's share of them may be more of the requests.
+func (gu *Guard) plannedShare(now time.Time, ro *rollout) float64 {
+	fraction := float64(now.Sub(ro.startedAt)) / float64(max(ro.order.Duration, time.Second))
+	first, second := gu.steps[0], gu.steps[1]
+	if ro.currentStep() == 0 || fraction <= second.from {
+		return first.share
+	}
+	return (first.share*second.from + second.share*(fraction-second.from)) / fraction
 }
 
 // Verdict is a version that an entry has found bad.
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -22,15 +22,20 @@
 	// OldSessions are the sessions within the first step's share that continue on the old version
 	// at the reporting entry.
 	OldSessions []core.SessionID `json:"settled,omitempty"`
+	// Answered counts the attempts of the early steps with an outcome, Overdue those that should have
+	// had one by now.
+	Answered int `json:"answered,omitempty"`
+	Overdue  int `json:"overdue,omitempty"`
 }
 
 // allPools is the key of the evidence over all pools.
 const allPools = ""
 
-// Tallies is the evidence of both tests.
+// Tallies is the evidence of all tests.
 type Tallies struct {
-	Failures    Tally `json:"fails"`
-	SlowAnswers Tally `json:"slows"`
+	Failures        Tally `json:"fails"`
+	SlowAnswers     Tally `json:"slows"`
+	VerySlowAnswers Tally `json:"very-slows"`
 }
 
 // Tally is the evidence of one test.
@@ -55,9 +60,10 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
+		co := ro.trialCount(now)
 		out = append(out, Report{
 			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(), Pools: ro.evidence.tallies(),
-			OldSessions: gu.localOldSessions(now, ro),
+			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue,
 		})
 	}
 	return out
@@ -74,7 +80,9 @@
 	return out
 }
 
-func (co *comparison) tallies() Tallies { return Tallies{co.fails.tally(), co.slows.tally()} }
+func (co *comparison) tallies() Tallies {
+	return Tallies{co.fails.tally(), co.slows.tally(), co.verySlows.tally()}
+}
 
 func (cu cusum) tally() Tally { return Tally{cu.drift, cu.bad, cu.seen} }
 
@@ -92,6 +100,7 @@
 			continue
 		}
 		sums := ro.evidence.tallies()
+		ro.siblingTrials = trialCount{}
 		maps.DeleteFunc(ro.remoteOldSessions, func(_ core.SessionID, at time.Time) bool { return now.Sub(at) > gu.gap })
 		for _, re := range reports {
 			if re.Service != sv || re.Order != ro.order.Revision {
@@ -106,19 +115,21 @@
 			if gu.off.Has(mechanism.PooledEvidence) {
 				continue
 			}
+			ro.siblingTrials = ro.siblingTrials.add(trialCount{answered: re.Answered, overdue: re.Overdue})
 			for name, ta := range re.Pools {
 				sum := sums[name]
 				sum.Failures.add(ta.Failures)
 				sum.SlowAnswers.add(ta.SlowAnswers)
+				sum.VerySlowAnswers.add(ta.VerySlowAnswers)
 				sums[name] = sum
 			}
 		}
 		ro.pooledSum = 0
 		for _, sum := range sums {
 			if ro.badReason == "" {
-				ro.badReason = pooledReason(sum.Failures, sum.SlowAnswers)
+				ro.badReason = sum.badReason()
 			}
-			ro.pooledSum = max(ro.pooledSum, sum.Failures.Sum, sum.SlowAnswers.Sum)
+			ro.pooledSum = max(ro.pooledSum, sum.Failures.Sum, sum.SlowAnswers.Sum, sum.VerySlowAnswers.Sum)
 		}
 	}
 }
@@ -129,13 +140,15 @@
 	ta.Seen += other.Seen
 }
 
-// pooledReason returns why a version is bad by the evidence of all entries, or "".
-func pooledReason(fails, slows Tally) string {
-	switch {
-	case fails.Sum >= pooledThreshold && fails.Bad >= minBad:
-		return fmt.Sprintf("%d of %d answers at all entries failed", fails.Bad, fails.Seen)
-	case slows.Sum >= pooledThreshold && slows.Bad >= minBad:
-		return fmt.Sprintf("%d of %d answers at all entries were slow", slows.Bad, slows.Seen)
+// badReason returns why a version is bad by the evidence of all entries, or "".
+func (ta Tallies) badReason() string {
+	for _, te := range []struct {
+		tally Tally
+		what  string
+	}{{ta.Failures, "failed"}, {ta.SlowAnswers, "were slow"}, {ta.VerySlowAnswers, "were very slow"}} {
+		if te.tally.Sum >= pooledThreshold && te.tally.Bad >= minBad {
+			return fmt.Sprintf("%d of %d answers at all entries %s", te.tally.Bad, te.tally.Seen, te.what)
+		}
 	}
 	return ""
 }
--- a/core/canary/sessions.go
+++ b/core/canary/sessions.go
@@ -80,6 +80,9 @@
 	gu.inFlight[versionKey{ho.Service, ho.Version}]++
 	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
 		ro.sent++
+		if ro.currentStep() < lastStep {
+			ro.trial.addSent(now)
+		}
 	}
 }
 
@@ -91,6 +94,9 @@
 	if gu.inFlight[key]--; gu.inFlight[key] <= 0 {
 		delete(gu.inFlight, key)
 	}
+	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
+		ro.trial.ended++
+	}
 	if pi, ok := gu.sessions[sessionKey{ho.Service, se}]; ok && pi.version == ho.Version {
 		pi.usedAt = now
 		pi.inFlight = max(pi.inFlight-1, 0)
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -1,6 +1,7 @@
 package canary_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -32,6 +33,8 @@
 	roaming bool
 	// restart replaces an entry at this time after the order by a new one without state.
 	restart time.Duration
+	// answerChunks is the length of an answer in chunks; 0 means 20.
+	answerChunks int
 }
 
 // result is the result of a simulation.
@@ -195,7 +198,9 @@
 					}
 				}
 			}
-			pending = append(pending, attempt{now.Add(time.Duration(20 * float64(ou.ChunkInterval))), entry, se, ho, ou})
+			ou.Elapsed = time.Duration(cmp.Or(si.answerChunks, 20)) * ou.ChunkInterval
+			ou.SingleChunk = true // Its outcome is the first one of the attempt.
+			pending = append(pending, attempt{now.Add(ou.Elapsed), entry, se, ho, ou})
 		}
 		kept := pending[:0]
 		for _, at := range pending {
--- a/core/canary/writes.go
+++ b/core/canary/writes.go
@@ -38,9 +38,9 @@
 		return Write{}, false
 	case ro.state() == "":
 		return ro.statusWrite(InProgress, "ordered"), true
-	case ro.onHold() && fraction >= giveUpAt:
+	case ro.onHold(now) && fraction >= giveUpAt:
 		return ro.statusWrite(RolledBack, "the evidence is still inconclusive at the end of the duration: "+ro.summary()), true
-	case ro.onHold():
+	case ro.onHold(now):
 		return Write{}, false
 	case current < lastStep && fraction >= gu.steps[current+1].from && inStep >= gu.minStepTime(current):
 		return ro.stepWrite(current), true
@@ -60,9 +60,14 @@
 // can no longer complete in time.
 const giveUpAt = 0.965
 
-func (ro *rollout) onHold() bool {
+// onHold reports whether the roll-out takes no further step: there is some evidence against the
+// version, or too few of its attempts have yielded any.
+func (ro *rollout) onHold(now time.Time) bool {
+	if ro.trialCount(now).add(ro.siblingTrials).inconclusive() {
+		return true
+	}
 	all := &ro.evidence.all
-	return max(ro.pooledSum, all.fails.sum, all.slows.sum) >= holdThreshold
+	return max(ro.pooledSum, all.fails.sum, all.slows.sum, all.verySlows.sum) >= holdThreshold
 }
 
 // minStepTime is the minimum time that a step lasts, as a fraction of the duration. A restarted
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// Contains reports whether this incarnation of an upstream is known.
+func (fl *Fleet) Contains(ho *core.Host) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	me := fl.members[ho.ID]
+	return me != nil && me.host.StartedAt == ho.StartedAt
+}
+
 // Serving lists the upstreams of a service that may get new work within the given regions, by id.
 // The returned slice is shared and must not be changed.
 func (fl *Fleet) Serving(sv core.ServiceID, now time.Time, within core.Regions) []core.Host {
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -95,6 +95,7 @@
 
 func (at *attempt) observe(ou canary.Outcome) {
 	ou.Service, ou.Version, ou.Pool = at.to.Service, at.to.Version, at.pool()
+	ou.Elapsed = time.Since(at.sent)
 	at.jb.fw.components.Canary.Observe(ou)
 }
 
@@ -229,7 +230,11 @@
 	}
 	change, failureRate := fw.picker.RecordEnd(now, at.flight, out)
 	fw.mu.Unlock()
-	at.reportOutcome(at.canaryOutcome(ve, neutral))
+	if ou := at.canaryOutcome(ve, neutral); ve == lost && !neutral {
+		at.reportLost(ou)
+	} else {
+		at.reportOutcome(ou)
+	}
 	fw.components.Canary.AttemptEnded(now, jb.ex.Session, at.to)
 	fw.meters.attempt(ve)
 	if ve != taken {
--- a/core/forward/watchdog.go
+++ b/core/forward/watchdog.go
@@ -52,7 +52,7 @@
 	if limit <= 0 {
 		return func() {}
 	}
-	ti := time.AfterFunc(limit, func() { at.reportOutcome(canary.Outcome{Failed: true}) })
+	ti := time.AfterFunc(limit, func() { at.reportOutcome(canary.Outcome{Failed: true, Neutral: at.upstreamGone(time.Now())}) })
 	return func() { ti.Stop() }
 }
 
