Divide the queries of prefix caches among the entries of a region

At a start of all, each entry queried each engine of its region: 178 x 312 queries in half a second, and every one delays the engine's work. Queries grew with entries times engines; now sixteen entries, by rendezvous hashing, query an engine. With sixteen entries in a region or fewer nothing changes.

TestStartOfAllEntriesQueriesEachEngineAFewTimes failed with 90 and 360 queries at each engine.

--- a/core/prefixsync/prefixsync.go
+++ b/core/prefixsync/prefixsync.go
@@ -7,8 +7,9 @@
 // Each engine is therefore queried once, as soon as the entry has its first configuration.
 // This shortens the time to the first event of such retries.
 //
-// Only engines of the local region are queried, since few requests go to other regions. A
-// failed query is logged and not repeated.
+// Only engines of the local region are queried, since few requests go to other regions, and each of
+// them by a bounded number of entries: a query delays the engine's work, and after a loss of all
+// entries they start at the same moment. A failed query is logged and not repeated.
 //
 // # Usage
 //
@@ -18,6 +19,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,7 @@
 	"skylarkstand/core/event"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/mechanism"
+	"skylarkstand/core/rendezvous"
 	"skylarkstand/core/route"
 )
 
@@ -48,6 +51,9 @@
 	fl   *fleet.Fleet
 	mem  core.PrefixCaches
 	le   Learner
+	// self is the name of this entry among the names that entries returns.
+	self    string
+	entries func() []string
 }
 
 // Option configures a Syncer.
@@ -56,9 +62,15 @@
 // Without disables mechanisms.
 func Without(off mechanism.Disabled) Option { return func(sy *Syncer) { sy.off = off } }
 
+// Entries sets the function that returns the names of the region's entries, among which the queries are
+// divided; self is this entry's name. Without it, this entry queries all engines.
+func Entries(self string, fn func() []string) Option {
+	return func(sy *Syncer) { sy.self, sy.entries = self, fn }
+}
+
 // New returns a Syncer that reads cached prefixes from mem and passes them to le.
 func New(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.PrefixCaches, le Learner, opts ...Option) *Syncer {
-	sy := &Syncer{deps: deps, inf: inf, fl: fl, mem: mem, le: le}
+	sy := &Syncer{deps: deps, inf: inf, fl: fl, mem: mem, le: le, entries: func() []string { return nil }}
 	for _, opt := range opts {
 		opt(sy)
 	}
@@ -74,6 +86,8 @@
 	// At 5 ms per response, 3,000 engines of a region can be queried within queryTimeout;
 	// any others are skipped.
 	maxConcurrent = 32
+	// queriesPerEngine is the number of entries that query an engine when all of them start.
+	queriesPerEngine = 16
 )
 
 // Serve implements suture.Service.
@@ -95,9 +109,13 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	sem := make(chan struct{}, maxConcurrent)
+	entries := sy.entries()
+	if !slices.Contains(entries, sy.self) {
+		entries = append(entries, sy.self)
+	}
 	for _, sv := range sy.inf.Current().EngineServices() {
 		for _, ho := range sy.fl.Serving(sv, time.Now(), core.Regions{}) {
-			if ho.Region != sy.deps.Region {
+			if ho.Region != sy.deps.Region || rendezvous.Rank(string(ho.ID), entries, sy.self) >= queriesPerEngine {
 				continue
 			}
 			select {
--- a/core/prefixsync/prefixsync_test.go
+++ b/core/prefixsync/prefixsync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,3 +86,36 @@
 		assert.Equal(t, en.learned["up-0"][0].Part.ID, "up-0")
 	})
 }
+
+// TestStartOfAllEntriesQueriesEachEngineAFewTimes guards against a number of queries at each engine that
+// grows with the number of entries, and against an engine that no entry queries.
+func TestStartOfAllEntriesQueriesEachEngineAFewTimes(t *testing.T) {
+	for _, n := range []int{4, 90, 360} {
+		synctest.Test(t, func(t *testing.T) {
+			inf, fl := route.NewInForce(), fleet.New()
+			deps := core.NewDeps()
+			deps.Region = "near"
+			for i := range 40 {
+				fl.Put(core.Host{ID: core.UpstreamID(fmt.Sprint("engine-", i)), Service: "writer", Region: "near"})
+			}
+			tb, err := route.New(route.Document{Version: 1, Services: []route.Service{{ID: "writer"}}, Routes: []route.Route{
+				{ID: "draft", Host: "a", Prefix: "/draft/", Cascade: []core.ModelID{"small", "large"}, Splits: []route.Split{{Service: "writer", Weight: 1}}},
+			}})
+			assert.NilError(t, err)
+			inf.Adopt(tb)
+			var entries []string
+			for i := range n {
+				entries = append(entries, fmt.Sprint("entry-", i))
+			}
+			en := &engines{queries: map[core.UpstreamID]int{}, learned: map[core.UpstreamID][]core.CachedPart{}}
+			for _, self := range entries {
+				sy := prefixsync.New(deps, inf, fl, en, en, prefixsync.Entries(self, func() []string { return slices.Clone(entries) }))
+				assert.Assert(t, errors.Is(sy.Serve(t.Context()), suture.ErrDoNotRestart))
+			}
+			assert.Equal(t, len(en.queries), 40)
+			for id, count := range en.queries {
+				assert.Equal(t, count, min(n, 16), "%s", id)
+			}
+		})
+	}
+}
