Let the readers keep the list of entries, and spread copies and changes from entry to entry

Causes, each a law that held only while the fleet was small: - Each entry kept a lease, renewed it every 4 s and listed the store at its start: calls in proportion to the entries, and all listings of a region over one link at the same moment, so that none ended in time and all began again. - A change was fetched by all entries of a region from one reader, which compressed it anew for each: seconds at 178 entries. Who missed it watched the store. - A reader's digest reached an entry every n / 40 s, 4.5 s at 178 entries, while an entry watched the store itself after 3 s without. - The log of changes held three configurations; who lagged by more listed the store. - Calls were announced to all siblings or, from 161 siblings on, to none.

Now entries send heartbeats to the readers of their region, which acknowledge them with their digest, write the list in batches of 30 and are passed over while they do not answer or have no contact to the store. Copies come from seeds and from entries that seeds refer to; an entry sends four large responses at a time, encoded once. The log keeps the newest version of a document. Calls are announced to as many siblings as the rate limit allows. What depends on the list still follows its revision in the store; the property tests of permits, rate limits and retries run unchanged.

Ruled out: gossiped membership alone, since permits need a revision at which their owners are agreed; one value for a region, 14 kB for each change.

Changed tests: TestChangesArriveCompressed expected that an entry that lags gets no copy from a sibling, since one sibling would have served them all; that is bounded now, and the refusal to entries of earlier releases is checked in its place. The number of readers is checked in core/membership; that an unregistered process reads the store itself holds for one without contact to any other, and is checked there.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -20,8 +19,8 @@
 	"skylarkstand/core/canary"
 	"skylarkstand/core/event"
 	"skylarkstand/core/fleet"
+	"skylarkstand/core/membership"
 	"skylarkstand/core/prefixsync"
-	"skylarkstand/core/registration"
 	"skylarkstand/core/replica"
 	"skylarkstand/core/route"
 	"skylarkstand/core/watch"
@@ -79,7 +78,7 @@
 	replica   *replica.Replica
 	handler   *watch.Handler
 	follower  *replica.Follower
-	reg       *registration.Registrar
+	registrar *membership.Registrar
 	guard     *canary.Guard
 	recorder  *canary.Recorder
 	collector *canary.Collector
@@ -122,7 +121,7 @@
 	defer stop()
 	sup := newSupervisor("gateway", gw.deps)
 	sup.Add(gw.follower)
-	sup.Add(gw.reg)
+	sup.Add(gw.registrar)
 	sup.Add(gw.recorder)
 	sup.Add(gw.collector)
 	sup.Add(gw.gossiper)
@@ -165,7 +164,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+gw.set.ReadinessPath, gw.ready)
 	sibs := http.NewServeMux()
-	sibs.Handle("GET "+sibling.ReplicaPath, sibling.ReplicaHandler(gw.replica, gw.follower.Doubtful))
+	sibs.Handle("GET "+sibling.ReplicaPath, sibling.ReplicaHandler(gw.set.Siblings, gw.replica, gw.follower.Doubtful))
 	sibs.Handle("GET "+sibling.ReportsPath, sibling.ReportsHandler(gw.guard))
 	closeReady, err := serveOn(gw.set.Readiness, ready)
 	if err != nil {
@@ -176,7 +175,16 @@
 		closeReady()
 		return nil, err
 	}
+	closeSeed := func() {}
+	if gw.set.SeedListen != "" {
+		if closeSeed, err = serveOn(gw.set.SeedListen, sibs); err != nil {
+			closeSibs()
+			closeReady()
+			return nil, err
+		}
+	}
 	return func() {
+		closeSeed()
 		closeSibs()
 		closeReady()
 	}, nil
@@ -289,9 +297,3 @@
 	}
 	event.Log(gw.deps.Log, event.Reloaded, "waiting-for-restart", gw.set.Changed(set))
 }
-
-// memberRecord encodes this process's record in the list of entries.
-func memberRecord(set settings.Gateway, deps core.Deps) ([]byte, error) {
-	raw, err := json.Marshal(watch.Member{ID: deps.Self, Addr: set.Siblings, Zone: deps.Zone})
-	return raw, eris.Wrap(err, "this entry's record could not be encoded")
-}
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"time"
 
 	"skylarkstand/app/settings"
@@ -15,11 +14,10 @@
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/forward"
 	"skylarkstand/core/mechanism"
+	"skylarkstand/core/membership"
 	"skylarkstand/core/meter"
 	"skylarkstand/core/prefixsync"
 	"skylarkstand/core/ratelimit"
-	"skylarkstand/core/registration"
-	"skylarkstand/core/rendezvous"
 	"skylarkstand/core/replica"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
@@ -165,41 +163,29 @@
 	return by
 }
 
-// rank returns the position of a process in the rendezvous order of the entries for a service, or
-// the number of entries if it is not registered.
-func (me *members) rank(self core.ProcessID, sv core.ServiceID) int {
-	list := me.list()
-	top := rendezvous.Top(string(sv), list, len(list), func(mb watch.Member) string { return string(mb.ID) })
-	at := slices.IndexFunc(top, func(mb watch.Member) bool { return mb.ID == self })
-	if at < 0 {
-		return len(list)
-	}
-	return at
+// newMember returns this process's registration.
+func newMember(set settings.Gateway, deps core.Deps) watch.Member {
+	return watch.Member{ID: deps.Self, Addr: set.Siblings, Zone: deps.Zone}
 }
 
-// readersPerRegion is how many entries of a region watch the store for the others. With three, the
-// region still receives updates if two of them fail or are cut off from the store.
-const readersPerRegion = 3
+func newReaders(set settings.Gateway, self watch.Member, me *members) *membership.Readers {
+	return membership.NewReaders(self, set.Regions, func() []watch.Member { return me.list() })
+}
 
-// isReader reports whether a process watches the store for its region. A process that is not
-// registered yet watches the store itself.
-func (me *members) isReader(self core.ProcessID, regions map[core.Zone]core.Region, re core.Region) bool {
-	local := me.inRegion(regions, re)
-	isSelf := func(mb watch.Member) bool { return mb.ID == self }
-	top := rendezvous.Top(string(re), local, readersPerRegion, func(mb watch.Member) string { return string(mb.ID) })
-	return !slices.ContainsFunc(local, isSelf) || slices.ContainsFunc(top, isSelf)
+func newRegistrar(deps core.Deps, st *platform.Store, rd *membership.Readers, self watch.Member, ha *watch.Handler) *membership.Registrar {
+	return membership.NewRegistrar(deps, st, rd, self, ha)
 }
 
-func newSiblings(set settings.Gateway, cl *upstream.Client, me *members) *sibling.Siblings {
-	return sibling.New(cl, func() []string { return me.others(set.Siblings) }, rand.IntN)
+func newSiblings(set settings.Gateway, cl *upstream.Client, rd *membership.Readers, me *members) *sibling.Siblings {
+	return sibling.New(cl, func() []string { return me.others(set.Siblings) }, rand.IntN,
+		sibling.Own(set.Siblings), sibling.Seeds(set.Seeds, set.SeedListen, rd.SetSponsor))
 }
 
-func newFollower(set settings.Gateway, deps core.Deps, re *replica.Replica, st *platform.Store, si *sibling.Siblings, me *members, off mechanism.Disabled) *replica.Follower {
+func newFollower(deps core.Deps, re *replica.Replica, st *platform.Store, si *sibling.Siblings, rd *membership.Readers, off mechanism.Disabled) *replica.Follower {
 	if off.Has(mechanism.StoreReaders) {
 		return replica.NewFollower(deps, re, st, si)
 	}
-	isReader := func() bool { return me.isReader(deps.Self, set.Regions, deps.Region) }
-	return replica.NewFollower(deps, re, st, si, replica.IsReader(isReader))
+	return replica.NewFollower(deps, re, st, si, replica.IsReader(func() bool { return rd.IsReader(time.Now()) }), replica.FirstCopyFrom(si))
 }
 
 func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
@@ -225,26 +211,22 @@
 	return ha
 }
 
-func newRegistrar(set settings.Gateway, deps core.Deps, st *platform.Store) (*registration.Registrar, error) {
-	line, err := memberRecord(set, deps)
-	return registration.New(deps, st, watch.PrefixEntries+string(deps.Self), line), err
-}
-
-func newRecorder(deps core.Deps, gu *canary.Guard, st *platform.Store, la platform.Layout, me *members) *canary.Recorder {
-	return canary.NewRecorder(deps, gu, st, la, watch.PrefixSteps, func(sv core.ServiceID) int { return me.rank(deps.Self, sv) })
+func newRecorder(deps core.Deps, gu *canary.Guard, st *platform.Store, la platform.Layout, rd *membership.Readers) *canary.Recorder {
+	return canary.NewRecorder(deps, gu, st, la, watch.PrefixSteps, func(core.ServiceID) int { return rd.WriterRank(time.Now()) })
 }
 
 func newCollector(gu *canary.Guard, si *sibling.Siblings) *canary.Collector {
 	return canary.NewCollector(gu, si)
 }
 
-func newGossiper(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *replica.Follower, me *members) *sibling.Gossiper {
+func newGossiper(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *replica.Follower, rd *membership.Readers, rg *membership.Registrar, me *members) *sibling.Gossiper {
 	local := func() []string { return me.othersInRegion(set.Siblings, set.Regions, deps.Region) }
-	isReader := func() bool { return me.isReader(deps.Self, set.Regions, deps.Region) }
+	isReader := func() bool { return rd.IsReader(time.Now()) }
 	remote := func() map[core.Region][]string { return me.byRemoteRegion(set.Regions, deps.Region) }
-	return sibling.NewGossiper(deps.Self, set.Siblings, fw, fo, local, isReader, sibling.RemoteEntries(remote))
+	return sibling.NewGossiper(deps.Self, set.Siblings, fw, fo, local, isReader, sibling.RemoteEntries(remote), sibling.Heartbeats(rg))
 }
 
-func newSyncer(deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.PrefixCaches, fw *forward.Forwarder, off mechanism.Disabled) *prefixsync.Syncer {
-	return prefixsync.New(deps, inf, fl, mem, fw, prefixsync.Without(off))
+func newSyncer(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.PrefixCaches, fw *forward.Forwarder, me *members, off mechanism.Disabled) *prefixsync.Syncer {
+	others := func() []string { return me.othersInRegion(set.Siblings, set.Regions, deps.Region) }
+	return prefixsync.New(deps, inf, fl, mem, fw, prefixsync.Without(off), prefixsync.Entries(set.Siblings, others))
 }
--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -24,6 +24,11 @@
 	ReadinessPath string `json:"readiness-path"`
 	// Siblings is the address for other gateways, as IP:port.
 	Siblings string `json:"siblings"`
+	// Seeds are the addresses of up to a few gateways that a starting one gets its first copy of the store
+	// from, as IP:port, and SeedListen is the address at which this gateway serves as one. Without seeds,
+	// a starting gateway lists the store itself.
+	Seeds      []string `json:"seeds,omitempty"`
+	SeedListen string   `json:"seed-listen,omitempty"`
 	// Admin is the address of the metrics for collectors, as IP:port.
 	Admin string `json:"admin,omitempty"`
 	// Zone is the availability zone that the process runs in.
@@ -117,6 +122,12 @@
 	fa.address("readiness", set.Readiness)
 	fa.address("siblings", set.Siblings)
 	fa.address("store", set.Store)
+	for _, addr := range set.Seeds {
+		fa.address("seeds", addr)
+	}
+	if set.SeedListen != "" {
+		fa.address("seed-listen", set.SeedListen)
+	}
 	if set.Admin != "" {
 		fa.address("admin", set.Admin)
 	}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -105,24 +105,21 @@
 	tracker := newWarmup(set, deps)
 	client, cleanup2 := newUpstreamClient()
 	store := newPlatformStore(set, deps, client)
+	member := newMember(set, deps)
 	appMembers := newMembers()
-	siblings := newSiblings(set, client, appMembers)
-	follower := newFollower(set, deps, replicaReplica, store, siblings, appMembers, disabled)
+	readers := newReaders(set, member, appMembers)
+	siblings := newSiblings(set, client, readers, appMembers)
+	follower := newFollower(deps, replicaReplica, store, siblings, readers, disabled)
 	ratelimitTracker := newRateLimits(deps, appMembers)
 	upstreams := platform.NewUpstreams(client)
 	appShutdownState := newShutdownState()
 	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, ratelimitTracker, replicaReplica, upstreams, appShutdownState, appMembers, disabled)
 	handler := newWatchHandler(deps, layout, inForce, fleet, guard, tracker, follower, forwarder, client, appMembers)
-	registrar, err := newRegistrar(set, deps, store)
-	if err != nil {
-		cleanup2()
-		cleanup()
-		return nil, nil, err
-	}
-	recorder := newRecorder(deps, guard, store, layout, appMembers)
+	registrar := newRegistrar(deps, store, readers, member, handler)
+	recorder := newRecorder(deps, guard, store, layout, readers)
 	collector := newCollector(guard, siblings)
-	gossiper := newGossiper(set, deps, forwarder, follower, appMembers)
-	syncer := newSyncer(deps, inForce, fleet, upstreams, forwarder, disabled)
+	gossiper := newGossiper(set, deps, forwarder, follower, readers, registrar, appMembers)
+	syncer := newSyncer(set, deps, inForce, fleet, upstreams, forwarder, appMembers, disabled)
 	codec := newCodec()
 	server := front.New(deps, codec, forwarder, inForce)
 	appGauges := newGauges(deps, inForce, fleet, guard, replicaReplica, forwarder, server)
@@ -135,7 +132,7 @@
 		replica:   replicaReplica,
 		handler:   handler,
 		follower:  follower,
-		reg:       registrar,
+		registrar: registrar,
 		guard:     guard,
 		recorder:  recorder,
 		collector: collector,
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -109,9 +109,11 @@
 	MirrorListed = &Event{404, "mirror-listed", slog.LevelInfo,
 		"The local replica of the store was loaded completely, at the start or because the store has dropped its history.", "Nothing."}
 	MirrorBySibling = &Event{405, "mirror-by-sibling", slog.LevelInfo,
-		"The store does not respond to this process; its changes were received from another entry.", "Check the connection to the store."}
+		"A full copy of the store was received from another entry: at the start, because this entry lagged behind, or because the store does not respond to it.", "Check the connection to the store if it repeats."}
 	Registered = &Event{407, "registered", slog.LevelInfo,
-		"The process is registered in the store's list of entries.", "Nothing."}
+		"The process has written changes of the store's list of entries; `added` and `removed` are their numbers.", "Nothing."}
+	NoSeed = &Event{416, "no-seed", slog.LevelInfo,
+		"No entry provided a first copy of the store; the process lists the store itself.", "Nothing; check the setting `seeds` if it repeats."}
 	StoreWriteLate = &Event{406, "store-write-late", slog.LevelWarn,
 		"The store did not accept a write that is due; it is retried.", "Check the store."}
 	SegmentWritten = &Event{401, "segment-written", slog.LevelDebug,
@@ -173,7 +175,7 @@
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
 		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown, UpstreamDraining,
-		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered,
+		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered, NoSeed,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
 		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, AttemptBegun, ExchangeCut, RatingsAway,
--- a/core/replica/change_log.go
+++ b/core/replica/change_log.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// documentSize is the size in bytes from which a value is a document, which is replaced as a whole.
+	// Only its newest version is kept: a few changes of a large one would otherwise displace all others.
+	documentSize = 4 << 10
 	// maxLoggedChanges and maxLoggedBytes bound the log of past changes. An entry that
 	// lags behind by more reads the store itself.
 	maxLoggedChanges = 1024
@@ -24,6 +27,7 @@
 func (cl *changeLog) reset(base core.Revision) { *cl = changeLog{base: base} }
 
 func (cl *changeLog) add(ch core.Change) {
+	cl.dropReplaced(ch.Key)
 	cl.changes = append(cl.changes, ch)
 	cl.bytes += len(ch.Value)
 	drop := 0
@@ -40,6 +44,17 @@
 	}
 }
 
+// dropReplaced drops the earlier versions of a document.
+func (cl *changeLog) dropReplaced(key string) {
+	cl.changes = slices.DeleteFunc(cl.changes, func(old core.Change) bool {
+		if old.Key != key || len(old.Value) < documentSize {
+			return false
+		}
+		cl.bytes -= len(old.Value)
+		return true
+	})
+}
+
 // since returns the changes after a revision, or false if some of them were dropped from
 // the log.
 func (cl *changeLog) since(after core.Revision) ([]core.Change, bool) {
--- a/core/replica/follow.go
+++ b/core/replica/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,11 +32,18 @@
 type Siblings interface {
 	// Fetch returns the most recent update since a revision that another entry has.
 	Fetch(ctx context.Context, after core.Revision) (Update, error)
-	// FetchFrom returns the changes since a revision from the entry at an address. It fails
-	// if that entry has dropped some of them from its log.
+	// FetchFrom returns the changes since a revision from the entry at an address, or its full
+	// copy if it has dropped some of them from its log.
 	FetchFrom(ctx context.Context, addr string, after core.Revision) (Update, error)
 }
 
+// Seeds provides the first copy.
+type Seeds interface {
+	// FetchFirst returns the copy of another entry. It waits for one that starts at the same time,
+	// until the context ends. It fails at once if this entry has to read the store itself.
+	FetchFirst(ctx context.Context) (Update, error)
+}
+
 // Follower is the service that keeps a replica up to date. It implements suture.Service.
 //
 // With many entries only a few of them, the readers, watch the store. The others receive
@@ -50,14 +58,16 @@
 	sibs Siblings
 	// isReader reports whether this entry is one of the readers.
 	isReader func() bool
+	// seeds provides the first copy; nil if it comes from the store.
+	seeds Seeds
 
 	mu sync.Mutex
 	// downSince is when the store stopped answering; zero while it answers.
 	downSince time.Time
 	// doubtUntil is the time until which a removal may be an expired lease.
 	doubtUntil time.Time
-	// answeredAt is when the store last answered this entry, and siblingAnsweredAt when it
-	// last answered another one, according to that entry's digest.
+	// answeredAt is when the store last answered this entry, and siblingAnsweredAt when it last
+	// answered another one, according to that entry.
 	answeredAt, siblingAnsweredAt time.Time
 	// newest is the digest with the highest revision received from another entry.
 	newest Digest
@@ -73,7 +83,15 @@
 // store at all times. By default every entry is one.
 func IsReader(fn func() bool) Option { return func(fo *Follower) { fo.isReader = fn } }
 
+// FirstCopyFrom sets where an entry gets its first copy from, before it asks the store. A start of many
+// entries would otherwise have all of them list the store at the same moment.
+func FirstCopyFrom(se Seeds) Option { return func(fo *Follower) { fo.seeds = se } }
+
 const (
+	// seedTimeout is how long an entry waits for a first copy from its seeds before it lists the store,
+	// and seedJitter spreads the listings of entries that wait for the same seed.
+	seedTimeout = 2 * time.Second
+	seedJitter  = time.Second
 	// watchWait is how long a watch waits for changes. If the reply with a change is lost,
 	// the change is found shortly after this time has elapsed.
 	watchWait = 2500 * time.Millisecond
@@ -122,6 +140,10 @@
 		if listed && fo.waitForReaders(ctx) {
 			continue
 		}
+		if !listed && fo.fetchFirst(ctx) {
+			listed = true
+			continue
+		}
 		err := fo.listOrWatch(ctx, &listed)
 		if err == nil {
 			fo.recordSuccess()
@@ -142,6 +164,23 @@
 	return ctx.Err()
 }
 
+// fetchFirst gets the first copy from the seeds.
+func (fo *Follower) fetchFirst(ctx context.Context) bool {
+	if fo.seeds == nil || fo.re.Revision() != 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout+rand.N(seedJitter))
+	defer cancel()
+	requestedAt := time.Now()
+	up, err := fo.seeds.FetchFirst(ctx)
+	if err != nil {
+		event.Log(fo.deps.Log, event.NoSeed, "error", err)
+		return false
+	}
+	fo.applyUpdate(up, requestedAt)
+	return fo.re.Revision() != 0
+}
+
 // listOrWatch makes one store call: a listing until one has succeeded, then a watch.
 func (fo *Follower) listOrWatch(ctx context.Context, listed *bool) error {
 	requestedAt := time.Now()
@@ -157,8 +196,8 @@
 		return nil
 	}
 	wait := watchWait
-	if fo.storeDown() {
-		wait = probeWait
+	if fo.storeDown() || fo.re.Age(requestedAt) > watchWait+time.Second {
+		wait = probeWait // Confirms a replica at once that no reader has confirmed for a while.
 	}
 	changes, rev, err := fo.feed.Changes(ctx, fo.re.Revision(), wait)
 	if err != nil {
@@ -248,12 +287,16 @@
 
 // applyUpdate applies an update that another entry sent after requestedAt.
 func (fo *Follower) applyUpdate(up Update, requestedAt time.Time) {
+	confirmedAt := requestedAt.Add(-up.Age)
+	fo.mu.Lock()
 	if up.Doubtful {
-		fo.mu.Lock()
 		fo.doubtUntil = time.Now().Add(doubtPeriod)
-		fo.mu.Unlock()
 	}
-	confirmedAt := requestedAt.Add(-up.Age)
+	// A replica is confirmed as of the beginning of a watch, whose answer comes later.
+	if at := minTime(confirmedAt.Add(watchWait), requestedAt); at.After(fo.siblingAnsweredAt) {
+		fo.siblingAnsweredAt = at
+	}
+	fo.mu.Unlock()
 	switch {
 	case !up.Newer:
 		fo.re.Apply(nil, up.Revision, confirmedAt)
@@ -264,6 +307,13 @@
 	}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func sleep(ctx context.Context, du time.Duration) {
 	ti := time.NewTimer(du)
 	defer ti.Stop()
--- a/core/replica/readers.go
+++ b/core/replica/readers.go
@@ -15,22 +15,27 @@
 	Revision core.Revision
 	// Age is the time since the replica was last confirmed up to date.
 	Age time.Duration
-	// Contact is the time since the store last answered the entry, or [NoContact].
+	// Contact is the time since the store last answered the entry, or another one that the entry got its
+	// changes from, or [NoContact].
 	Contact time.Duration
 }
 
-// NoContact is the Contact of an entry that currently gets no answers from the store.
+// NoContact is the Contact of an entry that has had no answers from the store for a while.
 const NoContact = -time.Second
 
 const (
 	// readerTimeout is the time without an answer of the store to any reader after which an
-	// entry stops relying on readers: the wait of a watch without changes plus two gossip
-	// rounds.
-	readerTimeout = watchWait + 500*time.Millisecond
+	// entry stops relying on readers: the wait of a watch without changes plus the interval of
+	// heartbeats, and a margin: the watches of all readers may have begun at the same moment.
+	readerTimeout = watchWait + 1500*time.Millisecond
+	// contactTimeout is the time without an answer of the store, to this entry or to one that it gets its
+	// changes from, after which it has no contact.
+	contactTimeout = 5 * time.Second
 	// readerCheckInterval bounds how long a change of readers goes unnoticed.
 	readerCheckInterval = 500 * time.Millisecond
-	// fetchTimeout bounds one fetch; on failure the entry watches the store instead.
-	fetchTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds one fetch, which may be referred from one sibling to another; on failure the
+	// entry watches the store instead.
+	fetchTimeout = 2 * time.Second
 	// watchGrace is the time within which an entry that watches the store usually receives
 	// a change itself after another entry has announced it.
 	watchGrace = 150 * time.Millisecond
@@ -41,8 +46,12 @@
 	di := Digest{Revision: fo.re.Revision(), Age: fo.re.Age(now), Contact: NoContact}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if !fo.answeredAt.IsZero() && fo.downSince.IsZero() {
-		di.Contact = now.Sub(fo.answeredAt)
+	answeredAt := fo.siblingAnsweredAt
+	if fo.downSince.IsZero() && fo.answeredAt.After(answeredAt) {
+		answeredAt = fo.answeredAt
+	}
+	if contact := now.Sub(answeredAt); contact < contactTimeout {
+		di.Contact = contact
 	}
 	return di
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -38,13 +38,18 @@
 	// completeAfter is the revision after which no change was skipped.
 	completeAfter core.Revision
 	log           changeLog
+	// first is closed by the first copy.
+	first chan struct{}
 	// publishMu serializes notifications without blocking readers of the replica.
 	publishMu sync.Mutex
 	subs      []func([]core.Change)
 }
 
 // New returns an empty replica.
-func New() *Replica { return &Replica{items: map[string]core.Item{}} }
+func New() *Replica { return &Replica{items: map[string]core.Item{}, first: make(chan struct{})} }
+
+// First returns a channel that is closed once the replica has its first copy.
+func (re *Replica) First() <-chan struct{} { return re.first }
 
 // Subscribe registers a callback for changes. It must be called before the first change.
 func (re *Replica) Subscribe(fn func([]core.Change)) { re.subs = append(re.subs, fn) }
@@ -74,6 +79,9 @@
 			out = append(out, core.Change{Item: it, Removed: true, Skipped: true})
 		}
 	}
+	if re.rev == 0 && rev > 0 {
+		close(re.first)
+	}
 	re.items, re.rev, re.completeAfter = fresh, rev, completeAfter
 	re.log.reset(rev)
 	re.confirm(confirmedAt)
--- a/core/watch/handler.go
+++ b/core/watch/handler.go
@@ -58,6 +58,9 @@
 	ID   core.ProcessID `json:"id"`
 	Addr string         `json:"addr"`
 	Zone core.Zone      `json:"zone"`
+	// Heartbeats is set when the entry sends heartbeats to the readers of its region, which remove its
+	// registration when they stop. Otherwise the registration has a lease of its own.
+	Heartbeats bool `json:"heartbeats,omitempty"`
 	// Revision is the revision of the registration.
 	Revision core.Revision `json:"-"`
 }
@@ -84,7 +87,9 @@
 
 	mu      sync.Mutex
 	members map[core.ProcessID]Member
-	hosts   map[core.UpstreamID]core.Host
+	// received is set by the first batch of changes.
+	received bool
+	hosts    map[core.UpstreamID]core.Host
 	// holders caches the entries that share the permits of a region's upstreams. It is
 	// cleared when an entry changes.
 	holders map[core.Region][]core.ProcessID
@@ -117,6 +122,9 @@
 		}
 	}
 	ha.adoptConfiguration()
+	ha.mu.Lock()
+	ha.received = true
+	ha.mu.Unlock()
 }
 
 func (ha *Handler) applyMember(ch core.Change) {
@@ -158,6 +166,29 @@
 	return slices.AppendSeq(out, maps.Values(newest))
 }
 
+// IsKnown reports whether the list of entries was received already.
+func (ha *Handler) IsKnown() bool {
+	ha.mu.Lock()
+	defer ha.mu.Unlock()
+	return ha.received
+}
+
+// IsRegistered reports whether a process is listed.
+func (ha *Handler) IsRegistered(id core.ProcessID) bool {
+	ha.mu.Lock()
+	defer ha.mu.Unlock()
+	_, ok := ha.members[id]
+	return ok
+}
+
+// Registrations lists all registrations, including those of processes that were replaced at their
+// address.
+func (ha *Handler) Registrations() []Member {
+	ha.mu.Lock()
+	defer ha.mu.Unlock()
+	return slices.Collect(maps.Values(ha.members))
+}
+
 // EntryCount returns the number of registered entries. It includes entries that have ended but
 // whose lease lasts, since their retries still count in the retry budget's window.
 func (ha *Handler) EntryCount() int {
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -83,6 +84,12 @@
 	// unsentFacts holds the facts that are not announced yet.
 	unsentFacts []balance.Fact
 	draining    []drainingUpstreams
+	// membership is what heartbeats are sent for; nil for none.
+	membership Membership
+	// listen opens the socket for datagrams.
+	listen func(addr string) (net.PacketConn, error)
+	// reply sends a datagram to the sender of another one.
+	reply func(data []byte, addr string)
 }
 
 // GossiperOption configures a Gossiper.
@@ -93,12 +100,18 @@
 	return func(gs *Gossiper) { gs.remote = fn }
 }
 
+// ListenBy sets how the socket for datagrams is opened; the default is UDP.
+func ListenBy(fn func(addr string) (net.PacketConn, error)) GossiperOption {
+	return func(gs *Gossiper) { gs.listen = fn }
+}
+
 // NewGossiper returns a Gossiper that listens at addr and sends to the addresses returned by
 // addrs. isReader reports whether other entries rely on this entry's replica.
 func NewGossiper(self core.ProcessID, addr string, ld Loads, di Digests, addrs func() []string, isReader func() bool, opts ...GossiperOption) *Gossiper {
 	gs := &Gossiper{
 		self: self, addr: addr, ld: ld, di: di, addrs: addrs, isReader: isReader, revisionChanged: make(chan struct{}, 1), rotation: rotation{},
 		limiter: rate.NewLimiter(sentRate, sentBurst), remote: func() map[core.Region][]string { return nil },
+		listen: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp", addr) },
 	}
 	for _, opt := range opts {
 		opt(gs)
@@ -147,12 +160,18 @@
 
 // Serve implements suture.Service.
 func (gs *Gossiper) Serve(ctx context.Context) error {
-	pc, err := net.ListenPacket("udp", gs.addr)
+	pc, err := gs.listen(gs.addr)
 	if err != nil {
 		return eris.Wrap(err, "sibling")
 	}
 	defer context.AfterFunc(ctx, func() { pc.Close() })()
+	gs.reply = func(data []byte, addr string) { sendDatagrams(pc, []string{addr}, data) }
 	go gs.receive(pc)
+	beat := time.NewTimer(0)
+	defer beat.Stop()
+	if gs.membership == nil {
+		beat.Stop()
+	}
 	ti := time.NewTicker(balance.AnnounceInterval)
 	defer ti.Stop()
 	remoteTicker := time.NewTicker(balance.RemoteInterval)
@@ -161,6 +180,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-beat.C:
+			beat.Reset(gs.sendHeartbeats(pc))
 		case <-ti.C:
 			gs.sendFacts(pc, true)
 			gs.sendRateLimits(pc)
@@ -191,18 +212,27 @@
 	}
 }
 
-// sendSentCalls immediately reports calls sent to upstreams to all siblings, unless the
-// rate limit is reached; the next gossip round then carries them.
+// sendSentCalls immediately reports calls sent to upstreams to as many siblings as the rate limit
+// allows, in random order; the next gossip rounds carry them to the others. A limit that held for all
+// siblings or none would end these reports at a certain number of siblings.
 func (gs *Gossiper) sendSentCalls(pc net.PacketConn) {
 	sent := gs.ld.TakeCalls()
 	if len(sent) == 0 {
 		return
 	}
-	addrs := gs.addrs()
-	if !gs.limiter.AllowN(time.Now(), len(addrs)) {
-		return
+	sendDatagrams(pc, gs.takeAllowed(gs.addrs()), encodeSent(balance.Hash(gs.self), sent))
+}
+
+// takeAllowed takes tokens for as many of the addresses as the rate limit allows, and returns these in
+// random order.
+func (gs *Gossiper) takeAllowed(addrs []string) []string {
+	now := time.Now()
+	n := min(len(addrs), int(gs.limiter.TokensAt(now)))
+	if n <= 0 || !gs.limiter.AllowN(now, n) {
+		return nil
 	}
-	sendDatagrams(pc, addrs, encodeSent(balance.Hash(gs.self), sent))
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:n]
 }
 
 // sendFacts sends facts about upstreams to all siblings: immediately if the rate limit
@@ -332,6 +362,9 @@
 // handleDatagram decodes a datagram and passes on its content. Datagrams of unknown
 // formats, including those of other releases, are ignored.
 func (gs *Gossiper) handleDatagram(data []byte, addr string) {
+	if gs.receiveMembership(data, addr) {
+		return
+	}
 	if lo, ok := decodeRegion(data); ok {
 		gs.ld.ReceiveRegionLoad(lo)
 		return
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -9,19 +9,19 @@
 //
 // # Usage
 //
-//	mux.Handle("GET "+sibling.ReplicaPath, sibling.ReplicaHandler(re, follower.Doubtful))
+//	mux.Handle("GET "+sibling.ReplicaPath, sibling.ReplicaHandler(own, re, follower.Doubtful))
 //	sibs := sibling.New(cl, addrs, rand.IntN)     // replica.Siblings
 //	up, err := sibs.Fetch(ctx, revision)
 package sibling
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,16 +33,11 @@
 	"skylarkstand/io/upstream"
 )
 
-// ReplicaPath is the URL path of the replica. The query parameter "after" is the client's revision;
-// with changesOnly the server returns an error instead of the whole replica.
-const (
-	ReplicaPath = "/mirror"
-	changesOnly = "changes-only"
-)
-
 // message is the JSON response to a request for the replica.
 type message struct {
 	Revision core.Revision `json:"revision"`
+	// From is the address at which the server serves siblings.
+	From string `json:"from,omitempty"`
 	// AgeMs is the time in milliseconds since the replica was last confirmed up to date.
 	AgeMs    int64 `json:"age-ms"`
 	Doubtful bool  `json:"doubtful,omitempty"`
@@ -65,52 +60,6 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-// ReplicaHandler serves a replica to siblings: the changes since their revision, or the whole
-// replica if they lag too far behind. doubtful reports whether a removal may have been
-// caused by a store outage.
-func ReplicaHandler(re *replica.Replica, doubtful func(now time.Time) bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
-		after, err := strconv.ParseUint(rq.FormValue("after"), 10, 64)
-		if err != nil {
-			http.Error(w, "after must be a revision", http.StatusBadRequest)
-			return
-		}
-		if _, _, complete := re.Since(core.Revision(after)); !complete && rq.FormValue(changesOnly) != "" {
-			http.Error(w, "the changes are not kept any more", http.StatusGone)
-			return
-		}
-		ms := updateSince(re, core.Revision(after))
-		if ms.Revision == 0 {
-			http.Error(w, "nothing is known here yet", http.StatusServiceUnavailable)
-			return
-		}
-		ms.Doubtful = doubtful(time.Now())
-		writeResponse(w, ms)
-	})
-}
-
-// compressFrom is the size in bytes from which a response is compressed. Only
-// configurations with hundreds of routes justify the memory of a compressor.
-const compressFrom = 64 << 10
-
-// writeResponse encodes a message as JSON, compressed if it is large.
-func writeResponse(w http.ResponseWriter, ms message) {
-	raw, err := json.Marshal(ms)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if len(raw) < compressFrom {
-		_, _ = w.Write(raw) // The client detects a truncated response.
-		return
-	}
-	w.Header().Set("Content-Encoding", "gzip")
-	zw := gzip.NewWriter(w)
-	_, _ = zw.Write(raw) // As above.
-	_ = zw.Close()
-}
-
 // updateSince returns the response for a client at a revision: the changes since then, or the
 // whole replica if some of them were dropped from the log.
 func updateSince(re *replica.Replica, after core.Revision) message {
@@ -155,87 +104,48 @@
 // Siblings is the HTTP client for other entries. It implements replica.Siblings and
 // canary.Siblings.
 type Siblings struct {
-	cl    *upstream.Client
-	addrs func() []string
+	request Transport
+	addrs   func() []string
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 	// nextReporter is the index of the sibling to request evidence from next.
 	nextReporter atomic.Int64
+	// own is the address at which this entry serves siblings; empty if it serves none.
+	own string
+	// seeds are the addresses to get a first copy from, and isSeed is set if this entry is one of them.
+	seeds  []string
+	isSeed bool
+	// triedStore is set once this entry, as a seed, was told to read the store.
+	triedStore atomic.Bool
+	// onFirst is called with the address of the entry that the first copy came from.
+	onFirst func(addr string)
 }
 
-// New returns a client for the siblings at the addresses returned by addrs. It picks the
-// first sibling of a request with randIntN.
-func New(cl *upstream.Client, addrs func() []string, randIntN func(n int) int) *Siblings {
-	return &Siblings{cl: cl, addrs: addrs, randIntN: randIntN}
-}
+// Option configures a client.
+type Option func(*Siblings)
 
-// fetchFanout is the number of siblings that receive one request in parallel. The store at
-// times rejects a third of the hosts; of three siblings, nearly always at least one is up
-// to date.
-const fetchFanout = 3
+// Own sets the address at which this entry serves siblings. Without it, servers do not refer this entry
+// to others.
+func Own(addr string) Option { return func(si *Siblings) { si.own = addr } }
 
-// Fetch implements replica.Siblings. It returns the newest response of a few siblings.
-func (si *Siblings) Fetch(ctx context.Context, after core.Revision) (replica.Update, error) {
-	addrs := si.addrs()
-	if len(addrs) == 0 {
-		return replica.Update{}, eris.New("sibling: no other entry is registered")
-	}
-	type result struct {
-		up  replica.Update
-		err error
-	}
-	n := min(fetchFanout, len(addrs))
-	got := make(chan result, n)
-	first := si.randIntN(len(addrs))
-	for i := range n {
-		addr := addrs[(first+i)%len(addrs)]
-		go func() {
-			up, err := si.requestUpdate(ctx, addr, "?after="+formatRevision(after))
-			got <- result{up, err}
-		}()
-	}
-	best, found := replica.Update{}, false
-	var lastErr error
-	for range n {
-		re := <-got
-		if re.err != nil {
-			lastErr = re.err
-			continue
-		}
-		if !found || re.up.Revision > best.Revision || re.up.Revision == best.Revision && re.up.Age < best.Age {
-			best, found = re.up, true
-		}
-	}
-	if !found {
-		return best, lastErr
+// Seeds sets the addresses to get a first copy from. own is this entry's own address in their list.
+// onFirst is called with the address of the entry that the first copy came from.
+func Seeds(seeds []string, own string, onFirst func(addr string)) Option {
+	return func(si *Siblings) {
+		si.isSeed = slices.Contains(seeds, own)
+		si.seeds = slices.DeleteFunc(slices.Clone(seeds), func(addr string) bool { return addr == own })
+		si.onFirst = onFirst
 	}
-	return best, nil
 }
 
-// FetchFrom implements replica.Siblings. It fails if the sibling has dropped some of the changes
-// from its log: serving whole replicas to all entries of a region would cost one entry more
-// than watching the store costs each of them.
-func (si *Siblings) FetchFrom(ctx context.Context, addr string, after core.Revision) (replica.Update, error) {
-	return si.requestUpdate(ctx, addr, "?after="+formatRevision(after)+"&"+changesOnly+"=true")
-}
-
-func formatRevision(rev core.Revision) string { return strconv.FormatUint(uint64(rev), 10) }
-
-func (si *Siblings) requestUpdate(ctx context.Context, addr, query string) (replica.Update, error) {
-	var ms message
-	if err := si.get(ctx, addr, ReplicaPath+query, &ms); err != nil {
-		return replica.Update{}, err
-	}
-	up := replica.Update{
-		Newer: ms.Newer, Full: ms.Whole, Revision: ms.Revision, Age: time.Duration(ms.AgeMs) * time.Millisecond, Doubtful: ms.Doubtful,
-	}
-	for _, ch := range ms.Changes {
-		up.Changes = append(up.Changes, core.Change{Item: core.Item(ch.item), Removed: ch.Gone})
-	}
-	for _, it := range ms.Items {
-		up.Items = append(up.Items, core.Item(it))
+// New returns a client for the siblings at the addresses returned by addrs. It picks the
+// first sibling of a request with randIntN.
+func New(cl *upstream.Client, addrs func() []string, randIntN func(n int) int, opts ...Option) *Siblings {
+	si := &Siblings{request: requestByHTTP(cl), addrs: addrs, randIntN: randIntN, onFirst: func(string) {}}
+	for _, opt := range opts {
+		opt(si)
 	}
-	return up, nil
+	return si
 }
 
 // Reports implements canary.Siblings. Siblings that do not respond are left out.
@@ -262,30 +172,58 @@
 	return out
 }
 
-func readAll(rs *upstream.Response) ([]byte, error) {
-	if rs.Header.Get("Content-Encoding") != "gzip" {
-		return io.ReadAll(rs.Body)
-	}
-	zr, err := gzip.NewReader(rs.Body)
-	if err != nil {
-		return nil, eris.Wrap(err, "sibling")
+// Response is a sibling's response to a request.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Transport sends a GET request for a target to a sibling.
+type Transport func(ctx context.Context, addr, target string) (Response, error)
+
+// RequestBy sets how requests are sent; the default is HTTP.
+func RequestBy(tr Transport) Option { return func(si *Siblings) { si.request = tr } }
+
+func requestByHTTP(cl *upstream.Client) Transport {
+	return func(ctx context.Context, addr, target string) (Response, error) {
+		rs, err := cl.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: http.Header{}})
+		if err != nil {
+			return Response{}, err
+		}
+		defer rs.Body.Close()
+		raw, err := io.ReadAll(rs.Body)
+		return Response{rs.Status, rs.Header, raw}, eris.Wrap(err, "sibling")
 	}
-	return io.ReadAll(zr)
 }
 
 // get sends a GET request to a sibling and decodes the JSON response into out.
 func (si *Siblings) get(ctx context.Context, addr, target string, out any) error {
-	rs, err := si.cl.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: http.Header{}})
+	rs, err := si.request(ctx, addr, target)
 	if err != nil {
 		return err
 	}
-	defer rs.Body.Close()
-	raw, err := readAll(rs)
-	if err != nil {
-		return err
+	if rs.Status == http.StatusServiceUnavailable {
+		return busyError(rs.Body)
 	}
 	if rs.Status != http.StatusOK {
 		return eris.Errorf("sibling: GET %s from %s: status %d", target, addr, rs.Status)
 	}
+	raw, err := decompress(rs)
+	if err != nil {
+		return err
+	}
 	return eris.Wrap(json.Unmarshal(raw, out), "sibling")
 }
+
+func decompress(rs Response) ([]byte, error) {
+	if rs.Header.Get("Content-Encoding") != "gzip" {
+		return rs.Body, nil
+	}
+	zr, err := gzip.NewReader(bytes.NewReader(rs.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "sibling")
+	}
+	raw, err := io.ReadAll(zr)
+	return raw, eris.Wrap(err, "sibling")
+}
