--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -10,8 +10,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -159,10 +161,19 @@
 		}
 		versions[re.Header.Get("Skylarkstand-Version")]++
 	}
-	de.expect(versions["desk@v1"] > 0 && versions["drafter@v1"] > 0, "answered by %v", versions)
+	de.expect(versions["desk@v1"] > 0 && versions["drafter@v1"] > 0, "answered by %s", describe(versions))
 	return nil
 }
 
+// describe lists how often each outcome was seen.
+func describe(counts map[string]int) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d times", name, counts[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func (de *demo) atMostOnce() error {
 	fmt.Println("\nOne subsidy claim, sent six times at once with one key over both entries:")
 	var wg sync.WaitGroup
@@ -259,7 +270,7 @@
 		time.Sleep(3 * time.Millisecond)
 	}
 	wg.Wait()
-	de.expect(outcomes["cut answer that looks complete"]+outcomes["cut without an error"]+outcomes["no reply"] == 0, "%v", outcomes)
+	de.expect(outcomes["cut answer that looks complete"]+outcomes["cut without an error"]+outcomes["no reply"] == 0, "%s", describe(outcomes))
 	return nil
 }
 
--- a/test/demo/noisy_neighbour.go
+++ b/test/demo/noisy_neighbour.go
@@ -57,6 +57,6 @@
 	wg.Wait()
 	slices.Sort(took)
 	de.expect(complete == quietRequests, "schools: %d of %d answered completely, half of them within %s", complete, quietRequests, took[quietRequests/2].Round(time.Millisecond))
-	de.expect(outcomes["no reply"] == 0, "districts: %v", outcomes)
+	de.expect(outcomes["no reply"] == 0, "districts: %s", describe(outcomes))
 	return nil
 }
