Ask a sibling with too many transfers less and less often

Suspected, not traced: in a storm of configurations 177 entries of a region asked three readers again every 20 to 80 ms, which is more requests than a reader with 0.144 of a core answers; requests that ran out of time made their entries watch the store. The pause doubles now from 50 to 400 ms.

--- a/io/sibling/fetch.go
+++ b/io/sibling/fetch.go
@@ -24,10 +24,10 @@
 	requestTimeout = 700 * time.Millisecond
 	// copyWait is how long a seed may wait for its own first copy.
 	copyWait = 800 * time.Millisecond
-	// minBusyDelay and busyJitter set the pause before a sibling that has too many transfers is asked
-	// again.
-	minBusyDelay = 20 * time.Millisecond
-	busyJitter   = 60 * time.Millisecond
+	// minBusyDelay and maxBusyDelay bound the pause before another try when a sibling has too many
+	// transfers; it doubles with each try. Half of it is random.
+	minBusyDelay = 50 * time.Millisecond
+	maxBusyDelay = 400 * time.Millisecond
 )
 
 // errBusy is the error of a sibling that has too many transfers or no copy yet. It may name others.
@@ -105,7 +105,7 @@
 			si.onFirst(from)
 			return up, nil
 		}
-		if !pause(ctx, minBusyDelay+rand.N(busyJitter)) {
+		if !pause(ctx, minBusyDelay) {
 			return replica.Update{}, err
 		}
 	}
@@ -122,7 +122,7 @@
 		query.Set(paramWait, strconv.FormatInt(wait.Milliseconds(), 10))
 	}
 	to := addr
-	for {
+	for delay := minBusyDelay; ; delay = min(2*delay, maxBusyDelay) {
 		ms, err := si.requestUpdate(ctx, to, "?"+query.Encode(), requestTimeout+wait)
 		if err == nil && (to == addr || ms.Newer) {
 			return ms.update(), ms.From, nil
@@ -135,7 +135,7 @@
 		if bu != nil && len(bu.peers) > 0 && rand.IntN(len(bu.peers)+1) > 0 {
 			to = bu.peers[rand.IntN(len(bu.peers))]
 		}
-		if !pause(ctx, minBusyDelay+rand.N(busyJitter)) {
+		if !pause(ctx, delay) {
 			return replica.Update{}, "", ctx.Err()
 		}
 	}
@@ -162,9 +162,9 @@
 	return up
 }
 
-// pause waits, and returns false if the context ends before.
+// pause waits for between half of a duration and all of it, and returns false if the context ends before.
 func pause(ctx context.Context, du time.Duration) bool {
-	ti := time.NewTimer(du)
+	ti := time.NewTimer(du/2 + rand.N(du/2))
 	defer ti.Stop()
 	select {
 	case <-ctx.Done():
--- a/test/swarm/network.go
+++ b/test/swarm/network.go
@@ -20,6 +20,8 @@
 	regionDelay = 30 * time.Millisecond
 	// linkRate is the bandwidth of an entry's link in bytes a second.
 	linkRate = 20_000_000 / 8
+	// requestTime is the processor time of a request at an entry with a share of 0.144 of a core.
+	requestTime = 1500 * time.Microsecond
 )
 
 var errRefused = errors.New("connection refused")
@@ -29,13 +31,14 @@
 	mu       sync.Mutex
 	conns    map[string]*conn
 	handlers map[string]http.Handler
-	links    map[string]*sync.Mutex
-	sent     map[string]int
-	usage    Usage
+	// processors has a token for each address; a request holds it for its processor time.
+	processors map[string]chan struct{}
+	sent       map[string]int
+	usage      Usage
 }
 
 func newNetwork() *network {
-	return &network{conns: map[string]*conn{}, handlers: map[string]http.Handler{}, links: map[string]*sync.Mutex{}, sent: map[string]int{}}
+	return &network{conns: map[string]*conn{}, handlers: map[string]http.Handler{}, processors: map[string]chan struct{}{}, sent: map[string]int{}}
 }
 
 func isFar(addr string) bool {
@@ -54,8 +57,8 @@
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	nw.handlers[addr] = ha
-	if nw.links[addr] == nil {
-		nw.links[addr] = &sync.Mutex{}
+	if nw.processors[addr] == nil {
+		nw.processors[addr] = make(chan struct{}, 1)
 	}
 }
 
@@ -88,7 +91,7 @@
 	return func(ctx context.Context, to, target string) (sibling.Response, error) {
 		nw.mu.Lock()
 		nw.usage.Requests++
-		ha, link := nw.handlers[to], nw.links[to]
+		ha, processor := nw.handlers[to], nw.processors[to]
 		nw.mu.Unlock()
 		if !sleep(ctx, delay(from, to)) {
 			return sibling.Response{}, ctx.Err()
@@ -98,7 +101,10 @@
 		}
 		got := make(chan sibling.Response, 1)
 		go func() {
-			rw := &responseWriter{nw: nw, addr: to, link: link, ResponseRecorder: httptest.NewRecorder()}
+			processor <- struct{}{}
+			time.Sleep(requestTime)
+			<-processor
+			rw := &responseWriter{nw: nw, addr: to, ResponseRecorder: httptest.NewRecorder()}
 			ha.ServeHTTP(rw, httptest.NewRequestWithContext(ctx, http.MethodGet, target, nil))
 			got <- sibling.Response{Status: rw.Code, Header: rw.Header(), Body: bytes.Clone(rw.Body.Bytes())}
 		}()
@@ -125,15 +131,12 @@
 	*httptest.ResponseRecorder
 	nw   *network
 	addr string
-	link *sync.Mutex
 }
 
 func (rw *responseWriter) Write(data []byte) (int, error) {
 	rw.nw.mu.Lock()
 	rw.nw.sent[rw.addr] += len(data)
 	rw.nw.mu.Unlock()
-	// Several transfers share the link; its lock is not held, since a lock does not let the bubble's
-	// time pass.
 	time.Sleep(time.Duration(len(data)) * time.Second / linkRate)
 	return rw.ResponseRecorder.Write(data)
 }
