--- a/core/replica/readers_test.go
+++ b/core/replica/readers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 type fakeReader struct {
 	re *replica.Replica
 	// unresponsive makes it announce its revision but fail requests.
-	unresponsive bool
+	unresponsive atomic.Bool
 	doubtful     bool
 	requests     int
 }
@@ -29,7 +30,7 @@
 
 func (fr *fakeReader) FetchFrom(_ context.Context, _ string, after core.Revision) (replica.Update, error) {
 	fr.requests++
-	if fr.unresponsive {
+	if fr.unresponsive.Load() {
 		return replica.Update{}, errors.New("no answer")
 	}
 	changes, rev, complete := fr.re.Since(after)
@@ -127,7 +128,7 @@
 // A reader announces a change but fails requests. Guards against delaying the change for that.
 func TestUnresponsiveReader(t *testing.T) {
 	runWithReader(t, func(fst *fakeStore, fr *fakeReader, re *replica.Replica, fo *replica.Follower) {
-		fr.unresponsive = true
+		fr.unresponsive.Store(true)
 		fst.put("two")
 		fr.re.Apply(secondValue(2), 2, time.Now())
 		fr.announce(fo, 250*time.Millisecond)
@@ -140,11 +141,12 @@
 func TestRejectedEntryReliesOnReadersAgain(t *testing.T) {
 	runWithReader(t, func(fst *fakeStore, fr *fakeReader, re *replica.Replica, fo *replica.Follower) {
 		fst.set(func() { fst.rejecting = true })
-		fr.unresponsive = true
+		fr.unresponsive.Store(true)
 		fr.re.Apply(secondValue(2), 2, time.Now())
 		fr.announce(fo, 250*time.Millisecond)
-		fr.unresponsive = false
-		before := fst.watches
+		fr.unresponsive.Store(false)
+		before := 0
+		fst.set(func() { before = fst.watches })
 		fr.announce(fo, 20*time.Second)
 		assertSecondValue(t, re)
 		fst.set(func() { assert.Assert(t, fst.watches <= before+2, "%d calls", fst.watches-before) })
