--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -212,29 +211,6 @@
 	}
 }
 
-// sendSentCalls immediately reports calls sent to upstreams to as many siblings as the rate limit
-// allows, in random order; the next gossip rounds carry them to the others. A limit that held for all
-// siblings or none would end these reports at a certain number of siblings.
-func (gs *Gossiper) sendSentCalls(pc net.PacketConn) {
-	sent := gs.ld.TakeCalls()
-	if len(sent) == 0 {
-		return
-	}
-	sendDatagrams(pc, gs.takeAllowed(gs.addrs()), encodeSent(balance.Hash(gs.self), sent))
-}
-
-// takeAllowed takes tokens for as many of the addresses as the rate limit allows, and returns these in
-// random order.
-func (gs *Gossiper) takeAllowed(addrs []string) []string {
-	now := time.Now()
-	n := min(len(addrs), int(gs.limiter.TokensAt(now)))
-	if n <= 0 || !gs.limiter.AllowN(now, n) {
-		return nil
-	}
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:n]
-}
-
 // sendFacts sends facts about upstreams to all siblings: immediately if the rate limit
 // allows, otherwise with the next gossip round.
 func (gs *Gossiper) sendFacts(pc net.PacketConn, round bool) {
--- a/io/sibling/sent.go
+++ b/io/sibling/sent.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
+	"net"
 	"time"
 
 	"skylarkstand/core/balance"
@@ -19,6 +21,29 @@
 	sentBurst = 160
 )
 
+// sendSentCalls immediately reports calls sent to upstreams to as many siblings as the rate limit
+// allows, in random order; the next gossip rounds carry them to the others. A limit that held for all
+// siblings or none would end these reports at a certain number of siblings.
+func (gs *Gossiper) sendSentCalls(pc net.PacketConn) {
+	sent := gs.ld.TakeCalls()
+	if len(sent) == 0 {
+		return
+	}
+	sendDatagrams(pc, gs.takeAllowed(gs.addrs()), encodeSent(balance.Hash(gs.self), sent))
+}
+
+// takeAllowed takes tokens for as many of the addresses as the rate limit allows, and returns these in
+// random order.
+func (gs *Gossiper) takeAllowed(addrs []string) []string {
+	now := time.Now()
+	n := min(len(addrs), int(gs.limiter.TokensAt(now)))
+	if n <= 0 || !gs.limiter.AllowN(now, n) {
+		return nil
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:n]
+}
+
 func encodeSent(self uint64, sent []balance.UpstreamLoad) []byte {
 	sent = sent[:min(len(sent), maxUpstreamLoads)]
 	data := make([]byte, 0, sentHeadSize+len(sent)*upstreamLoadSize)
