Log the fingerprint of requests whose attempts yield no answer

The logs of the incident could not show whether the 16 requests under which upstreams ended were the same one: a caller uses a new id each time.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -155,7 +155,7 @@
 		"An exchange was refused before an upstream was chosen: no route, no key, no configuration, or too large.",
 		"Compare `configuration` with the newest one if the request should have been accepted."}
 	AttemptEnded = &Event{513, "attempt-ended", slog.LevelInfo,
-		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason.",
+		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason, and `fingerprint` is the same for all requests of a workspace with the same content.",
 		"Check the upstream if it repeats there."}
 	AttemptBegun = &Event{515, "attempt-begun", slog.LevelInfo,
 		"An upstream was selected out of `candidates` and is called. `own` is the number of this entry's calls there, `others` that of other entries by their reports, which are `load-age` old (-1: no report). `kept` is the number of the prompt's tokens that are assumed to be in its prefix cache; `waits` is the prefill time of all prompts there by the reports, `read` that of this entry's prompts. `rank` is the position in its queue (0 is first), `patience` the time after which another upstream is tried, `left` the time that the caller still waits, `repeats-left` the retry budget, and `after` the last event that the caller received.",
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -240,7 +240,7 @@
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks)
+			"took", now.Sub(at.sent), "pieces", at.chunks, "fingerprint", jb.fingerprint.String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -17,6 +17,7 @@
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
 	"skylarkstand/core/shed"
+	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
 )
 
@@ -136,6 +137,7 @@
 			jb.priority = ws.Priority
 		}
 	}
+	jb.fingerprint = suspect.FingerprintOfExchange(jb.workspace, ex)
 	if fl := fw.checkStopping(rt); fl != nil {
 		return nil, fl
 	}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core/mechanism"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
 )
 
@@ -49,6 +50,8 @@
 	// suspect is the last failed attempt while another attempt is in progress that will show
 	// whether the upstream or the request caused the failure.
 	suspect *attempt
+	// fingerprint is the same for all requests of the workspace with the same content.
+	fingerprint suspect.Fingerprint
 	// lastFailure is the reason of the newest failed attempt, and noRetryReason why no other one
 	// followed, for the log.
 	lastFailure   string
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -22,29 +22,8 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"skylarkstand/core"
 )
 
-// Fingerprint is a hash that identifies requests of the same workspace, model (or
-// service and operation) and body.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of an attempt. It excludes the version, since a body
-// that crashes one version mostly crashes the next.
-func FingerprintOf(at *core.Attempt) Fingerprint {
-	var dig xxhash.Digest
-	dig.Reset()
-	for _, part := range []string{string(at.Workspace), string(at.Target.Model), string(at.Service), string(at.Operation)} {
-		_, _ = dig.WriteString(part)
-		_, _ = dig.WriteString("\x00")
-	}
-	_, _ = dig.Write(at.Body)
-	return Fingerprint(dig.Sum64())
-}
-
 // State is the state of a request in the registry.
 type State int
 
