Do not attribute the crashes of an outage to the requests that it cut

Crashes no longer count while as many other upstreams end without the request at the same time, unless those have a candidate of their own in flight.

--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -13,12 +13,18 @@
 	// progressTime is how long an answer must have gone on for its request not to be suspected when
 	// the upstream crashes: poisonous requests crash it as they begin to run.
 	progressTime = time.Second
-	// crashCheckInterval is how often an entry checks whether an upstream has ended whose connection
-	// broke. For refusedTime after that, a refused connection proves it, and for delistedTime its
-	// removal from the host list, or a new start there, which takes some heartbeats.
-	crashCheckInterval = 200 * time.Millisecond
-	refusedTime        = 1500 * time.Millisecond
-	delistedTime       = 5 * time.Second
+	// refusedTime is how long after a connection broke a refused one proves that the upstream had
+	// ended. After that, its removal from the host list does, or a new start there.
+	refusedTime = 1500 * time.Millisecond
+)
+
+// The times after the end of an attempt at which an entry checks whether the upstream has ended: for a
+// connection that broke until heartbeats are missing from the host list, and for an attempt that this
+// entry ended itself, once.
+var (
+	brokenChecks = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond,
+		1200 * time.Millisecond, refusedTime, 3 * time.Second, 4 * time.Second, 5 * time.Second}
+	discardedChecks = []time.Duration{time.Second}
 )
 
 // checkQuarantine refuses a request that is quarantined.
@@ -39,22 +45,24 @@
 		at.jb.fw.components.Suspects.RecordCompleted(at.jb.fingerprint, now)
 	case at.chunks > 0 && now.Sub(at.began) > progressTime:
 	case ve == lost && at.ctx.Err() == nil:
-		at.watchCrash(now, delistedTime)
+		at.watchCrash(now, brokenChecks)
 	case ve == unsure:
-		at.watchCrash(now, refusedTime) // It may have crashed the upstream after its header.
+		at.watchCrash(now, discardedChecks) // It may have crashed the upstream after its header.
 	}
 }
 
-// watchCrash records a crash if the attempt's upstream turns out to have ended when the connection did.
-// A connection may also break while its upstream stays up.
-func (at *attempt) watchCrash(ended time.Time, wait time.Duration) {
-	time.AfterFunc(crashCheckInterval, func() {
-		switch now := time.Now(); {
-		case at.upstreamEnded(now, ended):
+// watchCrash records a crash if the attempt's upstream turns out, at one of the checks, to have ended when
+// the attempt did. A connection may also break while its upstream stays up.
+func (at *attempt) watchCrash(ended time.Time, checks []time.Duration) {
+	if len(checks) == 0 {
+		return
+	}
+	time.AfterFunc(time.Until(ended.Add(checks[0])), func() {
+		if now := time.Now(); at.upstreamEnded(now, ended) {
 			at.recordCrash(now, ended)
-		case now.Sub(ended) < wait:
-			at.watchCrash(ended, wait)
+			return
 		}
+		at.watchCrash(ended, checks[1:])
 	})
 }
 
--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -42,12 +42,16 @@
 	// settleTime is how old a crash must be to count. Until then, the other entries may announce the
 	// requests that were in flight there too.
 	settleTime = time.Second
+	// inferenceInterval bounds the processor time of inferences.
+	inferenceInterval = 500 * time.Millisecond
+	// outageTime is the time within which upstreams seem to end at once.
+	outageTime = 500 * time.Millisecond
 	// overlap is by how much a request may seem to have been sent before the crash that it followed:
 	// announcements take that long between regions.
 	overlap = 100 * time.Millisecond
 	// maxSuspects bounds the requests with crashes, at 100 bytes each and 48 for each crash, and
 	// maxCrashes the crashes of one of them.
-	maxSuspects = 4096
+	maxSuspects = 2048
 	maxCrashes  = 64
 )
 
@@ -56,12 +60,13 @@
 // them, and quarantines one that
 //
 //   - was in flight at several crashes, one after the other, by more than one request of its caller,
-//   - was completed nowhere meanwhile, and
+//   - was completed nowhere meanwhile,
+//   - was in flight wherever upstreams ended at that time, but for those with another cause, and
 //   - explains its crashes better than the other requests in flight: it was in flight at others too,
 //     and none of them is quarantined already.
 //
-// So a request stays free that was in flight beside a poisonous one, that is popular, or whose
-// connection broke while its upstream stayed up. Many upstreams that end at once count as one crash.
+// So a request stays free that was in flight beside a poisonous one or in an outage, that is popular, or
+// whose connection broke while its upstream stayed up.
 //
 // It is safe for concurrent use.
 type Detector struct {
@@ -118,10 +123,13 @@
 func (de *Detector) Quarantine(now time.Time) []Record {
 	de.mu.Lock()
 	defer de.mu.Unlock()
-	if de.inferredAt.Sub(de.changedAt) >= settleTime {
+	if de.inferredAt.Sub(de.changedAt) >= settleTime || now.Sub(de.inferredAt) < inferenceInterval {
 		return nil
 	}
 	de.inferredAt = now
+	if !de.hasCandidate() {
+		return nil
+	}
 	var out []Record
 	for _, fi := range newInference(de.suspects, now).poisonous(de.isQuarantined(now)) {
 		ttl := quarantineTTL
@@ -136,6 +144,17 @@
 	return out
 }
 
+// hasCandidate reports whether a request may be found poisonous. Most crashes leave none, and the
+// inference from thousands of suspects takes milliseconds.
+func (de *Detector) hasCandidate() bool {
+	for _, crashes := range de.suspects {
+		if len(crashes) >= minCrashes {
+			return true
+		}
+	}
+	return false
+}
+
 // isQuarantined returns a function that reports whether a request is quarantined for longer than a trial.
 func (de *Detector) isQuarantined(now time.Time) func(Fingerprint) bool {
 	return func(fp Fingerprint) bool {
--- a/core/suspect/detector_test.go
+++ b/core/suspect/detector_test.go
@@ -61,6 +61,13 @@
 		{"copies at one upstream", []crash{{1, 1, 1, 0, 1}, {1, 2, 1, 0.1, 1}, {1, 3, 1, 0.5, 1}}, nil},
 		{"in flight beside it at each of three", append([]crash{{1, 4, 5, 3, 3.2}, {2, 8, 2, 0.2, 0.5}, {2, 8, 3, 0.6, 1.2}, {2, 9, 4, 1.3, 2.2}}, poisonous...), []suspect.Fingerprint{1}},
 		{"always in flight together so far", append([]crash{{2, 8, 1, 0, 0.2}, {2, 8, 2, 0.2, 0.5}, {2, 9, 3, 0.6, 1.2}}, poisonous[:3]...), nil},
+		{"cut in each of three outages", []crash{
+			{1, 1, 1, 0, 0.2}, {2, 5, 11, 0, 0.1}, {1, 1, 2, 0.3, 3.2}, {3, 6, 12, 3, 3.1}, {1, 2, 3, 4, 5.2}, {4, 7, 13, 4.9, 5.4},
+		}, nil},
+		{"poisonous, and an outage once", append([]crash{{2, 5, 11, 0, 0.1}, {1, 4, 5, 3, 3.2}}, poisonous...), []suspect.Fingerprint{1}},
+		{"two poisonous requests at the same time", []crash{
+			{1, 1, 1, 0, 0.2}, {2, 5, 11, 0, 0.3}, {1, 1, 2, 0.5, 0.7}, {2, 5, 12, 0.5, 0.8}, {1, 2, 3, 1, 1.2}, {2, 6, 13, 1, 1.3},
+		}, []suspect.Fingerprint{1, 2}},
 		{"two poisonous requests", append([]crash{{2, 8, 4, 2, 2.2}, {2, 8, 5, 3, 3.2}, {2, 9, 6, 4, 4.2}, {2, 9, 7, 5, 5.2}}, poisonous...), []suspect.Fingerprint{1, 2}},
 	}
 	for _, sc := range scenarios {
--- a/core/suspect/inference.go
+++ b/core/suspect/inference.go
@@ -13,12 +13,20 @@
 	// crashes are the settled crashes of each request, and inFlight the requests at each crash.
 	crashes  map[Fingerprint][]Crash
 	inFlight map[balance.Incarnation][]Fingerprint
+	// ends are the times at which upstreams ended, in order.
+	ends []end
 	// counts are the numbers of crashes of each request, one after the other.
 	counts map[Fingerprint]int
 	// ages are the mean ages of the requests at their crashes.
 	ages map[Fingerprint]time.Duration
 }
 
+// end is the end of an upstream.
+type end struct {
+	at       time.Time
+	upstream balance.Incarnation
+}
+
 func newInference(suspects map[Fingerprint][]observedCrash, now time.Time) *inference {
 	in := &inference{crashes: map[Fingerprint][]Crash{}, inFlight: map[balance.Incarnation][]Fingerprint{}, counts: map[Fingerprint]int{}, ages: map[Fingerprint]time.Duration{}}
 	for fp, crashes := range suspects {
@@ -26,11 +34,15 @@
 			if now.Sub(oc.knownSince) < settleTime || now.Sub(oc.Ended) > suspectTTL {
 				continue
 			}
+			if len(in.inFlight[oc.Upstream]) == 0 {
+				in.ends = append(in.ends, end{oc.Ended, oc.Upstream})
+			}
 			in.crashes[fp] = append(in.crashes[fp], oc.Crash)
 			in.inFlight[oc.Upstream] = append(in.inFlight[oc.Upstream], fp)
 		}
 		in.counts[fp], in.ages[fp] = countSuccessive(in.crashes[fp]), meanAge(in.crashes[fp])
 	}
+	slices.SortFunc(in.ends, func(a, b end) int { return a.at.Compare(b.at) })
 	return in
 }
 
@@ -69,7 +81,8 @@
 				return co == unlikelier || co == undecided && in.explainsBetter(rival, fp)
 			})
 		}
-		own := slices.DeleteFunc(slices.Clone(in.crashes[fp]), explained)
+		outage := func(cr Crash) bool { return in.inOutage(fp, cr, candidates) }
+		own := slices.DeleteFunc(slices.DeleteFunc(slices.Clone(in.crashes[fp]), explained), outage)
 		if countSuccessive(own) >= minCrashes && countRequests(own) >= minRequests {
 			out = append(out, fi)
 			found[fp] = true
@@ -78,6 +91,27 @@
 	return out
 }
 
+// inOutage reports whether at the time of a crash no fewer upstreams ended for an unknown cause than with
+// the request in flight: neither it nor another candidate was in flight there. All may have ended by the
+// same outage.
+func (in *inference) inOutage(fp Fingerprint, cr Crash, candidates []Fingerprint) bool {
+	first, _ := slices.BinarySearchFunc(in.ends, cr.Ended.Add(-outageTime), func(en end, at time.Time) int { return en.at.Compare(at) })
+	withRequest, unknown := 0, 0
+	for _, en := range in.ends[first:] {
+		if en.at.Sub(cr.Ended) > outageTime {
+			break
+		}
+		inFlight := in.inFlight[en.upstream]
+		switch {
+		case slices.Contains(inFlight, fp):
+			withRequest++
+		case !slices.ContainsFunc(inFlight, func(other Fingerprint) bool { return slices.Contains(candidates, other) }):
+			unknown++
+		}
+	}
+	return unknown >= withRequest
+}
+
 // comparison is how two requests that share crashes compare as the cause.
 type comparison int
 
