Let an entry that starts ask for the requests in quarantine

It asks three entries now as soon as it has its first copy of the store, and in two more rounds; they answer at once. Nine datagrams of a byte per start at any number of entries.

--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -90,6 +91,10 @@
 	draining    repeater[balance.Incarnation]
 	crashes     repeater[suspect.Crash]
 	cleared     repeater[suspect.Fingerprint]
+	// quarantined is the datagram with the requests in quarantine; nil for none. asksLeft is how often
+	// this entry still asks others for theirs.
+	quarantined atomic.Pointer[[]byte]
+	asksLeft    int
 	// membership is what heartbeats are sent for; nil for none.
 	membership Membership
 	// listen opens the socket for datagrams.
@@ -118,8 +123,8 @@
 		self: self, addr: addr, ld: ld, di: di, addrs: addrs, isReader: isReader, revisionChanged: make(chan struct{}, 1), rotation: rotation{},
 		limiter: rate.NewLimiter(sentRate, sentBurst), remote: func() map[core.Region][]string { return nil },
 		draining: repeater[balance.Incarnation]{rounds: drainingRounds}, crashes: repeater[suspect.Crash]{rounds: crashRounds},
-		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds},
-		listen:  func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp", addr) },
+		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds}, asksLeft: askRounds,
+		listen: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp", addr) },
 	}
 	for _, opt := range opts {
 		opt(gs)
@@ -195,11 +200,13 @@
 			gs.sendRateLimits(pc)
 			gs.sendDraining(pc)
 			gs.sendSuspects(pc)
+			gs.askQuarantined(pc)
 			gs.sendLoad(pc)
 		case <-remoteTicker.C:
 			gs.sendRegionLoad(pc)
 		case <-gs.revisionChanged:
 			gs.sendDigest(pc)
+			gs.askQuarantined(pc)
 		case <-gs.ld.SentSignal():
 			gs.sendSentCalls(pc)
 			gs.sendRemoteCalls(pc)
@@ -348,7 +355,7 @@
 // handleDatagram decodes a datagram and passes on its content. Datagrams of unknown
 // formats, including those of other releases, are ignored.
 func (gs *Gossiper) handleDatagram(data []byte, addr string) {
-	if gs.receiveMembership(data, addr) || gs.receiveSuspects(data) {
+	if gs.receiveMembership(data, addr) || gs.receiveSuspects(data, addr) {
 		return
 	}
 	if lo, ok := decodeRegion(data); ok {
--- a/io/sibling/suspects.go
+++ b/io/sibling/suspects.go
@@ -14,7 +14,7 @@
 // Three datagrams about requests consist of a format byte and rows, each with the request's
 // fingerprint first. Rows of crashes continue with the upstream's hash and start, the request's hash,
 // and the times since the attempt was sent and since its connection broke, both in agoUnit; rows of
-// quarantined requests with the seconds left.
+// quarantined requests with the seconds left. One without rows asks for those of its receiver.
 const (
 	crashesFormat     = 0x8a
 	clearedFormat     = 0x8b
@@ -27,15 +27,19 @@
 	maxCrashRows       = 55
 	maxClearedRows     = 160
 	maxQuarantinedRows = 130
+	// An entry that has started asks askFanout others for the requests in quarantine, askRounds times.
+	askFanout = 3
+	askRounds = 3
 	// crashRounds is the number of rounds in which crashes and cleared requests are announced.
 	crashRounds = 2
 )
 
 // sendSuspects announces to the entries of all regions which requests were in flight at crashes, and
-// which of them are innocent. The requests in quarantine go to one random entry: entries that have just
-// started learn of them within a few rounds, at the same cost for any number of entries.
+// which of them are innocent. The requests in quarantine go to one random entry, at the same cost for any
+// number of entries, in case that one has missed the crashes.
 func (gs *Gossiper) sendSuspects(pc net.PacketConn) {
 	no, now := gs.ld.TakeSuspects(), time.Now()
+	gs.storeQuarantined(now, no.Quarantined)
 	crashes, cleared := gs.crashes.next(no.Crashes), gs.cleared.next(no.Cleared)
 	if len(crashes)+len(cleared)+len(no.Quarantined) == 0 {
 		return
@@ -47,21 +51,53 @@
 	for part := range slices.Chunk(cleared, maxClearedRows) {
 		sendDatagrams(pc, addrs, encodeCleared(part))
 	}
-	if len(no.Quarantined) > 0 && len(addrs) > 0 {
-		records := no.Quarantined
-		rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
-		records = records[:min(len(records), maxQuarantinedRows)]
-		sendDatagrams(pc, []string{addrs[rand.IntN(len(addrs))]}, encodeQuarantined(now, records))
+	if data := gs.quarantined.Load(); data != nil && len(addrs) > 0 {
+		sendDatagrams(pc, []string{addrs[rand.IntN(len(addrs))]}, *data)
 	}
 }
 
+// storeQuarantined stores the datagram with the requests in quarantine, a random part if there are too
+// many.
+func (gs *Gossiper) storeQuarantined(now time.Time, records []suspect.Record) {
+	if len(records) == 0 {
+		gs.quarantined.Store(nil)
+		return
+	}
+	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	data := encodeQuarantined(now, records[:min(len(records), maxQuarantinedRows)])
+	gs.quarantined.Store(&data)
+}
+
+// askQuarantined asks some entries for the requests in quarantine, in the first rounds in which any are
+// known: callers may send such a request here at once.
+func (gs *Gossiper) askQuarantined(pc net.PacketConn) {
+	if gs.asksLeft == 0 {
+		return
+	}
+	addrs := slices.Clone(gs.addrs())
+	if len(addrs) == 0 {
+		addrs = gs.allAddrs()
+	}
+	if len(addrs) == 0 {
+		return
+	}
+	gs.asksLeft--
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	sendDatagrams(pc, addrs[:min(len(addrs), askFanout)], []byte{quarantinedFormat})
+}
+
 // receiveSuspects processes a datagram about requests. It returns false for any other datagram.
-func (gs *Gossiper) receiveSuspects(data []byte) bool {
+func (gs *Gossiper) receiveSuspects(data []byte, addr string) bool {
 	no, ok := decodeSuspects(time.Now(), data)
-	if ok {
+	switch own := gs.quarantined.Load(); {
+	case !ok:
+		return false
+	case len(data) > 1:
 		gs.ld.ReceiveSuspects(no)
+	case own != nil:
+		gs.reply(*own, addr)
 	}
-	return ok
+	return true
 }
 
 func encodeCrashes(now time.Time, crashes []suspect.Crash) []byte {
--- a/io/sibling/suspects_test.go
+++ b/io/sibling/suspects_test.go
@@ -102,3 +102,24 @@
 		})
 	}
 }
+
+// Guards against an entry that has just started and lets requests in quarantine through until it happens to
+// be told of them.
+func TestStartedEntryAsksForQuarantines(t *testing.T) {
+	sl := &suspectLoads{notices: suspect.Notices{Quarantined: []suspect.Record{{Fingerprint: 7, State: suspect.Quarantined, Until: time.Now().Add(time.Hour)}}}}
+	addrs := func() []string { return []string{"127.0.0.1:1", "127.0.0.1:2"} }
+	asked := NewGossiper("asked", "", sl, nil, addrs, nil)
+	asked.sendSuspects(new(countingConn))
+	var replies [][]byte
+	asked.reply = func(data []byte, _ string) { replies = append(replies, data) }
+	started, cc := NewGossiper("started", "", new(suspectLoads), nil, addrs, nil), new(countingConn)
+	for range 5 {
+		started.askQuarantined(cc)
+	}
+	assert.Equal(t, cc.datagrams, askRounds*2)
+	assert.Assert(t, asked.receiveSuspects([]byte{quarantinedFormat}, "127.0.0.1:3"))
+	assert.Equal(t, len(replies), 1)
+	no, ok := decodeSuspects(time.Now(), replies[0])
+	assert.Assert(t, ok)
+	assert.Equal(t, no.Quarantined[0].Fingerprint, suspect.Fingerprint(7))
+}
