Hold a roll-out while most answers of its version are slow

Where the old version's answers are slow at times too, a slow answer adds 1.0, so that two of two do not hold it. A step now also waits while more than half of the timed answers at all entries were slow.

TestNoStepWhileMostAnswersAreSlow failed before in two of its five scenarios.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -67,6 +67,53 @@
 	}
 }
 
+// Guards against the next step of a slow version of which so few answers have ended that they are no
+// verdict, although most of them were slow, and against holding a good one after a single slow answer.
+func TestNoStepWhileMostAnswersAreSlow(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// own and siblings are whether answers of the new version were slow, at this entry and at others.
+		own, siblings []bool
+		steps         bool
+	}{
+		{"none slow", []bool{false, false}, nil, true},
+		{"one of two slow", []bool{true, false}, nil, true},
+		{"two of three slow", []bool{true, false, true}, nil, false},
+		{"one of two slow, with one at a sibling", []bool{false, true}, []bool{true}, false},
+		{"one of one slow, with two good ones at a sibling", []bool{true}, []bool{false, false}, true},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			order := canary.Order{Service: service, Target: v2, Duration: 14 * time.Second, Revision: 5}
+			observe := func(gu *canary.Guard, ve core.VersionID, slow bool) {
+				ou := canary.Outcome{Service: service, Version: ve, Pool: "draft", SingleChunk: true, ChunkInterval: 20 * time.Millisecond}
+				if slow {
+					ou.ChunkInterval = 40 * time.Millisecond
+				}
+				gu.Observe(ou)
+			}
+			newGuard := func(answers []bool) *canary.Guard {
+				gu := canary.New()
+				for i := range 100 {
+					observe(gu, v1, i%5 == 4) // The old version's answers are slow at times, too.
+				}
+				gu.Order(now, order)
+				for _, slow := range answers {
+					observe(gu, v2, slow)
+				}
+				return gu
+			}
+			gu, sibling := newGuard(sc.own), newGuard(sc.siblings)
+			gu.Status(canary.Status{Service: service, Target: v2, State: canary.InProgress, Revision: 6})
+			later := now.Add(order.Duration * 7 / 10)
+			gu.MergeReports(later, sibling.Reports(later))
+			writes := gu.DueWrites(later, func(core.ServiceID) int { return 0 })
+			assert.Equal(t, len(writes) == 1 && writes[0].Step != nil, sc.steps)
+		})
+	}
+}
+
 // TestGoodVersionWithLongAnswersIsCompleted guards against a hold for answers that are still under way
 // because they are long.
 func TestGoodVersionWithLongAnswersIsCompleted(t *testing.T) {
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -86,6 +86,8 @@
 	trial     trial
 	// siblingTrials is the state of the siblings' trials, as of the last reports.
 	siblingTrials trialCount
+	// siblingSlows counts the slow answers at the siblings, as of the last reports.
+	siblingSlows Tally
 	// remoteOldSessions are the sessions within the first step's share that continue on the old
 	// version at other entries, and when each was last reported.
 	remoteOldSessions map[core.SessionID]time.Time
@@ -121,7 +123,7 @@
 	ro.order, ro.startedAt, ro.steppedAt = or, now, now
 	ro.all, ro.sent, ro.badReason, ro.reported, ro.pooledSum = 0, 0, "", false, 0
 	ro.evidence.reset()
-	ro.trial, ro.siblingTrials = trial{}, trialCount{}
+	ro.trial, ro.siblingTrials, ro.siblingSlows = trial{}, trialCount{}, Tally{}
 	clear(ro.remoteOldSessions)
 }
 
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		sums := ro.evidence.tallies()
-		ro.siblingTrials = trialCount{}
+		ro.siblingTrials, ro.siblingSlows = trialCount{}, Tally{}
 		maps.DeleteFunc(ro.remoteOldSessions, func(_ core.SessionID, at time.Time) bool { return now.Sub(at) > gu.gap })
 		for _, re := range reports {
 			if re.Service != sv || re.Order != ro.order.Revision {
@@ -116,6 +116,7 @@
 				continue
 			}
 			ro.siblingTrials = ro.siblingTrials.add(trialCount{answered: re.Answered, overdue: re.Overdue})
+			ro.siblingSlows.add(re.Pools[allPools].SlowAnswers)
 			for name, ta := range re.Pools {
 				sum := sums[name]
 				sum.Failures.add(ta.Failures)
--- a/core/canary/writes.go
+++ b/core/canary/writes.go
@@ -66,10 +66,21 @@
 	if ro.trialCount(now).add(ro.siblingTrials).inconclusive() {
 		return true
 	}
+	if ro.mostlySlow() {
+		return true
+	}
 	all := &ro.evidence.all
 	return max(ro.pooledSum, all.fails.sum, all.slows.sum, all.verySlows.sum) >= holdThreshold
 }
 
+// mostlySlow reports whether more than half of the new version's answers at all entries were slow. Where
+// few answers end before the last step, the evidence of each is too weak for the threshold.
+func (ro *rollout) mostlySlow() bool {
+	own := ro.evidence.all.slows.tally()
+	own.add(ro.siblingSlows)
+	return 2*own.Bad > own.Seen
+}
+
 // minStepTime is the minimum time that a step lasts, as a fraction of the duration. A restarted
 // entry counts it from its restart; other entries take the next step before it does.
 func (gu *Guard) minStepTime(current int) float64 {
