Release a request from quarantine once an upstream has completed it

A request that is refused though it is innocent: an entry that was cut off misses that the request was completed elsewhere, quarantines it, and the others take its word for an hour.

A completed request leaves quarantine at its entry, the others are told as for a suspect, and an entry that has seen it completed in the last ten seconds accepts no quarantine of it. TestCompletedRequestLeavesQuarantine fails without it. What waits for the next announcement is bounded by 1,024 of each kind.

--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -53,6 +53,8 @@
 	// maxCrashes the crashes of one of them.
 	maxSuspects = 2048
 	maxCrashes  = 64
+	// maxUnannounced bounds what waits for the next announcement, of either kind.
+	maxUnannounced = 1024
 )
 
 // Detector finds poisonous requests where upstreams have no agents, so that no request can run alone.
@@ -104,7 +106,7 @@
 	if de.completed.has(cr.Fingerprint, now) || !de.add(cr, now) {
 		return false
 	}
-	de.newCrashes = append(de.newCrashes, cr)
+	de.newCrashes = lastOf(append(de.newCrashes, cr), maxUnannounced)
 	return true
 }
 
@@ -112,10 +114,8 @@
 func (de *Detector) RecordCompleted(fp Fingerprint, now time.Time) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
-	de.completed.add(fp, now)
-	if len(de.suspects[fp]) > 0 {
-		de.clear(fp, now)
-		de.newCleared = append(de.newCleared, fp)
+	if de.clear(fp, now) {
+		de.announceCleared(fp)
 	}
 }
 
@@ -163,14 +163,28 @@
 	}
 }
 
-// clear deletes the crashes of a request that is innocent.
-func (de *Detector) clear(fp Fingerprint, now time.Time) {
-	if len(de.suspects[fp]) > 0 {
+// clear records that a request is innocent, and reports whether it was suspected or quarantined.
+func (de *Detector) clear(fp Fingerprint, now time.Time) bool {
+	de.completed.add(fp, now)
+	quarantined := de.reg.Lookup(fp, now).State == Quarantined
+	if quarantined {
+		de.reg.Release(fp)
+	}
+	suspected := len(de.suspects[fp]) > 0
+	if suspected {
 		delete(de.suspects, fp)
-		de.changedAt = now // They may be attributed to another request now.
+		de.changedAt = now // Its crashes may be attributed to another request now.
 	}
+	return quarantined || suspected
 }
 
+func (de *Detector) announceCleared(fp Fingerprint) {
+	de.newCleared = lastOf(append(de.newCleared, fp), maxUnannounced)
+}
+
+// lastOf returns up to n last items.
+func lastOf[T any](items []T, n int) []T { return items[max(len(items)-n, 0):] }
+
 // add adds a crash, and reports whether it is new. Of several copies that were in flight at a crash, the
 // one that was sent first counts.
 func (de *Detector) add(cr Crash, now time.Time) bool {
@@ -187,7 +201,7 @@
 	}
 	de.changedAt = now
 	known = append(known, observedCrash{cr, now})
-	de.suspects[cr.Fingerprint] = known[max(len(known)-maxCrashes, 0):]
+	de.suspects[cr.Fingerprint] = lastOf(known, maxCrashes)
 	return true
 }
 
--- a/core/suspect/detector_test.go
+++ b/core/suspect/detector_test.go
@@ -179,3 +179,21 @@
 	t.Logf("%d bytes", used)
 	runtime.KeepAlive(de)
 }
+
+// Guards against an innocent request that stays quarantined everywhere because one entry has missed the
+// news: a completed request leaves quarantine at all entries, and does not come back by older news.
+func TestCompletedRequestLeavesQuarantine(t *testing.T) {
+	misinformed, other := suspect.NewDetector(suspect.New()), suspect.NewDetector(suspect.New())
+	for _, cr := range poisonous {
+		misinformed.RecordCrash(cr.record(), at(cr.ended))
+	}
+	assert.Equal(t, len(misinformed.Quarantine(at(4.5))), 1)
+	stale := misinformed.TakeNotices(at(4.5))
+	assert.Equal(t, len(other.ReceiveNotices(at(4.6), stale)), 1)
+	other.RecordCompleted(1, at(5)) // An attempt that was in flight.
+	assert.Equal(t, other.Lookup(1, at(5)).State, suspect.Free)
+	assert.Equal(t, len(other.ReceiveNotices(at(5.1), stale)), 0)
+	misinformed.ReceiveNotices(at(5.2), other.TakeNotices(at(5.2)))
+	assert.Equal(t, misinformed.Lookup(1, at(5.2)).State, suspect.Free)
+	assert.Equal(t, len(misinformed.Quarantine(at(8))), 0)
+}
--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -26,7 +26,6 @@
 	de.mu.Lock()
 	defer de.mu.Unlock()
 	for _, fp := range no.Cleared {
-		de.completed.add(fp, now)
 		de.clear(fp, now)
 	}
 	for _, cr := range no.Crashes {
@@ -34,7 +33,8 @@
 	}
 	var out []Record
 	for _, re := range no.Quarantined {
-		if de.reg.Merge(re, now) {
+		// The other entry has missed the news if this one has seen the request completed.
+		if !de.completed.has(re.Fingerprint, now) && de.reg.Merge(re, now) {
 			out = append(out, re)
 		}
 	}
@@ -48,7 +48,7 @@
 		return
 	}
 	de.clear(cr.Fingerprint, now)
-	de.newCleared = append(de.newCleared, cr.Fingerprint)
+	de.announceCleared(cr.Fingerprint)
 }
 
 // recentSet remembers fingerprints for at least completedTTL and at most twice that time.
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// Release ends the quarantine of a request that turns out to be innocent.
+func (reg *Registry) Release(fp Fingerprint) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	delete(reg.records, fp)
+}
+
 // Merge merges a record, of this or another entry, and reports whether it changed the
 // registry. A record's state and its end only increase, so late and duplicate messages have
 // no effect.
