Rename a job's suspect to deferred

A job's suspect was an attempt whose verdict on its upstream is deferred; beside requests that are suspected of crashing upstreams the name had to be read twice. No behaviour.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -221,9 +221,9 @@
 	neutral := ve == lost && notUpstreamFault(context.Cause(at.ctx))
 	fw := jb.fw
 	fw.mu.Lock()
-	out := at.resolveSuspect(now, ve)
+	out := at.resolveDeferred(now, ve)
 	switch {
-	case neutral || jb.suspect == at:
+	case neutral || jb.deferred == at:
 		out = balance.Abandoned
 	case errors.Is(context.Cause(at.ctx), errHeaderTimeout):
 		out = balance.Overdue
--- a/core/forward/fault.go
+++ b/core/forward/fault.go
@@ -18,20 +18,20 @@
 const enoughTimeFactor = 2
 
 // deferVerdict defers the verdict on a failed attempt's upstream until the next attempt has ended;
-// see resolveSuspect. When no other upstream can be tried, the cause stays unknown and the failure
+// see resolveDeferred. When no other upstream can be tried, the cause stays unknown and the failure
 // does not count against the upstream.
-func (at *attempt) deferVerdict() { at.jb.suspect = at }
+func (at *attempt) deferVerdict() { at.jb.deferred = at }
 
-// resolveSuspect returns the outcome of an attempt for the load balancer, and decides about the
+// resolveDeferred returns the outcome of an attempt for the load balancer, and decides about the
 // failed attempt before it: when both failed with the same status, the request is the cause,
 // otherwise the first upstream. The forwarder's lock is held.
-func (at *attempt) resolveSuspect(now time.Time, ve verdict) balance.Outcome {
+func (at *attempt) resolveDeferred(now time.Time, ve verdict) balance.Outcome {
 	out := ve.outcome()
 	if ve == failed && at.timeLimitTooShort() {
 		out = balance.Abandoned
 	}
-	if prev := at.jb.suspect; prev != nil && prev != at {
-		at.jb.suspect = nil
+	if prev := at.jb.deferred; prev != nil && prev != at {
+		at.jb.deferred = nil
 		if ve == failed && prev.reply.Status == at.reply.Status {
 			return balance.Abandoned
 		}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -47,9 +47,9 @@
 	prefillTime time.Duration
 	// mayHaveRun is set once the work may have run.
 	mayHaveRun bool
-	// suspect is the last failed attempt while another attempt is in progress that will show
+	// deferred is the last failed attempt while another attempt is in progress that will show
 	// whether the upstream or the request caused the failure.
-	suspect *attempt
+	deferred *attempt
 	// fingerprint is the same for all requests of the workspace with the same content.
 	fingerprint suspect.Fingerprint
 	// lastFailure is the reason of the newest failed attempt, and noRetryReason why no other one
