Do not count the end of a leaving upstream as a crash

Its requests are cut by a planned end, and the list drops it then: an innocent request got a crash that nothing caused. TestEndOfALeavingUpstreamIsNoCrash shows both sides.

Also found by reading the change: the last check for a removal from the list came after 5 s, which misses upstreams with heartbeats of 2 s, three of which must be missing; it comes after 9.5 s now. The checks held the whole attempt with its body for that time, now a few words.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -116,6 +116,14 @@
 	return me != nil && me.host.StartedAt == ho.StartedAt
 }
 
+// IsLeaving reports whether this incarnation of an upstream is known to be leaving.
+func (fl *Fleet) IsLeaving(ho *core.Host) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	me := fl.members[ho.ID]
+	return me != nil && me.host.StartedAt == ho.StartedAt && me.host.Leaving
+}
+
 // Serving lists the upstreams of a service that may get new work within the given regions, by id.
 // The returned slice is shared and must not be changed.
 func (fl *Fleet) Serving(sv core.ServiceID, now time.Time, within core.Regions) []core.Host {
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -2,331 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"maps"
-	"math/rand/v2"
-	"net/http"
-	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/core"
-	"skylarkstand/core/canary"
-	"skylarkstand/core/cooldown"
-	"skylarkstand/core/fleet"
-	"skylarkstand/core/forward"
-	"skylarkstand/core/ratelimit"
-	"skylarkstand/core/retry"
-	"skylarkstand/core/route"
-	"skylarkstand/core/suspect"
-	"skylarkstand/core/warmup"
 )
 
-const (
-	// crashDelay is the time from the start of a poisonous request to the crash of its upstream.
-	crashDelay = 100 * time.Millisecond
-	// restartDelay is the time from a crash to the start of the upstream's next incarnation, and
-	// delistDelay the time until it is removed from the host list.
-	restartDelay, delistDelay = 4 * time.Second, 3600 * time.Millisecond
-	// runTime is how long an upstream runs an innocent request.
-	runTime = 400 * time.Millisecond
-	// gossipInterval is how often the entries exchange what they have observed.
-	gossipInterval = 250 * time.Millisecond
-	// lostShare is the share of announcements that get lost: a tenth of the datagrams, which are sent twice.
-	lostShare = 0.01
-	poison    = "poison"
-)
-
-// crashPool is a pool of upstreams behind several entries. A request with the body "poison" crashes
-// the upstreams that run it.
-type crashPool struct {
-	inf     *route.InForce
-	ids     []core.ProcessID
-	entries []*forward.Forwarder
-	fleets  []*fleet.Fleet
-
-	mu  sync.Mutex
-	rnd *rand.Rand
-	// running are the upstreams that are up, and starts counts their starts.
-	running map[core.UpstreamID]*process
-	starts  int
-	// poisoned holds when poisonous requests of entries that have run for noticeTime reached upstreams,
-	// and crashes when upstreams crashed.
-	poisoned, crashes []time.Time
-	// refused counts the refusals of quarantined requests by body, and answered the answers.
-	refused, answered map[string]int
-	// cutShare is the share of requests whose connection is cut while the upstream stays up.
-	cutShare float64
-	// restartInterval is the time between two restarts of entries; 0 for none.
-	restartInterval time.Duration
-}
-
-// process is one incarnation of an upstream.
-type process struct{ crashed chan struct{} }
-
-// crashClient is an entry's client of a crashPool. It implements core.UpstreamClient.
-type crashClient struct {
-	po *crashPool
-	// started is when the entry's process started.
-	started time.Time
-}
-
-// newCrashPool returns a pool. It must be called inside a synctest bubble.
-func newCrashPool(t *testing.T, entries, upstreams int) *crashPool {
-	t.Helper()
-	fx := newUnconfiguredFixture(t)
-	fx.inf.Adopt(fx.tb)
-	po := &crashPool{
-		inf: fx.inf, rnd: rand.New(rand.NewPCG(7, 7)), running: map[core.UpstreamID]*process{},
-		refused: map[string]int{}, answered: map[string]int{},
-	}
-	for i := range entries {
-		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
-		po.fleets = append(po.fleets, fleet.New())
-	}
-	for i := range entries {
-		po.entries = append(po.entries, po.newEntry(i))
-	}
-	for range upstreams {
-		po.startUpstream()
-	}
-	return po
-}
-
-func (po *crashPool) newEntry(i int) *forward.Forwarder {
-	deps := core.NewDeps()
-	deps.Self = po.ids[i]
-	return forward.New(deps, crashClient{po, time.Now()}, forward.Components{
-		InForce: po.inf, Fleet: po.fleets[i], Warmup: warmup.New(deps.Self), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
-		RateLimits:     ratelimit.New(deps.Self, func() []core.ProcessID { return po.ids }),
-		ConfigAge:      func() time.Duration { return 0 },
-		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
-	}, forward.RandomSource(po.draw))
-}
-
-func (po *crashPool) draw() float64 {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	return po.rnd.Float64()
-}
-
-func (po *crashPool) startUpstream() {
-	po.mu.Lock()
-	po.starts++
-	ho := core.Host{ID: core.UpstreamID(fmt.Sprint("up-", po.starts)), Service: "pool", Version: "v1", Slots: 8, StartedAt: int64(po.starts)}
-	po.running[ho.ID] = &process{make(chan struct{})}
-	po.mu.Unlock()
-	for _, fl := range po.fleets {
-		fl.Put(ho)
-	}
-}
-
-// crash ends an upstream that is up, and starts its next incarnation later.
-func (po *crashPool) crash(id core.UpstreamID) bool {
-	po.mu.Lock()
-	pr := po.running[id]
-	delete(po.running, id)
-	po.mu.Unlock()
-	if pr == nil {
-		return false
-	}
-	close(pr.crashed)
-	time.AfterFunc(delistDelay, func() {
-		for _, fl := range po.fleets {
-			fl.Remove(id, time.Now(), false)
-		}
-	})
-	time.AfterFunc(restartDelay, po.startUpstream)
-	return true
-}
-
-// Call implements core.UpstreamClient.
-func (cc crashClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
-	po, bad := cc.po, string(ca.Body) == poison
-	pr, cut := po.arrive(ca.To.ID, bad && time.Since(cc.started) > noticeTime)
-	if pr == nil {
-		return nil, core.Refuse(core.CodeCrashed, 0, "connection refused")
-	}
-	if bad {
-		time.AfterFunc(crashDelay, func() {
-			if po.crash(ca.To.ID) {
-				po.mu.Lock()
-				defer po.mu.Unlock()
-				po.crashes = append(po.crashes, time.Now())
-			}
-		})
-	}
-	var done <-chan time.Time
-	if !bad {
-		done = time.After(runTime)
-	}
-	select {
-	case <-ctx.Done():
-		return nil, core.OutcomeUnknown("%v", ctx.Err())
-	case <-pr.crashed:
-		return nil, core.OutcomeUnknown("unexpected EOF")
-	case <-done:
-	}
-	if cut {
-		return nil, core.OutcomeUnknown("connection reset by peer")
-	}
-	if strings.HasPrefix(ca.Path, "/draft/") {
-		return reply(http.StatusOK, "id: 1\n\nid: 2\n\n"), nil
-	}
-	return reply(http.StatusOK, "ok"), nil
-}
-
-// arrive returns the process that runs a request, nil if it is down, and whether its connection will be
-// cut. It records the request if it counts.
-func (po *crashPool) arrive(id core.UpstreamID, counts bool) (*process, bool) {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	pr := po.running[id]
-	if counts && pr != nil {
-		po.poisoned = append(po.poisoned, time.Now())
-	}
-	return pr, po.rnd.Float64() < po.cutShare
-}
-
-// send sends a request to a random entry.
-func (po *crashPool) send(ctx context.Context, path, body string, n int) {
-	po.mu.Lock()
-	fw := po.entries[po.rnd.IntN(len(po.entries))]
-	po.mu.Unlock()
-	ex := &core.Exchange{
-		ID: core.RequestID(fmt.Sprint(body, n)), Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: "key",
-		Header: http.Header{}, Body: []byte(body), Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
-	}
-	ans, err := fw.Forward(ctx, ex)
-	for err == nil {
-		_, err = ans.Next()
-	}
-	if ans != nil {
-		ans.Close()
-	}
-	var fl *core.Failure
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	switch {
-	case errors.As(err, &fl) && fl.Code == core.CodeQuarantined:
-		po.refused[body]++
-	case errors.Is(err, io.EOF):
-		po.answered[body]++
-	}
-}
-
-// gossip passes on what the entries have observed: facts and crashes to all of them, of which some get
-// lost, and the requests in quarantine to one.
-func (po *crashPool) gossip() {
-	po.mu.Lock()
-	entries := slices.Clone(po.entries)
-	po.mu.Unlock()
-	for _, from := range entries {
-		facts, notices := from.TakeFacts(), from.TakeSuspects()
-		quarantined := suspect.Notices{Quarantined: notices.Quarantined}
-		notices.Quarantined = nil
-		entries[int(po.draw()*float64(len(entries)))].ReceiveSuspects(quarantined)
-		for _, to := range entries {
-			if to == from || len(facts)+len(notices.Crashes)+len(notices.Cleared) == 0 || po.draw() < lostShare {
-				continue
-			}
-			to.ReceiveFacts(facts)
-			to.ReceiveSuspects(notices)
-		}
-	}
-}
-
-// restartEntries restarts entries one after the other: each new process knows nothing.
-func (po *crashPool) restartEntries(until time.Time, interval time.Duration) {
-	for i := 0; interval > 0 && time.Now().Before(until); i = (i + 1) % len(po.entries) {
-		time.Sleep(interval)
-		fw := po.newEntry(i)
-		po.mu.Lock()
-		po.entries[i] = fw
-		po.mu.Unlock()
-	}
-}
-
-// load is a series of requests.
-type load struct {
-	path string
-	body func(n int) string
-	// interval is the time between two requests.
-	interval time.Duration
-	// after is when the first request is sent.
-	after time.Duration
-}
-
-func always(body string) func(int) string { return func(int) string { return body } }
-
-func unique(n int) string { return fmt.Sprint("unique ", n) }
-
-// run sends the loads for a time.
-func (po *crashPool) run(ctx context.Context, duration time.Duration, loads ...load) {
-	var wg sync.WaitGroup
-	until := time.Now().Add(duration)
-	for _, lo := range loads {
-		wg.Go(func() {
-			time.Sleep(lo.after)
-			for n := 0; time.Now().Before(until); n++ {
-				wg.Go(func() { po.send(ctx, lo.path, lo.body(n), n) })
-				time.Sleep(lo.interval)
-			}
-		})
-	}
-	wg.Go(func() {
-		for time.Now().Before(until) {
-			time.Sleep(gossipInterval)
-			po.gossip()
-		}
-	})
-	wg.Go(func() { po.restartEntries(until, po.restartInterval) })
-	wg.Wait()
-	time.Sleep(2 * restartDelay) // Upstreams that are down start again, and timers end.
-}
-
-// innocent are the loads of requests that crash nothing: different ones, and one that many send.
-var innocent = []load{
-	{"/lookup/x", unique, 50 * time.Millisecond, 0},
-	{"/draft/x", unique, 100 * time.Millisecond, 0},
-	{"/lookup/x", always("popular"), 40 * time.Millisecond, 0},
-}
-
-// The limit on a poisonous request: the number of times that it reaches upstreams later than
-// noticeTime after its third crash and after the start of its entry.
-const (
-	maxLateArrivals = 3
-	noticeTime      = 4 * time.Second
-)
-
-// lateArrivals counts the poisonous requests that reached upstreams too late.
-func (po *crashPool) lateArrivals() int {
-	late := 0
-	for _, at := range po.poisoned {
-		if len(po.crashes) >= 3 && at.Sub(po.crashes[2]) > noticeTime {
-			late++
-		}
-	}
-	return late
-}
-
-// refusedInnocents lists the innocent requests that were refused as poisonous.
-func (po *crashPool) refusedInnocents() []string {
-	var out []string
-	for body := range po.refused {
-		if body != poison {
-			out = append(out, body)
-		}
-	}
-	return out
-}
-
 // Guards against a request that crashes each upstream that runs it being sent on and on, whichever
 // entries its caller reaches, and against refusing the requests that were in flight beside it.
 func TestPoisonousRequestIsQuarantined(t *testing.T) {
@@ -383,20 +67,6 @@
 	}
 }
 
-// crashAtIntervals ends a number of random upstreams at once, again and again, whatever they run.
-func (po *crashPool) crashAtIntervals(until time.Time, interval time.Duration, count int) {
-	for interval > 0 && time.Now().Before(until) {
-		time.Sleep(interval)
-		po.mu.Lock()
-		ids := slices.Sorted(maps.Keys(po.running))
-		po.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-		po.mu.Unlock()
-		for _, id := range ids[:min(count, len(ids))] {
-			po.crash(id)
-		}
-	}
-}
-
 // Guards against refusing innocent requests when upstreams end, or connections break, by other causes.
 func TestInnocentRequestsAreNotQuarantined(t *testing.T) {
 	// copies sends each request several times within a second, as impatient callers do.
@@ -427,3 +97,24 @@
 		})
 	}
 }
+
+// Guards against suspecting the requests that a leaving upstream cuts when it ends.
+func TestEndOfALeavingUpstreamIsNoCrash(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		t.Run(fmt.Sprint("leaving ", leaving), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				var fx *fixture
+				fx = newFixture(t, func(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+					ho := ca.To
+					ho.Leaving = leaving
+					fx.fl.Put(ho)
+					time.AfterFunc(100*time.Millisecond, func() { fx.fl.Remove(ho.ID, time.Now(), false) })
+					return losesConnection(ctx, ca)
+				})
+				_, _, _ = fx.send(t.Context(), "/claim/x")
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, len(fx.fw.TakeSuspects().Crashes) == 0, leaving)
+			})
+		})
+	}
+}
--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -19,11 +19,11 @@
 )
 
 // The times after the end of an attempt at which an entry checks whether the upstream has ended: for a
-// connection that broke until heartbeats are missing from the host list, and for an attempt that this
-// entry ended itself, once.
+// connection that broke until the host list has dropped it, after three heartbeats of up to three
+// seconds; for an attempt that this entry ended itself, once.
 var (
 	brokenChecks = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond,
-		1200 * time.Millisecond, refusedTime, 3 * time.Second, 4 * time.Second, 5 * time.Second}
+		1200 * time.Millisecond, refusedTime, 3 * time.Second, 4 * time.Second, 5 * time.Second, 7 * time.Second, 9500 * time.Millisecond}
 	discardedChecks = []time.Duration{time.Second}
 )
 
@@ -45,45 +45,56 @@
 		at.jb.fw.components.Suspects.RecordCompleted(at.jb.fingerprint, now)
 	case at.chunks > 0 && now.Sub(at.began) > progressTime:
 	case ve == lost && at.ctx.Err() == nil:
-		at.watchCrash(now, brokenChecks)
+		at.newCrashWatch(now).schedule(brokenChecks)
 	case ve == unsure:
-		at.watchCrash(now, discardedChecks) // It may have crashed the upstream after its header.
+		at.newCrashWatch(now).schedule(discardedChecks) // It may have crashed the upstream after its header.
 	}
 }
 
-// watchCrash records a crash if the attempt's upstream turns out, at one of the checks, to have ended when
-// the attempt did. A connection may also break while its upstream stays up.
-func (at *attempt) watchCrash(ended time.Time, checks []time.Duration) {
-	if len(checks) == 0 {
-		return
+// crashWatch finds out whether an upstream ended when an attempt there did: a connection may also break
+// while its upstream stays up. It holds nothing of the attempt, whose content may be large.
+type crashWatch struct {
+	fw          *Forwarder
+	to          core.Host
+	request     core.RequestID
+	fingerprint suspect.Fingerprint
+	sent, ended time.Time
+}
+
+func (at *attempt) newCrashWatch(ended time.Time) crashWatch {
+	return crashWatch{at.jb.fw, at.to, at.jb.ex.ID, at.jb.fingerprint, at.sent, ended}
+}
+
+// schedule records the crash at the first of the checks that finds the upstream ended.
+func (cw crashWatch) schedule(checks []time.Duration) {
+	if len(checks) == 0 || cw.fw.components.Fleet.IsLeaving(&cw.to) {
+		return // The end of a leaving upstream is planned.
 	}
-	time.AfterFunc(time.Until(ended.Add(checks[0])), func() {
-		if now := time.Now(); at.upstreamEnded(now, ended) {
-			at.recordCrash(now, ended)
+	time.AfterFunc(time.Until(cw.ended.Add(checks[0])), func() {
+		if now := time.Now(); cw.upstreamEnded(now) {
+			cw.record(now)
 			return
 		}
-		at.watchCrash(ended, checks[1:])
+		cw.schedule(checks[1:])
 	})
 }
 
-func (at *attempt) upstreamEnded(now, ended time.Time) bool {
-	fw := at.jb.fw
-	if !fw.components.Fleet.Contains(&at.to) {
+func (cw crashWatch) upstreamEnded(now time.Time) bool {
+	if !cw.fw.components.Fleet.Contains(&cw.to) {
 		return true
 	}
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	return now.Sub(ended) <= refusedTime && fw.picker.EndedSince(&at.to, at.sent)
+	cw.fw.mu.Lock()
+	defer cw.fw.mu.Unlock()
+	return now.Sub(cw.ended) <= refusedTime && cw.fw.picker.EndedSince(&cw.to, cw.sent)
 }
 
-func (at *attempt) recordCrash(now, ended time.Time) {
-	jb := at.jb
+func (cw crashWatch) record(now time.Time) {
 	cr := suspect.Crash{
-		Fingerprint: jb.fingerprint, Upstream: balance.NewIncarnation(&at.to), Request: suspect.RequestHash(jb.ex.ID),
-		Sent: at.sent, Ended: ended,
+		Fingerprint: cw.fingerprint, Upstream: balance.NewIncarnation(&cw.to), Request: suspect.RequestHash(cw.request),
+		Sent: cw.sent, Ended: cw.ended,
 	}
-	if jb.fw.components.Suspects.RecordCrash(cr, now) {
-		event.Log(jb.fw.deps.Log, event.RequestSuspected, "request", jb.ex.ID, "upstream", at.to.ID, "fingerprint", jb.fingerprint.String())
+	if cw.fw.components.Suspects.RecordCrash(cr, now) {
+		event.Log(cw.fw.deps.Log, event.RequestSuspected, "request", cw.request, "upstream", cw.to.ID, "fingerprint", cw.fingerprint.String())
 	}
 }
 
