--- a/io/sibling/suspects.go
+++ b/io/sibling/suspects.go
@@ -35,8 +35,8 @@
 )
 
 // sendSuspects announces to the entries of all regions which requests were in flight at crashes, and
-// which of them are innocent. The requests in quarantine go to one random entry, at the same cost for any
-// number of entries, in case that one has missed the crashes.
+// which of them are innocent. The requests in quarantine go to one random entry, which may have missed the
+// crashes; so their cost does not grow with the number of entries.
 func (gs *Gossiper) sendSuspects(pc net.PacketConn) {
 	no, now := gs.ld.TakeSuspects(), time.Now()
 	gs.storeQuarantined(now, no.Quarantined)
