Keep the bound on exposure by counted requests, not by the time of the last step

Callers saw: a roll-out whose last step met a burst gave a bad version 166 of 567 requests (115 allowed). The steps kept the bound by time: they left a part of the duration for the last step and the rest, for traffic as it was before; a burst of six in that part is six parts. Nothing was counted in the last step, and the completion came as soon as the old version was idle, at 94 in 100 of the duration, after which nothing keeps requests from the version.

Each entry now counts in every step and keeps the bound for its own requests and its part of the slack, which the settings did not hold so far (exposure-slack). It leaves room for what comes after the latest completion. Sessions that have moved stay, as they must, so a session that itself sends more is not bounded.

TestCrashOfUpstreamsIsNoEvidence sends four requests at once in the last step of a service without any earlier requests; its guard now has the slack of 30 requests that the sites have, else the first of them is held back. What it checks is unchanged.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -92,8 +92,11 @@
 	return mechanism.Parse(set.DisabledMechanisms)
 }
 
-func newGuard(set settings.Gateway, off mechanism.Disabled) *canary.Guard {
-	return canary.New(canary.SessionGap(time.Duration(set.SessionGap)), canary.Exposure(set.Exposure), canary.Without(off))
+func newGuard(set settings.Gateway, me *members, off mechanism.Disabled) *canary.Guard {
+	return canary.New(
+		canary.SessionGap(time.Duration(set.SessionGap)), canary.Exposure(set.Exposure), canary.ExposureSlack(set.ExposureSlack),
+		canary.Entries(func() int { return me.count() }), canary.Without(off),
+	)
 }
 
 func newCodec() front.Codec { return platform.CallerCodec{} }
--- a/app/settings/gateway.go
+++ b/app/settings/gateway.go
@@ -42,6 +42,9 @@
 	// Exposure is the share of a service's requests that a bad version may receive during its
 	// roll-out.
 	Exposure float64 `json:"exposure,omitempty"`
+	// ExposureSlack is the number of requests that a bad version may receive beyond that share, over
+	// all gateways.
+	ExposureSlack int `json:"exposure-slack,omitempty"`
 	// RetryBudget bounds the retries and escalations at a service, that is, the arrivals beyond the
 	// first of each request.
 	RetryBudget RetryBudget `json:"repeats"`
@@ -139,6 +142,9 @@
 	if set.Exposure <= 0 || set.Exposure > 1 {
 		fa.add("exposure", "%g is not a share of all requests; give more than 0 and at most 1", set.Exposure)
 	}
+	if set.ExposureSlack < 0 {
+		fa.add("exposure-slack", "%d must not be below 0", set.ExposureSlack)
+	}
 	fa.positive("repeats.window", set.RetryBudget.Window, "retries would have no bound")
 	if set.RetryBudget.Ratio < 0 || set.RetryBudget.Slack < 0 {
 		fa.add("repeats", "ratio %g and slack %g must not be below 0", set.RetryBudget.Ratio, set.RetryBudget.Slack)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -96,17 +96,17 @@
 	fleet := newFleet()
 	replicaReplica := replica.New()
 	layout := newLayout(set)
+	appMembers := newMembers()
 	disabled, err := newDisabled(set)
 	if err != nil {
 		cleanup()
 		return nil, nil, err
 	}
-	guard := newGuard(set, disabled)
+	guard := newGuard(set, appMembers, disabled)
 	tracker := newWarmup(set, deps)
 	client, cleanup2 := newUpstreamClient()
 	store := newPlatformStore(set, deps, client)
 	member := newMember(set, deps)
-	appMembers := newMembers()
 	readers := newReaders(set, member, appMembers)
 	siblings := newSiblings(set, client, readers, appMembers)
 	follower := newFollower(deps, replicaReplica, store, siblings, readers, disabled)
--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -152,6 +152,41 @@
 	}
 }
 
+// TestExposureHoldsWhenTrafficGrows guards against a schedule that keeps the bound on exposure only
+// for the traffic of before: a burst begins in the last part of the roll-out.
+func TestExposureHoldsWhenTrafficGrows(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		rate     float64
+		burst    float64
+		sessions bool
+	}{
+		{"a service with few requests", 4, 6, false},
+		{"a small service", 11, 6, false},
+		{"a large service", 40, 3, false},
+		{"sessions that must keep their version", 11, 3, true},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			for _, duration := range []time.Duration{12 * time.Second, 14 * time.Second, 28 * time.Second} {
+				for before := range 10 {
+					for seed := range uint64(4) {
+						si := simulation{
+							seed: seed, entries: 4, rate: sc.rate, exposure: 0.15, duration: duration, sessionless: !sc.sessions,
+							burst: sc.burst, burstAt: duration - time.Duration(before)*300*time.Millisecond,
+						}
+						re := si.run(t)
+						assert.Equal(t, re.state, canary.Completed, "%s, burst at %s: at %s", duration, si.burstAt, re.at)
+						assert.Assert(t, re.at < duration)
+						re.assertWithin(t, 0.15)
+						assert.Equal(t, re.switchesBack, 0)
+					}
+				}
+			}
+		})
+	}
+}
+
 // A good version must be in use for all requests before the order's duration ends, or its roll-out
 // counts as missed. No session may change versions in the first half or go back, since the answers
 // would not fit the earlier ones. This must also hold if an entry is restarted half-way and has
--- /dev/null
+++ b/core/canary/exposure.go
@@ -0,0 +1,84 @@
+package canary
+
+import (
+	"math"
+	"time"
+)
+
+// exposureLimit is the number of requests that a bad version of a service may receive during an order:
+// a share of all requests, and some more.
+type exposureLimit struct {
+	share float64
+	slack float64
+}
+
+// planned returns how many of a number of requests the new version may have received.
+func (el exposureLimit) planned(all, slack float64) float64 {
+	return plannedFraction * (el.share*all + slack)
+}
+
+// requestCount counts the requests for a service since the order.
+type requestCount struct {
+	all int
+	// sent counts those to the new version.
+	sent int
+}
+
+// requestRate estimates the requests a second, as a mean over about rateTime.
+type requestRate struct {
+	value float64
+	at    time.Time
+}
+
+// rateTime is the time over which requests are counted: a burst shows within a few tenths of a second.
+const rateTime = 500 * time.Millisecond
+
+func (rr *requestRate) add(now time.Time) {
+	rr.value, rr.at = rr.perSecond(now)+1/rateTime.Seconds(), now
+}
+
+func (rr *requestRate) perSecond(now time.Time) float64 {
+	if rr.at.IsZero() {
+		return 0
+	}
+	return rr.value * math.Exp(-max(now.Sub(rr.at), 0).Seconds()/rateTime.Seconds())
+}
+
+// mayExpose reports whether this entry may send another request to the new version. Each entry keeps the
+// limit for its own requests and its part of the slack, so that all together keep it without
+// communication, whatever their traffic does.
+func (gu *Guard) mayExpose(now time.Time, ro *rollout) bool {
+	sent, all := float64(ro.own.sent), float64(ro.own.all)
+	planned := gu.exposure.planned(all, gu.exposure.slack/float64(max(gu.entries(), 1)))
+	if ro.currentStep() == lastStep {
+		// The requests after the latest completion can't be kept from the new version.
+		rest := ro.duration() - gu.schedule.latest(ro.duration())
+		return sent+rest.Seconds()*ro.rate.perSecond(now) < planned
+	}
+	return sent < min(planned, capFactor*gu.plannedShare(now, ro)*all+capSlack)
+}
+
+// plannedShare returns the share of all requests since the order that the new version should have
+// received by now. Sessions differ in size, so that a step's share of them may be more of the requests.
+func (gu *Guard) plannedShare(now time.Time, ro *rollout) float64 {
+	first, second := gu.schedule.shares[0], gu.schedule.shares[1]
+	elapsed, begin := now.Sub(ro.startedAt), gu.schedule.begin(1, ro.duration())
+	if ro.currentStep() == 0 || elapsed <= begin {
+		return first
+	}
+	inFirst := float64(begin) / float64(elapsed)
+	return first*inFirst + second*(1-inFirst)
+}
+
+// burstFactor is the growth of the rate after the completion that a roll-out is prepared for.
+const burstFactor = 4
+
+// mayComplete reports whether the new version would stay within the limit if it received all requests
+// from now until the order's end, at several times the current rate. After the completion, nothing keeps
+// requests from it any more.
+func (gu *Guard) mayComplete(now time.Time, ro *rollout) bool {
+	all, sent := float64(ro.own.all+ro.siblings.all), float64(ro.own.sent+ro.siblings.sent)
+	rest := max(ro.startedAt.Add(ro.duration()).Sub(now), 0).Seconds()
+	expected := rest * burstFactor * ro.rate.perSecond(now) * all / float64(max(ro.own.all, 1))
+	return sent+expected <= gu.exposure.planned(all+expected, gu.exposure.slack)
+}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -10,16 +10,17 @@
 
 // Guard controls the roll-outs of all services. It is safe for concurrent use.
 type Guard struct {
-	off   mechanism.Disabled
-	gap   time.Duration
-	steps [lastStep + 1]step
+	off      mechanism.Disabled
+	gap      time.Duration
+	exposure exposureLimit
+	schedule schedule
+	// entries counts the entries that share the slack of the exposure limit.
+	entries func() int
 
 	mu        sync.Mutex
 	rollouts  map[core.ServiceID]*rollout
 	sessions  map[sessionKey]pin
 	lastSweep time.Time
-	// inFlight counts this entry's attempts in flight by version.
-	inFlight map[versionKey]int
 	// stable is the old version of a service: the one in use beside a version under roll-out.
 	stable map[core.ServiceID]core.VersionID
 	// withdrawn are the versions that were rolled back and not ordered again since.
@@ -42,7 +43,18 @@
 
 // Exposure sets the fraction of a service's requests that a bad version may receive during a
 // roll-out.
-func Exposure(share float64) Option { return func(gu *Guard) { gu.steps = planSteps(share) } }
+func Exposure(share float64) Option {
+	return func(gu *Guard) { gu.exposure.share, gu.schedule = share, newSchedule(share) }
+}
+
+// ExposureSlack sets how many requests a bad version may receive beyond the share, from all entries
+// together.
+func ExposureSlack(requests int) Option {
+	return func(gu *Guard) { gu.exposure.slack = float64(requests) }
+}
+
+// Entries sets how many entries share the service's requests; without it, this entry is the only one.
+func Entries(count func() int) Option { return func(gu *Guard) { gu.entries = count } }
 
 const (
 	// defaultSessionGap (see [SessionGap]) and defaultExposure (see [Exposure]) are the requirements
@@ -55,7 +67,7 @@
 	capSlack  = 2
 	// settleTime is the time after an order in which no session is assigned to the new version:
 	// three rounds of collecting the siblings' reports. maxSettleFraction limits it as a fraction
-	// of the duration. The first step loses this time; planSteps compensates for it.
+	// of the duration. The first step loses this time; newSchedule compensates for it.
 	settleTime        = 3 * collectInterval
 	maxSettleFraction = 0.125
 )
@@ -63,9 +75,11 @@
 // New returns a guard without roll-outs.
 func New(opts ...Option) *Guard {
 	gu := &Guard{
-		gap: defaultSessionGap, steps: planSteps(defaultExposure), rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{}, inFlight: map[versionKey]int{},
+		gap: defaultSessionGap, entries: func() int { return 1 },
+		rollouts: map[core.ServiceID]*rollout{}, sessions: map[sessionKey]pin{},
 		stable: map[core.ServiceID]core.VersionID{}, withdrawn: map[versionKey]bool{},
 	}
+	Exposure(defaultExposure)(gu)
 	for _, opt := range opts {
 		opt(gu)
 	}
@@ -79,11 +93,12 @@
 	step      Step
 	startedAt time.Time
 	steppedAt time.Time
-	// all and sent count this entry's requests for the service, and those to the new version, since
-	// the order.
-	all, sent int
-	evidence  evidence
-	trial     trial
+	// own counts this entry's requests, and siblings those of the others, as of the last reports.
+	own, siblings requestCount
+	// rate is the rate of this entry's requests.
+	rate     requestRate
+	evidence evidence
+	trial    trial
 	// siblingTrials is the state of the siblings' trials, as of the last reports.
 	siblingTrials trialCount
 	// siblingSlows counts the slow answers at the siblings, as of the last reports.
@@ -121,7 +136,8 @@
 	}
 	delete(gu.withdrawn, versionKey{or.Service, or.Target})
 	ro.order, ro.startedAt, ro.steppedAt = or, now, now
-	ro.all, ro.sent, ro.badReason, ro.reported, ro.pooledSum = 0, 0, "", false, 0
+	ro.own, ro.siblings = requestCount{}, requestCount{}
+	ro.badReason, ro.reported, ro.pooledSum = "", false, 0
 	ro.evidence.reset()
 	ro.trial, ro.siblingTrials, ro.siblingSlows = trial{}, trialCount{}, Tally{}
 	clear(ro.remoteOldSessions)
@@ -165,8 +181,8 @@
 	return ro.state() == RolledBack || ro.badReason != "" && ro.state() != Completed
 }
 
-// lastStep is the step that moves everything.
-const lastStep = 2
+// duration is the duration of the current order.
+func (ro *rollout) duration() time.Duration { return max(ro.order.Duration, time.Second) }
 
 // currentStep returns the step of the current order.
 func (ro *rollout) currentStep() int {
@@ -199,7 +215,8 @@
 		return gu.stableHosts(sv, ca)
 	}
 	target := ro.order.Target
-	ro.all++
+	ro.own.all++
+	ro.rate.add(now)
 	ups := withVersion(ca.Eligible, target)
 	if ro.state() == Completed {
 		// The target stays the version in use even while its upstreams are absent.
@@ -232,22 +249,7 @@
 			return false
 		}
 	}
-	share := gu.steps[current].share
-	if draw >= share || !fresh {
-		return false
-	}
-	return current == lastStep || float64(ro.sent) < capFactor*gu.plannedShare(now, ro)*float64(ro.all)+capSlack
-}
-
-// plannedShare returns the share of all requests since the order that the new version should have
-// received by now. Sessions differ in size, so that a step's share of them may be more of the requests.
-func (gu *Guard) plannedShare(now time.Time, ro *rollout) float64 {
-	fraction := float64(now.Sub(ro.startedAt)) / float64(max(ro.order.Duration, time.Second))
-	first, second := gu.steps[0], gu.steps[1]
-	if ro.currentStep() == 0 || fraction <= second.from {
-		return first.share
-	}
-	return (first.share*second.from + second.share*(fraction-second.from)) / fraction
+	return draw < gu.schedule.shares[current] && fresh && gu.mayExpose(now, ro)
 }
 
 // Verdict is a version that an entry has found bad.
@@ -285,19 +287,8 @@
 		case ro.rejected():
 			out[sv] = 0
 		default:
-			out[sv] = gu.steps[ro.currentStep()].share
+			out[sv] = gu.schedule.shares[ro.currentStep()]
 		}
 	}
 	return out
 }
-
-// oldInFlight counts this entry's attempts in flight at versions that a roll-out replaces.
-func (gu *Guard) oldInFlight(ro *rollout) int {
-	sum := 0
-	for key, n := range gu.inFlight {
-		if key.service == ro.order.Service && key.version != ro.order.Target {
-			sum += n
-		}
-	}
-	return sum
-}
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -17,6 +17,9 @@
 	Order core.Revision `json:"order"`
 	// Elapsed is the time since the order was received, in milliseconds.
 	Elapsed int64 `json:"elapsed-ms"`
+	// Requests counts the entry's requests for the service, and Sent those to the new version.
+	Requests int `json:"requests"`
+	Sent     int `json:"sent"`
 	// Pools holds the evidence by route and model, and over all of them under [allPools].
 	Pools map[string]Tallies `json:"pools"`
 	// OldSessions are the sessions within the first step's share that continue on the old version
@@ -62,7 +65,8 @@
 		}
 		co := ro.trialCount(now)
 		out = append(out, Report{
-			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(), Pools: ro.evidence.tallies(),
+			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(),
+			Requests: ro.own.all, Sent: ro.own.sent, Pools: ro.evidence.tallies(),
 			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue,
 		})
 	}
@@ -100,7 +104,7 @@
 			continue
 		}
 		sums := ro.evidence.tallies()
-		ro.siblingTrials, ro.siblingSlows = trialCount{}, Tally{}
+		ro.siblings, ro.siblingTrials, ro.siblingSlows = requestCount{}, trialCount{}, Tally{}
 		maps.DeleteFunc(ro.remoteOldSessions, func(_ core.SessionID, at time.Time) bool { return now.Sub(at) > gu.gap })
 		for _, re := range reports {
 			if re.Service != sv || re.Order != ro.order.Revision {
@@ -112,6 +116,8 @@
 			for _, se := range re.OldSessions {
 				ro.remoteOldSessions[se] = now
 			}
+			ro.siblings.all += re.Requests
+			ro.siblings.sent += re.Sent
 			if gu.off.Has(mechanism.PooledEvidence) {
 				continue
 			}
--- a/core/canary/sessions.go
+++ b/core/canary/sessions.go
@@ -50,7 +50,7 @@
 	}
 	for key, pi := range gu.sessions {
 		if key.service == ro.order.Service && pi.version != ro.order.Target &&
-			SessionFraction(key.session) < gu.steps[0].share && pi.active(now, gu.gap) {
+			SessionFraction(key.session) < gu.schedule.shares[0] && pi.active(now, gu.gap) {
 			out = append(out, key.session)
 		}
 	}
@@ -77,9 +77,8 @@
 		pi.inFlight++
 		gu.sessions[key] = pi
 	}
-	gu.inFlight[versionKey{ho.Service, ho.Version}]++
 	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
-		ro.sent++
+		ro.own.sent++
 		if ro.currentStep() < lastStep {
 			ro.trial.addSent(now)
 		}
@@ -90,10 +89,6 @@
 func (gu *Guard) AttemptEnded(now time.Time, se core.SessionID, ho core.Host) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	key := versionKey{ho.Service, ho.Version}
-	if gu.inFlight[key]--; gu.inFlight[key] <= 0 {
-		delete(gu.inFlight, key)
-	}
 	if ro := gu.rollouts[ho.Service]; ro != nil && ro.order.Revision != 0 && ho.Version == ro.order.Target {
 		ro.trial.ended++
 	}
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -35,6 +35,11 @@
 	restart time.Duration
 	// answerChunks is the length of an answer in chunks; 0 means 20.
 	answerChunks int
+	// sessionless sends requests without a session.
+	sessionless bool
+	// burst multiplies the rate from burstAt after the order on; 0 means no burst.
+	burst   float64
+	burstAt time.Duration
 }
 
 // result is the result of a simulation.
@@ -54,6 +59,9 @@
 	v2      = core.VersionID("v2")
 )
 
+// exposureSlack is the number of requests that a bad version may receive beyond the share.
+const exposureSlack = 30
+
 type store struct {
 	rev    core.Revision
 	status canary.Status
@@ -87,7 +95,9 @@
 	ordered := start.Add(before)
 	order := canary.Order{Service: service, Target: v2, Duration: si.duration, Revision: 10}
 	st := store{rev: 10}
-	newGuard := func() *canary.Guard { return canary.New(canary.Exposure(si.exposure)) }
+	newGuard := func() *canary.Guard {
+		return canary.New(canary.Exposure(si.exposure), canary.ExposureSlack(exposureSlack), canary.Entries(func() int { return si.entries }))
+	}
 	gus := make([]*canary.Guard, si.entries)
 	for i := range gus {
 		gus[i] = newGuard()
@@ -141,7 +151,7 @@
 			si.write(now, gus, &st, &re, since)
 		}
 		arrivals := 0
-		for p := si.rate * tick.Seconds(); p > 0; p-- {
+		for p := si.rateAt(since) * tick.Seconds(); p > 0; p-- {
 			if rnd.Float64() < p {
 				arrivals++
 			}
@@ -153,6 +163,9 @@
 			if si.roaming {
 				se = core.SessionID(fmt.Sprint("s", int(now.Sub(start).Seconds())/8, "-", rnd.IntN(int(6*si.rate))))
 			}
+			if si.sessionless {
+				se = ""
+			}
 			gu := gus[entry]
 			ups := gu.Choose(now, service, se, rnd.Float64(), canary.Unrestricted(all), true)
 			if len(ups) == 0 {
@@ -161,7 +174,7 @@
 			ho := ups[rnd.IntN(len(ups))]
 			gu.AttemptSent(now, se, ho)
 			old, seenBefore := sessions[se]
-			if seenBefore && now.Sub(old.at) < 5*time.Second && since > 0 {
+			if se != "" && seenBefore && now.Sub(old.at) < 5*time.Second && since > 0 {
 				if ho.Version == v2 && old.version == v1 && since < si.duration/2 {
 					re.earlySwitches++
 				}
@@ -216,6 +229,14 @@
 	return re
 }
 
+// rateAt returns the requests a second at a time since the order.
+func (si simulation) rateAt(since time.Duration) float64 {
+	if si.burst > 0 && since >= si.burstAt {
+		return si.rate * si.burst
+	}
+	return si.rate
+}
+
 // write applies the writes that the guards find due, as the store would.
 func (si simulation) write(now time.Time, gus []*canary.Guard, st *store, re *result, since time.Duration) {
 	for rank, gu := range gus {
@@ -246,7 +267,6 @@
 // assertWithin checks the bound on exposure that operators set.
 func (re result) assertWithin(t *testing.T, exposure float64) {
 	t.Helper()
-	const slack = 30
-	allowed := exposure*float64(re.all) + slack
-	assert.Assert(t, float64(re.sent) <= allowed, "%d of %d requests reached the new version, allowed are %.0f", re.sent, re.all, allowed)
+	allowed := exposure*float64(re.all) + exposureSlack
+	assert.Check(t, float64(re.sent) <= allowed, "%d of %d requests reached the new version, allowed are %.0f", re.sent, re.all, allowed)
 }
--- a/core/canary/writes.go
+++ b/core/canary/writes.go
@@ -7,6 +7,16 @@
 	"skylarkstand/core"
 )
 
+const (
+	// rankDelay is how long an entry waits, per entry ranked before it, before it makes the next
+	// write itself. The host list may contain entries that are gone, so the wait is limited to
+	// maxRank entries.
+	rankDelay = 250 * time.Millisecond
+	maxRank   = 4
+	// finalRankDelay replaces rankDelay at the end of an order, where a late write misses it.
+	finalRankDelay = 100 * time.Millisecond
+)
+
 // DueWrites returns the writes that this entry should make now. Rank is the entry's position among
 // the entries for a service: the first writes at once and each further one a little later, so that
 // usually only one write is made and the loss of any entry merely delays it. A verdict is written
@@ -19,18 +29,21 @@
 		if ro.order.Revision == 0 || ro.final() {
 			continue
 		}
-		if wr, ok := gu.dueWrite(now, ro, time.Duration(min(rank(sv), maxRank))*rankDelay); ok {
+		if wr, ok := gu.dueWrite(now, ro, min(rank(sv), maxRank)); ok {
 			out = append(out, wr)
 		}
 	}
 	return out
 }
 
-func (gu *Guard) dueWrite(now time.Time, ro *rollout, wait time.Duration) (Write, bool) {
-	elapsed := now.Sub(ro.startedAt) - wait
-	fraction := float64(elapsed) / float64(max(ro.order.Duration, time.Second))
-	inStep := float64(now.Sub(ro.steppedAt)-wait) / float64(max(ro.order.Duration, time.Second))
-	current := ro.currentStep()
+func (gu *Guard) dueWrite(now time.Time, ro *rollout, rank int) (Write, bool) {
+	wait := time.Duration(rank) * rankDelay
+	if ro.currentStep() == lastStep {
+		wait = time.Duration(rank) * finalRankDelay
+	}
+	elapsed, inStep := now.Sub(ro.startedAt)-wait, now.Sub(ro.steppedAt)-wait
+	duration, current := ro.duration(), ro.currentStep()
+	late := elapsed >= gu.schedule.latest(duration)
 	switch {
 	case ro.badReason != "":
 		return ro.statusWrite(RolledBack, ro.badReason), true
@@ -38,13 +51,14 @@
 		return Write{}, false
 	case ro.state() == "":
 		return ro.statusWrite(InProgress, "ordered"), true
-	case ro.onHold(now) && fraction >= giveUpAt:
+	case ro.onHold(now) && late:
 		return ro.statusWrite(RolledBack, "the evidence is still inconclusive at the end of the duration: "+ro.summary()), true
 	case ro.onHold(now):
 		return Write{}, false
-	case current < lastStep && fraction >= gu.steps[current+1].from && inStep >= gu.minStepTime(current):
+	case current < lastStep && elapsed >= gu.schedule.begin(current+1, duration) && inStep >= gu.minStepTime(current, duration):
 		return ro.stepWrite(current), true
-	case current == lastStep && inStep >= completeAfter && (fraction >= completeBy || gu.oldInFlight(ro) == 0):
+	case current == lastStep && elapsed >= gu.schedule.complete(duration) && inStep >= gu.minStepTime(current, duration) &&
+		(late || gu.mayComplete(now, ro)):
 		return ro.statusWrite(Completed, ro.summary()), true
 	}
 	return Write{}, false
@@ -56,10 +70,6 @@
 // there is enough evidence for a verdict.
 const holdThreshold = 3.0
 
-// giveUpAt is the fraction of the duration after which a version that is on hold is rolled back: it
-// can no longer complete in time.
-const giveUpAt = 0.965
-
 // onHold reports whether the roll-out takes no further step: there is some evidence against the
 // version, or too few of its attempts have yielded any.
 func (ro *rollout) onHold(now time.Time) bool {
@@ -81,14 +91,18 @@
 	return 2*own.Bad > own.Seen
 }
 
-// minStepTime is the minimum time that a step lasts, as a fraction of the duration. A restarted
-// entry counts it from its restart; other entries take the next step before it does.
-func (gu *Guard) minStepTime(current int) float64 {
-	if current == 0 {
+// minStepTime is the minimum time that a step lasts. A restarted entry counts it from its restart; other
+// entries take the next step before it does.
+func (gu *Guard) minStepTime(step int, duration time.Duration) time.Duration {
+	const slack = 0.9 // Tolerates clocks that differ slightly.
+	switch step {
+	case 0:
 		return 0
+	case lastStep:
+		return fractionOf(gu.schedule.lastTime(duration), minInLastStep)
+	default:
+		return fractionOf(gu.schedule.begin(step+1, duration)-gu.schedule.begin(step, duration), slack)
 	}
-	const slack = 0.9 // Tolerates clocks that differ slightly.
-	return slack * (gu.steps[current+1].from - gu.steps[current].from)
 }
 
 func (ro *rollout) stepWrite(current int) Write {
@@ -96,11 +110,11 @@
 	return Write{Step: &st, Reason: ro.summary()}
 }
 
-// summary describes the evidence so far.
+// summary describes the evidence of this entry, and how many requests all entries have sent.
 func (ro *rollout) summary() string {
 	ev := ro.evidence.all
-	return fmt.Sprintf("%d of %d answers failed and %d of %d were slow, %d requests were sent to it",
-		ev.fails.bad, ev.fails.seen, ev.slows.bad, ev.slows.seen, ro.sent)
+	return fmt.Sprintf("%d of %d answers failed and %d of %d were slow; %d of %d requests were sent to it, %d of %d at the other entries",
+		ev.fails.bad, ev.fails.seen, ev.slows.bad, ev.slows.seen, ro.own.sent, ro.own.all, ro.siblings.sent, ro.siblings.all)
 }
 
 func (ro *rollout) statusWrite(st State, why string) Write {
--- a/core/forward/fixture_test.go
+++ b/core/forward/fixture_test.go
@@ -76,7 +76,7 @@
 // newUnconfiguredFixture returns a fixture whose entry has no configuration yet.
 func newUnconfiguredFixture(t *testing.T, behaviors ...behavior) *fixture {
 	t.Helper()
-	fx := &fixture{t: t, behaviors: behaviors, inf: route.NewInForce(), fl: fleet.New(), gu: canary.New(), key: "key"}
+	fx := &fixture{t: t, behaviors: behaviors, inf: route.NewInForce(), fl: fleet.New(), gu: canary.New(canary.ExposureSlack(30)), key: "key"}
 	doc := route.Document{
 		Version:  3,
 		Services: []route.Service{{ID: "pool"}},
