Keep a version that came with a roll-out below the load at which it fails

Callers saw: an order service whose new version fails seven of ten answers at three requests at a time.

Cause: nothing was checked after the completion, and the load of an upstream was no input to any check. Ruled out: a trial on too few requests alone.

core/loadlimit counts the answers and failures of such a version by the load that the upstream reports with them, adds up the counts of all entries, and finds the load above which answers fail more often than below. While the version is watched, calls to a plain service spread over its upstreams by the calls that are really there; once a limit is found, each entry keeps to its share, leaves upstreams of another region to the entries there, and lets a request wait for up to a quarter of its target latency. A limit is a preference: nothing is refused for it. The log has the counts (canary-load-limited) and the load of attempts whose answer was not used.

--- a/core/balance/announcement.go
+++ b/core/balance/announcement.go
@@ -58,6 +58,10 @@
 type siblingLoad struct {
 	at        time.Time
 	upstreams map[uint64]UpstreamLoad
+	// recent are the calls that it announced lately, the oldest first.
+	recent []recentCall
+	// longCalls counts the calls at each upstream that took longer than usual at the last announcement.
+	longCalls map[uint64]int
 }
 
 // TakeLoad returns the work that this entry has at upstreams now, and the prompt parts that it has
@@ -123,8 +127,9 @@
 	sl, known := pk.siblings[from]
 	if !known {
 		sl = siblingLoad{at: now, upstreams: map[uint64]UpstreamLoad{}}
-		pk.siblings[from] = sl
 	}
+	sl.remember(now, sent)
+	pk.siblings[from] = sl
 	for _, ul := range sent {
 		old := sl.upstreams[ul.Upstream]
 		pending := old.Pending + ul.Pending
@@ -145,7 +150,7 @@
 		lo.CachedParts = nil
 	}
 	pk.totals.until = time.Time{}
-	sl := siblingLoad{at: now, upstreams: make(map[uint64]UpstreamLoad, len(lo.Upstreams))}
+	sl := siblingLoad{at: now, upstreams: make(map[uint64]UpstreamLoad, len(lo.Upstreams)), recent: pk.siblings[from].recent}
 	for _, pa := range lo.CachedParts {
 		if us := pk.byHash[pa.Upstream]; us != nil {
 			us.recordPart(now, pa.Part)
@@ -154,6 +159,7 @@
 	for _, ul := range lo.Upstreams {
 		sl.upstreams[ul.Upstream] = ul
 	}
+	sl.findLongCalls(now)
 	if !pk.off.Has(mechanism.SiblingLoads) {
 		pk.siblings[from] = sl
 	}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/loadlimit"
 	"skylarkstand/core/mechanism"
 )
 
@@ -30,6 +31,8 @@
 	// AtMostOnce is set for work that may run at most once: it can't be retried, so that a failing
 	// upstream costs the complete response.
 	AtMostOnce bool
+	// LoadLimit is the load at which the upstreams of the version begin to fail.
+	LoadLimit loadlimit.Share
 }
 
 // Picker selects upstreams. It isn't safe for concurrent use.
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -49,13 +49,15 @@
 	// minFailureRate is the least failure rate of the candidates: a failure that affects all of
 	// them counts against none.
 	minFailureRate float64
+	// hasLocal is set if a candidate is in the local region.
+	hasLocal bool
 	// prefill is the time for a thousand tokens, repeatedPrefill the cost of repeating the prefill
 	// of all shared parts.
 	prefill, repeatedPrefill time.Duration
 }
 
 func (pk *Picker) newDecision(now time.Time, hosts []core.Host, rq Request) decision {
-	de := decision{latency: pk.latency(rq)}
+	de := decision{latency: pk.latency(rq), hasLocal: pk.anyLocal(hosts)}
 	if rq.Engine {
 		de.preferred = pk.preferredUpstream(now, hosts, rq)
 		de.prefill = pk.prefill.perThousand(rq.Model)
@@ -75,7 +77,7 @@
 // expressed as time.
 func (pk *Picker) cost(now time.Time, ho *core.Host, rq Request, de decision) time.Duration {
 	us := pk.stateOf(ho)
-	cost := pk.distanceCost(ho) + us.unavailableCost(now)
+	cost := pk.distanceCost(ho) + us.unavailableCost(now) + pk.limitCost(now, ho, us, rq, de)
 	if !pk.off.Has(mechanism.Avoidance) {
 		cost += us.failurePenalty(now, de, rq)
 	}
--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/loadlimit"
 	"skylarkstand/core/mechanism"
 )
 
@@ -108,6 +109,10 @@
 	remoteOldSessions map[core.SessionID]time.Time
 	// pooledSum is the evidence of all entries together, as of the last reports.
 	pooledSum float64
+	// load estimates the load at which the upstreams of the version fail; loadChanged is set until
+	// NewLoadLimits has returned a change.
+	load        loadlimit.Estimator
+	loadChanged bool
 	// badReason is why this entry considers the version bad; empty if it does not. reported is set
 	// once NewVerdicts has returned it.
 	badReason string
@@ -137,6 +142,7 @@
 	delete(gu.withdrawn, versionKey{or.Service, or.Target})
 	ro.order, ro.startedAt, ro.steppedAt = or, now, now
 	ro.own, ro.siblings = requestCount{}, requestCount{}
+	ro.load, ro.loadChanged = loadlimit.Estimator{}, false
 	ro.badReason, ro.reported, ro.pooledSum = "", false, 0
 	ro.evidence.reset()
 	ro.trial, ro.siblingTrials, ro.siblingSlows = trial{}, trialCount{}, Tally{}
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/core/loadlimit"
 	"skylarkstand/core/mechanism"
 )
 
@@ -29,6 +30,8 @@
 	// had one by now.
 	Answered int `json:"answered,omitempty"`
 	Overdue  int `json:"overdue,omitempty"`
+	// Loads counts the answers of the new version by the load of their upstreams.
+	Loads *loadlimit.Counts `json:"loads,omitempty"`
 }
 
 // allPools is the key of the evidence over all pools.
@@ -54,20 +57,26 @@
 	Reports(ctx context.Context) []Report
 }
 
-// Reports returns this entry's reports on the roll-outs in progress.
+// Reports returns this entry's reports on the roll-outs in progress, and on the versions that completed
+// ones have brought.
 func (gu *Guard) Reports(now time.Time) []Report {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	var out []Report
 	for sv, ro := range gu.rollouts {
-		if ro.order.Revision == 0 || ro.final() {
+		if ro.order.Revision == 0 || ro.state() == RolledBack {
+			continue
+		}
+		loads := ro.load.Counts(now)
+		if ro.final() {
+			out = append(out, Report{Service: sv, Order: ro.order.Revision, Loads: &loads})
 			continue
 		}
 		co := ro.trialCount(now)
 		out = append(out, Report{
 			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(),
 			Requests: ro.own.all, Sent: ro.own.sent, Pools: ro.evidence.tallies(),
-			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue,
+			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue, Loads: &loads,
 		})
 	}
 	return out
@@ -100,7 +109,11 @@
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 	for sv, ro := range gu.rollouts {
-		if ro.order.Revision == 0 || ro.final() {
+		if ro.order.Revision == 0 || ro.state() == RolledBack {
+			continue
+		}
+		ro.mergeLoads(now, reports)
+		if ro.final() {
 			continue
 		}
 		sums := ro.evidence.tallies()
@@ -185,7 +198,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ti.C:
-			if len(co.gu.Reports(time.Now())) > 0 {
+			if co.gu.NeedsReports(time.Now()) {
 				co.collect(ctx)
 			}
 		}
--- a/core/canary/recorder.go
+++ b/core/canary/recorder.go
@@ -58,6 +58,9 @@
 			for _, ve := range re.gu.NewVerdicts() {
 				event.Log(re.deps.Log, event.CanaryHeld, "service", ve.Service, "version", ve.Version, "why", ve.Reason)
 			}
+			for _, ch := range re.gu.NewLoadLimits() {
+				event.Log(re.deps.Log, event.CanaryLoadLimited, "service", ch.Service, "version", ch.Version, "level", int(ch.Limit), "why", ch.Evidence)
+			}
 			for _, wr := range re.gu.DueWrites(now, re.rank) {
 				re.record(ctx, wr)
 			}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -95,6 +95,9 @@
 		"Find out what keeps the upstream from its usual capacity."}
 	UpstreamDraining = &Event{361, "upstream-draining", slog.LevelInfo,
 		"An upstream reported in a response that it is draining; it gets no new work until it has restarted. `by` is `answer` if this entry received the response and `sibling` if another one did.", "Nothing."}
+	CanaryLoadLimited = &Event{362, "canary-load-limited", slog.LevelWarn,
+		"The upstreams of a version that a roll-out brought fail more often under load. Each of them gets no more requests at a time than up to the load `level`, in eighths of its slots or in slots if it has fewer, while any other accepts them; `why` lists the failures by level.",
+		"Roll out a version that bears the load, or the one of before."}
 	ZoneEvacuated = &Event{355, "zone-evacuated", slog.LevelWarn,
 		"An availability zone gets no new work from now on; requests that run there are completed.", "Nothing."}
 	ZoneRestored = &Event{356, "zone-restored", slog.LevelInfo,
@@ -155,7 +158,7 @@
 		"An exchange was refused before an upstream was chosen: no route, no key, no configuration, or too large.",
 		"Compare `configuration` with the newest one if the request should have been accepted."}
 	AttemptEnded = &Event{513, "attempt-ended", slog.LevelInfo,
-		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason, and `fingerprint` is the same for all requests of a workspace with the same content.",
+		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason, `load` is the load that the upstream reported with it (running, queued, slots), and `fingerprint` is the same for all requests of a workspace with the same content.",
 		"Check the upstream if it repeats there."}
 	AttemptBegun = &Event{515, "attempt-begun", slog.LevelInfo,
 		"An upstream was selected out of `candidates` and is called. `own` is the number of this entry's calls there, `others` that of other entries by their reports, which are `load-age` old (-1: no report). `kept` is the number of the prompt's tokens that are assumed to be in its prefix cache; `waits` is the prefill time of all prompts there by the reports, `read` that of this entry's prompts. `rank` is the position in its queue (0 is first), `patience` the time after which another upstream is tried, `left` the time that the caller still waits, `repeats-left` the retry budget, and `after` the last event that the caller received.",
@@ -180,7 +183,7 @@
 		LinkUp, LinkDown, UpstreamLeaving, UpstreamDown, HostsAway, ForeignFrame, PeerUp, PeerDown, UpstreamCrashed, OrderPassed, OrderRefused,
 		ConfigAdopted, ConfigBroken, ConfigStale,
 		RollOutHalted, HaltRecorded, HaltPending, CanaryOrdered, CanaryStatus, CanaryStep, CanaryWritten,
-		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown, UpstreamDraining,
+		EntryMalformed, UpstreamListed, UpstreamGone, UpstreamAvoided, UpstreamTrusted, MemoryRecalled, MemoryUnknown, CanaryHeld, CanaryLoadLimited, ZoneEvacuated, ZoneRestored, UpstreamCold, UpstreamLimited, UpstreamUnlimited, UpstreamCooldown, UpstreamDraining,
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered, NoSeed,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -229,6 +229,7 @@
 		out = balance.Overdue
 	}
 	change, failureRate := fw.picker.RecordEnd(now, at.flight, out)
+	fw.signalAttemptEnded()
 	fw.mu.Unlock()
 	if ou := at.canaryOutcome(ve, neutral); ve == lost && !neutral {
 		at.reportLost(ou)
@@ -236,16 +237,28 @@
 		at.reportOutcome(ou)
 	}
 	at.observeSuspect(now, ve)
+	if at.reply != nil && at.reply.Load != nil && !ve.notRun() {
+		fw.components.Canary.ObserveLoad(now, at.to, *at.reply.Load, ve == failed)
+	}
 	fw.components.Canary.AttemptEnded(now, jb.ex.Session, at.to)
 	fw.meters.attempt(ve)
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks, "fingerprint", jb.fingerprint.String())
+			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "fingerprint", jb.fingerprint.String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
 
+// reportedLoad returns the load that the upstream reported in its response, for the log.
+func (at *attempt) reportedLoad() string {
+	if at.reply == nil || at.reply.Load == nil {
+		return ""
+	}
+	lo := at.reply.Load
+	return fmt.Sprintf("%d,%d,%d", lo.Running, lo.Queued, lo.Slots)
+}
+
 // notUpstreamFault reports whether an attempt was canceled for a reason that says nothing about
 // its upstream: the caller disconnected, or this process stops.
 func notUpstreamFault(cause error) bool {
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -65,6 +65,8 @@
 	newDraining []balance.Incarnation
 	// sentSignal wakes the goroutine that announces sent work to sibling entries.
 	sentSignal chan struct{}
+	// attemptEnded is closed and replaced at the end of each attempt.
+	attemptEnded chan struct{}
 }
 
 // Option changes a Forwarder at construction.
@@ -79,7 +81,7 @@
 	fw := &Forwarder{
 		deps: deps, client: client, components: co, draw: rand.Float64, started: time.Now(),
 		picker: balance.New(deps.Zone, deps.Region, balance.Without(co.Off)), retryWindows: map[core.ServiceID]*retry.Window{},
-		escalationPolicies: map[trafficClass]*escalation.Policy{}, admissionGates: map[trafficClass]*shed.Gate{}, sentSignal: make(chan struct{}, 1),
+		escalationPolicies: map[trafficClass]*escalation.Policy{}, admissionGates: map[trafficClass]*shed.Gate{}, sentSignal: make(chan struct{}, 1), attemptEnded: make(chan struct{}),
 		meters: newMeters(deps.Metrics),
 	}
 	for _, opt := range opts {
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -226,7 +226,13 @@
 	}
 	fw, rq := jb.fw, jb.request()
 	hosts := fw.components.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), jb.candidates(now), fw.components.ConfigAge() < staleConfigAge)
+	if len(hosts) > 0 {
+		rq.LoadLimit = fw.components.Canary.LoadLimit(jb.service, hosts[0].Version)
+	}
 	fw.mu.Lock()
+	jb.awaitLoadLimit(hosts, rq)
+	now = time.Now()
+	left, bounded = jb.timeLeft(now)
 	ho, pe, ok := jb.pickUpstream(now, fw.accepting(now, hosts), rq)
 	if !ok {
 		fw.mu.Unlock()
