Decide on the completion by the present rate at all entries

Reports carry the present rate, and are collected five times a second in the last step (for 1.3 s of most roll-outs). The latest completion moves from 0.35 to 0.3 of the last step's time before the order's end.

--- a/core/canary/exposure.go
+++ b/core/canary/exposure.go
@@ -22,6 +22,8 @@
 	all int
 	// sent counts those to the new version.
 	sent int
+	// perSecond is the present rate.
+	perSecond float64
 }
 
 // requestRate estimates the requests a second, as a mean over about rateTime.
@@ -79,6 +81,9 @@
 func (gu *Guard) mayComplete(now time.Time, ro *rollout) bool {
 	all, sent := float64(ro.own.all+ro.siblings.all), float64(ro.own.sent+ro.siblings.sent)
 	rest := max(ro.startedAt.Add(ro.duration()).Sub(now), 0).Seconds()
-	expected := rest * burstFactor * ro.rate.perSecond(now) * all / float64(max(ro.own.all, 1))
+	// The siblings' rates are a moment old; this entry's own share of the requests shows a change at once.
+	rate := ro.rate.perSecond(now)
+	rate = max(rate+ro.siblings.perSecond, rate*all/float64(max(ro.own.all, 1)))
+	expected := rest * burstFactor * rate
 	return sent+expected <= gu.exposure.planned(all+expected, gu.exposure.slack)
 }
--- a/core/canary/load.go
+++ b/core/canary/load.go
@@ -76,13 +76,22 @@
 }
 
 // NeedsReports reports whether the siblings' reports are of use now.
-func (gu *Guard) NeedsReports(now time.Time) bool {
+func (gu *Guard) NeedsReports(now time.Time) bool { return gu.collectInterval(now) > 0 }
+
+// collectInterval returns how often the siblings' reports are to be collected now, or 0 if they are of no
+// use.
+func (gu *Guard) collectInterval(now time.Time) time.Duration {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
+	interval := time.Duration(0)
 	for _, ro := range gu.rollouts {
-		if ro.needsReports(now) {
-			return true
+		switch {
+		case !ro.needsReports(now):
+		case !ro.final() && ro.currentStep() == lastStep:
+			return lastStepInterval
+		default:
+			interval = collectInterval
 		}
 	}
-	return false
+	return interval
 }
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -21,6 +21,8 @@
 	// Requests counts the entry's requests for the service, and Sent those to the new version.
 	Requests int `json:"requests"`
 	Sent     int `json:"sent"`
+	// Rate is the present rate of the entry's requests, a second.
+	Rate float64 `json:"rate"`
 	// Pools holds the evidence by route and model, and over all of them under [allPools].
 	Pools map[string]Tallies `json:"pools"`
 	// OldSessions are the sessions within the first step's share that continue on the old version
@@ -75,7 +77,7 @@
 		co := ro.trialCount(now)
 		out = append(out, Report{
 			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(),
-			Requests: ro.own.all, Sent: ro.own.sent, Pools: ro.evidence.tallies(),
+			Requests: ro.own.all, Sent: ro.own.sent, Rate: ro.rate.perSecond(now), Pools: ro.evidence.tallies(),
 			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue, Loads: &loads,
 		})
 	}
@@ -131,6 +133,7 @@
 			}
 			ro.siblings.all += re.Requests
 			ro.siblings.sent += re.Sent
+			ro.siblings.perSecond += re.Rate
 			if gu.off.Has(mechanism.PooledEvidence) {
 				continue
 			}
@@ -183,7 +186,10 @@
 	// collectInterval is how often reports are collected during a roll-out. A report is 200 bytes;
 	// with four entries this makes 2 kB a second in total.
 	collectInterval = time.Second
-	collectTimeout  = 700 * time.Millisecond
+	// lastStepInterval replaces collectInterval in the last step: the completion depends on the present
+	// rate of requests at all entries.
+	lastStepInterval = 200 * time.Millisecond
+	collectTimeout   = 700 * time.Millisecond
 )
 
 // NewCollector returns a collector of the siblings' reports.
@@ -191,14 +197,16 @@
 
 // Serve implements suture's Service.
 func (co *Collector) Serve(ctx context.Context) error {
-	ti := time.NewTicker(collectInterval)
+	ti := time.NewTicker(lastStepInterval)
 	defer ti.Stop()
+	var collected time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ti.C:
-			if co.gu.NeedsReports(time.Now()) {
+		case now := <-ti.C:
+			if interval := co.gu.collectInterval(now); interval > 0 && now.Sub(collected) >= interval-lastStepInterval/2 {
+				collected = now
 				co.collect(ctx)
 			}
 		}
--- a/core/canary/schedule.go
+++ b/core/canary/schedule.go
@@ -43,7 +43,7 @@
 	completeFraction = 0.5
 	// latestFraction is the part that is left at most when the completion was put off; see mayComplete.
 	// A version that is still on hold then is rolled back.
-	latestFraction = 0.35
+	latestFraction = 0.3
 	// minInLastStep is how long the last step lasts at least, as a fraction of its time.
 	minInLastStep = 0.1
 )
