Keep the requests that crash upstreams in the store

Cause: the quarantine was in the entries' memory alone; an entry that starts asks others.

An entry that finds a request poisonous for certain writes it to the store, from where each entry gets it with its first copy. It is removed once an upstream has completed the request, or by the first-ranked entry when it has expired. Two writes a quarantine, none at rest.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -23,6 +23,7 @@
 	"skylarkstand/core/prefixsync"
 	"skylarkstand/core/replica"
 	"skylarkstand/core/route"
+	"skylarkstand/core/suspect"
 	"skylarkstand/core/watch"
 	"skylarkstand/io/front"
 	"skylarkstand/io/sibling"
@@ -81,12 +82,14 @@
 	registrar *membership.Registrar
 	guard     *canary.Guard
 	recorder  *canary.Recorder
-	collector *canary.Collector
-	gossiper  *sibling.Gossiper
-	syncer    *prefixsync.Syncer
-	gauges    *gauges
-	srv       *front.Server
-	admin     metricsPage
+	// quarantine keeps the requests that crash upstreams in the store.
+	quarantine *suspect.Recorder
+	collector  *canary.Collector
+	gossiper   *sibling.Gossiper
+	syncer     *prefixsync.Syncer
+	gauges     *gauges
+	srv        *front.Server
+	admin      metricsPage
 
 	stop *shutdownState
 }
@@ -123,6 +126,7 @@
 	sup.Add(gw.follower)
 	sup.Add(gw.registrar)
 	sup.Add(gw.recorder)
+	sup.Add(gw.quarantine)
 	sup.Add(gw.collector)
 	sup.Add(gw.gossiper)
 	sup.Add(gw.syncer)
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -192,24 +192,25 @@
 	return replica.NewFollower(deps, re, st, si, replica.IsReader(func() bool { return rd.IsReader(time.Now()) }), replica.FirstCopyFrom(si))
 }
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, de *suspect.Detector, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
 	re := set.RetryBudget
 	slack := func() float64 { return retry.BurstShare(re.Slack, me.count()) }
 	return forward.New(deps, ac, forward.Components{
-		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl, Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
+		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl, Cooldowns: cooldown.New(), Suspects: de,
 		ConfigAge:      func() time.Duration { return rep.Age(time.Now()) },
 		NewRetryWindow: forward.RetryWindows(time.Duration(re.Window), re.Ratio, slack),
 		Stopping:       sc.remaining, Off: off,
 	})
 }
 
-func newWatchHandler(deps core.Deps, la platform.Layout, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, fo *replica.Follower, fw *forward.Forwarder, cl *upstream.Client, me *members) *watch.Handler {
+func newWatchHandler(deps core.Deps, la platform.Layout, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, fo *replica.Follower, fw *forward.Forwarder, cl *upstream.Client, qu *suspect.Recorder, me *members) *watch.Handler {
 	ha := watch.New(deps, la, watch.Targets{
 		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, Regions: la.Regions, Doubtful: fo.Doubtful,
 		OnRemoved: func(ho core.Host) {
 			cl.CloseIdle(ho.Addr)
 			fw.Forget(ho.ID)
 		},
+		OnQuarantine: qu.HandleChange,
 	})
 	me.list, me.count = ha.Members, ha.EntryCount
 	return ha
@@ -219,6 +220,10 @@
 	return canary.NewRecorder(deps, gu, st, la, watch.PrefixSteps, func(core.ServiceID) int { return rd.WriterRank(time.Now()) })
 }
 
+func newQuarantineRecorder(deps core.Deps, de *suspect.Detector, st *platform.Store, rd *membership.Readers) *suspect.Recorder {
+	return suspect.NewRecorder(deps, de, st, func() int { return rd.WriterRank(time.Now()) })
+}
+
 func newCollector(gu *canary.Guard, si *sibling.Siblings) *canary.Collector {
 	return canary.NewCollector(gu, si)
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -112,11 +112,14 @@
 	follower := newFollower(deps, replicaReplica, store, siblings, readers, disabled)
 	ratelimitTracker := newRateLimits(deps, appMembers)
 	upstreams := platform.NewUpstreams(client)
+	registry := suspect.New()
+	detector := suspect.NewDetector(registry)
 	appShutdownState := newShutdownState()
-	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, ratelimitTracker, replicaReplica, upstreams, appShutdownState, appMembers, disabled)
-	handler := newWatchHandler(deps, layout, inForce, fleet, guard, tracker, follower, forwarder, client, appMembers)
+	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, ratelimitTracker, replicaReplica, upstreams, detector, appShutdownState, appMembers, disabled)
+	recorder := newQuarantineRecorder(deps, detector, store, readers)
+	handler := newWatchHandler(deps, layout, inForce, fleet, guard, tracker, follower, forwarder, client, recorder, appMembers)
 	registrar := newRegistrar(deps, store, readers, member, handler)
-	recorder := newRecorder(deps, guard, store, layout, readers)
+	canaryRecorder := newRecorder(deps, guard, store, layout, readers)
 	collector := newCollector(guard, siblings)
 	gossiper := newGossiper(set, deps, forwarder, follower, readers, registrar, appMembers)
 	syncer := newSyncer(set, deps, inForce, fleet, upstreams, forwarder, appMembers, disabled)
@@ -125,23 +128,24 @@
 	appGauges := newGauges(deps, inForce, fleet, guard, replicaReplica, forwarder, server)
 	appMetricsPage := appProcess.Page
 	appGatewayProcess := &gatewayProcess{
-		set:       set,
-		deps:      deps,
-		inf:       inForce,
-		fleet:     fleet,
-		replica:   replicaReplica,
-		handler:   handler,
-		follower:  follower,
-		registrar: registrar,
-		guard:     guard,
-		recorder:  recorder,
-		collector: collector,
-		gossiper:  gossiper,
-		syncer:    syncer,
-		gauges:    appGauges,
-		srv:       server,
-		admin:     appMetricsPage,
-		stop:      appShutdownState,
+		set:        set,
+		deps:       deps,
+		inf:        inForce,
+		fleet:      fleet,
+		replica:    replicaReplica,
+		handler:    handler,
+		follower:   follower,
+		registrar:  registrar,
+		guard:      guard,
+		recorder:   canaryRecorder,
+		quarantine: recorder,
+		collector:  collector,
+		gossiper:   gossiper,
+		syncer:     syncer,
+		gauges:     appGauges,
+		srv:        server,
+		admin:      appMetricsPage,
+		stop:       appShutdownState,
 	}
 	return appGatewayProcess, func() {
 		cleanup2()
--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -24,6 +24,7 @@
 	"skylarkstand/core/route"
 	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
+	"skylarkstand/test/fakestore"
 )
 
 const (
@@ -63,6 +64,9 @@
 	cutShare float64
 	// restartInterval is the time between two restarts of entries; 0 for none.
 	restartInterval time.Duration
+	// st is the platform's store and recorders keep the quarantine there, one for each entry.
+	st        *fakestore.Store
+	recorders []*suspect.Recorder
 }
 
 // process is one incarnation of an upstream.
@@ -75,14 +79,17 @@
 	started time.Time
 }
 
+// crashPoolSize is the number of upstreams of a crashPool.
+const crashPoolSize = 8
+
 // newCrashPool returns a pool. It must be called inside a synctest bubble.
-func newCrashPool(t *testing.T, entries, upstreams int) *crashPool {
+func newCrashPool(t *testing.T, entries int) *crashPool {
 	t.Helper()
 	fx := newUnconfiguredFixture(t)
 	fx.inf.Adopt(fx.tb)
 	po := &crashPool{
 		inf: fx.inf, rnd: rand.New(rand.NewPCG(7, 7)), running: map[core.UpstreamID]*process{},
-		refused: map[string]int{}, answered: map[string]int{},
+		refused: map[string]int{}, answered: map[string]int{}, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
 	}
 	for i := range entries {
 		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
@@ -91,7 +98,7 @@
 	for i := range entries {
 		po.entries = append(po.entries, po.newEntry(i))
 	}
-	for range upstreams {
+	for range crashPoolSize {
 		po.startUpstream()
 	}
 	return po
@@ -100,14 +107,37 @@
 func (po *crashPool) newEntry(i int) *forward.Forwarder {
 	deps := core.NewDeps()
 	deps.Self = po.ids[i]
+	de := suspect.NewDetector(suspect.New())
+	po.recorders[i] = suspect.NewRecorder(deps, de, po.st, func() int { return i })
+	po.replicate(po.recorders[i])
 	return forward.New(deps, crashClient{po, time.Now()}, forward.Components{
-		InForce: po.inf, Fleet: po.fleets[i], Warmup: warmup.New(deps.Self), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
+		InForce: po.inf, Fleet: po.fleets[i], Warmup: warmup.New(deps.Self), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: de,
 		RateLimits:     ratelimit.New(deps.Self, func() []core.ProcessID { return po.ids }),
 		ConfigAge:      func() time.Duration { return 0 },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 	}, forward.RandomSource(po.draw))
 }
 
+// replicate applies the quarantine in the store to an entry.
+func (po *crashPool) replicate(rr *suspect.Recorder) {
+	items, err := po.st.List(context.Background(), suspect.Prefix)
+	for _, it := range items {
+		err = errors.Join(err, rr.HandleChange(time.Now(), core.Change{Item: it}))
+	}
+	if err != nil {
+		panic(err) // The store of this test does not fail.
+	}
+}
+
+// loseEntries replaces all entries at once: each new process knows what the store has.
+func (po *crashPool) loseEntries() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for i := range po.entries {
+		po.entries[i] = po.newEntry(i)
+	}
+}
+
 func (po *crashPool) draw() float64 {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -223,8 +253,11 @@
 // lost, and the requests in quarantine to one.
 func (po *crashPool) gossip() {
 	po.mu.Lock()
-	entries := slices.Clone(po.entries)
+	entries, recorders := slices.Clone(po.entries), slices.Clone(po.recorders)
 	po.mu.Unlock()
+	for _, rr := range recorders {
+		rr.Record(context.Background(), time.Now())
+	}
 	for _, from := range entries {
 		facts, notices := from.TakeFacts(), from.TakeSuspects()
 		quarantined := suspect.Notices{Quarantined: notices.Quarantined}
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -36,7 +36,7 @@
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, sc.entries, 8)
+				po := newCrashPool(t, sc.entries)
 				po.restartInterval = sc.restarts
 				po.run(t.Context(), 40*time.Second, append(innocent, load{sc.path, always(poison), sc.interval, sc.warmUp})...)
 				assert.Assert(t, len(po.crashes) >= 3)
@@ -49,13 +49,36 @@
 	}
 }
 
+// Guards against a quarantine that is lost with all entries, so that the request crashes several upstreams
+// again.
+func TestQuarantineOutlastsAllEntries(t *testing.T) {
+	for _, interval := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				po := newCrashPool(t, 4)
+				before := 0
+				time.AfterFunc(25*time.Second, func() {
+					po.loseEntries()
+					po.mu.Lock()
+					defer po.mu.Unlock()
+					before = len(po.crashes)
+				})
+				po.run(t.Context(), 50*time.Second, append(innocent, load{"/draft/p", always(poison), interval, 2 * time.Second})...)
+				assert.Assert(t, before >= 3)
+				assert.Equal(t, len(po.crashes), before, "upstreams crashed again after the loss of all entries")
+				assert.DeepEqual(t, po.refusedInnocents(), []string(nil))
+			})
+		})
+	}
+}
+
 // Guards against refusing a popular request for long that was in flight at each crash, beside the
 // poisonous one, before it was ever completed.
 func TestPopularRequestIsServedAgain(t *testing.T) {
 	for _, interval := range []time.Duration{300 * time.Millisecond, time.Second} {
 		t.Run(interval.String(), func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, 4, 8)
+				po := newCrashPool(t, 4)
 				po.run(t.Context(), time.Minute, append(innocent, load{"/lookup/p", always(poison), interval, 0})...)
 				assert.Assert(t, po.answered["popular"] > 1000, "%d of 1500 answered", po.answered["popular"])
 				assert.Assert(t, po.lateArrivals() <= maxLateArrivals)
@@ -87,7 +110,7 @@
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, 4, 8)
+				po := newCrashPool(t, 4)
 				po.cutShare = sc.cutShare
 				go po.crashAtIntervals(time.Now().Add(time.Minute), sc.interval, sc.count)
 				po.run(t.Context(), time.Minute, append(innocent, copies)...)
--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -83,6 +83,10 @@
 	// newCrashes and newCleared are not announced yet.
 	newCrashes []Crash
 	newCleared []Fingerprint
+	// newFound and newReleased are the requests that this entry has put into quarantine for certain, and
+	// those that were released from it, and that are not recorded in the store yet.
+	newFound    []Record
+	newReleased []Fingerprint
 }
 
 // observedCrash is a crash with the time from which this entry knows of it.
@@ -139,11 +143,23 @@
 		re := Record{Fingerprint: fi.fp, State: Quarantined, Until: now.Add(ttl)}
 		if de.reg.Merge(re, now) {
 			out = append(out, re)
+			if fi.certain {
+				de.newFound = lastOf(append(de.newFound, re), maxUnannounced)
+			}
 		}
 	}
 	return out
 }
 
+// takeChanges returns what is to be recorded in the store since the last call.
+func (de *Detector) takeChanges() (found []Record, released []Fingerprint) {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	found, released = de.newFound, de.newReleased
+	de.newFound, de.newReleased = nil, nil
+	return found, released
+}
+
 // hasCandidate reports whether a request may be found poisonous. Most crashes leave none, and the
 // inference from thousands of suspects takes milliseconds.
 func (de *Detector) hasCandidate() bool {
@@ -169,6 +185,7 @@
 	quarantined := de.reg.Lookup(fp, now).State == Quarantined
 	if quarantined {
 		de.reg.Release(fp)
+		de.newReleased = lastOf(append(de.newReleased, fp), maxUnannounced)
 	}
 	suspected := len(de.suspects[fp]) > 0
 	if suspected {
--- a/core/suspect/fingerprint.go
+++ b/core/suspect/fingerprint.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
 )
@@ -14,6 +16,12 @@
 // String returns the fingerprint as it is shown in logs.
 func (fp Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(fp)) }
 
+// ParseFingerprint returns the fingerprint of which String returns the text.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return Fingerprint(n), eris.Wrapf(err, "%q is no fingerprint", text)
+}
+
 // FingerprintOf returns the fingerprint of an attempt, by its model (or service and operation) and
 // body. It excludes the version, since a body that crashes one version mostly crashes the next.
 func FingerprintOf(at *core.Attempt) Fingerprint {
--- /dev/null
+++ b/core/suspect/recorder.go
@@ -0,0 +1,161 @@
+package suspect
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"skylarkstand/core"
+	"skylarkstand/core/event"
+)
+
+// Prefix is the prefix of the store's keys of quarantined requests, which end with the fingerprint.
+const Prefix = "skylarkstand/quarantine/"
+
+// Recorder keeps the requests in quarantine in the store, so that the loss of all entries does not lose
+// them: the request would crash several upstreams again. It implements suture's Service.
+//
+// An entry writes what it has found itself. It removes a request that turned out to be innocent, and the
+// first-ranked entry removes the expired ones.
+type Recorder struct {
+	deps core.Deps
+	de   *Detector
+	st   core.Store
+	rank func() int
+
+	mu sync.Mutex
+	// stored are the keys in the store, by fingerprint.
+	stored map[Fingerprint]storedRecord
+	// pending are the records to write, and retryAt when the next attempt may be made after a failure.
+	pending map[Fingerprint]Record
+	retryAt time.Time
+}
+
+// storedRecord is a record in the store.
+type storedRecord struct {
+	Until    time.Time     `json:"until"`
+	revision core.Revision // of the key
+}
+
+const (
+	// recordInterval is how often a recorder looks for something to write.
+	recordInterval = 250 * time.Millisecond
+	// recordBackoff is the time until the next attempt after the store has failed.
+	recordBackoff = 2 * time.Second
+)
+
+// NewRecorder returns a recorder. Rank returns this entry's position among all entries.
+func NewRecorder(deps core.Deps, de *Detector, st core.Store, rank func() int) *Recorder {
+	return &Recorder{deps: deps, de: de, st: st, rank: rank, stored: map[Fingerprint]storedRecord{}, pending: map[Fingerprint]Record{}}
+}
+
+// Serve implements suture's Service.
+func (rr *Recorder) Serve(ctx context.Context) error {
+	ti := time.NewTicker(recordInterval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ti.C:
+			rr.Record(ctx, now)
+		}
+	}
+}
+
+// Record makes the writes that are due.
+func (rr *Recorder) Record(ctx context.Context, now time.Time) {
+	found, released := rr.de.takeChanges()
+	rr.mu.Lock()
+	for _, re := range found {
+		rr.pending[re.Fingerprint] = re
+	}
+	for _, fp := range released {
+		delete(rr.pending, fp)
+	}
+	obsolete := rr.obsolete(now, released)
+	pending := maps.Clone(rr.pending)
+	wait := now.Before(rr.retryAt)
+	rr.mu.Unlock()
+	for fp, rev := range obsolete {
+		rr.finish(now, fp, rr.st.Delete(ctx, key(fp), rev))
+	}
+	if wait {
+		return
+	}
+	for fp, re := range pending {
+		rr.finish(now, fp, rr.create(ctx, re))
+	}
+}
+
+// obsolete returns the keys to remove, with their revisions. The recorder's lock is held.
+func (rr *Recorder) obsolete(now time.Time, released []Fingerprint) map[Fingerprint]core.Revision {
+	out := map[Fingerprint]core.Revision{}
+	for _, fp := range released {
+		if sr, ok := rr.stored[fp]; ok {
+			out[fp] = sr.revision
+			delete(rr.stored, fp)
+		}
+	}
+	for fp, sr := range rr.stored {
+		if now.After(sr.Until) && rr.rank() == 0 {
+			out[fp] = sr.revision
+			delete(rr.stored, fp)
+		}
+	}
+	return out
+}
+
+func (rr *Recorder) create(ctx context.Context, re Record) error {
+	value, err := json.Marshal(storedRecord{Until: re.Until})
+	if err != nil {
+		return eris.Wrap(err, "the quarantine could not be encoded")
+	}
+	_, err = rr.st.Create(ctx, key(re.Fingerprint), value, "")
+	return err
+}
+
+// finish records the result of a write. A conflict means that another entry made it.
+func (rr *Recorder) finish(now time.Time, fp Fingerprint, err error) {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	if err == nil || errors.Is(err, core.ErrConflict) || errors.Is(err, core.ErrNotFound) {
+		delete(rr.pending, fp)
+		return
+	}
+	rr.retryAt = now.Add(recordBackoff)
+	event.Log(rr.deps.Log, event.StoreWriteLate, "key", key(fp), "error", err, "why", "a request in quarantine")
+}
+
+// HandleChange applies a change of a key with [Prefix].
+func (rr *Recorder) HandleChange(now time.Time, ch core.Change) error {
+	fp, err := ParseFingerprint(strings.TrimPrefix(ch.Key, Prefix))
+	if err != nil {
+		return err
+	}
+	if ch.Removed {
+		rr.mu.Lock()
+		delete(rr.stored, fp)
+		rr.mu.Unlock()
+		rr.de.reg.Release(fp)
+		return nil
+	}
+	var sr storedRecord
+	if err := json.Unmarshal(ch.Value, &sr); err != nil {
+		return eris.Wrap(err, "the quarantine could not be decoded")
+	}
+	sr.revision = ch.Revision
+	rr.mu.Lock()
+	rr.stored[fp] = sr
+	rr.mu.Unlock()
+	rr.de.ReceiveNotices(now, Notices{Quarantined: []Record{{fp, Quarantined, sr.Until}}})
+	return nil
+}
+
+func key(fp Fingerprint) string { return Prefix + fp.String() }
--- a/core/watch/handler.go
+++ b/core/watch/handler.go
@@ -23,6 +23,7 @@
 	"skylarkstand/core/event"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/route"
+	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
 )
 
@@ -77,6 +78,8 @@
 	Doubtful func(now time.Time) bool
 	// OnRemoved is called for an upstream whose listing was removed.
 	OnRemoved func(core.Host)
+	// OnQuarantine is called for a change of a request in quarantine. It may be nil.
+	OnQuarantine func(now time.Time, ch core.Change) error
 }
 
 // Handler routes changes. The replica calls it with one batch of changes at a time.
@@ -117,6 +120,8 @@
 			ha.applyMember(ch)
 		case strings.HasPrefix(ch.Key, PrefixSteps):
 			ha.applyStep(now, ch)
+		case strings.HasPrefix(ch.Key, suspect.Prefix):
+			ha.applyQuarantine(now, ch)
 		default:
 			ha.applyPlatformKey(now, ch)
 		}
@@ -211,6 +216,15 @@
 	event.Log(ha.deps.Log, event.CanaryStep, "service", st.Service, "step", st.Step, "order", st.Order, "revision", st.Revision)
 }
 
+func (ha *Handler) applyQuarantine(now time.Time, ch core.Change) {
+	if ha.ta.OnQuarantine == nil {
+		return
+	}
+	if err := ha.ta.OnQuarantine(now, ch); err != nil {
+		ha.logMalformed(ch, err)
+	}
+}
+
 func (ha *Handler) applyPlatformKey(now time.Time, ch core.Change) {
 	rec, err := ha.la.Decode(ch.Item)
 	switch {
