Count the crashes of requests whose attempts the entry ended first

Callers saw: a short GET that crashes its upstreams ended all three of a service several times within seconds, 13 in all, before it was refused (BUDGET, 6 times sent on later than 4 s after the third, 3 allowed).

Cause: an entry tries another upstream once an answer is later than usual, 90 ms on that route, and ends the first attempt. They are checked now for as long as a refused connection proves the end.

--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -28,13 +28,9 @@
 )
 
 const (
-	// crashDelay is the time from the start of a poisonous request to the crash of its upstream.
-	crashDelay = 100 * time.Millisecond
 	// restartDelay is the time from a crash to the start of the upstream's next incarnation, and
 	// delistDelay the time until it is removed from the host list.
 	restartDelay, delistDelay = 4 * time.Second, 3600 * time.Millisecond
-	// runTime is how long an upstream runs an innocent request.
-	runTime = 400 * time.Millisecond
 	// gossipInterval is how often the entries exchange what they have observed.
 	gossipInterval = 250 * time.Millisecond
 	// lostShare is the share of announcements that get lost: a tenth of the datagrams, which are sent twice.
@@ -60,6 +56,10 @@
 	poisoned, crashes []time.Time
 	// refused counts the refusals of quarantined requests by body, and answered the answers.
 	refused, answered map[string]int
+	// runTime is how long an upstream runs an innocent request.
+	runTime time.Duration
+	// crashDelay is the time from the start of a poisonous request to the crash of its upstream.
+	crashDelay time.Duration
 	// cutShare is the share of requests whose connection is cut while the upstream stays up.
 	cutShare float64
 	// restartInterval is the time between two restarts of entries; 0 for none.
@@ -79,17 +79,14 @@
 	started time.Time
 }
 
-// crashPoolSize is the number of upstreams of a crashPool.
-const crashPoolSize = 8
-
 // newCrashPool returns a pool. It must be called inside a synctest bubble.
-func newCrashPool(t *testing.T, entries int) *crashPool {
+func newCrashPool(t *testing.T, entries, upstreams int) *crashPool {
 	t.Helper()
 	fx := newUnconfiguredFixture(t)
 	fx.inf.Adopt(fx.tb)
 	po := &crashPool{
 		inf: fx.inf, rnd: rand.New(rand.NewPCG(7, 7)), running: map[core.UpstreamID]*process{},
-		refused: map[string]int{}, answered: map[string]int{}, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
+		refused: map[string]int{}, answered: map[string]int{}, runTime: 400 * time.Millisecond, crashDelay: 100 * time.Millisecond, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
 	}
 	for i := range entries {
 		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
@@ -98,7 +95,7 @@
 	for i := range entries {
 		po.entries = append(po.entries, po.newEntry(i))
 	}
-	for range crashPoolSize {
+	for range upstreams {
 		po.startUpstream()
 	}
 	return po
@@ -182,7 +179,7 @@
 		return nil, core.Refuse(core.CodeCrashed, 0, "connection refused")
 	}
 	if bad {
-		time.AfterFunc(crashDelay, func() {
+		time.AfterFunc(po.crashDelay, func() {
 			if po.crash(ca.To.ID) {
 				po.mu.Lock()
 				defer po.mu.Unlock()
@@ -192,7 +189,7 @@
 	}
 	var done <-chan time.Time
 	if !bad {
-		done = time.After(runTime)
+		done = time.After(po.runTime)
 	}
 	select {
 	case <-ctx.Done():
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -36,7 +36,7 @@
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, sc.entries)
+				po := newCrashPool(t, sc.entries, 8)
 				po.restartInterval = sc.restarts
 				po.run(t.Context(), 40*time.Second, append(innocent, load{sc.path, always(poison), sc.interval, sc.warmUp})...)
 				assert.Assert(t, len(po.crashes) >= 3)
@@ -49,13 +49,40 @@
 	}
 }
 
+// Guards against overlooking the crashes of a request whose attempts the entry ends first, since requests of
+// its route are usually answered sooner than it crashes an upstream.
+func TestPoisonousRequestOfAFastRouteIsQuarantined(t *testing.T) {
+	for _, interval := range []time.Duration{700 * time.Millisecond, 2 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) { assertFastPoisonIsQuarantined(t, interval) })
+	}
+}
+
+// Guards against counting crashes that overlap as one, so that the request ends all upstreams a second time.
+func TestPoisonousRequestThatEndsAllUpstreamsAtOnceIsQuarantined(t *testing.T) {
+	assertFastPoisonIsQuarantined(t, 300*time.Millisecond)
+}
+
+func assertFastPoisonIsQuarantined(t *testing.T, interval time.Duration) {
+	t.Helper()
+	runInBubble(t, func(t *testing.T) {
+		po := newCrashPool(t, 4, 3)
+		po.runTime, po.crashDelay = 15*time.Millisecond, 250*time.Millisecond
+		po.run(t.Context(), 40*time.Second, load{"/lookup/x", unique, 150 * time.Millisecond, 0}, load{"/lookup/x", always(poison), interval, 2 * time.Second})
+		assert.Assert(t, len(po.crashes) >= 3)
+		late := po.lateArrivals()
+		assert.Assert(t, late <= maxLateArrivals, "a request that had crashed 3 upstreams reached upstreams %d times more; %d crashed in all", late, len(po.crashes))
+		assert.DeepEqual(t, po.refusedInnocents(), []string(nil))
+		t.Logf("%d upstreams crashed, %d requests arrived late", len(po.crashes), late)
+	})
+}
+
 // Guards against a quarantine that is lost with all entries, so that the request crashes several upstreams
 // again.
 func TestQuarantineOutlastsAllEntries(t *testing.T) {
 	for _, interval := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
 		t.Run(interval.String(), func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, 4)
+				po := newCrashPool(t, 4, 8)
 				before := 0
 				time.AfterFunc(25*time.Second, func() {
 					po.loseEntries()
@@ -78,7 +105,7 @@
 	for _, interval := range []time.Duration{300 * time.Millisecond, time.Second} {
 		t.Run(interval.String(), func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, 4)
+				po := newCrashPool(t, 4, 8)
 				po.run(t.Context(), time.Minute, append(innocent, load{"/lookup/p", always(poison), interval, 0})...)
 				assert.Assert(t, po.answered["popular"] > 1000, "%d of 1500 answered", po.answered["popular"])
 				assert.Assert(t, po.lateArrivals() <= maxLateArrivals)
@@ -110,7 +137,7 @@
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
-				po := newCrashPool(t, 4)
+				po := newCrashPool(t, 4, 8)
 				po.cutShare = sc.cutShare
 				go po.crashAtIntervals(time.Now().Add(time.Minute), sc.interval, sc.count)
 				po.run(t.Context(), time.Minute, append(innocent, copies)...)
--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"skylarkstand/core"
@@ -20,11 +22,13 @@
 
 // The times after the end of an attempt at which an entry checks whether the upstream has ended: for a
 // connection that broke until the host list has dropped it, after three heartbeats of up to three
-// seconds; for an attempt that this entry ended itself, once.
+// seconds; for an answer that this entry discarded, once; for an attempt that it ended as no answer began
+// in the usual time, while a refused connection proves the end.
 var (
 	brokenChecks = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond,
 		1200 * time.Millisecond, refusedTime, 3 * time.Second, 4 * time.Second, 5 * time.Second, 7 * time.Second, 9500 * time.Millisecond}
 	discardedChecks = []time.Duration{time.Second}
+	overdueChecks   = []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, refusedTime}
 )
 
 // checkQuarantine refuses a request that is quarantined.
@@ -46,6 +50,8 @@
 	case at.chunks > 0 && now.Sub(at.began) > progressTime:
 	case ve == lost && at.ctx.Err() == nil:
 		at.newCrashWatch(now).schedule(brokenChecks)
+	case ve == lost && errors.Is(context.Cause(at.ctx), errHeaderTimeout):
+		at.newCrashWatch(now).schedule(overdueChecks)
 	case ve == unsure:
 		at.newCrashWatch(now).schedule(discardedChecks) // It may have crashed the upstream after its header.
 	}
