--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -92,27 +92,27 @@
 		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
 		po.fleets = append(po.fleets, fleet.New())
 	}
-	for i := range entries {
-		po.entries = append(po.entries, po.newEntry(i))
-	}
+	po.entries = make([]*forward.Forwarder, entries)
+	po.loseEntries()
 	for range upstreams {
 		po.startUpstream()
 	}
 	return po
 }
 
-func (po *crashPool) newEntry(i int) *forward.Forwarder {
+func (po *crashPool) newEntry(i int) (*forward.Forwarder, *suspect.Recorder) {
 	deps := core.NewDeps()
 	deps.Self = po.ids[i]
 	de := suspect.NewDetector(suspect.New())
-	po.recorders[i] = suspect.NewRecorder(deps, de, po.st, func() int { return i })
-	po.replicate(po.recorders[i])
-	return forward.New(deps, crashClient{po, time.Now()}, forward.Components{
+	rr := suspect.NewRecorder(deps, de, po.st, func() int { return i })
+	po.replicate(rr)
+	fw := forward.New(deps, crashClient{po, time.Now()}, forward.Components{
 		InForce: po.inf, Fleet: po.fleets[i], Warmup: warmup.New(deps.Self), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: de,
 		RateLimits:     ratelimit.New(deps.Self, func() []core.ProcessID { return po.ids }),
 		ConfigAge:      func() time.Duration { return 0 },
 		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
 	}, forward.RandomSource(po.draw))
+	return fw, rr
 }
 
 // replicate applies the quarantine in the store to an entry.
@@ -126,12 +126,12 @@
 	}
 }
 
-// loseEntries replaces all entries at once: each new process knows what the store has.
+// loseEntries starts all entries, in place of those of before: each process knows what the store has.
 func (po *crashPool) loseEntries() {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	for i := range po.entries {
-		po.entries[i] = po.newEntry(i)
+		po.entries[i], po.recorders[i] = po.newEntry(i)
 	}
 }
 
@@ -274,9 +274,9 @@
 func (po *crashPool) restartEntries(until time.Time, interval time.Duration) {
 	for i := 0; interval > 0 && time.Now().Before(until); i = (i + 1) % len(po.entries) {
 		time.Sleep(interval)
-		fw := po.newEntry(i)
+		fw, rr := po.newEntry(i)
 		po.mu.Lock()
-		po.entries[i] = fw
+		po.entries[i], po.recorders[i] = fw, rr
 		po.mu.Unlock()
 	}
 }
