Remove a released quarantine from the store however late its key appears

Callers would see an innocent request refused for up to an hour by an entry that starts: its release from quarantine found the store down, or overtook the write of the key, and the key stayed. The recorder forgot the key before its removal had succeeded. It keeps it until then now, and removes a key that appears up to a minute after the release.

Found by reading.

--- a/core/suspect/recorder.go
+++ b/core/suspect/recorder.go
@@ -32,9 +32,11 @@
 	mu sync.Mutex
 	// stored are the keys in the store, by fingerprint.
 	stored map[Fingerprint]storedRecord
-	// pending are the records to write, and retryAt when the next attempt may be made after a failure.
-	pending map[Fingerprint]Record
-	retryAt time.Time
+	// pending are the records to write, and released the requests whose keys are to be removed, with the time
+	// of their release. retryAt is when the next attempt may be made after a failure.
+	pending  map[Fingerprint]Record
+	released map[Fingerprint]time.Time
+	retryAt  time.Time
 }
 
 // storedRecord is a record in the store.
@@ -48,11 +50,14 @@
 	recordInterval = 250 * time.Millisecond
 	// recordBackoff is the time until the next attempt after the store has failed.
 	recordBackoff = 2 * time.Second
+	// releaseTTL is how long a key may appear after its request was released: a write may be on its way
+	// for some seconds, and its news as long.
+	releaseTTL = time.Minute
 )
 
 // NewRecorder returns a recorder. Rank returns this entry's position among all entries.
 func NewRecorder(deps core.Deps, de *Detector, st core.Store, rank func() int) *Recorder {
-	return &Recorder{deps: deps, de: de, st: st, rank: rank, stored: map[Fingerprint]storedRecord{}, pending: map[Fingerprint]Record{}}
+	return &Recorder{deps: deps, de: de, st: st, rank: rank, stored: map[Fingerprint]storedRecord{}, pending: map[Fingerprint]Record{}, released: map[Fingerprint]time.Time{}}
 }
 
 // Serve implements suture's Service.
@@ -75,38 +80,34 @@
 	rr.mu.Lock()
 	for _, re := range found {
 		rr.pending[re.Fingerprint] = re
+		delete(rr.released, re.Fingerprint)
 	}
 	for _, fp := range released {
 		delete(rr.pending, fp)
+		rr.released[fp] = now
 	}
-	obsolete := rr.obsolete(now, released)
-	pending := maps.Clone(rr.pending)
-	wait := now.Before(rr.retryAt)
+	maps.DeleteFunc(rr.released, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > releaseTTL })
+	if now.Before(rr.retryAt) {
+		rr.mu.Unlock()
+		return
+	}
+	obsolete, pending := rr.obsolete(now), maps.Clone(rr.pending)
 	rr.mu.Unlock()
 	for fp, rev := range obsolete {
-		rr.finish(now, fp, rr.st.Delete(ctx, key(fp), rev))
-	}
-	if wait {
-		return
+		rr.finishRemoval(now, fp, rev, rr.st.Delete(ctx, key(fp), rev))
 	}
 	for fp, re := range pending {
-		rr.finish(now, fp, rr.create(ctx, re))
+		rr.finishWrite(now, fp, rr.create(ctx, re))
 	}
 }
 
 // obsolete returns the keys to remove, with their revisions. The recorder's lock is held.
-func (rr *Recorder) obsolete(now time.Time, released []Fingerprint) map[Fingerprint]core.Revision {
+func (rr *Recorder) obsolete(now time.Time) map[Fingerprint]core.Revision {
 	out := map[Fingerprint]core.Revision{}
-	for _, fp := range released {
-		if sr, ok := rr.stored[fp]; ok {
-			out[fp] = sr.revision
-			delete(rr.stored, fp)
-		}
-	}
 	for fp, sr := range rr.stored {
-		if now.After(sr.Until) && rr.rank() == 0 {
+		_, released := rr.released[fp]
+		if released || now.After(sr.Until) && rr.rank() == 0 {
 			out[fp] = sr.revision
-			delete(rr.stored, fp)
 		}
 	}
 	return out
@@ -121,14 +122,33 @@
 	return err
 }
 
-// finish records the result of a write. A conflict means that another entry made it.
-func (rr *Recorder) finish(now time.Time, fp Fingerprint, err error) {
+// finishWrite records the result of a write. A conflict means that another entry made it.
+func (rr *Recorder) finishWrite(now time.Time, fp Fingerprint, err error) {
 	rr.mu.Lock()
 	defer rr.mu.Unlock()
-	if err == nil || errors.Is(err, core.ErrConflict) || errors.Is(err, core.ErrNotFound) {
+	if err == nil || errors.Is(err, core.ErrConflict) {
 		delete(rr.pending, fp)
 		return
 	}
+	rr.postpone(now, fp, err)
+}
+
+// finishRemoval records the result of a removal. A key that is gone, or has been written again, was not
+// there at this revision.
+func (rr *Recorder) finishRemoval(now time.Time, fp Fingerprint, rev core.Revision, err error) {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	if err == nil || errors.Is(err, core.ErrConflict) || errors.Is(err, core.ErrNotFound) {
+		if rr.stored[fp].revision == rev {
+			delete(rr.stored, fp)
+		}
+		return
+	}
+	rr.postpone(now, fp, err)
+}
+
+// postpone delays the next attempt after the store has failed. The recorder's lock is held.
+func (rr *Recorder) postpone(now time.Time, fp Fingerprint, err error) {
 	rr.retryAt = now.Add(recordBackoff)
 	event.Log(rr.deps.Log, event.StoreWriteLate, "key", key(fp), "error", err, "why", "a request in quarantine")
 }
--- a/core/suspect/recorder_test.go
+++ b/core/suspect/recorder_test.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// TestReleaseReachesTheStore guards against a key that stays in the store, and makes entries that start refuse
+// an innocent request: the store was down at the release, or the key appeared after it.
+func TestReleaseReachesTheStore(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		ctx, now := context.Background(), time.Unix(1_000_000, 0)
+		st, de := fakestore.New(), newQuarantined(t, 7, now)
+		rr := suspect.NewRecorder(core.NewDeps(), de, st, func() int { return 3 })
+		rr.Record(ctx, now)
+		items, err := st.List(ctx, suspect.Prefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(items), 1)
+		change := core.Change{Item: items[0]}
+		if !late {
+			assert.NilError(t, rr.HandleChange(now, change))
+		}
+		de.RecordCompleted(7, now)
+		st.SetFaults(fakestore.Faults{Down: true})
+		rr.Record(ctx, now)
+		st.SetFaults(fakestore.Faults{})
+		if late {
+			assert.NilError(t, rr.HandleChange(now, change))
+		}
+		assert.Equal(t, de.Lookup(7, now).State, suspect.Free)
+		rr.Record(ctx, now.Add(5*time.Second))
+		items, err = st.List(ctx, suspect.Prefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(items), 0, "late %v", late)
+	}
+}
+
 // TestMalformedQuarantineIsReported guards against a key of another writer that stops the replica.
 func TestMalformedQuarantineIsReported(t *testing.T) {
 	rr := suspect.NewRecorder(core.NewDeps(), suspect.NewDetector(suspect.New()), fakestore.New(), func() int { return 0 })
