Report the load limit to entries that start

Callers would get the errors of a version under load again from an entry that has started since the limit was found: reports carried the counts of the last seconds, not the limit, and an entry asked for them only once it had seen failures itself. Reports carry the limit now, and an entry asks once after a completion.

TestEntryThatStartsLearnsTheLoadLimit fails without the limit in the reports, as the counts are an hour old in it; no play shows the fault.

--- a/core/canary/guard.go
+++ b/core/canary/guard.go
@@ -113,6 +113,8 @@
 	// NewLoadLimits has returned a change.
 	load        loadlimit.Estimator
 	loadChanged bool
+	// askedForLimit is set once a sibling has reported its limit after the completion.
+	askedForLimit bool
 	// badReason is why this entry considers the version bad; empty if it does not. reported is set
 	// once NewVerdicts has returned it.
 	badReason string
@@ -142,7 +144,7 @@
 	delete(gu.withdrawn, versionKey{or.Service, or.Target})
 	ro.order, ro.startedAt, ro.steppedAt = or, now, now
 	ro.own, ro.siblings = requestCount{}, requestCount{}
-	ro.load, ro.loadChanged = loadlimit.Estimator{}, false
+	ro.load, ro.loadChanged, ro.askedForLimit = loadlimit.Estimator{}, false, false
 	ro.badReason, ro.reported, ro.pooledSum = "", false, 0
 	ro.evidence.reset()
 	ro.trial, ro.siblingTrials, ro.siblingSlows = trial{}, trialCount{}, Tally{}
--- a/core/canary/load.go
+++ b/core/canary/load.go
@@ -62,17 +62,26 @@
 func (ro *rollout) mergeLoads(now time.Time, reports []Report) {
 	var counts []loadlimit.Counts
 	for _, re := range reports {
-		if re.Service == ro.order.Service && re.Order == ro.order.Revision && re.Loads != nil {
+		if re.Service != ro.order.Service || re.Order != ro.order.Revision {
+			continue
+		}
+		if re.Loads != nil {
 			counts = append(counts, *re.Loads)
 		}
+		ro.loadChanged = ro.load.Adopt(re.LoadLimit) || ro.loadChanged
+		ro.askedForLimit = ro.askedForLimit || ro.state() == Completed
 	}
 	ro.loadChanged = ro.load.Merge(now, counts) || ro.loadChanged
 }
 
 // needsReports reports whether the siblings' reports on a roll-out are of use: while it is in progress,
-// and once the version that it brought fails under load.
+// once after its completion, since an entry that has started since does not know the limit that others have
+// found, and once the version that it brought fails under load.
 func (ro *rollout) needsReports(now time.Time) bool {
-	return ro.order.Revision != 0 && (!ro.final() || ro.state() == Completed && ro.load.Suspects(now))
+	if ro.order.Revision == 0 {
+		return false
+	}
+	return !ro.final() || ro.state() == Completed && (!ro.askedForLimit || ro.load.Suspects(now))
 }
 
 // NeedsReports reports whether the siblings' reports are of use now.
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -34,6 +34,8 @@
 	Overdue  int `json:"overdue,omitempty"`
 	// Loads counts the answers of the new version by the load of their upstreams.
 	Loads *loadlimit.Counts `json:"loads,omitempty"`
+	// LoadLimit is the limit that the entry has found for the load of the new version's upstreams.
+	LoadLimit loadlimit.Limit `json:"load-limit,omitempty"`
 }
 
 // allPools is the key of the evidence over all pools.
@@ -71,14 +73,14 @@
 		}
 		loads := ro.load.Counts(now)
 		if ro.final() {
-			out = append(out, Report{Service: sv, Order: ro.order.Revision, Loads: &loads})
+			out = append(out, Report{Service: sv, Order: ro.order.Revision, Loads: &loads, LoadLimit: ro.load.Limit()})
 			continue
 		}
 		co := ro.trialCount(now)
 		out = append(out, Report{
 			Service: sv, Order: ro.order.Revision, Elapsed: now.Sub(ro.startedAt).Milliseconds(),
 			Requests: ro.own.all, Sent: ro.own.sent, Rate: ro.rate.perSecond(now), Pools: ro.evidence.tallies(),
-			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue, Loads: &loads,
+			OldSessions: gu.localOldSessions(now, ro), Answered: co.answered, Overdue: co.overdue, Loads: &loads, LoadLimit: ro.load.Limit(),
 		})
 	}
 	return out
--- a/core/loadlimit/estimator.go
+++ b/core/loadlimit/estimator.go
@@ -118,6 +118,15 @@
 	return es.update()
 }
 
+// Adopt applies the limit that another entry has found, and reports whether that set or lowered the limit.
+func (es *Estimator) Adopt(li Limit) bool {
+	if li <= 0 || es.limit > 0 && li >= es.limit {
+		return false
+	}
+	es.limit = li
+	return true
+}
+
 // Counts returns this entry's own counts.
 func (es *Estimator) Counts(now time.Time) Counts {
 	es.age(now)
