Complete a roll-out by the slack of the entries that have reported only

Callers of a fleet of hundreds of entries would get a bad version in more requests than allowed: at most 24 siblings report in a round, and the completion held their requests against the slack of all entries. The reporting entries have their part of it now.

Found by reading.

--- a/core/canary/exposure.go
+++ b/core/canary/exposure.go
@@ -24,6 +24,8 @@
 	sent int
 	// perSecond is the present rate.
 	perSecond float64
+	// entries counts the entries whose requests are counted.
+	entries int
 }
 
 // requestRate estimates the requests a second, as a mean over about rateTime.
@@ -85,5 +87,7 @@
 	rate := ro.rate.perSecond(now)
 	rate = max(rate+ro.siblings.perSecond, rate*all/float64(max(ro.own.all, 1)))
 	expected := rest * burstFactor * rate
-	return sent+expected <= gu.exposure.planned(all+expected, gu.exposure.slack)
+	// The reports may be of a part of the entries, which has a part of the slack.
+	part := min(float64(1+ro.siblings.entries)/float64(max(gu.entries(), 1)), 1)
+	return sent+expected <= gu.exposure.planned(all+expected, part*gu.exposure.slack)
 }
--- a/core/canary/pool.go
+++ b/core/canary/pool.go
@@ -133,6 +133,7 @@
 			for _, se := range re.OldSessions {
 				ro.remoteOldSessions[se] = now
 			}
+			ro.siblings.entries++
 			ro.siblings.all += re.Requests
 			ro.siblings.sent += re.Sent
 			ro.siblings.perSecond += re.Rate
