Choose the version again if it was rolled back while a request waited

Callers that wait for an upstream below its load limit, for up to a quarter of their target, would still be sent to a version that was rolled back meanwhile: the version was chosen before the wait. The wait reports that now, and the request chooses again.

Found by reading.

--- a/core/canary/load.go
+++ b/core/canary/load.go
@@ -18,11 +18,12 @@
 	}
 }
 
-// LoadLimit returns the limit for the load of a version's upstreams.
+// LoadLimit returns the limit for the load of a version's upstreams. A version that receives no work has
+// none, and is not watched.
 func (gu *Guard) LoadLimit(sv core.ServiceID, ve core.VersionID) loadlimit.Share {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
-	if ro := gu.rollouts[sv]; ro != nil && ro.order.Revision != 0 && ve == ro.order.Target {
+	if ro := gu.rollouts[sv]; ro != nil && ro.order.Revision != 0 && ve == ro.order.Target && !ro.rejected() {
 		return loadlimit.Share{Limit: ro.load.Limit(), Entries: max(gu.entries(), 1)}
 	}
 	return loadlimit.Share{}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -230,7 +230,10 @@
 		rq.LoadLimit = fw.components.Canary.LoadLimit(jb.service, hosts[0].Version)
 	}
 	fw.mu.Lock()
-	jb.awaitLoadLimit(hosts, rq)
+	if !jb.awaitLoadLimit(hosts, rq) {
+		fw.mu.Unlock()
+		return jb.beginAttempt(after) // The version was rolled back meanwhile.
+	}
 	now = time.Now()
 	left, bounded = jb.timeLeft(now)
 	ho, pe, ok := jb.pickUpstream(now, fw.accepting(now, hosts), rq)
--- a/core/forward/load_limit.go
+++ b/core/forward/load_limit.go
@@ -18,11 +18,11 @@
 
 // awaitLoadLimit waits until one of the upstreams is below its load limit, for a short time at most: a
 // version that fails under load fails more callers than the wait delays. Beyond that time the request is
-// sent all the same. The forwarder's lock is held on entry and return, so that two requests do not take
-// the same place, and released meanwhile.
-func (jb *job) awaitLoadLimit(hosts []core.Host, rq balance.Request) {
+// sent all the same. It reports whether the version still receives work. The forwarder's lock is held on
+// entry and return, so that two requests do not take the same place, and released meanwhile.
+func (jb *job) awaitLoadLimit(hosts []core.Host, rq balance.Request) bool {
 	if rq.Engine || rq.LoadLimit.Limit == 0 {
-		return
+		return true
 	}
 	fw := jb.fw
 	patience := max(time.Duration(limitPatience*float64(jb.rt.TargetLatency)), minLimitPatience)
@@ -32,7 +32,7 @@
 	for until := time.Now().Add(patience); ; {
 		now := time.Now()
 		if !now.Before(until) || !fw.picker.AtLimit(now, fw.accepting(now, hosts), rq) {
-			return
+			return fw.components.Canary.LoadLimit(jb.service, hosts[0].Version).Watched()
 		}
 		ended := fw.attemptEnded
 		fw.mu.Unlock()
--- a/core/forward/load_limit_test.go
+++ b/core/forward/load_limit_test.go
@@ -194,3 +194,33 @@
 		})
 	}
 }
+
+// TestRequestThatWaitsLeavesARolledBackVersion guards against sending a request to a version that was rolled
+// back while the request waited for one of its upstreams.
+func TestRequestThatWaitsLeavesARolledBackVersion(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		fx := newFixture(t, func(_ context.Context, ca *core.Call) (*core.Reply, error) {
+			time.Sleep(time.Second)
+			return reply(http.StatusOK, string(ca.To.Version)), nil
+		})
+		now := time.Now()
+		ho := core.Host{ID: "new", Service: "pool", Version: "v2", Slots: 6, StartedAt: 1}
+		fx.gu.Order(now, canary.Order{Service: "pool", Target: "v2", Duration: time.Minute, Revision: 5})
+		fx.gu.Status(canary.Status{Service: "pool", Target: "v2", State: canary.InProgress, Revision: 6})
+		fx.gu.Step(now, canary.Step{Service: "pool", Order: 5, Step: 2, Revision: 7})
+		for i := range 60 {
+			running := 1 + i%2
+			fx.gu.ObserveLoad(now, ho, core.Load{Running: running, Slots: 6}, running > 1)
+		}
+		fx.fl.Put(ho)
+		var wg sync.WaitGroup
+		answers := make([]string, 2)
+		for i := range answers {
+			wg.Go(func() { _, answers[i], _ = fx.send(t.Context(), "/claim/x") })
+			time.Sleep(10 * time.Millisecond)
+		}
+		fx.gu.Status(canary.Status{Service: "pool", Target: "v2", State: canary.RolledBack, Revision: 8})
+		wg.Wait()
+		assert.DeepEqual(t, answers, []string{"v2", "v1"})
+	})
+}
