Count answers by the load at their start, and read the answers in the test of the load limit

The test that came with the load limit closed the answers unread, so that none counted as failed and no limit was ever found in it; it passed by the spread of the calls alone.

Callers would get errors of a version that fails under load for as long as the burst lasts: the load that an upstream reports with an answer is that of its end, which says little of short requests. An answer counts under the higher one of that and of the calls that were known at its start.

--- a/core/balance/load_limit.go
+++ b/core/balance/load_limit.go
@@ -82,6 +82,11 @@
 	return us.own >= share || pk.presentLoad(now, us, rq, de.latency) >= float64(limit)
 }
 
+// PresentLoad returns the calls at an upstream, as far as this entry knows.
+func (pk *Picker) PresentLoad(now time.Time, ho *core.Host, rq Request) int {
+	return int(pk.presentLoad(now, pk.stateOf(ho), rq, pk.latency(rq)))
+}
+
 // presentLoad returns the calls at an upstream. For a plain service of this region, the calls that siblings
 // announced count for the usual time of a call, and longer only if the siblings announced them again.
 func (pk *Picker) presentLoad(now time.Time, us *upstreamState, rq Request, la *latency) float64 {
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -32,6 +32,8 @@
 	// limit.
 	left    time.Duration
 	bounded bool
+	// othersAtStart counts the calls that were known at the upstream when the attempt was sent.
+	othersAtStart int
 	// queueRank is the request's rank in the upstream's queue.
 	queueRank int
 	// headerTimeout is the limit for the response header; 0 means no limit of its own.
@@ -238,7 +240,7 @@
 	}
 	at.observeSuspect(now, ve)
 	if at.reply != nil && at.reply.Load != nil && !ve.notRun() {
-		fw.components.Canary.ObserveLoad(now, at.to, *at.reply.Load, ve == failed)
+		fw.components.Canary.ObserveLoad(now, at.to, at.highestLoad(), ve == failed)
 	}
 	fw.components.Canary.AttemptEnded(now, jb.ex.Session, at.to)
 	fw.meters.attempt(ve)
@@ -250,6 +252,14 @@
 	at.logAvoidanceChange(change, ve, failureRate)
 }
 
+// highestLoad returns the load under which the answer was made: the one that the upstream reported, which is
+// that of the end, or the one that was known at the start.
+func (at *attempt) highestLoad() core.Load {
+	lo := *at.reply.Load
+	lo.Running = max(lo.Running, at.othersAtStart+1-lo.Queued)
+	return lo
+}
+
 // reportedLoad returns the load that the upstream reported in its response, for the log.
 func (at *attempt) reportedLoad() string {
 	if at.reply == nil || at.reply.Load == nil {
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -242,6 +242,9 @@
 		return nil, jb.unavailableFailure(now, hosts)
 	}
 	at := &attempt{jb: jb, to: ho, rq: rq, sent: now, after: after, left: left, bounded: bounded, permit: pe}
+	if rq.LoadLimit.Watched() {
+		at.othersAtStart = fw.picker.PresentLoad(now, &ho, rq)
+	}
 	at.flight = fw.picker.RecordSent(now, ho, rq)
 	at.prefillWait = at.flight.PendingPrefill()
 	jb.prefillTime += at.flight.PrefillTime()
--- a/core/forward/load_limit_test.go
+++ b/core/forward/load_limit_test.go
@@ -161,7 +161,11 @@
 				ID: "r", Host: "a.example", Path: "/claim/x", Target: "/claim/x", Method: http.MethodPost, Key: "key",
 				Header: http.Header{}, Arrived: time.Now(), Deadline: 2 * time.Second,
 			}
-			if ans, err := entry.Forward(ctx, ex); err == nil {
+			ans, err := entry.Forward(ctx, ex)
+			for err == nil {
+				_, err = ans.Next()
+			}
+			if ans != nil {
 				ans.Close()
 			}
 		})
