Do not avoid an upstream for failures that its load may have caused

Callers: entries avoid an upstream that has just failed a request, for six seconds' worth where work may run once only. If its version fails under load, all of them send their requests to the others, which fail under that load next. Failures of a version that came with a roll-out, at an upstream that had other calls at the start, do not count against the upstream any more; those of one that was idle do.

--- a/core/forward/fault.go
+++ b/core/forward/fault.go
@@ -20,14 +20,25 @@
 // deferVerdict defers the verdict on a failed attempt's upstream until the next attempt has ended;
 // see resolveDeferred. When no other upstream can be tried, the cause stays unknown and the failure
 // does not count against the upstream.
-func (at *attempt) deferVerdict() { at.jb.deferred = at }
+func (at *attempt) deferVerdict() {
+	if !at.loadMayBeCause() {
+		at.jb.deferred = at
+	}
+}
+
+// loadMayBeCause reports whether a failure may come from the load of the upstream: its version came with a
+// roll-out and may fail under load, and the upstream was at work. If such failures counted against the
+// upstream, all entries would send their requests to the others, and these would fail under that load.
+func (at *attempt) loadMayBeCause() bool {
+	return at.rq.LoadLimit.Watched() && !at.rq.Engine && at.othersAtStart > 0
+}
 
 // resolveDeferred returns the outcome of an attempt for the load balancer, and decides about the
 // failed attempt before it: when both failed with the same status, the request is the cause,
 // otherwise the first upstream. The forwarder's lock is held.
 func (at *attempt) resolveDeferred(now time.Time, ve verdict) balance.Outcome {
 	out := ve.outcome()
-	if ve == failed && at.timeLimitTooShort() {
+	if ve == failed && (at.timeLimitTooShort() || at.loadMayBeCause()) {
 		out = balance.Abandoned
 	}
 	if prev := at.jb.deferred; prev != nil && prev != at {
