Log the framing of answers and the rest of a stream after its last event

The log could not tell the two hypotheses about streams that are broken off and reach callers as complete apart: an answer's line had neither how it was framed nor whether its stream ended inside an event. The client of upstreams now reports an answer that ends with its connection.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -147,7 +147,7 @@
 		"A bill could not be written before the process ended, or the queue of bills was full.",
 		"Keep the line: it is the bill. The agent's copy is filed once the store responds; file the line by hand only if `skylarkstand bill --list` does not list its request an hour later."}
 	ExchangeEnded = &Event{510, "exchange-ended", slog.LevelInfo,
-		"An exchange ended with an upstream's complete answer. `first` is the time to its first piece, with the target `aim`; `pause` is the longest time between two pieces, with the maximum `gap`. `larger` is the number of larger models to which the request could have been escalated, `sure` the confidence that sufficed, and `kept-answer` why it was not escalated.", "Nothing."}
+		"An exchange ended with an upstream's complete answer. `first` is the time to its first piece, with the target `aim`; `pause` is the longest time between two pieces, with the maximum `gap`. `larger` is the number of larger models to which the request could have been escalated, `sure` the confidence that sufficed, and `kept-answer` why it was not escalated. `unframed` states that the answer had neither a length nor chunks and ended with its connection, and `tail` is the number of bytes after the last complete event of a stream.", "Nothing."}
 	ExchangeCut = &Event{516, "exchange-cut", slog.LevelWarn,
 		"An answer was cut off after a part of it was forwarded; `code` and `message` give the reason, `no-repeat` why it was not resumed. The caller's connection was closed.",
 		"Search for the `attempt-ended` lines with the request's id."}
@@ -158,7 +158,7 @@
 		"An exchange was refused before an upstream was chosen: no route, no key, no configuration, or too large.",
 		"Compare `configuration` with the newest one if the request should have been accepted."}
 	AttemptEnded = &Event{513, "attempt-ended", slog.LevelInfo,
-		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason, `load` is the load that the upstream reported with it (running, queued, slots), and `fingerprint` is the same for all requests of a workspace with the same content.",
+		"An attempt's answer was not used; `verdict` and `why` give the outcome and its reason, `load` is the load that the upstream reported with it (running, queued, slots), `unframed` states that it had neither a length nor chunks, and `fingerprint` is the same for all requests of a workspace with the same content.",
 		"Check the upstream if it repeats there."}
 	AttemptBegun = &Event{515, "attempt-begun", slog.LevelInfo,
 		"An upstream was selected out of `candidates` and is called. `own` is the number of this entry's calls there, `others` that of other entries by their reports, which are `load-age` old (-1: no report). `kept` is the number of the prompt's tokens that are assumed to be in its prefix cache; `waits` is the prefill time of all prompts there by the reports, `read` that of this entry's prompts. `rank` is the position in its queue (0 is first), `patience` the time after which another upstream is tried, `left` the time that the caller still waits, `repeats-left` the retry budget, and `after` the last event that the caller received.",
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -111,9 +111,12 @@
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
 	Signals
-	// Body ends with io.EOF only if the answer is complete. Closing it early drops the connection,
-	// which makes the upstream stop.
+	// Body ends with io.EOF only if the answer is complete, except with EndsWithConnection. Closing
+	// it early drops the connection, which makes the upstream stop.
 	Body io.ReadCloser
+	// EndsWithConnection is set when the body has no framing: it ends with io.EOF also if the
+	// upstream breaks off and closes the connection.
+	EndsWithConnection bool
 }
 
 // FromUpstream reports whether the reply comes from the upstream that was called, and not from
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -89,6 +89,14 @@
 // Header returns the header of the answer.
 func (ans *Answer) Header() http.Header { return ans.header }
 
+// tail returns the number of bytes after the last complete event of a stream, for the log.
+func (ans *Answer) tail() int {
+	if ans.ev == nil {
+		return 0
+	}
+	return ans.ev.tail
+}
+
 // Stream reports whether the answer is an event stream, which is passed on event by event.
 func (ans *Answer) Stream() bool { return ans.ev != nil }
 
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -247,7 +247,7 @@
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "fingerprint", jb.fingerprint.String())
+			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "fingerprint", jb.fingerprint.String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
@@ -260,6 +260,9 @@
 	return lo
 }
 
+// unframed reports whether the end of the answer's connection ends the answer.
+func (at *attempt) unframed() bool { return at.reply != nil && at.reply.EndsWithConnection }
+
 // reportedLoad returns the load that the upstream reported in its response, for the log.
 func (at *attempt) reportedLoad() string {
 	if at.reply == nil || at.reply.Load == nil {
--- a/core/forward/events.go
+++ b/core/forward/events.go
@@ -14,6 +14,8 @@
 	br  *bufio.Reader
 	buf []byte
 	err error
+	// tail is the number of bytes after the last complete event, once the stream has ended.
+	tail int
 }
 
 // maxEventSize bounds the size of one event, in bytes.
@@ -44,7 +46,7 @@
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(ev.buf) > 0:
-			ev.err = err
+			ev.err, ev.tail = err, len(ev.buf)
 			return ev.buf, nil
 		case err != nil:
 			return nil, err
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -40,7 +40,7 @@
 		"version", at.to.Version, "model", jb.model(), "session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output,
 		"status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "bytes", ans.sentBytes, "first", first, "took", took,
 		"aim", jb.rt.TargetLatency, "pause", ans.longestGap, "gap", jb.rt.MaxEventGap, "larger", jb.largerModels(), "sure", round(jb.threshold),
-		"kept-answer", jb.answerReason, "configuration", jb.tb.Version,
+		"kept-answer", jb.answerReason, "configuration", jb.tb.Version, "unframed", at.unframed(), "tail", ans.tail(),
 	}
 	if code == "" {
 		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -158,7 +158,10 @@
 			continue
 		}
 		// A connection that delivered responses to other requests may deliver more.
-		return &Response{Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0}, nil
+		return &Response{
+			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0,
+			EndsWithConnection: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody,
+		}, nil
 	}
 }
 
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -6,7 +6,8 @@
 // twice; and which bytes on a connection belong to which request. An upstream may respond
 // before it has read a body, send more than one response, or stop sending on an open connection. A
 // connection that delivers bytes belonging to no request is closed, and a response counts as
-// complete only if its framing says so.
+// complete only if its framing says so. A response without framing ends with its connection, and
+// whether it is complete is for the caller to find out; see [Response].
 //
 // # Usage
 //
@@ -74,6 +75,9 @@
 	Body   io.ReadCloser
 	// ClosesConnection states that the connection is not reused after this response.
 	ClosesConnection bool
+	// EndsWithConnection states that the body has neither a length nor chunks: it ends with the
+	// connection, also if the upstream breaks off.
+	EndsWithConnection bool
 }
 
 // Error is the error of a request without a response.
