--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -13,6 +13,8 @@
 import (
 	"fmt"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -30,7 +32,7 @@
 	Overloaded
 	// Fail: the request is run and answered with an error.
 	Fail
-	// CutOff: the request is run, and its stream is cut off in the middle of an event.
+	// CutOff: the request is run, and its stream is cut off; see [Upstream.SetCut].
 	CutOff
 	// Slow: the request is run, with a delay before the answer.
 	Slow
@@ -59,13 +61,43 @@
 	retryAfter string
 	// draining is whether all responses report that the upstream is draining.
 	draining bool
+	// unframed is whether streams have neither a length nor chunks and end with their connection.
+	unframed bool
+	cut      Cut
 	restarts int
 	arrivals []time.Time
 }
 
+// Cut is how streams are cut off.
+type Cut struct {
+	// After is the number of bytes of the stream's events that are sent.
+	After int
+	// Reset resets the connection instead of closing it.
+	Reset bool
+	// Once makes the upstream answer normally again after the first cut.
+	Once bool
+}
+
+// defaultCut is in the middle of the third event.
+var defaultCut = Cut{After: len(Event(1)) + len(Event(2)) + 8}
+
 // New returns an upstream of a service and version.
 func New(id, service, version string) *Upstream {
-	return &Upstream{id: id, service: service, version: version}
+	return &Upstream{id: id, service: service, version: version, cut: defaultCut}
+}
+
+// SetUnframed makes all further streams end with their connection, without a length or chunks.
+func (up *Upstream) SetUnframed() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.unframed = true
+}
+
+// SetCut makes the upstream cut off all further streams, or one.
+func (up *Upstream) SetCut(cu Cut) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.mode, up.cut = CutOff, cu
 }
 
 // HostEntry returns the upstream's entry in the host list, with its address.
@@ -218,19 +250,43 @@
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: word %d\n\n", n, n) }
 
 func (up *Upstream) stream(w http.ResponseWriter, rq *http.Request, mode Mode) {
+	up.mu.Lock()
+	unframed, cut := up.unframed, up.cut
+	if mode == CutOff && cut.Once {
+		up.mode = Answer
+	}
+	up.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends no framing.
+	}
 	after, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
 	ctl := http.NewResponseController(w)
+	left := math.MaxInt
+	if mode == CutOff {
+		left = cut.After
+	}
+	_ = ctl.Flush()
 	for n := after + 1; n <= streamEvents; n++ {
-		if mode == CutOff && n == 3 {
-			_, _ = io.WriteString(w, Event(n)[:8])
-			_ = ctl.Flush()
-			panic(http.ErrAbortHandler)
-		}
 		if mode == Slow {
 			time.Sleep(slowDelay)
 		}
-		_, _ = io.WriteString(w, Event(n))
+		ev := Event(n)
+		_, _ = io.WriteString(w, ev[:min(left, len(ev))])
 		_ = ctl.Flush()
+		if left -= len(ev); left < 0 {
+			breakOff(w, cut.Reset)
+		}
+	}
+}
+
+// breakOff ends the connection before the end of the response.
+func breakOff(w http.ResponseWriter, reset bool) {
+	if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tc, ok := nc.(*net.TCPConn); ok && reset {
+			_ = tc.SetLinger(0)
+		}
+		_ = nc.Close()
 	}
+	panic(http.ErrAbortHandler)
 }
