Take a stream that ends inside an event, or before its first one, for broken off

Callers got a part of a stream as a complete answer (ORDER). Cause: an answer with neither a length nor chunks ends with its connection, and that end counted as the answer's (hypothesis 1); what followed the last event was passed on as one more event (hypothesis 2). Both were needed. The class: the end of a connection taken for the end of an answer. Ruled out: the resumption (no stream-resumed line in the cases); resets, which were noticed all along.

A stream is now whole only if it ends with the blank line of an event, and, without framing, has an event. Anything else is a lost attempt: it is retried or resumed, and counts for the outlier rule, the evidence of a roll-out and the suspicion of requests as any broken connection. An answer of a streaming route that is no event stream ends with its body.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -53,8 +53,8 @@
 		jb: jb, ctx: ctx, at: at, status: at.reply.Status, header: at.reply.Header,
 		confidence: at.reply.Confidence, lastEventID: at.after,
 	}
-	if jb.rt.Stream && at.reply.Status < http.StatusMultipleChoices {
-		ans.ev = newEvents(at.reply.Body)
+	if jb.rt.Stream && isEventStream(at.reply) {
+		ans.ev = newEvents(at.reply)
 		ans.pending, ans.err = ans.nextEvent()
 	} else {
 		ans.pending, ans.err = ans.readBuffered()
@@ -238,9 +238,9 @@
 		}
 		ve = at.run(ans.ctx)
 		ans.at = at
-		if (ve == taken || ve == unsure) && at.reply.Status == ans.status {
+		if (ve == taken || ve == unsure) && at.reply.Status == ans.status && isEventStream(at.reply) {
 			event.Log(jb.fw.deps.Log, event.StreamResumed, "request", jb.ex.ID, "upstream", at.to.ID, "after", ans.lastEventID, "cause", cause.Error())
-			ans.ev = newEvents(at.reply.Body)
+			ans.ev = newEvents(at.reply)
 			return true
 		}
 		cause = errors.New(at.reason)
--- a/core/forward/events.go
+++ b/core/forward/events.go
@@ -5,15 +5,23 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
+
+	"skylarkstand/core"
 )
 
-// events splits a stream into complete events. An incomplete event at the end is withheld: an
-// upstream that breaks off may cut an event in the middle.
+// events splits a stream into complete events. It ends with io.EOF only if the stream is complete: an
+// upstream that breaks off may cut an event in the middle, and an unframed stream ends then as a
+// complete one does.
 type events struct {
 	br  *bufio.Reader
 	buf []byte
 	err error
+	// unframed is set if the end of the connection ends the stream.
+	unframed bool
+	// begun is set once the stream has had an event.
+	begun bool
 	// tail is the number of bytes after the last complete event, once the stream has ended.
 	tail int
 }
@@ -24,13 +32,25 @@
 // eventBufferSize is the read buffer in bytes, enough for a few events of the usual size.
 const eventBufferSize = 1024
 
-var errLongEvent = errors.New("an event is longer than 1 MB")
+var (
+	errLongEvent   = errors.New("an event is longer than 1 MB")
+	errInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvent     = errors.New("the connection ended before the first event")
+)
+
+func newEvents(re *core.Reply) *events {
+	return &events{br: bufio.NewReaderSize(re.Body, eventBufferSize), unframed: re.EndsWithConnection}
+}
 
-func newEvents(rd io.Reader) *events { return &events{br: bufio.NewReaderSize(rd, eventBufferSize)} }
+// isEventStream reports whether a reply of a streaming route is a stream. Upstreams may answer with
+// something else, whose end is that of its body.
+func isEventStream(re *core.Reply) bool {
+	contentType := re.Header.Get("Content-Type")
+	return re.Status < http.StatusMultipleChoices && (contentType == "" || strings.HasPrefix(strings.ToLower(contentType), "text/event-stream"))
+}
 
-// next returns the next event with the blank line that ends it. Its bytes are valid until the
-// next call. Bytes at the end of the stream without a blank line are returned as one more event.
-// After the last event it returns io.EOF.
+// next returns the next event with the blank line that ends it. Its bytes are valid until the next
+// call. After the last event it returns io.EOF, or why the stream is not complete.
 func (ev *events) next() ([]byte, error) {
 	ev.buf = ev.buf[:0]
 	if ev.err != nil {
@@ -45,22 +65,49 @@
 				return nil, errLongEvent
 			}
 			continue
-		case errors.Is(err, io.EOF) && len(ev.buf) > 0:
-			ev.err, ev.tail = err, len(ev.buf)
-			return ev.buf, nil
+		case errors.Is(err, io.EOF):
+			return ev.end()
 		case err != nil:
 			return nil, err
 		}
 		if isBlank(line) && len(bytes.TrimSpace(ev.buf)) > 0 {
+			ev.begun = ev.begun || hasField(ev.buf)
 			return ev.buf, nil
 		}
 	}
 }
 
+// end returns the blank lines after the last event of a complete stream.
+func (ev *events) end() ([]byte, error) {
+	ev.tail = len(ev.buf)
+	switch {
+	case len(bytes.TrimSpace(ev.buf)) > 0:
+		ev.err = errInsideEvent
+	case ev.unframed && !ev.begun:
+		ev.err = errNoEvent
+	default:
+		ev.err = io.EOF
+		if len(ev.buf) > 0 {
+			return ev.buf, nil
+		}
+	}
+	return nil, ev.err
+}
+
 func isBlank(line []byte) bool {
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
 }
 
+// hasField reports whether a part of a stream holds more than comments.
+func hasField(part []byte) bool {
+	for line := range bytes.Lines(part) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the id of an event, or previous when it has none.
 func eventID(event []byte, previous string) string {
 	for line := range strings.Lines(string(event)) {
--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -65,6 +65,7 @@
 		Proofs: []Proof{
 			{"in every cell each answer that looks complete has all its words in order and none of another request", requestCells},
 			{"events of other requests, streams cut without an end marker, and crashes of the engine", "go test ./io/engine"},
+			{"streams without framing that end at any byte, on every way of an answer", "go test ./core/forward ./test/gateway -run 'Stream|EndOfStream'"},
 		},
 	},
 	{
