Check that a service is alive after an answer without framing

The same cause on the agents' path, found by reading: a plain service that crashes during an answer without a length or chunks ends it as a complete one, which the agent would hand on, store for the key and replay. The agent runs beside the service, so it asks whether the service still responds, as it does for engines; the check has its own package now. An answer of an engine that is not streamed and is cut off was already refused, but as another request's; it counts as broken off now, or as a crash.

Found whole on this path: frames between entry and agent (end frame), streams of engines and the caller's stream ([DONE]), stored answers (stored only after the end).

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -20,10 +20,9 @@
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"skylarkstand/core"
 	"skylarkstand/io/header"
+	"skylarkstand/io/health"
 )
 
 // Engine is the client of one model engine. It implements [core.Runner].
@@ -94,27 +93,9 @@
 	return eng.brokenCallFailure("the engine broke the call off")
 }
 
-// probeTimeout bounds one probe. It is short because the engine runs on this host.
-const probeTimeout = 500 * time.Millisecond
-
-// Probe returns nil if the engine responds to HTTP at all, with whatever status.
-//
-// A successful connect is not enough: while a process terminates, the kernel closes its connections
-// one by one, and the listener may be the last. The crash would then be classified as a broken
-// call, and the request that caused it would crash one more upstream.
-func (eng *Engine) Probe() error {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, eng.url+"/health", http.NoBody)
-	if err != nil {
-		return eris.Wrap(err, "engine")
-	}
-	rs, err := eng.cli.Do(rq)
-	if err != nil {
-		return eris.Wrap(err, "engine")
-	}
-	return rs.Body.Close()
-}
+// Probe returns nil if the engine responds to HTTP at all. A crash that is taken for a broken call lets
+// the request that caused it crash one more upstream.
+func (eng *Engine) Probe() error { return health.Check(eng.cli, eng.url) }
 
 // brokenCallFailure distinguishes a crash of the engine from a single call that the engine aborted.
 // The requests in flight at a crash become suspects for its cause.
@@ -151,6 +132,9 @@
 		return nil, &core.Failure{Code: core.CodeTooLarge, Ran: core.RanFailed, Message: "the engine's answer is too large"}
 	}
 	var ub usageBody
+	if !json.Valid(body) {
+		return nil, eng.brokenCallFailure("the engine broke the answer off")
+	}
 	if err := json.Unmarshal(body, &ub); err != nil || ub.ID != answerID(id) {
 		return nil, &core.Failure{Code: core.CodeUpstream, Ran: core.RanFailed, RetryAfter: time.Second,
 			Message: "the engine gave another request's answer"}
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -120,3 +121,13 @@
 	assert.Assert(t, errors.As(err, &fl))
 	assert.Equal(t, fl.Code, core.CodeCrashed)
 }
+
+// An engine without framing ends during an answer that is not streamed. That is a broken call, and a
+// crash if the engine is gone, not the answer of another request.
+func TestAnswerWithoutFramingThatBreaksOff(t *testing.T) {
+	rs := &http.Response{Body: io.NopCloser(strings.NewReader(`{"id":"chatcmpl-a1","cho`)), Header: http.Header{}}
+	_, err := New(core.NewDeps(), "http://127.0.0.1:1").readWhole(rs, attempt)
+	var fl *core.Failure
+	assert.Assert(t, errors.As(err, &fl))
+	assert.Equal(t, fl.Code, core.CodeCrashed)
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -18,6 +18,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/io/header"
+	"skylarkstand/io/health"
 )
 
 // Service is the client of one plain service. It implements [core.Runner].
@@ -88,9 +89,17 @@
 	if len(raw) > maxAnswer {
 		return nil, &core.Failure{Code: core.CodeTooLarge, Ran: core.RanFailed, Message: "the service's answer is too large"}
 	}
+	if unframed(rs) && health.Check(svc.cli, svc.url) != nil {
+		return nil, core.OutcomeUnknown("the service ended while it answered")
+	}
 	return &answer{status: rs.StatusCode, ctype: rs.Header.Get("Content-Type"), body: raw}, nil
 }
 
+// unframed reports whether a response ends with its connection, also if the service has crashed.
+func unframed(rs *http.Response) bool {
+	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && !rs.Uncompressed
+}
+
 type answer struct {
 	status int
 	ctype  string
