Show that requests with one poisonous part of their prompts are sent on and on

Callers saw over a tenth of three routes unserved for half a minute, twice: requests that share one part of their prompts end each upstream that begins to write their answers, and no two of them are alike.

--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -38,8 +38,8 @@
 	poison    = "poison"
 )
 
-// crashPool is a pool of upstreams behind several entries. A request with the body "poison" crashes
-// the upstreams that run it.
+// crashPool is a pool of upstreams behind several entries. A request with the body "poison", or with a
+// part of that name in its prompt, crashes the upstreams that run it.
 type crashPool struct {
 	inf     *route.InForce
 	ids     []core.ProcessID
@@ -54,6 +54,8 @@
 	// poisoned holds when poisonous requests of entries that have run for noticeTime reached upstreams,
 	// and crashes when upstreams crashed.
 	poisoned, crashes []time.Time
+	// partOutcomes are the outcomes of innocent requests with parts.
+	partOutcomes []partOutcome
 	// refused counts the refusals of quarantined requests by body, and answered the answers.
 	refused, answered map[string]int
 	// runTime is how long an upstream runs an innocent request.
@@ -62,6 +64,10 @@
 	crashDelay time.Duration
 	// cutShare is the share of requests whose connection is cut while the upstream stays up.
 	cutShare float64
+	// downTime is the time from a crash to the start of the upstream's next incarnation.
+	downTime time.Duration
+	// endings are how the answers to poisonous requests end, in turn; none means without a header.
+	endings []behavior
 	// restartInterval is the time between two restarts of entries; 0 for none.
 	restartInterval time.Duration
 	// st is the platform's store and recorders keep the quarantine there, one for each entry.
@@ -86,7 +92,7 @@
 	fx.inf.Adopt(fx.tb)
 	po := &crashPool{
 		inf: fx.inf, rnd: rand.New(rand.NewPCG(7, 7)), running: map[core.UpstreamID]*process{},
-		refused: map[string]int{}, answered: map[string]int{}, runTime: 400 * time.Millisecond, crashDelay: 100 * time.Millisecond, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
+		refused: map[string]int{}, answered: map[string]int{}, runTime: 400 * time.Millisecond, crashDelay: 100 * time.Millisecond, downTime: restartDelay, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
 	}
 	for i := range entries {
 		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
@@ -162,18 +168,18 @@
 		return false
 	}
 	close(pr.crashed)
-	time.AfterFunc(delistDelay, func() {
+	time.AfterFunc(po.downTime-(restartDelay-delistDelay), func() {
 		for _, fl := range po.fleets {
 			fl.Remove(id, time.Now(), false)
 		}
 	})
-	time.AfterFunc(restartDelay, po.startUpstream)
+	time.AfterFunc(po.downTime, po.startUpstream)
 	return true
 }
 
 // Call implements core.UpstreamClient.
 func (cc crashClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
-	po, bad := cc.po, string(ca.Body) == poison
+	po, bad := cc.po, isPoisonous(ca.Exchange)
 	pr, cut := po.arrive(ca.To.ID, bad && time.Since(cc.started) > noticeTime)
 	if pr == nil {
 		return nil, core.Refuse(core.CodeCrashed, 0, "connection refused")
@@ -195,6 +201,12 @@
 	case <-ctx.Done():
 		return nil, core.OutcomeUnknown("%v", ctx.Err())
 	case <-pr.crashed:
+		if bad && len(po.endings) > 0 {
+			po.mu.Lock()
+			ending := po.endings[len(po.crashes)%len(po.endings)]
+			po.mu.Unlock()
+			return ending(ctx, ca)
+		}
 		return nil, core.OutcomeUnknown("unexpected EOF")
 	case <-done:
 	}
@@ -207,6 +219,11 @@
 	return reply(http.StatusOK, "ok"), nil
 }
 
+// isPoisonous reports whether a request crashes the upstreams that run it.
+func isPoisonous(ex *core.Exchange) bool {
+	return string(ex.Body) == poison || slices.ContainsFunc(ex.Parts, func(pa core.Part) bool { return strings.HasPrefix(pa.ID, poison) })
+}
+
 // arrive returns the process that runs a request, nil if it is down, and whether its connection will be
 // cut. It records the request if it counts.
 func (po *crashPool) arrive(id core.UpstreamID, counts bool) (*process, bool) {
@@ -220,14 +237,22 @@
 }
 
 // send sends a request to a random entry.
-func (po *crashPool) send(ctx context.Context, path, body string, n int) {
+func (po *crashPool) send(ctx context.Context, lo load, n int) {
 	po.mu.Lock()
 	fw := po.entries[po.rnd.IntN(len(po.entries))]
 	po.mu.Unlock()
+	body := lo.body(n)
 	ex := &core.Exchange{
-		ID: core.RequestID(fmt.Sprint(body, n)), Host: "a.example", Path: path, Target: path, Method: http.MethodPost, Key: "key",
+		ID: core.RequestID(fmt.Sprint(body, n)), Host: "a.example", Path: lo.path, Target: lo.path, Method: http.MethodPost, Key: "key",
 		Header: http.Header{}, Body: []byte(body), Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
 	}
+	if lo.parts != "" {
+		for id := range strings.SplitSeq(lo.parts, ",") {
+			ex.Parts = append(ex.Parts, core.Part{ID: id, Tokens: 100})
+		}
+		ex.Parts = append(ex.Parts, core.Part{ID: string(ex.ID), Tokens: 50})
+		ex.Prompt = 150
+	}
 	ans, err := fw.Forward(ctx, ex)
 	for err == nil {
 		_, err = ans.Next()
@@ -244,6 +269,31 @@
 	case errors.Is(err, io.EOF):
 		po.answered[body]++
 	}
+	if lo.parts != "" && !isPoisonous(ex) {
+		po.partOutcomes = append(po.partOutcomes, partOutcome{ex.Arrived, lo.parts, errors.Is(err, io.EOF)})
+	}
+}
+
+// partOutcome is how an innocent request with parts ended.
+type partOutcome struct {
+	sent  time.Time
+	parts string
+	whole bool
+}
+
+// wholeShare returns the share of the innocent requests with some parts that were answered, of those that
+// were sent in a time.
+func (po *crashPool) wholeShare(parts string, from, to time.Time) float64 {
+	whole, all := 0, 0
+	for _, ou := range po.partOutcomes {
+		if ou.parts == parts && ou.sent.After(from) && ou.sent.Before(to) {
+			all++
+			if ou.whole {
+				whole++
+			}
+		}
+	}
+	return float64(whole) / float64(max(all, 1))
 }
 
 // gossip passes on what the entries have observed: facts and crashes to all of them, of which some get
@@ -289,6 +339,11 @@
 	interval time.Duration
 	// after is when the first request is sent.
 	after time.Duration
+	// parts are the parts of the prompt before the last one, separated by commas; empty for a request
+	// without a prompt.
+	parts string
+	// until is when the last request is sent; 0 for the end of the run.
+	until time.Duration
 }
 
 func always(body string) func(int) string { return func(int) string { return body } }
@@ -302,8 +357,8 @@
 	for _, lo := range loads {
 		wg.Go(func() {
 			time.Sleep(lo.after)
-			for n := 0; time.Now().Before(until); n++ {
-				wg.Go(func() { po.send(ctx, lo.path, lo.body(n), n) })
+			for n := 0; time.Now().Before(until) && (lo.until == 0 || time.Until(until) > duration-lo.until); n++ {
+				wg.Go(func() { po.send(ctx, lo, n) })
 				time.Sleep(lo.interval)
 			}
 		})
@@ -321,9 +376,9 @@
 
 // innocent are the loads of requests that crash nothing: different ones, and one that many send.
 var innocent = []load{
-	{"/lookup/x", unique, 50 * time.Millisecond, 0},
-	{"/draft/x", unique, 100 * time.Millisecond, 0},
-	{"/lookup/x", always("popular"), 40 * time.Millisecond, 0},
+	{path: "/lookup/x", body: unique, interval: 50 * time.Millisecond},
+	{path: "/draft/x", body: unique, interval: 100 * time.Millisecond},
+	{path: "/lookup/x", body: always("popular"), interval: 40 * time.Millisecond},
 }
 
 // The limit on a poisonous request: the number of times that it reaches upstreams later than
--- a/core/forward/crash_test.go
+++ b/core/forward/crash_test.go
@@ -38,7 +38,7 @@
 			runInBubble(t, func(t *testing.T) {
 				po := newCrashPool(t, sc.entries, 8)
 				po.restartInterval = sc.restarts
-				po.run(t.Context(), 40*time.Second, append(innocent, load{sc.path, always(poison), sc.interval, sc.warmUp})...)
+				po.run(t.Context(), 40*time.Second, append(innocent, load{path: sc.path, body: always(poison), interval: sc.interval, after: sc.warmUp})...)
 				assert.Assert(t, len(po.crashes) >= 3)
 				late := po.lateArrivals()
 				assert.Assert(t, late <= maxLateArrivals, "a request that had crashed 3 upstreams reached upstreams %d times more; %d crashed in all", late, len(po.crashes))
@@ -67,7 +67,7 @@
 	runInBubble(t, func(t *testing.T) {
 		po := newCrashPool(t, 4, 3)
 		po.runTime, po.crashDelay = 15*time.Millisecond, 250*time.Millisecond
-		po.run(t.Context(), 40*time.Second, load{"/lookup/x", unique, 150 * time.Millisecond, 0}, load{"/lookup/x", always(poison), interval, 2 * time.Second})
+		po.run(t.Context(), 40*time.Second, load{path: "/lookup/x", body: unique, interval: 150 * time.Millisecond}, load{path: "/lookup/x", body: always(poison), interval: interval, after: 2 * time.Second})
 		assert.Assert(t, len(po.crashes) >= 3)
 		late := po.lateArrivals()
 		assert.Assert(t, late <= maxLateArrivals, "a request that had crashed 3 upstreams reached upstreams %d times more; %d crashed in all", late, len(po.crashes))
@@ -90,7 +90,7 @@
 					defer po.mu.Unlock()
 					before = len(po.crashes)
 				})
-				po.run(t.Context(), 50*time.Second, append(innocent, load{"/draft/p", always(poison), interval, 2 * time.Second})...)
+				po.run(t.Context(), 50*time.Second, append(innocent, load{path: "/draft/p", body: always(poison), interval: interval, after: 2 * time.Second})...)
 				assert.Assert(t, before >= 3)
 				assert.Equal(t, len(po.crashes), before, "upstreams crashed again after the loss of all entries")
 				assert.DeepEqual(t, po.refusedInnocents(), []string(nil))
@@ -106,7 +106,7 @@
 		t.Run(interval.String(), func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
 				po := newCrashPool(t, 4, 8)
-				po.run(t.Context(), time.Minute, append(innocent, load{"/lookup/p", always(poison), interval, 0})...)
+				po.run(t.Context(), time.Minute, append(innocent, load{path: "/lookup/p", body: always(poison), interval: interval})...)
 				assert.Assert(t, po.answered["popular"] > 1000, "%d of 1500 answered", po.answered["popular"])
 				assert.Assert(t, po.lateArrivals() <= maxLateArrivals)
 				for _, body := range po.refusedInnocents() {
@@ -120,7 +120,7 @@
 // Guards against refusing innocent requests when upstreams end, or connections break, by other causes.
 func TestInnocentRequestsAreNotQuarantined(t *testing.T) {
 	// copies sends each request several times within a second, as impatient callers do.
-	copies := load{"/lookup/x", func(n int) string { return fmt.Sprint("copied ", n/6) }, 150 * time.Millisecond, 0}
+	copies := load{path: "/lookup/x", body: func(n int) string { return fmt.Sprint("copied ", n/6) }, interval: 150 * time.Millisecond}
 	scenarios := []struct {
 		testName string
 		// interval is the time between two crashes of count upstreams; 0 for none.
