Quarantine parts of prompts that crash upstreams, and try suspects one at a time

The class: a promise kept for one way to name a request.

A request has several traits now, its whole content and each part but the last, and one inference compares them all. What always came together is refused together only. From the second crash on a trait is tried by one request at a time over all entries. A broken attempt is checked by a connection before the next one, and an answer without framing clears nothing before that.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -220,6 +220,10 @@
 	return canary.NewRecorder(deps, gu, st, la, watch.PrefixSteps, func(core.ServiceID) int { return rd.WriterRank(time.Now()) })
 }
 
+func newDetector(deps core.Deps, reg *suspect.Registry, me *members) *suspect.Detector {
+	return suspect.NewDetector(reg, suspect.Among(deps.Self, func() int { return me.count() }))
+}
+
 func newQuarantineRecorder(deps core.Deps, de *suspect.Detector, st *platform.Store, rd *membership.Readers) *suspect.Recorder {
 	return suspect.NewRecorder(deps, de, st, func() int { return rd.WriterRank(time.Now()) })
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -113,7 +113,7 @@
 	ratelimitTracker := newRateLimits(deps, appMembers)
 	upstreams := platform.NewUpstreams(client)
 	registry := suspect.New()
-	detector := suspect.NewDetector(registry)
+	detector := newDetector(deps, registry, appMembers)
 	appShutdownState := newShutdownState()
 	forwarder := newForwarder(set, deps, inForce, fleet, guard, tracker, ratelimitTracker, replicaReplica, upstreams, detector, appShutdownState, appMembers, disabled)
 	recorder := newQuarantineRecorder(deps, detector, store, readers)
--- a/core/balance/flight.go
+++ b/core/balance/flight.go
@@ -164,6 +164,12 @@
 	return us.updateAvoided(now), us.failureRate(now)
 }
 
+// RecordNotListening records that nothing listens at an upstream's address any more.
+func (pk *Picker) RecordNotListening(now time.Time, fl *Flight) {
+	fl.state.recordOutcome(now, NotListening)
+	pk.addFact(fl.state)
+}
+
 // RecordFailure counts a failure against an upstream that became known after the end of its
 // attempt.
 func (pk *Picker) RecordFailure(now time.Time, fl *Flight) (AvoidanceChange, float64) {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -130,6 +130,25 @@
 	Call(ctx context.Context, ca *Call) (*Reply, error)
 }
 
+// ConnectionState is what became of an attempt to connect to an upstream.
+type ConnectionState int
+
+// The states.
+const (
+	// ConnectionUnknown: no answer came; the host may be down, or a link.
+	ConnectionUnknown ConnectionState = iota
+	// ConnectionAccepted: a process listens at the address.
+	ConnectionAccepted
+	// ConnectionRefused: the host is up and no process listens at the address.
+	ConnectionRefused
+)
+
+// ConnectionProber is implemented by upstream clients that can tell a crash from a broken connection.
+type ConnectionProber interface {
+	// ProbeConnection tries to connect to the upstream's address.
+	ProbeConnection(ctx context.Context, ho Host) ConnectionState
+}
+
 // CachedPart is a part of a prompt in an engine's prefix cache for a model.
 type CachedPart struct {
 	Model ModelID
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -232,7 +232,7 @@
 	for ve := lost; jb.mayRetry(ans.ctx); {
 		ans.at.recordFailure(cause)
 		ans.at.discard(ve)
-		at, fl := jb.beginAttempt(ans.lastEventID)
+		at, fl := jb.beginAttempt(ans.ctx, ans.lastEventID, suspicionWait)
 		if fl != nil {
 			return false
 		}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -51,6 +51,8 @@
 	// reason is why the attempt yielded no usable answer, for the log.
 	reason string
 	ended  bool
+	// acquitted is set once the answer has shown that the request crashes nothing.
+	acquitted bool
 	// outcomeReported is set once the outcome was reported to the canary guard.
 	outcomeReported atomic.Bool
 }
@@ -118,6 +120,9 @@
 		ou.Streaming = true
 		at.observe(ou)
 	}
+	if now.Sub(at.began) > progressTime {
+		at.acquit(now)
+	}
 	fw := at.jb.fw
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
@@ -247,7 +252,7 @@
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "fingerprint", jb.fingerprint.String())
+			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "fingerprint", jb.traits.Whole().String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -56,6 +56,8 @@
 	poisoned, crashes []time.Time
 	// partOutcomes are the outcomes of innocent requests with parts.
 	partOutcomes []partOutcome
+	// partArrivals and partCrashes are as poisoned and crashes, by the part that crashes upstreams.
+	partArrivals, partCrashes map[string][]time.Time
 	// refused counts the refusals of quarantined requests by body, and answered the answers.
 	refused, answered map[string]int
 	// runTime is how long an upstream runs an innocent request.
@@ -68,6 +70,10 @@
 	downTime time.Duration
 	// endings are how the answers to poisonous requests end, in turn; none means without a header.
 	endings []behavior
+	// silent is set if upstreams that are down do not refuse probes.
+	silent bool
+	// repaired is when requests stop crashing upstreams; zero for never.
+	repaired time.Time
 	// restartInterval is the time between two restarts of entries; 0 for none.
 	restartInterval time.Duration
 	// st is the platform's store and recorders keep the quarantine there, one for each entry.
@@ -92,7 +98,7 @@
 	fx.inf.Adopt(fx.tb)
 	po := &crashPool{
 		inf: fx.inf, rnd: rand.New(rand.NewPCG(7, 7)), running: map[core.UpstreamID]*process{},
-		refused: map[string]int{}, answered: map[string]int{}, runTime: 400 * time.Millisecond, crashDelay: 100 * time.Millisecond, downTime: restartDelay, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
+		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}, refused: map[string]int{}, answered: map[string]int{}, runTime: 400 * time.Millisecond, crashDelay: 100 * time.Millisecond, downTime: restartDelay, st: fakestore.New(), recorders: make([]*suspect.Recorder, entries),
 	}
 	for i := range entries {
 		po.ids = append(po.ids, core.ProcessID(fmt.Sprint("entry-", i)))
@@ -179,8 +185,9 @@
 
 // Call implements core.UpstreamClient.
 func (cc crashClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
-	po, bad := cc.po, isPoisonous(ca.Exchange)
-	pr, cut := po.arrive(ca.To.ID, bad && time.Since(cc.started) > noticeTime)
+	po, bad := cc.po, isPoisonous(ca.Exchange) && !cc.po.isRepaired()
+	part := poisonousPart(ca.Exchange)
+	pr, cut := po.arrive(ca.To.ID, part, bad && time.Since(cc.started) > noticeTime)
 	if pr == nil {
 		return nil, core.Refuse(core.CodeCrashed, 0, "connection refused")
 	}
@@ -190,6 +197,7 @@
 				po.mu.Lock()
 				defer po.mu.Unlock()
 				po.crashes = append(po.crashes, time.Now())
+				po.partCrashes[part] = append(po.partCrashes[part], time.Now())
 			}
 		})
 	}
@@ -219,19 +227,46 @@
 	return reply(http.StatusOK, "ok"), nil
 }
 
+// ProbeConnection implements core.ConnectionProber.
+func (cc crashClient) ProbeConnection(_ context.Context, ho core.Host) core.ConnectionState {
+	cc.po.mu.Lock()
+	defer cc.po.mu.Unlock()
+	switch {
+	case cc.po.running[ho.ID] != nil:
+		return core.ConnectionAccepted
+	case cc.po.silent:
+		return core.ConnectionUnknown
+	default:
+		return core.ConnectionRefused
+	}
+}
+
+func (po *crashPool) isRepaired() bool { return !po.repaired.IsZero() && time.Now().After(po.repaired) }
+
 // isPoisonous reports whether a request crashes the upstreams that run it.
 func isPoisonous(ex *core.Exchange) bool {
-	return string(ex.Body) == poison || slices.ContainsFunc(ex.Parts, func(pa core.Part) bool { return strings.HasPrefix(pa.ID, poison) })
+	return string(ex.Body) == poison || poisonousPart(ex) != ""
+}
+
+// poisonousPart returns the part of a request's prompt that crashes upstreams, or an empty string.
+func poisonousPart(ex *core.Exchange) string {
+	for _, pa := range ex.Parts {
+		if strings.HasPrefix(pa.ID, poison) {
+			return pa.ID
+		}
+	}
+	return ""
 }
 
 // arrive returns the process that runs a request, nil if it is down, and whether its connection will be
 // cut. It records the request if it counts.
-func (po *crashPool) arrive(id core.UpstreamID, counts bool) (*process, bool) {
+func (po *crashPool) arrive(id core.UpstreamID, part string, counts bool) (*process, bool) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	pr := po.running[id]
 	if counts && pr != nil {
 		po.poisoned = append(po.poisoned, time.Now())
+		po.partArrivals[part] = append(po.partArrivals[part], time.Now())
 	}
 	return pr, po.rnd.Float64() < po.cutShare
 }
@@ -241,7 +276,7 @@
 	po.mu.Lock()
 	fw := po.entries[po.rnd.IntN(len(po.entries))]
 	po.mu.Unlock()
-	body := lo.body(n)
+	body := lo.body(n) + lo.parts
 	ex := &core.Exchange{
 		ID: core.RequestID(fmt.Sprint(body, n)), Host: "a.example", Path: lo.path, Target: lo.path, Method: http.MethodPost, Key: "key",
 		Header: http.Header{}, Body: []byte(body), Arrived: time.Now(), Deadline: 10 * time.Second, AnyModel: true,
@@ -269,7 +304,7 @@
 	case errors.Is(err, io.EOF):
 		po.answered[body]++
 	}
-	if lo.parts != "" && !isPoisonous(ex) {
+	if lo.parts != "" && (!isPoisonous(ex) || po.isRepaired()) {
 		po.partOutcomes = append(po.partOutcomes, partOutcome{ex.Arrived, lo.parts, errors.Is(err, io.EOF)})
 	}
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -141,14 +141,14 @@
 			jb.priority = ws.Priority
 		}
 	}
-	jb.fingerprint = suspect.FingerprintOfExchange(jb.workspace, ex)
+	jb.service = rt.ChooseService(fw.splitPoint(ex))
+	jb.traits = suspect.TraitsOfExchange(jb.workspace, jb.service, ex)
 	if fl := jb.checkQuarantine(); fl != nil {
 		return nil, fl
 	}
 	if fl := fw.checkStopping(rt); fl != nil {
 		return nil, fl
 	}
-	jb.service = rt.ChooseService(fw.splitPoint(ex))
 	if fl := jb.checkServable(time.Now()); fl != nil {
 		return nil, fl
 	}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -50,8 +50,8 @@
 	// deferred is the last failed attempt while another attempt is in progress that will show
 	// whether the upstream or the request caused the failure.
 	deferred *attempt
-	// fingerprint is the same for all requests of the workspace with the same content.
-	fingerprint suspect.Fingerprint
+	// traits are what the request has in common with others.
+	traits suspect.Traits
 	// lastFailure is the reason of the newest failed attempt, and noRetryReason why no other one
 	// followed, for the log.
 	lastFailure   string
@@ -73,7 +73,7 @@
 	jb.fw.countArrival(jb)
 	jb.selectResumeStage()
 	for {
-		at, fl := jb.nextAttempt()
+		at, fl := jb.nextAttempt(ctx)
 		if fl != nil {
 			return nil, fl
 		}
@@ -88,12 +88,12 @@
 }
 
 // nextAttempt returns the attempt with the larger model if one was chosen, and begins one otherwise.
-func (jb *job) nextAttempt() (*attempt, *core.Failure) {
+func (jb *job) nextAttempt(ctx context.Context) (*attempt, *core.Failure) {
 	if at := jb.escalated; at != nil {
 		jb.escalated = nil
 		return at, nil
 	}
-	return jb.beginAttempt(jb.ex.LastEventID)
+	return jb.beginAttempt(ctx, jb.ex.LastEventID, suspicionWait)
 }
 
 // errOverdue is the cause when a job's context ends at its deadline.
@@ -214,16 +214,17 @@
 	return max(jb.rt.TargetLatency-time.Since(jb.ex.Arrived), minTimeLeft)
 }
 
-// beginAttempt chooses the upstream of the next attempt.
-func (jb *job) beginAttempt(after string) (*attempt, *core.Failure) {
+// beginAttempt chooses the upstream of the next attempt. A request that is suspected of crashing upstreams
+// waits for up to maxWait until it may be sent.
+func (jb *job) beginAttempt(ctx context.Context, after string, maxWait time.Duration) (*attempt, *core.Failure) {
+	if fl := jb.awaitAdmission(ctx, maxWait); fl != nil {
+		return nil, fl
+	}
 	now := time.Now()
 	left, bounded := jb.timeLeft(now)
 	if bounded && left < minTimeLeft {
 		return nil, jb.failure(core.CodeDeadline, shortRetryAfter, "the time was up before an upstream was asked")
 	}
-	if fl := jb.checkQuarantine(); fl != nil {
-		return nil, fl
-	}
 	fw, rq := jb.fw, jb.request()
 	hosts := fw.components.Canary.Choose(now, jb.service, jb.ex.Session, fw.draw(), jb.candidates(now), fw.components.ConfigAge() < staleConfigAge)
 	if len(hosts) > 0 {
@@ -232,7 +233,7 @@
 	fw.mu.Lock()
 	if !jb.awaitLoadLimit(hosts, rq) {
 		fw.mu.Unlock()
-		return jb.beginAttempt(after) // The version was rolled back meanwhile.
+		return jb.beginAttempt(ctx, after, maxWait) // The version was rolled back meanwhile.
 	}
 	now = time.Now()
 	left, bounded = jb.timeLeft(now)
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -119,7 +119,7 @@
 	jb.stage = jb.nextStage
 	// The larger model may run on an upstream that ran the smaller one.
 	jb.tried = nil
-	at, fl := jb.beginAttempt(jb.ex.LastEventID)
+	at, fl := jb.beginAttempt(ctx, jb.ex.LastEventID, 0)
 	if fl != nil {
 		jb.stage, jb.tried, jb.answerReason = stage, tried, reasonNoUpstream
 		return false
--- a/core/forward/poisonous_part_test.go
+++ b/core/forward/poisonous_part_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -23,19 +22,24 @@
 	innocentInteval = 150 * time.Millisecond
 )
 
-// latePartArrivals counts the requests with a poisonous part that reached upstreams too late.
+// latePartArrivals counts the requests with the same poisonous part that reached upstreams too late, and
+// returns the largest count.
 func (po *crashPool) latePartArrivals() int {
-	if len(po.crashes) < noticedCrash {
-		return 0
-	}
-	slices.SortFunc(po.crashes, time.Time.Compare)
-	late := 0
-	for _, at := range po.poisoned {
-		if at.Sub(po.crashes[noticedCrash-1]) > noticeTime {
-			late++
+	most := 0
+	for part, crashes := range po.partCrashes {
+		if len(crashes) < noticedCrash {
+			continue
+		}
+		slices.SortFunc(crashes, time.Time.Compare)
+		late := 0
+		for _, at := range po.partArrivals[part] {
+			if at.Sub(crashes[noticedCrash-1]) > noticeTime && (po.repaired.IsZero() || at.Before(po.repaired)) {
+				late++
+			}
 		}
+		most = max(most, late)
 	}
-	return late
+	return most
 }
 
 // newPartsPool returns a pool whose upstreams are back two seconds after a crash.
@@ -44,7 +48,8 @@
 	po := newCrashPool(t, entries, 8)
 	po.downTime = 2 * time.Second
 	po.endings = []behavior{
-		unframed(answers(http.StatusOK, "")), unframed(answers(http.StatusOK, "id: 1\nda")), unframed(answers(http.StatusOK, "id: 1\ndata: a\n\nid")), losesConnection,
+		unframed(answers(http.StatusOK, "")), unframed(answers(http.StatusOK, "id: 1\nda")), unframed(answers(http.StatusOK, "id: 1\ndata: a\n\nid")),
+		unframed(answers(http.StatusOK, "id: 1\ndata: a\n\n")), losesConnection,
 	}
 	return po
 }
@@ -69,34 +74,33 @@
 		// innocents are the parts of innocent requests of which most are answered afterwards.
 		innocents []string
 		restarts  time.Duration
+		silent    bool
 	}{
-		{"before the last part", 3, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0},
-		{"before another shared part", 3, []load{poisonous("first,poison,sound"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0},
-		{"as the first part", 3, []load{poisonous("poison,sound"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0},
-		{"first part that was never answered", 3, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, poisonFrom)}, []string{"first,sound"}, 0},
+		{"before the last part", 3, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, false},
+		{"before another shared part", 3, []load{poisonous("first,poison,sound"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, false},
+		{"as the first part", 3, []load{poisonous("poison,sound"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, false},
+		{"first part that was never answered", 3, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, poisonFrom)}, []string{"first,sound"}, 0, false},
 		{"beside a part that comes alone later", 3, []load{
 			poisonous("first,beside,poison"), prompts("first,sound", innocentInteval, 0), prompts("first,beside", time.Second, 15*time.Second),
-		}, []string{"first,sound", "first,beside"}, 0},
+		}, []string{"first,sound", "first,beside"}, 0, false},
 		{"beside a part that comes alone seldom", 3, []load{
 			poisonous("first,beside,poison"), prompts("first,sound", innocentInteval, 0), prompts("first,beside", 2*time.Second, 0),
-		}, []string{"first,sound", "first,beside"}, 0},
-		{"two of them", 3, []load{poisonous("first,poison"), poisonous("first,poison too"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0},
+		}, []string{"first,sound", "first,beside"}, 0, false},
+		{"two of them", 3, []load{poisonous("first,poison"), poisonous("first,poison too"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, false},
 		{"many innocent parts", 3, []load{
 			poisonous("first,poison"), prompts("first,a", innocentInteval, 0), prompts("first,b", innocentInteval, 0), prompts("first,c,d", innocentInteval, 0), prompts("other,e", innocentInteval, 0),
-		}, []string{"first,a", "first,b", "first,c,d", "other,e"}, 0},
-		{"each time another entry", 360, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0},
-		{"entries that start and know nothing", 4, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 5 * time.Second},
+		}, []string{"first,a", "first,b", "first,c,d", "other,e"}, 0, false},
+		{"each time another entry", 360, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, false},
+		{"entries that start and know nothing", 4, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 5 * time.Second, false},
+		{"hosts that do not refuse connections", 4, []load{poisonous("first,poison"), prompts("first,sound", innocentInteval, 0)}, []string{"first,sound"}, 0, true},
 	} {
 		t.Run(sc.testName, func(t *testing.T) {
 			runInBubble(t, func(t *testing.T) {
 				po, began := newPartsPool(t, sc.entries), time.Now()
-				po.restartInterval = sc.restarts
+				po.restartInterval, po.silent = sc.restarts, sc.silent
 				po.run(t.Context(), partsRunTime, sc.loads...)
-				late, bound := po.latePartArrivals(), maxLateArrivals
-				if strings.Contains(sc.testName, "two") {
-					bound *= 2
-				}
-				assert.Check(t, late <= bound, "requests with a part that had crashed five upstreams reached upstreams %d times more; %d crashed in all", late, len(po.crashes))
+				late := po.latePartArrivals()
+				assert.Check(t, late <= maxLateArrivals, "requests with a part that had crashed five upstreams reached upstreams %d times more; %d crashed in all", late, len(po.crashes))
 				for _, parts := range sc.innocents {
 					share := po.wholeShare(parts, began.Add(poisonFrom+2*noticeTime), began.Add(partsRunTime))
 					assert.Check(t, share >= minServedShare, "%.2f of the innocent requests with %s were answered afterwards", share, parts)
@@ -106,3 +110,66 @@
 		})
 	}
 }
+
+// Guards against a quarantine of a part that is lost with all entries.
+func TestPoisonousPartStaysQuarantinedWithoutEntries(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		po, before := newPartsPool(t, 4), 0
+		time.AfterFunc(15*time.Second, func() {
+			po.loseEntries()
+			po.mu.Lock()
+			defer po.mu.Unlock()
+			before = len(po.crashes)
+		})
+		po.run(t.Context(), partsRunTime, poisonous("first,beside,poison"), prompts("first,sound", innocentInteval, 0))
+		assert.Assert(t, before >= 3)
+		assert.Equal(t, len(po.crashes), before, "upstreams crashed again after the loss of all entries")
+	})
+}
+
+// Guards against a part that stays refused after its upstreams were repaired, or that is tried by many
+// requests at once while they are not.
+func TestPoisonousPartIsReleasedAfterRepair(t *testing.T) {
+	for _, entries := range []int{4, 360} {
+		runInBubble(t, func(t *testing.T) {
+			po, began := newPartsPool(t, entries), time.Now()
+			po.repaired = began.Add(150 * time.Second)
+			poison := poisonous("first,poison")
+			poison.until = 0
+			po.run(t.Context(), 5*time.Minute, poison, prompts("first,sound", innocentInteval, 0))
+			late := po.latePartArrivals()
+			assert.Check(t, late <= maxLateArrivals, "%d requests reached upstreams again, %d crashed in all", late, len(po.crashes))
+			share := po.wholeShare("first,poison", began.Add(280*time.Second), began.Add(5*time.Minute))
+			assert.Check(t, share >= minServedShare, "%.2f are answered after the repair", share)
+			t.Logf("%d upstreams crashed, %d requests arrived late", len(po.crashes), late)
+		})
+	}
+}
+
+// Guards against refusing prompts, or letting them wait, for upstreams that end by other causes.
+func TestPartsAreNotQuarantinedInOutages(t *testing.T) {
+	for _, sc := range []struct {
+		testName string
+		// interval is the time between two crashes of count upstreams.
+		interval time.Duration
+		count    int
+		share    float64
+	}{
+		{"upstreams end one by one", time.Second, 1, 0.97},
+		{"most upstreams end at once", 6 * time.Second, 6, 0.9},
+		{"upstreams hardly live", 400 * time.Millisecond, 1, 0.9},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				po, began := newPartsPool(t, 4), time.Now()
+				go po.crashAtIntervals(began.Add(partsRunTime), sc.interval, sc.count)
+				po.run(t.Context(), partsRunTime, prompts("first,a", innocentInteval, 0), prompts("first,b", time.Second, 0), prompts("first,c", 3*time.Second, 0))
+				assert.DeepEqual(t, po.refusedInnocents(), []string(nil))
+				for _, parts := range []string{"first,a", "first,b", "first,c"} {
+					share := po.wholeShare(parts, began, began.Add(partsRunTime))
+					assert.Check(t, share >= sc.share, "%.2f of the requests with %s were answered", share, parts)
+				}
+			})
+		})
+	}
+}
--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"skylarkstand/core"
@@ -31,25 +32,64 @@
 	overdueChecks   = []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, refusedTime}
 )
 
+const (
+	// suspicionWait is how long a suspected request waits until the cause of the crashes is known.
+	suspicionWait = 2500 * time.Millisecond
+	// suspicionInterval is how often it asks.
+	suspicionInterval = 50 * time.Millisecond
+	// probeTimeout bounds the time to find out whether an upstream has crashed.
+	probeTimeout = 200 * time.Millisecond
+)
+
 // checkQuarantine refuses a request that is quarantined.
 func (jb *job) checkQuarantine() *core.Failure {
 	now := time.Now()
-	re := jb.fw.components.Suspects.Lookup(jb.fingerprint, now)
-	if re.State != suspect.Quarantined {
-		return nil
+	if until, quarantined := jb.fw.components.Suspects.QuarantinedUntil(jb.traits, now); quarantined {
+		return jb.quarantineFailure(until.Sub(now))
+	}
+	return nil
+}
+
+func (jb *job) quarantineFailure(retryAfter time.Duration) *core.Failure {
+	return jb.failure(core.CodeQuarantined, retryAfter, "this request, or a part of its prompt, has crashed several upstreams")
+}
+
+// awaitAdmission waits until the request may be sent to an upstream: at once, unless it is suspected of
+// crashing them.
+func (jb *job) awaitAdmission(ctx context.Context, maxWait time.Duration) *core.Failure {
+	began := time.Now()
+	if left, bounded := jb.timeLeft(began); bounded {
+		maxWait = min(maxWait, left/2)
+	}
+	for {
+		now := time.Now()
+		switch ad, until := jb.fw.components.Suspects.Admit(jb.traits, suspect.RequestHash(jb.ex.ID), now); {
+		case ad == suspect.Admitted:
+			return nil
+		case ad == suspect.Refused:
+			return jb.quarantineFailure(until.Sub(now))
+		case now.Sub(began) >= maxWait:
+			return jb.failure(core.CodeSuspected, jb.backoff(), "upstreams crashed with this request, or one that shares a part of its prompt, in flight")
+		}
+		select {
+		case <-ctx.Done():
+			return jb.contextFailure(ctx)
+		case <-time.After(suspicionInterval):
+		}
 	}
-	return jb.failure(core.CodeQuarantined, re.Until.Sub(now), "this request has crashed several upstreams")
 }
 
 // observeSuspect records what the end of an attempt says about its request: it is innocent if an
 // upstream completed it, and suspected if the upstream ended meanwhile.
 func (at *attempt) observeSuspect(now time.Time, ve verdict) {
 	switch {
+	case ve == taken && at.unframed():
+		at.newCrashWatch(now).checkWhole(at)
 	case ve == taken || ve == failed:
-		at.jb.fw.components.Suspects.RecordCompleted(at.jb.fingerprint, now)
+		at.acquit(now)
 	case at.chunks > 0 && now.Sub(at.began) > progressTime:
 	case ve == lost && at.ctx.Err() == nil:
-		at.newCrashWatch(now).schedule(brokenChecks)
+		at.newCrashWatch(now).checkBroken()
 	case ve == lost && errors.Is(context.Cause(at.ctx), errHeaderTimeout):
 		at.newCrashWatch(now).schedule(overdueChecks)
 	case ve == unsure:
@@ -57,24 +97,86 @@
 	}
 }
 
+// acquit records that the upstream answered the request and is still there. A failure may come before the
+// upstream has read the prompt, so that it says nothing about its parts.
+func (at *attempt) acquit(now time.Time) {
+	if at.acquitted {
+		return
+	}
+	at.acquitted = true
+	traits := at.jb.traits
+	if at.reply.Status >= http.StatusMultipleChoices || at.jb.rt.Stream && at.chunks == 0 {
+		traits = traits[:1]
+	}
+	for _, fp := range traits {
+		at.jb.fw.components.Suspects.RecordCompleted(fp, now)
+	}
+}
+
 // crashWatch finds out whether an upstream ended when an attempt there did: a connection may also break
 // while its upstream stays up. It holds nothing of the attempt, whose content may be large.
 type crashWatch struct {
 	fw          *Forwarder
 	to          core.Host
+	flight      *balance.Flight
 	request     core.RequestID
-	fingerprint suspect.Fingerprint
+	traits      suspect.Traits
 	sent, ended time.Time
 }
 
 func (at *attempt) newCrashWatch(ended time.Time) crashWatch {
-	return crashWatch{at.jb.fw, at.to, at.jb.ex.ID, at.jb.fingerprint, at.sent, ended}
+	return crashWatch{at.jb.fw, at.to, at.flight, at.jb.ex.ID, at.jb.traits, at.sent, ended}
+}
+
+// probe finds out whether the upstream has ended.
+func (cw crashWatch) probe() core.ConnectionState {
+	if cw.upstreamEnded(time.Now()) {
+		return core.ConnectionRefused
+	}
+	pr, ok := cw.fw.client.(core.ConnectionProber)
+	if !ok {
+		return core.ConnectionUnknown
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	state := pr.ProbeConnection(ctx, cw.to)
+	if state == core.ConnectionRefused {
+		cw.fw.mu.Lock()
+		defer cw.fw.mu.Unlock()
+		cw.fw.picker.RecordNotListening(time.Now(), cw.flight)
+	}
+	return state
+}
+
+// checkBroken records the crash of an upstream whose answer broke off, at once if its address shows it: the
+// request's next attempt must know.
+func (cw crashWatch) checkBroken() {
+	if cw.probe() == core.ConnectionRefused {
+		cw.recordUnplanned(time.Now())
+	} else {
+		cw.schedule(brokenChecks)
+	}
+}
+
+// checkWhole records what an unframed answer that seemed whole says about its request, in the background: an
+// upstream that crashes between two events ends it alike.
+func (cw crashWatch) checkWhole(at *attempt) {
+	go func() {
+		switch cw.probe() {
+		case core.ConnectionAccepted:
+			at.acquit(time.Now())
+		case core.ConnectionRefused:
+			cw.recordUnplanned(time.Now())
+		case core.ConnectionUnknown:
+			cw.schedule(brokenChecks)
+		}
+	}()
 }
 
 // schedule records the crash at the first of the checks that finds the upstream ended.
 func (cw crashWatch) schedule(checks []time.Duration) {
 	if len(checks) == 0 || cw.fw.components.Fleet.IsLeaving(&cw.to) {
-		return // The end of a leaving upstream is planned.
+		return
 	}
 	time.AfterFunc(time.Until(cw.ended.Add(checks[0])), func() {
 		if now := time.Now(); cw.upstreamEnded(now) {
@@ -94,13 +196,22 @@
 	return now.Sub(cw.ended) <= refusedTime && cw.fw.picker.EndedSince(&cw.to, cw.sent)
 }
 
+// recordUnplanned records the crash, unless the upstream is leaving: its end is planned.
+func (cw crashWatch) recordUnplanned(now time.Time) {
+	if !cw.fw.components.Fleet.IsLeaving(&cw.to) {
+		cw.record(now)
+	}
+}
+
 func (cw crashWatch) record(now time.Time) {
-	cr := suspect.Crash{
-		Fingerprint: cw.fingerprint, Upstream: balance.NewIncarnation(&cw.to), Request: suspect.RequestHash(cw.request),
-		Sent: cw.sent, Ended: cw.ended,
+	suspected := false
+	for _, fp := range cw.traits {
+		suspected = cw.fw.components.Suspects.RecordCrash(suspect.Crash{
+			Fingerprint: fp, Upstream: balance.NewIncarnation(&cw.to), Request: suspect.RequestHash(cw.request), Sent: cw.sent, Ended: cw.ended,
+		}, now) || suspected
 	}
-	if cw.fw.components.Suspects.RecordCrash(cr, now) {
-		event.Log(cw.fw.deps.Log, event.RequestSuspected, "request", cw.request, "upstream", cw.to.ID, "fingerprint", cw.fingerprint.String())
+	if suspected {
+		event.Log(cw.fw.deps.Log, event.RequestSuspected, "request", cw.request, "upstream", cw.to.ID, "fingerprint", cw.traits.Whole().String())
 	}
 }
 
--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"skylarkstand/core"
 	"skylarkstand/core/balance"
 )
 
@@ -72,12 +73,17 @@
 //
 // It is safe for concurrent use.
 type Detector struct {
-	reg *Registry
+	reg   *Registry
+	self  core.ProcessID
+	count func() int
 
 	mu       sync.Mutex
 	suspects map[Fingerprint][]observedCrash
-	// completed remembers requests that were completed a moment ago.
-	completed recentSet
+	// completed remembers requests that were completed a moment ago, and parts of their prompts.
+	completed recentSets
+	// trials are the trials of suspected traits, and newTrials those that are not announced yet.
+	trials    map[Fingerprint]trial
+	newTrials []Fingerprint
 	// changedAt is when the last crash was added, and inferredAt when crashes were last attributed.
 	changedAt, inferredAt time.Time
 	// newCrashes and newCleared are not announced yet.
@@ -95,9 +101,21 @@
 	knownSince time.Time
 }
 
+// Option configures a Detector.
+type Option func(*Detector)
+
+// Among sets this entry's id and the function that counts all entries, for news that only some of them tell.
+func Among(self core.ProcessID, count func() int) Option {
+	return func(de *Detector) { de.self, de.count = self, count }
+}
+
 // NewDetector returns a detector that records the requests to quarantine in a registry.
-func NewDetector(reg *Registry) *Detector {
-	return &Detector{reg: reg, suspects: map[Fingerprint][]observedCrash{}}
+func NewDetector(reg *Registry, opts ...Option) *Detector {
+	de := &Detector{reg: reg, suspects: map[Fingerprint][]observedCrash{}, trials: map[Fingerprint]trial{}, count: func() int { return 1 }}
+	for _, opt := range opts {
+		opt(de)
+	}
+	return de
 }
 
 // Lookup returns the record of a request at a time. Its state is Free or Quarantined.
@@ -136,11 +154,10 @@
 	}
 	var out []Record
 	for _, fi := range newInference(de.suspects, now).poisonous(de.isQuarantined(now)) {
-		ttl := quarantineTTL
-		if !fi.certain {
-			ttl = trialTTL
+		re := Record{Fingerprint: fi.fp, State: Quarantined, Until: now.Add(fi.ttl()), With: fi.with}
+		if !de.isNews(re, now) {
+			continue
 		}
-		re := Record{Fingerprint: fi.fp, State: Quarantined, Until: now.Add(ttl)}
 		if de.reg.Merge(re, now) {
 			out = append(out, re)
 			if fi.certain {
@@ -151,6 +168,38 @@
 	return out
 }
 
+// isNews reports whether a finding tells more than what was known when it was quarantined before.
+func (de *Detector) isNews(re Record, now time.Time) bool {
+	old, ok := de.reg.last(re.Fingerprint)
+	if !ok || old.State != Quarantined {
+		return true
+	}
+	if now.Before(old.Until) {
+		return old.With != re.With || old.Until.Sub(now) <= trialTTL
+	}
+	return de.lastEnded(re.Fingerprint).After(old.Until)
+}
+
+// lastEnded returns the time of the last crash of a trait.
+func (de *Detector) lastEnded(fp Fingerprint) time.Time {
+	if known := de.suspects[fp]; len(known) > 0 {
+		return known[len(known)-1].Ended
+	}
+	return time.Time{}
+}
+
+// ttl returns how long a request that crashes are attributed to is quarantined.
+func (fi *finding) ttl() time.Duration {
+	switch {
+	case !fi.certain:
+		return trialTTL
+	case fi.fp.isPart():
+		return firstPartTTL
+	default:
+		return quarantineTTL
+	}
+}
+
 // takeChanges returns what is to be recorded in the store since the last call.
 func (de *Detector) takeChanges() (found []Record, released []Fingerprint) {
 	de.mu.Lock()
@@ -171,21 +220,26 @@
 	return false
 }
 
-// isQuarantined returns a function that reports whether a request is quarantined for longer than a trial.
+// isQuarantined returns a function that reports whether a request is quarantined for longer than a trial,
+// whatever other traits it has.
 func (de *Detector) isQuarantined(now time.Time) func(Fingerprint) bool {
 	return func(fp Fingerprint) bool {
 		re := de.reg.Lookup(fp, now)
-		return re.State == Quarantined && re.Until.Sub(now) > trialTTL
+		return re.State == Quarantined && re.Until.Sub(now) > trialTTL && re.companions() == 0
 	}
 }
 
-// clear records that a request is innocent, and reports whether it was suspected or quarantined.
+// clear records that a request or a part is innocent, and reports whether it was suspected or quarantined.
 func (de *Detector) clear(fp Fingerprint, now time.Time) bool {
 	de.completed.add(fp, now)
-	quarantined := de.reg.Lookup(fp, now).State == Quarantined
-	if quarantined {
-		de.reg.Release(fp)
-		de.newReleased = lastOf(append(de.newReleased, fp), maxUnannounced)
+	delete(de.trials, fp)
+	changed := de.reg.exonerate(fp)
+	quarantined := len(changed) > 0
+	for _, re := range changed {
+		de.newReleased = lastOf(append(de.newReleased, re.Fingerprint), maxUnannounced)
+		if rest, ok := re.without(fp); ok {
+			de.newFound = lastOf(append(de.newFound, rest), maxUnannounced)
+		}
 	}
 	suspected := len(de.suspects[fp]) > 0
 	if suspected {
@@ -219,6 +273,10 @@
 	de.changedAt = now
 	known = append(known, observedCrash{cr, now})
 	de.suspects[cr.Fingerprint] = lastOf(known, maxCrashes)
+	delete(de.trials, cr.Fingerprint)
+	if re, ok := de.reg.renewed(cr.Fingerprint, now); ok && de.reg.Merge(re, now) {
+		de.newFound = lastOf(append(de.newFound, re), maxUnannounced)
+	}
 	return true
 }
 
--- a/core/suspect/inference.go
+++ b/core/suspect/inference.go
@@ -49,6 +49,8 @@
 // finding is a request that crashes are attributed to.
 type finding struct {
 	fp Fingerprint
+	// with are the traits that came with it in each request.
+	with [maxCompanions]Fingerprint
 	// certain is false if another request may be the cause as well.
 	certain bool
 }
@@ -67,10 +69,15 @@
 	var out []finding
 	found := map[Fingerprint]bool{}
 	for _, fp := range candidates {
+		together := in.inseparable(fp, candidates)
+		if together[0] != fp {
+			continue
+		}
 		fi := finding{fp: fp, certain: true}
+		copy(fi.with[:], together[1:])
 		explained := func(cr Crash) bool {
 			return slices.ContainsFunc(in.inFlight[cr.Upstream], func(rival Fingerprint) bool {
-				if rival == fp {
+				if slices.Contains(together, rival) {
 					return false
 				}
 				if found[rival] || quarantined(rival) {
@@ -91,6 +98,28 @@
 	return out
 }
 
+// inseparable returns the candidates that were in flight at the same crashes as a candidate, and in the same
+// requests, including itself: nothing tells yet which of them is the cause.
+func (in *inference) inseparable(fp Fingerprint, candidates []Fingerprint) []Fingerprint {
+	var out []Fingerprint
+	for _, other := range candidates {
+		if other == fp || (fp.isPart() || other.isPart()) && in.isNested(other, fp) && in.isNested(fp, other) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// isNested reports whether a trait was in flight only in requests that had another one too.
+func (in *inference) isNested(fp, other Fingerprint) bool {
+	for _, cr := range in.crashes[fp] {
+		if !slices.ContainsFunc(in.crashes[other], func(oc Crash) bool { return oc.Upstream == cr.Upstream && oc.Request == cr.Request }) {
+			return false
+		}
+	}
+	return true
+}
+
 // inOutage reports whether at the time of a crash no fewer upstreams ended for an unknown cause than with
 // the request in flight: neither it nor another candidate was in flight there. All may have ended by the
 // same outage.
--- a/core/suspect/recorder.go
+++ b/core/suspect/recorder.go
@@ -41,10 +41,27 @@
 
 // storedRecord is a record in the store.
 type storedRecord struct {
-	Until    time.Time     `json:"until"`
+	Until time.Time `json:"until"`
+	// Since is when the quarantine began.
+	Since time.Time `json:"since,omitzero"`
+	// With are the other traits that a request must have.
+	With     []string      `json:"with,omitempty"`
 	revision core.Revision // of the key
 }
 
+// record returns the stored record of a trait.
+func (sr *storedRecord) record(fp Fingerprint) (Record, error) {
+	re := Record{Fingerprint: fp, State: Quarantined, Until: sr.Until}
+	for i, text := range sr.With[:min(len(sr.With), maxCompanions)] {
+		other, err := ParseFingerprint(text)
+		if err != nil {
+			return Record{}, err
+		}
+		re.With[i] = other
+	}
+	return re, nil
+}
+
 const (
 	// recordInterval is how often a recorder looks for something to write.
 	recordInterval = 250 * time.Millisecond
@@ -97,7 +114,7 @@
 		rr.finishRemoval(now, fp, rev, rr.st.Delete(ctx, key(fp), rev))
 	}
 	for fp, re := range pending {
-		rr.finishWrite(now, fp, rr.create(ctx, re))
+		rr.finishWrite(now, fp, rr.write(ctx, re))
 	}
 }
 
@@ -106,19 +123,33 @@
 	out := map[Fingerprint]core.Revision{}
 	for fp, sr := range rr.stored {
 		_, released := rr.released[fp]
-		if released || now.After(sr.Until) && rr.rank() == 0 {
+		if released || now.After(sr.Until.Add(probationTTL)) && rr.rank() == 0 {
 			out[fp] = sr.revision
 		}
 	}
 	return out
 }
 
-func (rr *Recorder) create(ctx context.Context, re Record) error {
-	value, err := json.Marshal(storedRecord{Until: re.Until})
+// write creates the key of a record, or replaces it if the quarantine was renewed.
+func (rr *Recorder) write(ctx context.Context, re Record) error {
+	sr := storedRecord{Until: re.Until, Since: rr.de.reg.knownSince(re.Fingerprint)}
+	for _, fp := range re.With {
+		if fp != 0 {
+			sr.With = append(sr.With, fp.String())
+		}
+	}
+	value, err := json.Marshal(sr)
 	if err != nil {
 		return eris.Wrap(err, "the quarantine could not be encoded")
 	}
-	_, err = rr.st.Create(ctx, key(re.Fingerprint), value, "")
+	rr.mu.Lock()
+	old, exists := rr.stored[re.Fingerprint]
+	rr.mu.Unlock()
+	if exists {
+		_, err = rr.st.Swap(ctx, key(re.Fingerprint), old.revision, value)
+	} else {
+		_, err = rr.st.Create(ctx, key(re.Fingerprint), value, "")
+	}
 	return err
 }
 
@@ -174,7 +205,11 @@
 	rr.mu.Lock()
 	rr.stored[fp] = sr
 	rr.mu.Unlock()
-	rr.de.ReceiveNotices(now, Notices{Quarantined: []Record{{fp, Quarantined, sr.Until}}})
+	re, err := sr.record(fp)
+	if err != nil {
+		return err
+	}
+	rr.de.restore(re, sr.Since, now)
 	return nil
 }
 
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -52,6 +52,44 @@
 	Fingerprint Fingerprint
 	State       State
 	Until       time.Time
+	// With holds the other traits that a request must have: those that were never seen without the
+	// first one. Zeros fill the rest.
+	With [maxCompanions]Fingerprint
+}
+
+// maxCompanions bounds the other traits of a record.
+const maxCompanions = 3
+
+// matches reports whether a request with some traits has all of the record's.
+func (re *Record) matches(tr Traits) bool {
+	for _, fp := range re.With {
+		if fp != 0 && !slices.Contains(tr, fp) {
+			return false
+		}
+	}
+	return slices.Contains(tr, re.Fingerprint)
+}
+
+// without returns the record without a trait that turned out to be innocent. It reports false if none is
+// left.
+func (re Record) without(innocent Fingerprint) (Record, bool) {
+	rest := slices.DeleteFunc(append([]Fingerprint{re.Fingerprint}, re.With[:]...), func(fp Fingerprint) bool { return fp == 0 || fp == innocent })
+	if len(rest) == 0 {
+		return Record{}, false
+	}
+	re.Fingerprint, re.With = rest[0], [maxCompanions]Fingerprint{}
+	copy(re.With[:], rest[1:])
+	return re, true
+}
+
+// companions counts the other traits that a request must have.
+func (re *Record) companions() int {
+	return maxCompanions - len(slices.DeleteFunc(slices.Clone(re.With[:]), func(fp Fingerprint) bool { return fp != 0 }))
+}
+
+// has reports whether a trait is one of the record's.
+func (re *Record) has(fp Fingerprint) bool {
+	return re.Fingerprint == fp || fp != 0 && slices.Contains(re.With[:], fp)
 }
 
 const (
@@ -65,6 +103,10 @@
 	// minExtension is the least by which a record extends one of the same state. Ends differ by the
 	// delay of messages.
 	minExtension = 5 * time.Second
+	// firstPartTTL is how long a part of prompts stays quarantined at first: it may be popular.
+	firstPartTTL = time.Minute
+	// probationTTL is how long after its quarantine a request is tried alone before it is free.
+	probationTTL = 10 * time.Minute
 	// maxRecords bounds memory. A crash creates as many suspects as the upstream had
 	// slots, and a fleet has a few crashes per minute at most; at 40 bytes each this
 	// is less than a megabyte. When the registry is full, expired records and then
@@ -76,13 +118,15 @@
 type Registry struct {
 	mu      sync.Mutex
 	records map[Fingerprint]Record
+	// since is when this entry learned of a quarantine.
+	since map[Fingerprint]time.Time
 	// runningAlone is the set of suspects that are running.
 	runningAlone map[Fingerprint]bool
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: map[Fingerprint]Record{}, runningAlone: map[Fingerprint]bool{}}
+	return &Registry{records: map[Fingerprint]Record{}, since: map[Fingerprint]time.Time{}, runningAlone: map[Fingerprint]bool{}}
 }
 
 // Lookup returns the record of a request at a time. Its state is Free if there is
@@ -167,11 +211,12 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	delete(reg.records, fp)
+	delete(reg.since, fp)
 }
 
 // Merge merges a record, of this or another entry, and reports whether it changed the
-// registry. A record's state and its end only increase, so late and duplicate messages have
-// no effect.
+// registry. A record's state and its end only increase, and its companions only decrease, so late and
+// duplicate messages have no effect.
 func (reg *Registry) Merge(re Record, now time.Time) bool {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
@@ -179,9 +224,16 @@
 		return false
 	}
 	old := reg.lookup(re.Fingerprint, now)
-	if old.State > re.State || old.State == re.State && re.Until.Sub(old.Until) < minExtension {
+	broader := old.State == re.State && re.companions() < old.companions()
+	if old.State > re.State || old.State == re.State && re.Until.Sub(old.Until) < minExtension && !broader {
 		return false
 	}
+	if old.State == re.State && !broader {
+		re.With = old.With
+	}
+	if _, ok := reg.since[re.Fingerprint]; !ok && re.State == Quarantined {
+		reg.since[re.Fingerprint] = now
+	}
 	if len(reg.records) >= maxRecords {
 		reg.evict(now)
 	}
@@ -194,6 +246,7 @@
 	for fp, re := range reg.records {
 		if !now.Before(re.Until) {
 			delete(reg.records, fp)
+			delete(reg.since, fp)
 		}
 	}
 	if len(reg.records) < maxRecords {
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -91,9 +91,10 @@
 	draining    repeater[balance.Incarnation]
 	crashes     repeater[suspect.Crash]
 	cleared     repeater[suspect.Fingerprint]
-	// quarantined is the datagram with the requests in quarantine; nil for none. asksLeft is how often
+	trials      repeater[suspect.Fingerprint]
+	// quarantined are the datagrams with what is in quarantine; nil for none. asksLeft is how often
 	// this entry still asks others for theirs.
-	quarantined atomic.Pointer[[]byte]
+	quarantined atomic.Pointer[[][]byte]
 	asksLeft    int
 	// membership is what heartbeats are sent for; nil for none.
 	membership Membership
@@ -123,7 +124,7 @@
 		self: self, addr: addr, ld: ld, di: di, addrs: addrs, isReader: isReader, revisionChanged: make(chan struct{}, 1), rotation: rotation{},
 		limiter: rate.NewLimiter(sentRate, sentBurst), remote: func() map[core.Region][]string { return nil },
 		draining: repeater[balance.Incarnation]{rounds: drainingRounds}, crashes: repeater[suspect.Crash]{rounds: crashRounds},
-		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds}, asksLeft: askRounds,
+		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds}, trials: repeater[suspect.Fingerprint]{rounds: crashRounds}, asksLeft: askRounds,
 		listen: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp", addr) },
 	}
 	for _, opt := range opts {
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -167,6 +167,19 @@
 	return errors.As(err, &er) && er.DialFailed && errors.Is(er.Err, syscall.ECONNREFUSED)
 }
 
+// Connect opens a connection to an address and keeps it for the next request. Its error is that of the
+// dial; see [ConnectionRefused].
+func (cl *Client) Connect(ctx context.Context, addr string) error {
+	cl.reserve(addr, 0)
+	nc, err := cl.dial(ctx, addr)
+	if err != nil {
+		cl.release(addr)
+		return &Error{DialFailed: true, Err: err}
+	}
+	cl.put(&conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferSize)}, idleTimeout-idleMargin)
+	return nil
+}
+
 // acquire returns an idle connection that is still usable, or a new one.
 func (cl *Client) acquire(ctx context.Context, addr string, rq *Request) (*conn, error) {
 	if co := cl.acquireIdle(addr); co != nil {
