--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -3,6 +3,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -129,7 +130,9 @@
 	gateway         int
 	path, key, body string
 	model           string
-	header          http.Header
+	// parts are the parts of the prompt; empty for two usual ones.
+	parts  string
+	header http.Header
 }
 
 // response is the response to a request.
@@ -171,7 +174,7 @@
 	if req.model != "" {
 		rq.Header.Set("X-Skylarkstand-Model", req.model)
 		rq.Header.Set("X-Skylarkstand-Token-Usage", "100,30")
-		rq.Header.Set("X-Skylarkstand-Prefix-Hash", "aa:80,bb:20")
+		rq.Header.Set("X-Skylarkstand-Prefix-Hash", cmp.Or(req.parts, "aa:80,bb:20"))
 	}
 	rs, err := http.DefaultClient.Do(rq)
 	if err != nil {
