Keep the quarantine of parts in the store when it changes, and write it once

A conflict is resolved now once the key's news has arrived, and only the entry that observed a crash or an answer writes what follows from it, not all entries. A quarantine in force is not extended without new crashes. The older word trial for a quarantine of some seconds is provisional quarantine now.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -169,7 +169,7 @@
 		"An upstream ended with a request in flight that may be the cause.",
 		"Check the upstream if it repeats; `fingerprint` identifies the request."}
 	RequestQuarantined = &Event{518, "request-quarantined", slog.LevelWarn,
-		"A request has crashed several upstreams and is refused until the time `until`; `by` is `crashes` if this entry found that out and `sibling` if another one did.",
+		"A request, or with `part` each one that has a part of its prompt, has crashed several upstreams and is refused until the time `until`; `by` is `crashes` if this entry found that out and `sibling` if another one did.",
 		"Find the request by the `fingerprint` in `request-suspected` lines, and correct the upstream's program."}
 	RatingsAway = &Event{540, "ratings-away", slog.LevelWarn,
 		"The rating service does not respond in time; cascades run the stage that is declared good enough.",
--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -230,6 +230,6 @@
 
 func (fw *Forwarder) logQuarantined(records []suspect.Record, by string) {
 	for _, re := range records {
-		event.Log(fw.deps.Log, event.RequestQuarantined, "fingerprint", re.Fingerprint.String(), "until", re.Until, "by", by)
+		event.Log(fw.deps.Log, event.RequestQuarantined, "fingerprint", re.Fingerprint.String(), "part", re.Fingerprint.IsPart(), "until", re.Until, "by", by)
 	}
 }
--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -37,9 +37,9 @@
 	// crashesPerMargin is the number of crashes per one by which two requests may differ and still be
 	// equal causes.
 	crashesPerMargin = 8
-	// trialTTL is how long a request stays quarantined while another one may be the cause as well. If
+	// provisionalTTL is how long a request stays quarantined while another one may be the cause as well. If
 	// that one is, upstreams go on crashing.
-	trialTTL = 10 * time.Second
+	provisionalTTL = 10 * time.Second
 	// settleTime is how old a crash must be to count. Until then, the other entries may announce the
 	// requests that were in flight there too.
 	settleTime = time.Second
@@ -129,6 +129,9 @@
 		return false
 	}
 	de.newCrashes = lastOf(append(de.newCrashes, cr), maxUnannounced)
+	if re, ok := de.renew(cr.Fingerprint, now); ok {
+		de.newFound = lastOf(append(de.newFound, re), maxUnannounced)
+	}
 	return true
 }
 
@@ -136,8 +139,10 @@
 func (de *Detector) RecordCompleted(fp Fingerprint, now time.Time) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
+	rest := de.reg.remaining(fp)
 	if de.clear(fp, now) {
 		de.announceCleared(fp)
+		de.newFound = lastOf(append(de.newFound, rest...), maxUnannounced)
 	}
 }
 
@@ -175,7 +180,8 @@
 		return true
 	}
 	if now.Before(old.Until) {
-		return old.With != re.With || old.Until.Sub(now) <= trialTTL
+		provisional := old.Until.Sub(de.reg.knownSince(re.Fingerprint)) <= provisionalTTL
+		return old.With != re.With || provisional
 	}
 	return de.lastEnded(re.Fingerprint).After(old.Until)
 }
@@ -192,8 +198,8 @@
 func (fi *finding) ttl() time.Duration {
 	switch {
 	case !fi.certain:
-		return trialTTL
-	case fi.fp.isPart():
+		return provisionalTTL
+	case fi.fp.IsPart():
 		return firstPartTTL
 	default:
 		return quarantineTTL
@@ -220,12 +226,12 @@
 	return false
 }
 
-// isQuarantined returns a function that reports whether a request is quarantined for longer than a trial,
+// isQuarantined returns a function that reports whether a request is quarantined for good,
 // whatever other traits it has.
 func (de *Detector) isQuarantined(now time.Time) func(Fingerprint) bool {
 	return func(fp Fingerprint) bool {
 		re := de.reg.Lookup(fp, now)
-		return re.State == Quarantined && re.Until.Sub(now) > trialTTL && re.companions() == 0
+		return re.State == Quarantined && re.Until.Sub(now) > provisionalTTL && re.companions() == 0
 	}
 }
 
@@ -236,9 +242,8 @@
 	changed := de.reg.exonerate(fp)
 	quarantined := len(changed) > 0
 	for _, re := range changed {
-		de.newReleased = lastOf(append(de.newReleased, re.Fingerprint), maxUnannounced)
-		if rest, ok := re.without(fp); ok {
-			de.newFound = lastOf(append(de.newFound, rest), maxUnannounced)
+		if rest, ok := re.without(fp); !ok || rest.Fingerprint != re.Fingerprint {
+			de.newReleased = lastOf(append(de.newReleased, re.Fingerprint), maxUnannounced)
 		}
 	}
 	suspected := len(de.suspects[fp]) > 0
@@ -274,12 +279,15 @@
 	known = append(known, observedCrash{cr, now})
 	de.suspects[cr.Fingerprint] = lastOf(known, maxCrashes)
 	delete(de.trials, cr.Fingerprint)
-	if re, ok := de.reg.renewed(cr.Fingerprint, now); ok && de.reg.Merge(re, now) {
-		de.newFound = lastOf(append(de.newFound, re), maxUnannounced)
-	}
 	return true
 }
 
+// renew quarantines a trait again that was seen at a crash on probation, and returns its record.
+func (de *Detector) renew(fp Fingerprint, now time.Time) (Record, bool) {
+	re, ok := de.reg.renewed(fp, now)
+	return re, ok && de.reg.Merge(re, now)
+}
+
 // evict deletes the requests whose last crash is the oldest: all that have expired, and a quarter at
 // least.
 func (de *Detector) evict(now time.Time) {
--- a/core/suspect/detector_test.go
+++ b/core/suspect/detector_test.go
@@ -121,7 +121,7 @@
 
 // A popular request and a poisonous one were in flight at the same crashes. The wrong one must not stay
 // quarantined, and the right one must.
-func TestAmbiguousQuarantineIsATrial(t *testing.T) {
+func TestAmbiguousQuarantineIsProvisional(t *testing.T) {
 	de := suspect.NewDetector(suspect.New())
 	for n := range 8 {
 		sent, up := float64(n), uint64(n)
--- a/core/suspect/inference.go
+++ b/core/suspect/inference.go
@@ -103,7 +103,7 @@
 func (in *inference) inseparable(fp Fingerprint, candidates []Fingerprint) []Fingerprint {
 	var out []Fingerprint
 	for _, other := range candidates {
-		if other == fp || (fp.isPart() || other.isPart()) && in.isNested(other, fp) && in.isNested(fp, other) {
+		if other == fp || (fp.IsPart() || other.IsPart()) && in.isNested(other, fp) && in.isNested(fp, other) {
 			out = append(out, other)
 		}
 	}
--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -68,7 +68,11 @@
 // receiveCrash records a crash that another entry has observed. This entry may tell the others if it knows
 // the trait to be innocent, but only from the second crash on: most traits have no other one.
 func (de *Detector) receiveCrash(cr Crash, now time.Time) {
-	if !de.add(cr, now) || !de.completed.has(cr.Fingerprint, now) || len(de.suspects[cr.Fingerprint]) < 2 {
+	if !de.add(cr, now) {
+		return
+	}
+	de.renew(cr.Fingerprint, now) // The entry that observed the crash writes it to the store.
+	if !de.completed.has(cr.Fingerprint, now) || len(de.suspects[cr.Fingerprint]) < 2 {
 		return
 	}
 	de.clear(cr.Fingerprint, now)
@@ -89,7 +93,7 @@
 type recentSets struct{ requests, parts recentSet }
 
 func (rs *recentSets) of(fp Fingerprint) *recentSet {
-	if fp.isPart() {
+	if fp.IsPart() {
 		return &rs.parts
 	}
 	return &rs.requests
--- a/core/suspect/quarantine.go
+++ b/core/suspect/quarantine.go
@@ -45,6 +45,22 @@
 	return re, ok
 }
 
+// remaining returns what the records of quarantine become without an innocent trait.
+func (reg *Registry) remaining(innocent Fingerprint) []Record {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	var out []Record
+	for _, re := range reg.records {
+		if re.State != Quarantined || !re.has(innocent) {
+			continue
+		}
+		if rest, ok := re.without(innocent); ok {
+			out = append(out, rest)
+		}
+	}
+	return out
+}
+
 // exonerate removes an innocent trait from all records of quarantine. It returns the records that it
 // changed, as they were before.
 func (reg *Registry) exonerate(innocent Fingerprint) []Record {
--- a/core/suspect/recorder.go
+++ b/core/suspect/recorder.go
@@ -104,6 +104,7 @@
 		rr.released[fp] = now
 	}
 	maps.DeleteFunc(rr.released, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > releaseTTL })
+	maps.DeleteFunc(rr.pending, func(fp Fingerprint, re Record) bool { return rr.isStored(fp, &re) || now.After(re.Until) })
 	if now.Before(rr.retryAt) {
 		rr.mu.Unlock()
 		return
@@ -118,6 +119,12 @@
 	}
 }
 
+// isStored reports whether the store has a record, or one that says more. The recorder's lock is held.
+func (rr *Recorder) isStored(fp Fingerprint, re *Record) bool {
+	sr, ok := rr.stored[fp]
+	return ok && len(sr.With) <= re.companions() && re.Until.Sub(sr.Until) < minExtension
+}
+
 // obsolete returns the keys to remove, with their revisions. The recorder's lock is held.
 func (rr *Recorder) obsolete(now time.Time) map[Fingerprint]core.Revision {
 	out := map[Fingerprint]core.Revision{}
@@ -153,15 +160,19 @@
 	return err
 }
 
-// finishWrite records the result of a write. A conflict means that another entry made it.
+// finishWrite records the result of a write. A conflict means that another entry has written the key: what
+// it wrote arrives soon, and may not suffice.
 func (rr *Recorder) finishWrite(now time.Time, fp Fingerprint, err error) {
 	rr.mu.Lock()
 	defer rr.mu.Unlock()
-	if err == nil || errors.Is(err, core.ErrConflict) {
+	switch {
+	case err == nil:
 		delete(rr.pending, fp)
-		return
+	case errors.Is(err, core.ErrConflict):
+		rr.retryAt = now.Add(recordBackoff)
+	default:
+		rr.postpone(now, fp, err)
 	}
-	rr.postpone(now, fp, err)
 }
 
 // finishRemoval records the result of a removal. A key that is gone, or has been written again, was not
--- a/core/suspect/traits.go
+++ b/core/suspect/traits.go
@@ -31,4 +31,5 @@
 // Whole returns the fingerprint of the whole content.
 func (tr Traits) Whole() Fingerprint { return tr[0] }
 
-func (fp Fingerprint) isPart() bool { return fp&partBit != 0 }
+// IsPart reports whether the fingerprint is of a part of prompts.
+func (fp Fingerprint) IsPart() bool { return fp&partBit != 0 }
--- a/io/sibling/suspects_test.go
+++ b/io/sibling/suspects_test.go
@@ -49,7 +49,7 @@
 
 func (sl *suspectLoads) TakeSuspects() suspect.Notices {
 	no := sl.notices
-	sl.notices.Crashes = nil
+	sl.notices.Crashes, sl.notices.Trials = nil, nil
 	return no
 }
 
@@ -81,12 +81,14 @@
 		crashes          int
 		quarantined      int
 		datagrams, bytes int
+		trials           int
 	}{
-		{"at rest", 0, 0, 0, 0},
-		{"a crash with two requests in flight", 2, 0, 2 * (entries - 1), 2 * (entries - 1) * (1 + 2*crashSize)},
-		{"one request in quarantine", 0, 1, rounds, rounds * (1 + quarantinedSize)},
-		{"a thousand requests in quarantine", 0, 1000, rounds, rounds * (1 + maxQuarantinedRows*quarantinedSize)},
-		{"the loss of all upstreams", 200, 0, 4 * 2 * (entries - 1), 2 * (entries - 1) * (4 + 200*crashSize)},
+		{"at rest", 0, 0, 0, 0, 0},
+		{"a crash with two requests in flight", 2, 0, 2 * (entries - 1), 2 * (entries - 1) * (1 + 2*crashSize), 0},
+		{"one request in quarantine", 0, 1, rounds, rounds * (1 + quarantinedSize), 0},
+		{"a thousand requests in quarantine", 0, 1000, rounds, rounds * (1 + maxQuarantinedRows*quarantinedSize), 0},
+		{"the loss of all upstreams", 200, 0, 4 * 2 * (entries - 1), 2 * (entries - 1) * (4 + 200*crashSize), 0},
+		{"a trial of two traits", 0, 0, 2 * (entries - 1), 2 * (entries - 1) * (1 + 2*clearedSize), 2},
 	}
 	for _, sc := range scenarios {
 		t.Run(sc.testName, func(t *testing.T) {
@@ -94,6 +96,9 @@
 			for i := range sc.crashes {
 				sl.notices.Crashes = append(sl.notices.Crashes, suspect.Crash{Fingerprint: suspect.Fingerprint(i), Sent: now, Ended: now})
 			}
+			for i := range sc.trials {
+				sl.notices.Trials = append(sl.notices.Trials, suspect.Fingerprint(i))
+			}
 			for i := range sc.quarantined {
 				sl.notices.Quarantined = append(sl.notices.Quarantined, suspect.Record{Fingerprint: suspect.Fingerprint(i), State: suspect.Quarantined, Until: now.Add(time.Hour)})
 			}
