Count the progress of an answer from its first event

Found by reading: an answer acquits its request once it has gone on for a second, and a crash after that is not suspected. The second was counted from the header, which may come long before the first event, or a comment before it.

--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -178,7 +178,9 @@
 	for {
 		chunk, err := ans.readEvent()
 		if err == nil {
-			ans.at.recordChunk()
+			if ans.ev.begun { // A comment before the first event is no sign of progress.
+				ans.at.recordChunk()
+			}
 			ans.recordEventTime(time.Now())
 			return chunk, nil
 		}
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -46,8 +46,8 @@
 	reply  *core.Reply
 	began  time.Time
 	chunks int
-	// lastChunkAt is when the last chunk of the answer arrived.
-	lastChunkAt time.Time
+	// firstChunkAt and lastChunkAt are when the first and the last chunk of the answer arrived.
+	firstChunkAt, lastChunkAt time.Time
 	// reason is why the attempt yielded no usable answer, for the log.
 	reason string
 	ended  bool
@@ -112,6 +112,8 @@
 	now := time.Now()
 	if at.chunks > 0 {
 		at.jb.fw.meters.gaps.RecordDuration(now.Sub(at.lastChunkAt))
+	} else {
+		at.firstChunkAt = now
 	}
 	at.chunks++
 	at.lastChunkAt = now
@@ -120,7 +122,7 @@
 		ou.Streaming = true
 		at.observe(ou)
 	}
-	if now.Sub(at.began) > progressTime {
+	if now.Sub(at.firstChunkAt) > progressTime {
 		at.acquit(now)
 	}
 	fw := at.jb.fw
--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -70,6 +70,8 @@
 	downTime time.Duration
 	// endings are how the answers to poisonous requests end, in turn; none means without a header.
 	endings []behavior
+	// answerFirst is set if upstreams crash at the end of what they answer to poisonous requests.
+	answerFirst bool
 	// silent is set if upstreams that are down do not refuse probes.
 	silent bool
 	// repaired is when requests stop crashing upstreams; zero for never.
@@ -191,15 +193,13 @@
 	if pr == nil {
 		return nil, core.Refuse(core.CodeCrashed, 0, "connection refused")
 	}
+	if bad && po.answerFirst {
+		re, err := po.endings[0](ctx, ca)
+		re.Body = &crashingBody{re.Body, func() { po.crashBy(ca.To.ID, part) }}
+		return re, err
+	}
 	if bad {
-		time.AfterFunc(po.crashDelay, func() {
-			if po.crash(ca.To.ID) {
-				po.mu.Lock()
-				defer po.mu.Unlock()
-				po.crashes = append(po.crashes, time.Now())
-				po.partCrashes[part] = append(po.partCrashes[part], time.Now())
-			}
-		})
+		time.AfterFunc(po.crashDelay, func() { po.crashBy(ca.To.ID, part) })
 	}
 	var done <-chan time.Time
 	if !bad {
@@ -227,6 +227,30 @@
 	return reply(http.StatusOK, "ok"), nil
 }
 
+// crashingBody is the body of an answer at whose end its upstream crashes.
+type crashingBody struct {
+	io.ReadCloser
+	crash func()
+}
+
+func (cb *crashingBody) Read(p []byte) (int, error) {
+	n, err := cb.ReadCloser.Read(p)
+	if err != nil {
+		cb.crash()
+	}
+	return n, err
+}
+
+// crashBy ends an upstream by a poisonous request.
+func (po *crashPool) crashBy(id core.UpstreamID, part string) {
+	if po.crash(id) {
+		po.mu.Lock()
+		defer po.mu.Unlock()
+		po.crashes = append(po.crashes, time.Now())
+		po.partCrashes[part] = append(po.partCrashes[part], time.Now())
+	}
+}
+
 // ProbeConnection implements core.ConnectionProber.
 func (cc crashClient) ProbeConnection(_ context.Context, ho core.Host) core.ConnectionState {
 	cc.po.mu.Lock()
--- a/core/forward/poisonous_part_test.go
+++ b/core/forward/poisonous_part_test.go
@@ -1,12 +1,17 @@
 package forward_test
 
 import (
+	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"skylarkstand/core"
 )
 
 // The bounds on requests with a poisonous part: how many of them may reach upstreams later than noticeTime
@@ -173,3 +178,24 @@
 		})
 	}
 }
+
+// Guards against clearing a part by an answer that has only begun, as its header, or a comment, came long
+// before.
+func TestPoisonousPartWithAnEarlyHeader(t *testing.T) {
+	for _, stream := range []string{"id: 1\ndata: a\n\n", ": ping\n\nid: 1\ndata: a\n\n"} {
+		runInBubble(t, func(t *testing.T) {
+			po, began := newPartsPool(t, 3), time.Now()
+			po.answerFirst = true
+			po.endings = []behavior{func(ctx context.Context, _ *core.Call) (*core.Reply, error) {
+				re := reply(http.StatusOK, "")
+				re.Body = &body{Reader: iotest.OneByteReader(strings.NewReader(stream)), ctx: ctx, pause: 90 * time.Millisecond, end: errReset}
+				return re, nil
+			}}
+			po.run(t.Context(), partsRunTime, poisonous("first,poison"), prompts("first,sound", innocentInteval, 0))
+			late := po.latePartArrivals()
+			assert.Check(t, late <= maxLateArrivals, "%q: requests with a part that had crashed five upstreams reached upstreams %d times more; %d crashed in all", stream, late, len(po.crashes))
+			share := po.wholeShare("first,sound", began.Add(poisonFrom+2*noticeTime), began.Add(partsRunTime))
+			assert.Check(t, share >= minServedShare, "%q: %.2f of the innocent requests were answered afterwards", stream, share)
+		})
+	}
+}
--- a/core/forward/suspects.go
+++ b/core/forward/suspects.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// progressTime is how long an answer must have gone on for its request not to be suspected when
-	// the upstream crashes: poisonous requests crash it as they begin to run.
+	// progressTime is how long an answer must have gone on since its first chunk for its request not to be
+	// suspected when the upstream crashes: poisonous requests crash it as they begin to run.
 	progressTime = time.Second
 	// refusedTime is how long after a connection broke a refused one proves that the upstream had
 	// ended. After that, its removal from the host list does, or a new start there.
@@ -87,7 +87,7 @@
 		at.newCrashWatch(now).checkWhole(at)
 	case ve == taken || ve == failed:
 		at.acquit(now)
-	case at.chunks > 0 && now.Sub(at.began) > progressTime:
+	case at.chunks > 0 && now.Sub(at.firstChunkAt) > progressTime:
 	case ve == lost && at.ctx.Err() == nil:
 		at.newCrashWatch(now).checkBroken()
 	case ve == lost && errors.Is(context.Cause(at.ctx), errHeaderTimeout):
--- a/core/suspect/part_test.go
+++ b/core/suspect/part_test.go
@@ -100,7 +100,7 @@
 	}
 	assert.Equal(t, len(de.Quarantine(at(5))), 1)
 	_, until := de.Admit(traits("e", "bad"), 1, at(5))
-	tried := until.Add(time.Second)
+	tried := until.Add(time.Second) // Request 60,000 waits longer.
 	ad, _ := de.Admit(traits("e", "bad"), 1, tried)
 	assert.Equal(t, ad, suspect.Admitted)
 	ad, _ = de.Admit(traits("f", "bad"), 60_000, tried)
--- a/core/suspect/trial.go
+++ b/core/suspect/trial.go
@@ -12,14 +12,14 @@
 	// minSuspectCrashes is how many crashes, one after the other, make a trait suspected.
 	minSuspectCrashes = 2
 	// trialTime is how long a trial may take before the next one begins.
-	trialTime = 2 * time.Second
+	trialTime = 3 * time.Second
 	// severalDelay is by how much the trial of a request waits for each further suspected trait: a crash
 	// under several of them does not tell which one is the cause.
 	severalDelay = 500 * time.Millisecond
 	// trialSpread and probationSpread are the times over which requests are admitted once a trial may begin,
 	// and after a quarantine. Other entries learn of the first of them meanwhile.
 	trialSpread     = time.Second
-	probationSpread = 4 * time.Second
+	probationSpread = 10 * time.Second
 )
 
 // Admission is whether a request may be sent to an upstream.
