Renew a quarantine only if it was certain, and look at records only for their members

A provisional quarantine, of some seconds, was renewed for a minute when its request was in flight at the next crash, whoever caused it: only certain ones are on probation now. Each answer looked through all records of quarantine for each of its traits, thousands of times a second at up to 16,384 records; a set of their members tells first.

--- a/core/suspect/detector.go
+++ b/core/suspect/detector.go
@@ -175,12 +175,11 @@
 
 // isNews reports whether a finding tells more than what was known when it was quarantined before.
 func (de *Detector) isNews(re Record, now time.Time) bool {
-	old, ok := de.reg.last(re.Fingerprint)
+	old, provisional, ok := de.reg.last(re.Fingerprint)
 	if !ok || old.State != Quarantined {
 		return true
 	}
 	if now.Before(old.Until) {
-		provisional := old.Until.Sub(de.reg.knownSince(re.Fingerprint)) <= provisionalTTL
 		return old.With != re.With || provisional
 	}
 	return de.lastEnded(re.Fingerprint).After(old.Until)
--- a/core/suspect/quarantine.go
+++ b/core/suspect/quarantine.go
@@ -16,7 +16,7 @@
 		if now.Before(re.Until) {
 			return re
 		}
-		if now.Sub(re.Until) < probationTTL {
+		if reg.onProbation(&re, now) {
 			re.State = Suspected
 			found = re
 		}
@@ -30,25 +30,39 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	re, ok := reg.records[fp]
-	if !ok || re.State != Quarantined || now.Before(re.Until) || now.Sub(re.Until) >= probationTTL {
+	if !ok || !reg.onProbation(&re, now) {
 		return Record{}, false
 	}
 	re.Until = now.Add(min(max(now.Sub(reg.since[fp]), firstPartTTL), quarantineTTL))
 	return re, true
 }
 
-// last returns the newest record of a trait, also one that has expired.
-func (reg *Registry) last(fp Fingerprint) (Record, bool) {
+// onProbation reports whether a request was quarantined for certain until a moment ago. The registry's lock
+// is held.
+func (reg *Registry) onProbation(re *Record, now time.Time) bool {
+	return re.State == Quarantined && !now.Before(re.Until) && now.Sub(re.Until) < probationTTL && !reg.isProvisional(re)
+}
+
+// isProvisional reports whether a quarantine is one of some seconds. The registry's lock is held.
+func (reg *Registry) isProvisional(re *Record) bool {
+	return re.Until.Sub(reg.since[re.Fingerprint]) <= provisionalTTL
+}
+
+// last returns the newest record of a trait, also one that has expired, and whether it is provisional.
+func (reg *Registry) last(fp Fingerprint) (re Record, provisional, ok bool) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	re, ok := reg.records[fp]
-	return re, ok
+	re, ok = reg.records[fp]
+	return re, reg.isProvisional(&re), ok
 }
 
 // remaining returns what the records of quarantine become without an innocent trait.
 func (reg *Registry) remaining(innocent Fingerprint) []Record {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	if _, ok := reg.members[innocent]; !ok {
+		return nil
+	}
 	var out []Record
 	for _, re := range reg.records {
 		if re.State != Quarantined || !re.has(innocent) {
@@ -66,6 +80,10 @@
 func (reg *Registry) exonerate(innocent Fingerprint) []Record {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	if _, ok := reg.members[innocent]; !ok {
+		return nil // The usual case, without a look at each record.
+	}
+	delete(reg.members, innocent)
 	var changed []Record
 	for fp, re := range reg.records {
 		if re.State != Quarantined || !re.has(innocent) {
@@ -76,7 +94,8 @@
 		delete(reg.records, fp)
 		delete(reg.since, fp)
 		if rest, ok := re.without(innocent); ok {
-			reg.records[rest.Fingerprint], reg.since[rest.Fingerprint] = rest, since
+			reg.put(rest)
+			reg.since[rest.Fingerprint] = since
 		}
 	}
 	return changed
@@ -95,7 +114,7 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	if _, ok := reg.records[re.Fingerprint]; !ok && len(reg.records) < maxRecords {
-		reg.records[re.Fingerprint] = re
+		reg.put(re)
 	}
 	if known, ok := reg.since[re.Fingerprint]; !since.IsZero() && (!ok || since.Before(known)) {
 		reg.since[re.Fingerprint] = since
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -112,21 +112,25 @@
 	// is less than a megabyte. When the registry is full, expired records and then
 	// suspects are evicted; quarantined requests stay.
 	maxRecords = 16_384
+	// maxMembers bounds the traits of records: all records may have all companions.
+	maxMembers = 2 * maxRecords * (1 + maxCompanions)
 )
 
 // Registry holds the records of one entry. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.Mutex
 	records map[Fingerprint]Record
-	// since is when this entry learned of a quarantine.
-	since map[Fingerprint]time.Time
+	// since is when this entry learned of a quarantine, and members are the traits in records of quarantine,
+	// and some that were.
+	since   map[Fingerprint]time.Time
+	members map[Fingerprint]struct{}
 	// runningAlone is the set of suspects that are running.
 	runningAlone map[Fingerprint]bool
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: map[Fingerprint]Record{}, since: map[Fingerprint]time.Time{}, runningAlone: map[Fingerprint]bool{}}
+	return &Registry{records: map[Fingerprint]Record{}, since: map[Fingerprint]time.Time{}, members: map[Fingerprint]struct{}{}, runningAlone: map[Fingerprint]bool{}}
 }
 
 // Lookup returns the record of a request at a time. Its state is Free if there is
@@ -237,10 +241,36 @@
 	if len(reg.records) >= maxRecords {
 		reg.evict(now)
 	}
-	reg.records[re.Fingerprint] = re
+	reg.put(re)
 	return true
 }
 
+// put stores a record. The registry's lock is held.
+func (reg *Registry) put(re Record) {
+	reg.records[re.Fingerprint] = re
+	if re.State != Quarantined {
+		return
+	}
+	if len(reg.members) > maxMembers {
+		reg.forgetMembers()
+	}
+	for _, fp := range append(re.With[:], re.Fingerprint) {
+		reg.members[fp] = struct{}{}
+	}
+}
+
+// forgetMembers rebuilds the set of members from the records. The registry's lock is held.
+func (reg *Registry) forgetMembers() {
+	clear(reg.members)
+	for _, re := range reg.records {
+		if re.State == Quarantined {
+			for _, fp := range append(re.With[:], re.Fingerprint) {
+				reg.members[fp] = struct{}{}
+			}
+		}
+	}
+}
+
 // evict deletes the expired records, and if that is not enough, all suspects.
 func (reg *Registry) evict(now time.Time) {
 	for fp, re := range reg.records {
