--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -117,6 +117,7 @@
 		Proofs: []Proof{
 			{"a poisonous request that is sent repeatedly in each poison cell crashes two engines at most", "go test ./test/matrix -run '/poison'"},
 			{"without agents: up to 360 entries, entries that restart, fast, slow and parallel copies; crashes and cut connections by other causes", "go test ./core/forward -run 'Poisonous|Innocent|Popular'"},
+			{"parts of prompts that crash upstreams: beside innocent parts, two at a time, never answered, after a repair, in outages, at gateways as processes", "go test ./core/forward ./core/suspect ./test/gateway -run 'Part'"},
 			{"attribution of crashes in any order of the news, cost at 360 entries", "go test ./core/suspect ./io/sibling -run 'Attribution|Suspects|Memory'"},
 			{"fifty repetitions over two entries, the loss of a hundred hosts", "go test ./core/suspect"},
 		},
