Name traits and admissions in the package comment of core/suspect

Found on the last reading: the usage section knew neither the parts of prompts nor the decision before each attempt. Comments only; go vet, the linter and the package's tests pass.

--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -10,8 +10,9 @@
 // report that its upstream crashed, so innocent requests on a lost host never
 // become suspects.
 //
-// Without agents no request can run alone, and [Detector] infers from the requests
-// that were in flight at several crashes which of them is the cause.
+// Without agents no request can run alone, and [Detector] infers from what was in
+// flight at several crashes which of it is the cause: a whole request, or a part
+// that prompts share. Both are [Traits] of requests.
 //
 // # Usage
 //
@@ -21,8 +22,10 @@
 //	reg.ClearSuspect(fp)              // it succeeded
 //
 //	de := suspect.NewDetector(reg)
-//	de.RecordCrash(crash, now)        // an upstream has ended with it in flight
-//	de.RecordCompleted(fp, now)
+//	tr := suspect.TraitsOfExchange(workspace, service, ex)
+//	ad, until := de.Admit(tr, request, now) // before each attempt
+//	de.RecordCrash(crash, now)        // an upstream has ended with a trait in flight
+//	de.RecordCompleted(fp, now)       // an upstream has answered a request with the trait
 //	for _, re := range de.Quarantine(now) { … }
 //	send(de.TakeNotices(now))         // to the other entries
 package suspect
