Name service and purpose of each attempt, and show who made the retries of a span

For retries beyond their bound the logs could not tell an entry that forgets what it spent from arrivals that no budget counts: attempt-begun named neither the service nor the purpose of an attempt, and nothing said what the budget had refused.

attempt-begun now has both; exchanges that end say whether the budget refused a retry; repeats has the service as a label, and the resumption of a stream as a purpose of its own. skylarkstand retries reads the logs of all gateways and shows for each service the span with most retries, by gateway and purpose.

--- a/app/app.go
+++ b/app/app.go
@@ -49,6 +49,7 @@
 	Load      *loadCmd      `arg:"subcommand:load" help:"drive entries with a mix of requests"`
 	Explain   *explainCmd   `arg:"subcommand:explain" help:"tell the story of one request from logs"`
 	Losses    *lossesCmd    `arg:"subcommand:losses" help:"say why callers got less than they could, from logs"`
+	Retries   *retriesCmd   `arg:"subcommand:retries" help:"say which gateway made the retries of the worst span, from logs"`
 	Reference *referenceCmd `arg:"subcommand:reference" help:"print a generated reference page"`
 }
 
@@ -66,6 +67,7 @@
   skylarkstand apply routing.json --store http://127.0.0.1:9200 --base 7 --why "desk v2 to 10%"
   skylarkstand explain 2a05daab3234778d gateway-1.log gateway-2.log
   skylarkstand losses gateway-1.log gateway-2.log
+  skylarkstand retries gateway-1.log gateway-2.log
   skylarkstand evacuate muc-b --store http://127.0.0.1:9200 --why "power works"
   skylarkstand roll-back 6 --store http://127.0.0.1:9200 --why "desk v2 is bad"
 
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -10,6 +10,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/event"
 	"skylarkstand/core/mechanism"
+	"skylarkstand/core/retry"
 )
 
 // Answer is the answer of an exchange. It must be used by one goroutine at a time.
@@ -231,7 +232,7 @@
 		jb.noRetryReason = endReason(ans.ctx)
 		return false
 	}
-	for ve := lost; jb.mayRetry(ans.ctx); {
+	for ve := lost; jb.mayRetry(ans.ctx, retry.Resumption); {
 		ans.at.recordFailure(cause)
 		ans.at.discard(ve)
 		at, fl := jb.beginAttempt(ans.ctx, ans.lastEventID, suspicionWait)
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -56,6 +56,10 @@
 	// followed, for the log.
 	lastFailure   string
 	noRetryReason string
+	// purpose is the purpose of the last retry that the budget granted, and budgetRefused is set once it
+	// refused one.
+	purpose       string
+	budgetRefused bool
 }
 
 // maxSends bounds the attempts of a request, counting those that reach no upstream or are
@@ -113,7 +117,7 @@
 // Otherwise it returns the attempt's verdict, which differs from the given one when the body
 // breaks off after a good header.
 func (jb *job) accept(ctx context.Context, at *attempt, ve verdict) (*Answer, verdict) {
-	take := ve == taken || ve == unsure && !jb.escalate(ctx) || ve == failed && !jb.mayRetry(ctx)
+	take := ve == taken || ve == unsure && !jb.escalate(ctx) || ve == failed && !jb.mayRetry(ctx, retry.Retry)
 	if !take {
 		at.discard(ve)
 		return nil, ve
@@ -141,7 +145,7 @@
 	case failed:
 		return nil // accept has allowed another attempt.
 	case lost:
-		if !jb.mayRetry(ctx) {
+		if !jb.mayRetry(ctx, retry.Retry) {
 			return jb.failure(core.CodeOutcomeLost, 0, "the upstream's answer was lost: "+at.reason)
 		}
 	case refused:
@@ -163,7 +167,7 @@
 
 // mayRetry reports whether work that may have run may run once more, and takes the retry from
 // the budget.
-func (jb *job) mayRetry(ctx context.Context) bool {
+func (jb *job) mayRetry(ctx context.Context, pu retry.Purpose) bool {
 	left, bounded := jb.timeLeft(time.Now())
 	switch {
 	case !jb.rt.Retry.Retryable():
@@ -176,7 +180,7 @@
 		jb.noRetryReason = "the time is nearly up"
 	case !jb.hasUntried():
 		jb.noRetryReason = "no untried upstream is left"
-	case !jb.spendRetry(retry.Retry):
+	case !jb.spendRetry(pu):
 		jb.noRetryReason = "the budget for repeats is used up"
 	default:
 		jb.noRetryReason = ""
@@ -191,7 +195,12 @@
 	fw.mu.Lock()
 	ok := fw.retryWindow(jb.service).Spend(time.Now(), pu)
 	fw.mu.Unlock()
-	fw.meters.budgetDecision(pu, ok)
+	fw.meters.budgetDecision(jb.service, pu, ok)
+	if ok {
+		jb.purpose = pu.String()
+	} else {
+		jb.budgetRefused = true
+	}
 	return ok
 }
 
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -12,7 +12,7 @@
 // logBegin logs the choice of the upstream with its inputs.
 func (at *attempt) logBegin(candidates int, retriesLeft float64) {
 	jb, ba := at.jb, at.flight.Basis()
-	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "route", jb.rt.ID, "attempt", at.number, "upstream", at.to.ID,
+	event.Log(jb.fw.deps.Log, event.AttemptBegun, "request", jb.ex.ID, "route", jb.rt.ID, "service", jb.service, "attempt", at.number, "purpose", jb.purpose, "upstream", at.to.ID,
 		"version", at.to.Version, "model", at.rq.Model, "prompt", jb.ex.Prompt, "output", jb.ex.Output, "configuration", jb.tb.Version, "news-age", jb.fw.components.ConfigAge(),
 		"candidates", candidates, "own", ba.Own, "others", round(ba.Others), "load-age", ba.LoadAge, "failing", round(ba.FailureRate),
 		"kept", ba.CachedTokens, "waits", ba.QueueTime, "read", at.prefillWait, "rank", at.queueRank, "patience", at.headerTimeout, "left", at.left, "repeats-left", round(retriesLeft), "after", at.after)
@@ -40,7 +40,7 @@
 		"version", at.to.Version, "model", jb.model(), "session", jb.ex.Session, "prompt", jb.ex.Prompt, "output", jb.ex.Output,
 		"status", ans.status, "confidence", ans.confidence, "attempts", jb.sends, "bytes", ans.sentBytes, "first", first, "took", took,
 		"aim", jb.rt.TargetLatency, "pause", ans.longestGap, "gap", jb.rt.MaxEventGap, "larger", jb.largerModels(), "sure", round(jb.threshold),
-		"kept-answer", jb.answerReason, "configuration", jb.tb.Version, "unframed", at.unframed(), "tail", ans.tail(),
+		"kept-answer", jb.answerReason, "configuration", jb.tb.Version, "unframed", at.unframed(), "tail", ans.tail(), "budget-refused", jb.budgetRefused,
 	}
 	if code == "" {
 		event.Log(jb.fw.deps.Log, event.ExchangeEnded, attrs...)
@@ -56,7 +56,7 @@
 	jb.fw.meters.ended(fl.Code, took)
 	event.Log(jb.fw.deps.Log, event.ExchangeFailed, "request", jb.ex.ID, "route", jb.rt.ID, "workspace", jb.workspace,
 		"service", jb.service, "model", jb.model(), "code", fl.Code, "ran", fl.Ran, "message", fl.Message, "last", jb.lastFailure,
-		"no-repeat", jb.noRetryReason, "attempts", jb.sends, "took", took, "retry-after", fl.RetryAfter, "configuration", jb.tb.Version,
+		"no-repeat", jb.noRetryReason, "attempts", jb.sends, "took", took, "retry-after", fl.RetryAfter, "budget-refused", jb.budgetRefused, "configuration", jb.tb.Version,
 		"news-age", jb.fw.components.ConfigAge())
 }
 
--- a/core/forward/meters.go
+++ b/core/forward/meters.go
@@ -44,8 +44,8 @@
 func (me meters) attempt(ve verdict) { meter.Attempts.Inc(me.scope, ve.String()) }
 
 // budgetDecision counts a request to the retry budget.
-func (me meters) budgetDecision(pu retry.Purpose, granted bool) {
-	meter.Repeats.Inc(me.scope, pu.String(), strconv.FormatBool(granted))
+func (me meters) budgetDecision(sv core.ServiceID, pu retry.Purpose, granted bool) {
+	meter.Repeats.Inc(me.scope, string(sv), pu.String(), strconv.FormatBool(granted))
 }
 
 // resumed counts a broken stream by whether it was resumed.
--- a/core/meter/catalogue.go
+++ b/core/meter/catalogue.go
@@ -20,8 +20,8 @@
 	Attempts = &Metric{"attempts", Counter, []string{"verdict"},
 		"Attempts by result: `taken`, `unsure` (escalated to a larger model), `failed`, `refused`, `stranger` (the address belongs to another upstream now), `unreached` (nothing was sent), `absent` (no process listens) or `lost`.",
 		"`lost` exceeds a few percent of the exchanges"}
-	Repeats = &Metric{"repeats", Counter, []string{"purpose", "granted"},
-		"Retries requested from the retry budget, by purpose: a `retry` of a failed attempt, or a `climb` (escalation) to a larger model.",
+	Repeats = &Metric{"repeats", Counter, []string{"service", "purpose", "granted"},
+		"Retries requested from the retry budget, by purpose: a `retry` of a failed attempt, a `climb` (escalation) to a larger model, or the `resume` of a broken stream.",
 		"`granted=\"false\"` for the purpose `retry`: requests fail at their first failed attempt"}
 	Resumptions = &Metric{"resumptions", Counter, []string{"outcome"},
 		"Broken streams, by whether they were resumed at another upstream.",
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -45,10 +45,12 @@
 const (
 	Retry Purpose = iota
 	Escalation
+	// Resumption continues a broken stream.
+	Resumption
 )
 
 // String returns the purpose's name in logs and metrics.
-func (pu Purpose) String() string { return [...]string{"retry", "climb"}[pu] }
+func (pu Purpose) String() string { return [...]string{"retry", "climb", "resume"}[pu] }
 
 const (
 	// retryShare and escalationShare are the fractions of the bound that each purpose may use.
