--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -65,7 +65,13 @@
 	unframed bool
 	cut      Cut
 	restarts int
-	arrivals []time.Time
+	arrivals []Arrival
+}
+
+// Arrival is a request that reached the upstream.
+type Arrival struct {
+	ID string
+	At time.Time
 }
 
 // Cut is how streams are cut off.
@@ -171,7 +177,18 @@
 func (up *Upstream) Arrivals() []time.Time {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	return append([]time.Time(nil), up.arrivals...)
+	out := make([]time.Time, len(up.arrivals))
+	for i, ar := range up.arrivals {
+		out[i] = ar.At
+	}
+	return out
+}
+
+// RequestArrivals returns the requests that arrived, in order, including those that were refused.
+func (up *Upstream) RequestArrivals() []Arrival {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return append([]Arrival(nil), up.arrivals...)
 }
 
 // Runs returns the requests that were run, in order.
@@ -196,7 +213,7 @@
 	}
 	up.mu.Lock()
 	mode := up.mode
-	up.arrivals = append(up.arrivals, time.Now())
+	up.arrivals = append(up.arrivals, Arrival{rq.Header.Get("X-Skylarkstand-Attempt-Id"), time.Now()})
 	if up.rateLimit != "" {
 		hd.Set("Server-Limit", up.rateLimit)
 	}
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -118,8 +118,9 @@
 			rt("claim", "/claim/", "unsafe", "desk", object{"max_attempts": 1}),
 			rt("draft", "/draft/", "streaming", "lm", object{"stream_resume": true, "sizes": []string{"small", "large"}}),
 			rt("open", "/open/", "safe", "desk", object{"public": true}),
+			rt("failing", "/failing/", "safe", "failing", object{"max_attempts": 4}),
 		},
-		"services": []object{{"name": "desk", "max_connections": 50}, {"name": "lm", "max_connections": 50}},
+		"services": []object{{"name": "desk", "max_connections": 50}, {"name": "lm", "max_connections": 50}, {"name": "failing", "max_connections": 500}},
 		"limits":   object{"max_header_bytes": 8192, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []object{{"name": "school", "api_keys": keys}},
 	})
