Bound retries in every span over all entries, by construction

What callers saw: retries beyond the bound at the upstreams of a service, which keeps a failing pool from recovering.

Three of one class, a bound over a span that each entry keeps by a window of its own: - an entry forgot a retry after 9.5 to 10 s, counted from its decision, while spans of the bound still held it; - each entry took a sixteenth of the slack as long as it knew no others, and a new part with each start; loans relied on reports that may be late; - requests paid in full both in their own span and in the next one.

Now each entry keeps, for every span that a retry may arrive in, to the ratio of the mean of its requests in the span and in the span before, and its part of the slack. The mean is linear, so the bounds of the entries add up to the bound of the sum. A retry counts from its grant until it has certainly arrived, or never will: no attempt is sent without one, one that was held for long is taken anew, a cancelled request is discarded by the kernel. Parts of the slack (core/share) add up to it whoever starts, ends, or has an old list. Loans count at the lender until they have certainly arrived.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -19,8 +19,8 @@
 	"skylarkstand/core/prefixsync"
 	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/replica"
-	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/share"
 	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
 	"skylarkstand/core/watch"
@@ -104,12 +104,34 @@
 // members provides the registered entries. Its functions are set when the watch handler is created,
 // since that depends on components that use members.
 type members struct {
-	list  func() []watch.Member
-	count func() int
+	list     func() []watch.Member
+	count    func() int
+	standing func(now time.Time, self core.ProcessID, span time.Duration) share.Standing
 }
 
 func newMembers() *members {
-	return &members{list: func() []watch.Member { return nil }, count: func() int { return 0 }}
+	return &members{
+		list: func() []watch.Member { return nil }, count: func() int { return 0 },
+		standing: func(time.Time, core.ProcessID, time.Duration) share.Standing { return share.Standing{} },
+	}
+}
+
+// Standing implements [share.List].
+func (me *members) Standing(now time.Time, self core.ProcessID, span time.Duration) share.Standing {
+	return me.standing(now, self, span)
+}
+
+// lenders are the entries that may lend a retry. Its function is set when the gossiper is created, which
+// depends on the forwarder.
+type lenders struct {
+	borrow func(core.ServiceID) bool
+}
+
+func newLenders() *lenders { return &lenders{borrow: func(core.ServiceID) bool { return false }} }
+
+// newDivider returns the part of this entry in what all entries share.
+func newDivider(deps core.Deps, me *members, rep *replica.Replica) *share.Divider {
+	return share.New(deps.Self, me, rep.Age)
 }
 
 // ids returns the ids of the entries.
@@ -192,14 +214,15 @@
 	return replica.NewFollower(deps, re, st, si, replica.IsReader(func() bool { return rd.IsReader(time.Now()) }), replica.FirstCopyFrom(si))
 }
 
-func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, de *suspect.Detector, sc *shutdownState, me *members, off mechanism.Disabled) *forward.Forwarder {
+func newForwarder(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, gu *canary.Guard, wt *warmup.Tracker, rl *ratelimit.Tracker, rep *replica.Replica, ac core.UpstreamClient, de *suspect.Detector, sc *shutdownState, di *share.Divider, le *lenders, off mechanism.Disabled) *forward.Forwarder {
 	re := set.RetryBudget
-	slack := func() float64 { return retry.BurstShare(re.Slack, me.count()) }
+	window := time.Duration(re.Window)
+	slack := func(now time.Time) float64 { return re.Slack * di.Part(now, window) }
 	return forward.New(deps, ac, forward.Components{
 		InForce: inf, Fleet: fl, Canary: gu, Warmup: wt, RateLimits: rl, Cooldowns: cooldown.New(), Suspects: de,
 		ConfigAge:      func() time.Duration { return rep.Age(time.Now()) },
-		NewRetryWindow: forward.RetryWindows(time.Duration(re.Window), re.Ratio, slack),
-		Stopping:       sc.remaining, Off: off,
+		NewRetryWindow: forward.RetryWindows(window, re.Ratio, slack), Shares: di, BorrowRetry: func(sv core.ServiceID) bool { return le.borrow(sv) },
+		Stopping: sc.remaining, Off: off,
 	})
 }
 
@@ -212,7 +235,7 @@
 		},
 		OnQuarantine: qu.HandleChange,
 	})
-	me.list, me.count = ha.Members, ha.EntryCount
+	me.list, me.count, me.standing = ha.Members, ha.EntryCount, ha.Standing
 	return ha
 }
 
@@ -232,11 +255,13 @@
 	return canary.NewCollector(gu, si)
 }
 
-func newGossiper(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *replica.Follower, rd *membership.Readers, rg *membership.Registrar, me *members) *sibling.Gossiper {
+func newGossiper(set settings.Gateway, deps core.Deps, fw *forward.Forwarder, fo *replica.Follower, rd *membership.Readers, rg *membership.Registrar, me *members, le *lenders) *sibling.Gossiper {
 	local := func() []string { return me.othersInRegion(set.Siblings, set.Regions, deps.Region) }
 	isReader := func() bool { return rd.IsReader(time.Now()) }
 	remote := func() map[core.Region][]string { return me.byRemoteRegion(set.Regions, deps.Region) }
-	return sibling.NewGossiper(deps.Self, set.Siblings, fw, fo, local, isReader, sibling.RemoteEntries(remote), sibling.Heartbeats(rg))
+	gs := sibling.NewGossiper(deps.Self, set.Siblings, fw, fo, local, isReader, sibling.RemoteEntries(remote), sibling.Heartbeats(rg))
+	le.borrow = gs.BorrowRetry
+	return gs
 }
 
 func newSyncer(set settings.Gateway, deps core.Deps, inf *route.InForce, fl *fleet.Fleet, mem core.PrefixCaches, fw *forward.Forwarder, me *members, off mechanism.Disabled) *prefixsync.Syncer {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -77,6 +77,9 @@
 	ResumeAfter string
 	// MaxConnections is the maximum number of connections to the upstream; 0 means no bound.
 	MaxConnections int
+	// BeforeSend is called immediately before the first byte is sent. If it returns false, nothing is sent,
+	// and the call fails as not run. It may be nil.
+	BeforeSend func() bool
 }
 
 // NoConfidence is the confidence of a reply that reports none.
--- a/core/forward/answer.go
+++ b/core/forward/answer.go
@@ -295,5 +295,5 @@
 		ans.at.reply.Body.Close()
 	}
 	ans.at.cancel(nil)
-	ans.jb.cancel()
+	ans.jb.end()
 }
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -12,6 +12,7 @@
 	"skylarkstand/core/balance"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/event"
+	"skylarkstand/core/retry"
 	"skylarkstand/core/warmup"
 )
 
@@ -51,6 +52,10 @@
 	// reason is why the attempt yielded no usable answer, for the log.
 	reason string
 	ended  bool
+	// budgeted is the attempt in the retry budget; nil until it is sent. withheld is set when the budget
+	// refused it just before that.
+	budgeted *retry.Attempt
+	withheld bool
 	// acquitted is set once the answer has shown that the request crashes nothing.
 	acquitted bool
 	// outcomeReported is set once the outcome was reported to the canary guard.
@@ -69,6 +74,8 @@
 		return at.failedVerdict(err)
 	}
 	at.reply, at.began = re, time.Now()
+	at.budgeted.Confirm(at.began)
+	at.recordAlive(at.began)
 	at.permit.Release(at.began)
 	at.recordHeader()
 	at.recordSignals()
@@ -110,6 +117,7 @@
 // recordChunk records the arrival of a chunk of a streamed answer, which is one event.
 func (at *attempt) recordChunk() {
 	now := time.Now()
+	at.recordAlive(now)
 	if at.chunks > 0 {
 		at.jb.fw.meters.gaps.RecordDuration(now.Sub(at.lastChunkAt))
 	} else {
@@ -135,7 +143,7 @@
 	jb := at.jb
 	ca := &core.Call{
 		Exchange: jb.ex, To: at.to, Workspace: jb.workspace, Model: at.rq.Model,
-		ResumeAfter: at.after, Priority: at.queueRank, MaxConnections: jb.maxConnections(),
+		ResumeAfter: at.after, Priority: at.queueRank, MaxConnections: jb.maxConnections(), BeforeSend: at.beforeSend,
 	}
 	if at.bounded {
 		ca.Timeout = max(at.left-time.Since(at.sent), time.Millisecond)
@@ -161,9 +169,14 @@
 	at.recordFailure(err)
 	var fl *core.Failure
 	if !errors.As(err, &fl) || fl.Ran != core.NotRun {
+		if at.ctx.Err() == nil {
+			at.budgeted.Confirm(time.Now()) // The connection has ended, so that nothing of it arrives later.
+		}
 		return lost
 	}
+	at.budgeted.NotSent()
 	if fl.Code == core.CodeCrashed {
+		at.jb.retryWindow().Gone(time.Now(), at.to.ID)
 		return absent
 	}
 	return unreached
--- a/core/forward/crash_pool_test.go
+++ b/core/forward/crash_pool_test.go
@@ -114,7 +114,7 @@
 		InForce: po.inf, Fleet: po.fleets[i], Warmup: warmup.New(deps.Self), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: de,
 		RateLimits:     ratelimit.New(deps.Self, func() []core.ProcessID { return po.ids }),
 		ConfigAge:      func() time.Duration { return 0 },
-		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
+		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func(time.Time) float64 { return 20 }) },
 	}, forward.RandomSource(po.draw))
 	return fw, rr
 }
--- a/core/forward/crash_upstream_test.go
+++ b/core/forward/crash_upstream_test.go
@@ -53,6 +53,9 @@
 
 // Call implements core.UpstreamClient.
 func (cc crashClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	if withheld(ca) {
+		return nil, errWithheld
+	}
 	po, bad := cc.po, isPoisonous(ca.Exchange) && !cc.po.isRepaired()
 	part := poisonousPart(ca.Exchange)
 	pr, cut := po.arrive(ca.To.ID, part, bad && time.Since(cc.started) > noticeTime)
--- a/core/forward/fixture_test.go
+++ b/core/forward/fixture_test.go
@@ -100,14 +100,22 @@
 	fx.fw = forward.New(deps, fx, forward.Components{
 		InForce: fx.inf, Fleet: fx.fl, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return []core.ProcessID{"self"} }), Canary: fx.gu, Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
 		ConfigAge:      func() time.Duration { return fx.age },
-		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
+		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func(time.Time) float64 { return 20 }) },
 		Stopping:       func() (time.Duration, bool) { return fx.left, fx.left > 0 },
 	}, forward.RandomSource(func() float64 { return 0.5 }))
 	return fx
 }
 
+// withheld reports whether the forwarder withholds a call that is about to be sent.
+func withheld(ca *core.Call) bool { return ca.BeforeSend != nil && !ca.BeforeSend() }
+
+var errWithheld = core.Refuse(core.CodeOverloaded, 0, "withheld")
+
 // Call implements core.UpstreamClient.
 func (fx *fixture) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	if withheld(ca) {
+		return nil, errWithheld
+	}
 	fx.mu.Lock()
 	n := len(fx.calls)
 	fx.calls = append(fx.calls, *ca)
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -16,6 +16,7 @@
 	"skylarkstand/core/ratelimit"
 	"skylarkstand/core/retry"
 	"skylarkstand/core/route"
+	"skylarkstand/core/share"
 	"skylarkstand/core/shed"
 	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
@@ -39,6 +40,10 @@
 	ConfigAge func() time.Duration
 	// NewRetryWindow returns a new retry window for a service.
 	NewRetryWindow func() *retry.Window
+	// BorrowRetry asks sibling entries for a retry at a service. It may be nil.
+	BorrowRetry func(core.ServiceID) bool
+	// Shares divides what all entries share. It may be nil.
+	Shares *share.Divider
 	// Stopping returns how long the process still serves. It reports false until a planned stop
 	// has lasted long enough to be noticed outside. Nil means that the process never stops.
 	Stopping func() (left time.Duration, stopping bool)
@@ -113,7 +118,7 @@
 	}
 	ans, fl := jb.run(ctx)
 	if fl != nil {
-		jb.cancel()
+		jb.end()
 		jb.log(fl)
 		return nil, fl
 	}
--- a/core/forward/gossip.go
+++ b/core/forward/gossip.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"skylarkstand/core/balance"
-	"skylarkstand/core/mechanism"
 )
 
 // TakeFacts returns the facts about upstreams that this entry has observed since the last call, and
@@ -76,10 +75,10 @@
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	lo := fw.picker.TakeLoad()
-	now := time.Now()
-	for sv, wi := range fw.retryWindows {
-		lo.Budgets = append(lo.Budgets, balance.RetryBudget{Service: balance.Hash(sv), Left: wi.Report(now)})
+	if fw.components.Shares != nil {
+		fw.components.Shares.Observe(time.Now())
 	}
+	lo.Budgets = fw.retriesLeft(time.Now())
 	return lo
 }
 
@@ -87,13 +86,5 @@
 func (fw *Forwarder) ReceiveLoad(from uint64, lo balance.Load) {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	now := time.Now()
-	fw.picker.ReceiveLoad(now, from, lo)
-	for sv, wi := range fw.retryWindows {
-		for _, bu := range lo.Budgets {
-			if bu.Service == balance.Hash(sv) && !fw.components.Off.Has(mechanism.BorrowedRetries) {
-				wi.ReceiveReport(now, from, bu.Left)
-			}
-		}
-	}
+	fw.picker.ReceiveLoad(time.Now(), from, lo)
 }
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -60,6 +60,8 @@
 	// refused one.
 	purpose       string
 	budgetRefused bool
+	// retries counts the request's attempts in the retry budget.
+	retries *retry.Request
 }
 
 // maxSends bounds the attempts of a request, counting those that reach no upstream or are
@@ -91,6 +93,12 @@
 	}
 }
 
+// end frees what the job holds.
+func (jb *job) end() {
+	jb.cancel()
+	jb.retries.Release()
+}
+
 // nextAttempt returns the attempt with the larger model if one was chosen, and begins one otherwise.
 func (jb *job) nextAttempt(ctx context.Context) (*attempt, *core.Failure) {
 	if at := jb.escalated; at != nil {
@@ -158,6 +166,9 @@
 			return jb.failure(core.CodeNoUpstream, jb.backoff(), "the upstreams that are listed are others by now")
 		}
 	case unreached, absent:
+		if at.withheld {
+			return jb.failure(core.CodeNoUpstream, jb.backoff(), "the budget for repeats is used up")
+		}
 		if jb.sends >= maxSends {
 			return jb.failure(core.CodeNoUpstream, jb.backoff(), "no upstream can be reached")
 		}
@@ -190,20 +201,6 @@
 
 func (jb *job) maxAttempts() int { return max(jb.rt.MaxAttempts, 1) }
 
-func (jb *job) spendRetry(pu retry.Purpose) bool {
-	fw := jb.fw
-	fw.mu.Lock()
-	ok := fw.retryWindow(jb.service).Spend(time.Now(), pu)
-	fw.mu.Unlock()
-	fw.meters.budgetDecision(jb.service, pu, ok)
-	if ok {
-		jb.purpose = pu.String()
-	} else {
-		jb.budgetRefused = true
-	}
-	return ok
-}
-
 // request returns the inputs to the choice of an upstream.
 func (jb *job) request() balance.Request {
 	return balance.Request{
@@ -260,7 +257,7 @@
 	jb.prefillTime += at.flight.PrefillTime()
 	at.headerTimeout = headerTimeout(jb.rt, fw.picker.MeanHeaderTime(rq), at.prefillWait, left)
 	at.queueRank = balance.Rank(jb.priority, jb.rankingCost(at), fw.draw())
-	retriesLeft := fw.retryWindow(jb.service).Left(now, retry.Retry)
+	retriesLeft := jb.retryWindow().Left(now, retry.Retry)
 	fw.mu.Unlock()
 	select {
 	case fw.sentSignal <- struct{}{}:
--- a/core/forward/load_limit_test.go
+++ b/core/forward/load_limit_test.go
@@ -46,6 +46,9 @@
 
 // Call implements core.UpstreamClient.
 func (fp *fragilePool) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	if withheld(ca) {
+		return nil, errWithheld
+	}
 	fp.mu.Lock()
 	fp.running[ca.To.ID]++
 	running := fp.running[ca.To.ID]
@@ -99,7 +102,7 @@
 			InForce: fx.inf, Fleet: fl, Warmup: warmup.New(id), Canary: gu, Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
 			RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
 			ConfigAge:      func() time.Duration { return 0 },
-			NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
+			NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func(time.Time) float64 { return 20 }) },
 		}, forward.RandomSource(draw)))
 	}
 	return fp
--- a/core/forward/meters.go
+++ b/core/forward/meters.go
@@ -70,10 +70,10 @@
 func (fw *Forwarder) countArrival(jb *job) {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	fw.retryWindow(jb.service).Arrived(time.Now())
+	jb.retries = fw.retryWindow(jb.service).Begin(time.Now())
 }
 
 // RetryWindows returns a function that makes the retry window of a service.
-func RetryWindows(length time.Duration, ratio float64, slack func() float64) func() *retry.Window {
+func RetryWindows(length time.Duration, ratio float64, slack func(time.Time) float64) func() *retry.Window {
 	return func() *retry.Window { return retry.NewWindow(length, ratio, slack) }
 }
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -122,6 +122,7 @@
 	at, fl := jb.beginAttempt(ctx, jb.ex.LastEventID, 0)
 	if fl != nil {
 		jb.stage, jb.tried, jb.answerReason = stage, tried, reasonNoUpstream
+		jb.retries.Release()
 		return false
 	}
 	jb.escalated = at
--- a/core/forward/pool_test.go
+++ b/core/forward/pool_test.go
@@ -91,7 +91,7 @@
 		InForce: inf, Fleet: fl, Warmup: warmup.New(id), Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
 		RateLimits:     ratelimit.New(id, func() []core.ProcessID { return ids }),
 		ConfigAge:      func() time.Duration { return 0 },
-		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func() float64 { return 20 }) },
+		NewRetryWindow: func() *retry.Window { return retry.NewWindow(10*time.Second, 1, func(time.Time) float64 { return 20 }) },
 	}, forward.RandomSource(po.draw))
 }
 
@@ -104,6 +104,9 @@
 // Call implements core.UpstreamClient. An upstream without replies of its own fails a part of its
 // calls in every way that is followed by another attempt.
 func (pc poolClient) Call(ctx context.Context, ca *core.Call) (*core.Reply, error) {
+	if withheld(ca) {
+		return nil, errWithheld
+	}
 	kind := pc.po.arrived(pc.entry, ca.To.ID)
 	time.Sleep(answerTime)
 	if respond := pc.po.replies[ca.To.ID]; respond != nil {
--- /dev/null
+++ b/core/forward/retry_budget.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"time"
+
+	"skylarkstand/core/balance"
+	"skylarkstand/core/mechanism"
+	"skylarkstand/core/retry"
+)
+
+// retryWindow returns the retry budget of the job's service.
+func (jb *job) retryWindow() *retry.Window { return jb.retries.Window() }
+
+// spendRetry takes a retry from the budget for the next attempt.
+func (jb *job) spendRetry(pu retry.Purpose) bool {
+	ok := jb.retries.Spend(time.Now(), pu) || jb.borrowRetry()
+	jb.fw.meters.budgetDecision(jb.service, pu, ok)
+	if ok {
+		jb.purpose = pu.String()
+	} else {
+		jb.budgetRefused = true
+	}
+	return ok
+}
+
+// borrowRetry asks sibling entries for a retry.
+func (jb *job) borrowRetry() bool {
+	fw, now := jb.fw, time.Now()
+	if fw.components.BorrowRetry == nil || jb.disabled(mechanism.BorrowedRetries) || !jb.retryWindow().MayAsk(now) {
+		return false
+	}
+	if !fw.components.BorrowRetry(jb.service) {
+		jb.retryWindow().LoanRefused(time.Now())
+		return false
+	}
+	jb.retries.Borrow(now)
+	return true
+}
+
+// LendRetry takes a retry from this entry's budget for a sibling entry. The service is given by its hash.
+func (fw *Forwarder) LendRetry(service uint64) bool {
+	if fw.components.Off.Has(mechanism.BorrowedRetries) {
+		return false
+	}
+	fw.mu.Lock()
+	var window *retry.Window
+	for sv, wi := range fw.retryWindows {
+		if balance.Hash(sv) == service {
+			window = wi
+		}
+	}
+	fw.mu.Unlock()
+	return window != nil && window.Lend(time.Now())
+}
+
+// retriesLeft returns what this entry reports to its siblings as left of its budgets. The forwarder's lock is
+// held.
+func (fw *Forwarder) retriesLeft(now time.Time) []balance.RetryBudget {
+	var out []balance.RetryBudget
+	for sv, wi := range fw.retryWindows {
+		out = append(out, balance.RetryBudget{Service: balance.Hash(sv), Left: wi.Left(now, retry.Escalation)})
+	}
+	return out
+}
+
+// beforeSend records in the retry budget that the attempt is sent. It returns false if it must not be: the
+// time since it was granted was too long, and no retry is left by now.
+func (at *attempt) beforeSend() bool {
+	budgeted, ok := at.jb.retries.Send(time.Now(), at.to.ID)
+	if !ok {
+		at.withheld, at.jb.budgetRefused = true, true
+		return false
+	}
+	at.budgeted = budgeted
+	return true
+}
+
+// recordAlive records in the retry budget that the attempt's upstream has sent something.
+func (at *attempt) recordAlive(now time.Time) { at.jb.retryWindow().Alive(now, at.to.ID) }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -1,41 +1,64 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"skylarkstand/core"
 )
 
 // Window bounds the retries at one service by the requests for it. Retries are all arrivals
 // there beyond the first of each request, including escalations in a cascade. It is safe for
 // concurrent use.
 //
-// All entries share one bound and cannot coordinate each retry. Each keeps to the ratio of its
-// own requests and to its share of the burst, so that the sum keeps to the bound whatever the
-// others do. With few requests each, some entries have no retries left while most have plenty.
-// So entries report their remaining budget to their siblings, and one may exceed its own share by
-// [borrowShare] while all together have some left.
+// The bound is on arrivals in any span of the window's length, over all entries, and entries
+// cannot coordinate each retry. So each keeps to a bound of its own, and these add up: in each
+// span, its retries stay below the ratio of its requests, as the mean of those in the span and
+// those in the span before it, plus its share of the slack. The mean is linear, so that the sum of
+// the entries' bounds is the bound of the sum, whichever of them gets the requests and whenever
+// they start, stop or learn of one another.
+//
+// A retry counts in each span in which it may arrive: from the time it is granted until it is
+// known to have arrived, or to arrive no more. See [Request].
 type Window struct {
 	ratio float64
-	// burst returns this entry's share of the retries that are allowed beyond the ratio (the
-	// setting `slack`).
-	burst        func() float64
+	// slack returns this entry's share of the retries that are allowed beyond the ratio.
+	slack        func(now time.Time) float64
+	length       time.Duration
 	bucketLength time.Duration
 
 	mu sync.Mutex
 	// epoch is the first time seen. Times are counted from it by the monotonic clock, since the
 	// wall clock may jump.
-	epoch   time.Time
-	buckets [bucketCount]bucket
-	// head is the index of the newest bucket, counted from epoch; its place is head % bucketCount.
+	epoch time.Time
+	// head is the index of the newest bucket, counted from epoch; its place is head % ringLength.
 	head int64
-	// reports holds the siblings' remaining budgets, by the hashes of their process ids.
-	reports map[uint64]siblingReport
+	// requests and settled count the requests, and the retries that have certainly arrived by then, by
+	// bucket. outstanding counts the granted retries that may still arrive.
+	requests, settled [ringLength]float64
+	outstanding       float64
+	// unconfirmed are the attempts that may still arrive at an upstream, in the order in which they were
+	// sent.
+	unconfirmed map[core.UpstreamID][]*Attempt
+	sweptAt     time.Time
+	// lent are the loans to siblings, in the order of their ends, and refusedAt is when none of them lent one.
+	lent      []loan
+	refusedAt time.Time
 }
 
-// bucketCount is the number of buckets in a window.
-const bucketCount = 20
-
-type bucket struct{ requests, retries float64 }
+const (
+	// spanBuckets is the number of buckets in a window.
+	spanBuckets = 200
+	// ringLength covers the spans that contain the present, and the requests that pay for them.
+	ringLength = 2 * spanBuckets
+	// delayBuckets is how much later than its caller sent it a request may be counted.
+	delayBuckets = 2
+	// holdBuckets is how long a granted retry may wait until it is sent, and transitBuckets how long it may
+	// take from there: as long as a kernel repeats unacknowledged bytes.
+	holdBuckets    = 8
+	transitBuckets = 52
+)
 
 // Purpose is the reason for a retry.
 type Purpose int
@@ -52,96 +75,69 @@
 // String returns the purpose's name in logs and metrics.
 func (pu Purpose) String() string { return [...]string{"retry", "climb", "resume"}[pu] }
 
-const (
-	// retryShare and escalationShare are the fractions of the bound that each purpose may use.
-	// The rest allows for requests that still count here but have just left the sliding window
-	// of the bound.
-	retryShare      = 0.85
-	escalationShare = 0.8
-)
-
-const (
-	// minParts is the least number of parts that a shared burst is divided into: an entry that
-	// has just started may not have discovered its siblings yet. Twenty of them would use 1.06
-	// of it together, which the unused rest of the ratio makes up for.
-	minParts = 16
-	// partsPerEntry is the number of parts for each known entry; some more entries may be
-	// starting.
-	partsPerEntry = 1.2
-)
-
-// BurstShare returns an entry's share of a burst, the retries allowed beyond the ratio, that the
-// given number of entries share.
-func BurstShare(burst float64, entries int) float64 {
-	return burst / max(minParts, partsPerEntry*float64(entries))
-}
+// escalationShare is the fraction of the bound that escalations may use.
+const escalationShare = 0.95
 
-// NewWindow returns a window of the given length, with a ratio of retries to requests. burst
-// returns this entry's current share of the burst, see [BurstShare].
-func NewWindow(length time.Duration, ratio float64, burst func() float64) *Window {
-	return &Window{ratio: ratio, burst: burst, bucketLength: length / bucketCount, reports: map[uint64]siblingReport{}}
-}
-
-// Arrived counts a request.
-func (wi *Window) Arrived(now time.Time) {
-	wi.mu.Lock()
-	defer wi.mu.Unlock()
-	wi.bucketAt(now).requests++
+// share returns the fraction of the bound that retries for this purpose may use.
+func (pu Purpose) share() float64 {
+	if pu == Escalation {
+		return escalationShare
+	}
+	return 1
 }
 
-// Spend takes a retry from the budget, or returns false when there is none left.
-func (wi *Window) Spend(now time.Time, pu Purpose) bool {
-	wi.mu.Lock()
-	defer wi.mu.Unlock()
-	cur := wi.bucketAt(now)
-	if wi.left(pu) < 1 && !wi.mayBorrow(now, pu) {
-		return false
+// NewWindow returns a window of the given length, with a ratio of retries to requests. slack
+// returns this entry's current share of the retries allowed beyond the ratio.
+func NewWindow(length time.Duration, ratio float64, slack func(now time.Time) float64) *Window {
+	return &Window{
+		ratio: ratio, slack: slack, length: length, bucketLength: length / spanBuckets,
+		unconfirmed: map[core.UpstreamID][]*Attempt{},
 	}
-	cur.retries++
-	return true
 }
 
 // Left returns the number of retries left for a purpose.
 func (wi *Window) Left(now time.Time, pu Purpose) float64 {
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
-	wi.bucketAt(now)
-	return max(wi.left(pu), 0)
-}
-
-func (wi *Window) left(pu Purpose) float64 {
-	allowed, retries := wi.allowedAndUsed()
-	return pu.share()*allowed - retries
+	wi.advance(now)
+	return max(wi.left(now, pu), 0)
 }
 
-// allowedAndUsed returns the entry's share of the bound, and its retries in the window.
-func (wi *Window) allowedAndUsed() (allowed, retries float64) {
-	requests := 0.0
-	for _, bu := range wi.buckets {
-		requests += bu.requests
-		retries += bu.retries
+// left returns the retries left in the tightest of the spans that contain the present or begin while a
+// retry granted now may arrive.
+func (wi *Window) left(now time.Time, pu Purpose) float64 {
+	// A span that begins within bucket b ends within bucket b+spanBuckets, and the one before it begins within
+	// bucket b-spanBuckets.
+	const first = -spanBuckets + 1 + delayBuckets
+	b := wi.head + holdBuckets + transitBuckets
+	slack, retries, requests := wi.slack(now), wi.outstanding, 0.0
+	for i := b + first; i <= wi.head; i++ {
+		requests += wi.requests[place(i)]
 	}
-	return wi.ratio*requests + wi.burst(), retries
-}
-
-// share returns the fraction of the bound that retries for this purpose may use.
-func (pu Purpose) share() float64 {
-	if pu == Escalation {
-		return escalationShare
+	least := math.Inf(1)
+	for ; b >= wi.head-spanBuckets; b-- {
+		if b <= wi.head {
+			retries += wi.settled[place(b)]
+		}
+		least = min(least, pu.share()*(wi.ratio*requests/2+slack)-retries)
+		requests += wi.requests[place(b-1+first)]
 	}
-	return retryShare
+	return least
 }
 
-// bucketAt returns the bucket of a time, and clears the buckets that were skipped since the last
-// one.
-func (wi *Window) bucketAt(now time.Time) *bucket {
+// place returns the place of a bucket in the ring. Buckets before the epoch are empty.
+func place(bucket int64) int64 { return (bucket%ringLength + ringLength) % ringLength }
+
+// advance moves the head to the bucket of a time, and clears the buckets that it passes.
+func (wi *Window) advance(now time.Time) {
 	if wi.epoch.IsZero() {
-		wi.epoch = now
+		wi.epoch, wi.sweptAt = now, now
 	}
 	index := max(int64(now.Sub(wi.epoch)/wi.bucketLength), wi.head)
-	for i := max(wi.head, index-bucketCount) + 1; i <= index; i++ {
-		wi.buckets[i%bucketCount] = bucket{}
+	for i := max(wi.head, index-ringLength) + 1; i <= index; i++ {
+		wi.requests[place(i)], wi.settled[place(i)] = 0, 0
 	}
 	wi.head = index
-	return &wi.buckets[wi.head%bucketCount]
+	wi.settleLoans()
+	wi.sweep(now)
 }
--- a/core/watch/handler.go
+++ b/core/watch/handler.go
@@ -12,8 +12,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +21,7 @@
 	"skylarkstand/core/event"
 	"skylarkstand/core/fleet"
 	"skylarkstand/core/route"
+	"skylarkstand/core/share"
 	"skylarkstand/core/suspect"
 	"skylarkstand/core/warmup"
 )
@@ -90,6 +89,8 @@
 
 	mu      sync.Mutex
 	members map[core.ProcessID]Member
+	// roster holds who is on the list and has left it.
+	roster *share.Roster
 	// received is set by the first batch of changes.
 	received bool
 	hosts    map[core.UpstreamID]core.Host
@@ -106,7 +107,7 @@
 // New returns a Handler that routes changes to ta.
 func New(deps core.Deps, la Layout, ta Targets) *Handler {
 	return &Handler{
-		deps: deps, la: la, ta: ta, members: map[core.ProcessID]Member{},
+		deps: deps, la: la, ta: ta, members: map[core.ProcessID]Member{}, roster: share.NewRoster(),
 		hosts: map[core.UpstreamID]core.Host{}, restored: map[core.UpstreamID]bool{}, holders: map[core.Region][]core.ProcessID{},
 	}
 }
@@ -117,7 +118,7 @@
 	for _, ch := range changes {
 		switch {
 		case strings.HasPrefix(ch.Key, PrefixEntries):
-			ha.applyMember(ch)
+			ha.applyMember(now, ch)
 		case strings.HasPrefix(ch.Key, PrefixSteps):
 			ha.applyStep(now, ch)
 		case strings.HasPrefix(ch.Key, suspect.Prefix):
@@ -132,7 +133,7 @@
 	ha.mu.Unlock()
 }
 
-func (ha *Handler) applyMember(ch core.Change) {
+func (ha *Handler) applyMember(now time.Time, ch core.Change) {
 	id := core.ProcessID(strings.TrimPrefix(ch.Key, PrefixEntries))
 	var me Member
 	if !ch.Removed {
@@ -142,64 +143,16 @@
 		}
 	}
 	clear(ha.holders)
+	me.ID, me.Revision = id, ch.Revision
 	ha.mu.Lock()
 	defer ha.mu.Unlock()
 	if ch.Removed {
 		delete(ha.members, id)
+		ha.roster.Remove(now, id)
 		return
 	}
-	me.ID, me.Revision = id, ch.Revision
 	ha.members[id] = me
-}
-
-// Members lists the registered entries. Of several entries at one address it contains only
-// the newest: the others have ended, although their leases last for some more seconds.
-func (ha *Handler) Members() []Member {
-	ha.mu.Lock()
-	defer ha.mu.Unlock()
-	newest := map[string]Member{}
-	out := make([]Member, 0, len(ha.members))
-	for _, me := range ha.members {
-		if me.Addr == "" {
-			out = append(out, me)
-			continue
-		}
-		if old, ok := newest[me.Addr]; !ok || old.Revision < me.Revision {
-			newest[me.Addr] = me
-		}
-	}
-	return slices.AppendSeq(out, maps.Values(newest))
-}
-
-// IsKnown reports whether the list of entries was received already.
-func (ha *Handler) IsKnown() bool {
-	ha.mu.Lock()
-	defer ha.mu.Unlock()
-	return ha.received
-}
-
-// IsRegistered reports whether a process is listed.
-func (ha *Handler) IsRegistered(id core.ProcessID) bool {
-	ha.mu.Lock()
-	defer ha.mu.Unlock()
-	_, ok := ha.members[id]
-	return ok
-}
-
-// Registrations lists all registrations, including those of processes that were replaced at their
-// address.
-func (ha *Handler) Registrations() []Member {
-	ha.mu.Lock()
-	defer ha.mu.Unlock()
-	return slices.Collect(maps.Values(ha.members))
-}
-
-// EntryCount returns the number of registered entries. It includes entries that have ended but
-// whose lease lasts, since their retries still count in the retry budget's window.
-func (ha *Handler) EntryCount() int {
-	ha.mu.Lock()
-	defer ha.mu.Unlock()
-	return len(ha.members)
+	ha.roster.Put(now, id, me.Revision)
 }
 
 func (ha *Handler) applyStep(now time.Time, ch core.Change) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -75,7 +75,7 @@
 	fw := forward.New(core.NewDeps(), ac, forward.Components{
 		InForce: inf, Warmup: warmup.New("self"), RateLimits: ratelimit.New("self", func() []core.ProcessID { return nil }), Fleet: fl, Canary: canary.New(), Cooldowns: cooldown.New(), Suspects: suspect.NewDetector(suspect.New()),
 		ConfigAge:      func() time.Duration { return 0 },
-		NewRetryWindow: forward.RetryWindows(10*time.Second, 1, func() float64 { return 10 }),
+		NewRetryWindow: forward.RetryWindows(10*time.Second, 1, func(time.Time) float64 { return 10 }),
 	})
 	sv := front.New(deps, plain{}, fw, inf)
 	li, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -57,6 +57,9 @@
 	// ReceiveSuspects records what another entry has announced.
 	TakeSuspects() suspect.Notices
 	ReceiveSuspects(no suspect.Notices)
+	// LendRetry takes a retry from this entry's budget for another entry. The service is given by its
+	// hash.
+	LendRetry(service uint64) bool
 }
 
 // Digests provides this entry's replica digest and processes those of other entries.
@@ -96,6 +99,7 @@
 	// this entry still asks others for theirs.
 	quarantined atomic.Pointer[[][]byte]
 	asksLeft    int
+	loans       loans
 	// membership is what heartbeats are sent for; nil for none.
 	membership Membership
 	// listen opens the socket for datagrams.
@@ -179,6 +183,7 @@
 		return eris.Wrap(err, "sibling")
 	}
 	defer context.AfterFunc(ctx, func() { pc.Close() })()
+	gs.loans.open(pc)
 	gs.reply = func(data []byte, addr string) { sendDatagrams(pc, []string{addr}, data) }
 	go gs.receive(pc)
 	beat := time.NewTimer(0)
@@ -356,7 +361,7 @@
 // handleDatagram decodes a datagram and passes on its content. Datagrams of unknown
 // formats, including those of other releases, are ignored.
 func (gs *Gossiper) handleDatagram(data []byte, addr string) {
-	if gs.receiveMembership(data, addr) || gs.receiveSuspects(data, addr) {
+	if gs.receiveMembership(data, addr) || gs.receiveSuspects(data, addr) || gs.receiveLoan(data, addr) {
 		return
 	}
 	if lo, ok := decodeRegion(data); ok {
@@ -389,6 +394,7 @@
 	}
 	if from, di, lo, ok := decodeLoad(data); ok {
 		gs.ld.ReceiveLoad(from, lo)
+		gs.loans.recordReport(time.Now(), addr, lo.Budgets)
 		gs.receiveDigest(di, addr)
 	}
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -60,6 +60,14 @@
 // interrupt makes pending reads and writes fail.
 func (co *conn) interrupt() { _ = co.SetDeadline(past) }
 
+// discardUnsent makes the close of the connection discard what the kernel has not delivered yet. Otherwise it
+// would deliver a canceled request when a cut link is back.
+func (co *conn) discardUnsent() {
+	if tc, ok := co.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+}
+
 // usable reports whether an idle connection is open and has no unread data. Data that arrives
 // without a request belongs to none, and would be taken for the response to the next one.
 func (co *conn) usable() bool { return co.br.Buffered() == 0 && IsIdle(co.Conn) }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -63,6 +63,9 @@
 	Body                 []byte
 	// MaxConnections bounds the open connections to the address; 0 means no limit.
 	MaxConnections int
+	// BeforeSend is called immediately before the first byte is written. If it returns false, nothing is
+	// written and the request fails with [ErrWithheld]. It may be nil.
+	BeforeSend func() bool
 	// IsResponse reports, by a response's header, whether the response belongs to this request. If
 	// it is nil, the first response does.
 	IsResponse func(http.Header) bool
@@ -105,6 +108,8 @@
 var (
 	// ErrConnectionLimit: all connections to the upstream are in use.
 	ErrConnectionLimit = errors.New("all connections are in use")
+	// ErrWithheld: BeforeSend returned false.
+	ErrWithheld = errors.New("the request was withheld")
 	// ErrForeignResponse: the connection delivers responses to other requests.
 	ErrForeignResponse = errors.New("answers to other requests")
 )
@@ -147,14 +152,19 @@
 	if err != nil {
 		return nil, err
 	}
+	if rq.BeforeSend != nil && !rq.BeforeSend() {
+		cl.drop(co)
+		return nil, &Error{Err: ErrWithheld}
+	}
 	stop := context.AfterFunc(ctx, co.interrupt)
 	rs, er := co.exchange(rq)
 	if er != nil {
 		stop()
-		cl.drop(co)
 		if cause := ctx.Err(); cause != nil {
 			er.Err = cause
+			co.discardUnsent()
 		}
+		cl.drop(co)
 		return nil, er
 	}
 	rs.Body = &body{ReadCloser: rs.Body, cl: cl, co: co, stop: stop, reuse: !rs.ClosesConnection, idle: keepAlive(rs.Header)}
--- /dev/null
+++ b/io/upstream/withhold_test.go
@@ -0,0 +1,47 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/io/upstream"
+)
+
+// Guards against a request that arrives although it was withheld at the last moment.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	pe := newPeer(t, responds("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	cl, cleanup := upstream.New()
+	defer cleanup()
+	allowed := false
+	rq := &upstream.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}, BeforeSend: func() bool { return allowed }}
+	_, err := cl.Do(t.Context(), pe.addr, rq)
+	assert.Assert(t, errors.Is(err, upstream.ErrWithheld))
+	assert.Assert(t, !upstream.MaybeSent(err))
+	allowed = true
+	rs, err := cl.Do(t.Context(), pe.addr, rq)
+	assert.NilError(t, err)
+	rs.Body.Close()
+}
+
+// Guards against a canceled request that the kernel delivers once a cut link is back.
+func TestCanceledRequestIsDiscarded(t *testing.T) {
+	ended := make(chan error, 1)
+	pe := newPeer(t, func(nc net.Conn, _ *http.Request) {
+		_, err := nc.Read(make([]byte, 1))
+		ended <- err
+	})
+	cl, cleanup := upstream.New()
+	defer cleanup()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := cl.Do(ctx, pe.addr, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET), "the connection was closed in a way that delivers what was not sent yet")
+}
--- a/test/swarm/entry.go
+++ b/test/swarm/entry.go
@@ -142,3 +142,4 @@
 func (noLoads) ReceiveDraining([]balance.Incarnation)       {}
 func (noLoads) TakeSuspects() suspect.Notices               { return suspect.Notices{} }
 func (noLoads) ReceiveSuspects(suspect.Notices)             {}
+func (noLoads) LendRetry(uint64) bool                       { return false }
