Queue the ending of a claim before others are told of it

What callers saw: nothing. TestConcurrentRequestsWithOneKey failed in 2 of 3,000 runs of the users: the key of a finished operation was given out again.

Cause: Finish told those that waited for the ending before its change was queued. A release of the same attempt by one of them could be queued first, and was accepted. No caller of the package does that: core/execute ends each claim once, in one goroutine. So no operation has run twice; but the table accepted a release after an ending.

The change is now queued and the ending recorded under one lock; claims alone are counted and refused when too many wait, as before.

--- a/core/claim/bucket.go
+++ b/core/claim/bucket.go
@@ -267,7 +267,7 @@
 			bu.tbl.untrackOwned(ch.req.Attempt)
 		}
 		if !ch.deliver(results[i]) && owned {
-			_ = bu.tbl.enqueue(newChange(releasing, ch.req))
+			bu.tbl.queueRelease(ch.req)
 		}
 	}
 }
--- a/core/claim/owned.go
+++ b/core/claim/owned.go
@@ -27,9 +27,8 @@
 	tbl.owned[id] = &ownedClaim{done: make(chan struct{})}
 }
 
+// recordEnding records how an attempt ended and tells those that wait for it. The caller holds the lock.
 func (tbl *Table) recordEnding(id core.AttemptID, en Ending) {
-	tbl.mu.Lock()
-	defer tbl.mu.Unlock()
 	oc := tbl.owned[id]
 	if oc == nil || oc.ended {
 		return
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -287,18 +287,17 @@
 // Finish stores the answer of an owned claim. If the context ends first, Finish returns the
 // context's error and the answer is stored in the background.
 func (tbl *Table) Finish(ctx context.Context, req Request, an Answer) error {
-	tbl.recordEnding(req.Attempt, Ending{Answer: an})
 	ch := newChange(finishing, req)
 	ch.answer = an.trimmed()
-	return tbl.submitAndWait(ctx, ch)
+	return tbl.endAndWait(ctx, ch, Ending{Answer: an})
 }
 
 // Release gives up an owned claim that was certainly never sent to the upstream, so that the key
 // can run later. If the context ends first, Release returns the context's error and the claim is
 // released in the background.
 func (tbl *Table) Release(ctx context.Context, req Request) error {
-	tbl.recordEnding(req.Attempt, Ending{Failure: core.Refuse(core.CodeNoUpstream, retryAfterRelease, "the attempt that had the key was given up")})
-	return tbl.submitAndWait(ctx, newChange(releasing, req))
+	fl := core.Refuse(core.CodeNoUpstream, retryAfterRelease, "the attempt that had the key was given up")
+	return tbl.endAndWait(ctx, newChange(releasing, req), Ending{Failure: fl})
 }
 
 // retryAfterRelease is the Retry-After of a released claim, the time until the release is expected
@@ -308,14 +307,19 @@
 // MarkOutcomeUnknown records that an owned claim was sent to the upstream and returned no answer
 // that can be stored. The key stays claimed: it never runs again.
 func (tbl *Table) MarkOutcomeUnknown(req Request, fl *core.Failure) {
+	tbl.mu.Lock()
 	tbl.recordEnding(req.Attempt, Ending{Failure: fl})
+	tbl.mu.Unlock()
 	tbl.untrackOwned(req.Attempt)
 }
 
-func (tbl *Table) submitAndWait(ctx context.Context, ch *change) error {
-	if err := tbl.enqueue(ch); err != nil {
-		return err
-	}
+// endAndWait ends an owned claim. Those that wait for the ending are told of it once the change is queued, so that
+// nothing they do about the claim can be written before it.
+func (tbl *Table) endAndWait(ctx context.Context, ch *change, en Ending) error {
+	tbl.mu.Lock()
+	tbl.append(ch)
+	tbl.recordEnding(ch.req.Attempt, en)
+	tbl.mu.Unlock()
 	select {
 	case res := <-ch.result:
 		return res.err
@@ -326,17 +330,28 @@
 	}
 }
 
-// enqueue adds a change to its bucket's queue. When too many changes wait, only claims are refused:
-// an answer or a release follows a claim, so their number is bounded.
+// enqueue queues a claim, unless too many changes wait. Answers and releases are never refused: they follow a
+// claim, so that their number is bounded.
 func (tbl *Table) enqueue(ch *change) error {
 	tbl.mu.Lock()
 	defer tbl.mu.Unlock()
-	if ch.kind == claiming {
-		if tbl.queued >= tbl.maxWaiting {
-			return ErrBusy
-		}
-		tbl.queued++
+	if tbl.queued >= tbl.maxWaiting {
+		return ErrBusy
 	}
+	tbl.queued++
+	tbl.append(ch)
+	return nil
+}
+
+// queueRelease releases a claim that nobody waits for any more.
+func (tbl *Table) queueRelease(req Request) {
+	tbl.mu.Lock()
+	defer tbl.mu.Unlock()
+	tbl.append(newChange(releasing, req))
+}
+
+// append adds a change to its bucket's queue. The caller holds the lock.
+func (tbl *Table) append(ch *change) {
 	pa := ch.req.Key.path()
 	bu := tbl.buckets[pa]
 	if bu == nil {
@@ -349,5 +364,4 @@
 		tbl.activeBuckets++
 		go bu.writeQueued()
 	}
-	return nil
 }
