Refuse for good only by a configuration that was confirmed within its bound

Cause: an entry refused for good by a configuration that had been confirmed up to 7 s ago, more than the time within which an accepted one must be in force. Now up to 3 s; after that the refusal says when to come back.

Evidence: TestUnknownKeyWithStaleConfiguration with an age of 3.1 s failed before.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -99,6 +99,11 @@
 // already. It is well above the interval between two confirmations by a store without changes.
 const staleConfigAge = 7 * time.Second
 
+// finalRefusalAge is the age of the configuration up to which a refusal by it is final. An accepted configuration
+// is in force within that time, so that a newer one cannot allow what this one refuses. The store confirms it a
+// little more often while nothing changes.
+const finalRefusalAge = 3 * time.Second
+
 // noConfigRetryAfter is the Retry-After of a process without any configuration. Only the store,
 // or a sibling entry that receives from it, can supply one, and outages of the store last for
 // seconds. A caller that retries sooner uses up its retries.
@@ -215,7 +220,7 @@
 // contain. While a newer configuration may still be on its way here, the refusal is not final: a
 // caller with a new key would otherwise give up for good.
 func (fw *Forwarder) notConfiguredFailure(code core.Code, text string) *core.Failure {
-	if age := fw.components.ConfigAge(); age > staleConfigAge {
+	if age := fw.components.ConfigAge(); age > finalRefusalAge {
 		return core.Refuse(core.CodeStaleConfig, shortRetryAfter, "%s, by a configuration that was confirmed %s ago", text, age.Round(time.Millisecond))
 	}
 	return core.Refuse(code, 0, "%s", text)
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -203,7 +203,7 @@
 	for _, sc := range []struct {
 		age  time.Duration
 		code core.Code
-	}{{time.Second, core.CodeUnauthorized}, {time.Minute, core.CodeStaleConfig}} {
+	}{{time.Second, core.CodeUnauthorized}, {3100 * time.Millisecond, core.CodeStaleConfig}, {time.Minute, core.CodeStaleConfig}} {
 		runInBubble(t, func(t *testing.T) {
 			fx := newFixture(t, answers(http.StatusOK, "done"))
 			fx.age = sc.age
