Give an entry no share of a rate limit before it knows the list of entries

What callers saw: none reported; found by looking for the cause of the retries beyond their bound in the other bounds over a span. Entries that have just started and know nobody each took the whole limit of an upstream.

Evidence: TestEntriesThatKnowNobodyKeepToALimit failed with 19 requests in 4 s of 11 allowed (4 entries, limit of 1 a second) to 36,269 of 245 (360 entries, 40 a second). An entry without a list now sends trials alone; one that is not listed yet, but knows others, takes the share that it will have, as before.

--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -75,16 +75,18 @@
 }
 
 // updateShare computes this entry's share of the limit. An entry that is not registered yet takes
-// the share that it will have.
+// the share that it will have, and none while it knows no list: each of those that start together would take
+// the limit whole.
 func (li *limit) updateShare(now time.Time, id core.UpstreamID, self core.ProcessID, entries []core.ProcessID) {
 	li.sharedAt = now
+	listed := len(entries) > 0
 	if !slices.Contains(entries, self) {
 		entries = append(slices.Clone(entries), self)
 	}
 	burst := int(math.Min(burstSeconds*float64(li.rate)+minBurst, math.MaxInt32))
 	li.entries, li.rank = len(entries), rendezvous.Rank(string(id), entries, self)
 	li.holders = min(len(entries), burst)
-	if li.rank >= li.holders {
+	if li.rank >= li.holders || !listed {
 		li.tokens = nil
 		return
 	}
--- a/core/ratelimit/share_test.go
+++ b/core/ratelimit/share_test.go
@@ -190,3 +190,19 @@
 	}
 	return nil
 }
+
+// Guards against entries that have just started, know nobody else, and take a limit whole.
+func TestEntriesThatKnowNobodyKeepToALimit(t *testing.T) {
+	for _, entries := range []int{4, 20, 72, 360} {
+		for _, ra := range []core.Rate{1, 8, 40} {
+			t.Run(fmt.Sprint(entries, " entries, ", ra, " a second"), func(t *testing.T) {
+				cl := newCluster(entries, ra)
+				for i := range cl.lists {
+					cl.lists[i] = nil
+				}
+				cl.run(rand.New(rand.NewPCG(5, 6)), 0, 10)
+				assert.Assert(t, cl.mostInWindow() <= cl.allowed(), "%d in a window; allowed %d", cl.mostInWindow(), cl.allowed())
+			})
+		}
+	}
+}
