Give an entry no slack of the exposure limit before it knows the list of entries

What callers saw: none reported; found by looking for the cause of the retries beyond their bound in the other bounds over a span. An entry without a list took the slack of a roll-out whole, and so did each other one that started.

Evidence: TestReportsOfAPartOfTheEntriesLeaveAPartOfTheSlack with no entry known completed a roll-out before; now it does not.

--- a/core/canary/exposure.go
+++ b/core/canary/exposure.go
@@ -53,7 +53,7 @@
 // communication, whatever their traffic does.
 func (gu *Guard) mayExpose(now time.Time, ro *rollout) bool {
 	sent, all := float64(ro.own.sent), float64(ro.own.all)
-	planned := gu.exposure.planned(all, gu.exposure.slack/float64(max(gu.entries(), 1)))
+	planned := gu.exposure.planned(all, gu.partOfSlack(1))
 	if ro.currentStep() == lastStep {
 		// The requests after the latest completion can't be kept from the new version.
 		rest := ro.duration() - gu.schedule.latest(ro.duration())
@@ -62,6 +62,16 @@
 	return sent < min(planned, capFactor*gu.plannedShare(now, ro)*all+capSlack)
 }
 
+// partOfSlack returns the part of the slack that a number of entries have together. It is 0 while no entry is known:
+// each of those that start together would take the slack whole.
+func (gu *Guard) partOfSlack(entries int) float64 {
+	all := gu.entries()
+	if all == 0 {
+		return 0
+	}
+	return min(float64(entries)/float64(all), 1) * gu.exposure.slack
+}
+
 // plannedShare returns the share of all requests since the order that the new version should have
 // received by now. Sessions differ in size, so that a step's share of them may be more of the requests.
 func (gu *Guard) plannedShare(now time.Time, ro *rollout) float64 {
@@ -88,6 +98,5 @@
 	rate = max(rate+ro.siblings.perSecond, rate*all/float64(max(ro.own.all, 1)))
 	expected := rest * burstFactor * rate
 	// The reports may be of a part of the entries, which has a part of the slack.
-	part := min(float64(1+ro.siblings.entries)/float64(max(gu.entries(), 1)), 1)
-	return sent+expected <= gu.exposure.planned(all+expected, part*gu.exposure.slack)
+	return sent+expected <= gu.exposure.planned(all+expected, gu.partOfSlack(1+ro.siblings.entries))
 }
--- a/core/canary/exposure_test.go
+++ b/core/canary/exposure_test.go
@@ -75,9 +75,10 @@
 }
 
 // TestReportsOfAPartOfTheEntriesLeaveAPartOfTheSlack guards against a completion by the whole slack where only
-// a part of the entries has reported its requests, as in a large fleet or a partition.
+// a part of the entries has reported its requests, as in a large fleet or a partition, or while no list of the
+// entries is known.
 func TestReportsOfAPartOfTheEntriesLeaveAPartOfTheSlack(t *testing.T) {
-	for _, entries := range []int{1, 100} {
+	for _, entries := range []int{0, 1, 100} {
 		gu := canary.New(canary.Exposure(0.15), canary.ExposureSlack(100), canary.Entries(func() int { return entries }))
 		now := time.Unix(1_000_000, 0)
 		order := canary.Order{Service: service, Target: v2, Duration: 14 * time.Second, Revision: 5}
