Check the retry budget in the soak, and free the place of a loan that was not sent

The soak now compares the arrivals beyond the first of each request with the bound of the worst span, for both services, over all gateways that ran.

A borrowed retry whose attempt was not sent stayed counted, so that an own one of the same request was never settled: TestUnsentLoanLeavesNothingBehind had 3 of 4 retries left a minute later.

--- a/core/retry/request.go
+++ b/core/retry/request.go
@@ -30,9 +30,9 @@
 	rq       *Request
 	upstream core.UpstreamID
 	at       time.Time
-	// retry is whether it took a retry of this entry's budget.
-	retry     bool
-	confirmed bool
+	// retry is whether it took a retry of this entry's budget, and borrowed whether it took one of a sibling's.
+	retry, borrowed bool
+	confirmed       bool
 }
 
 // Begin counts a request.
@@ -94,7 +94,7 @@
 	case rq.sent == 0:
 		rq.release()
 	case now.Before(rq.borrowedUntil):
-		rq.borrowedUntil = time.Time{}
+		rq.borrowedUntil, at.borrowed = time.Time{}, true
 		rq.borrowed++
 	case (!rq.held || wi.head-rq.heldAt > holdBuckets) && !rq.spend(now, rq.purpose):
 		return nil, false
@@ -107,7 +107,8 @@
 	return at, true
 }
 
-// NotSent records that nothing of the attempt was sent after all. Its retry serves the next attempt.
+// NotSent records that nothing of the attempt was sent after all. Its retry serves the next attempt; one of a sibling's
+// budget is lost.
 func (at *Attempt) NotSent() {
 	if at == nil {
 		return
@@ -120,10 +121,13 @@
 	}
 	at.confirmed = true
 	rq.sent--
-	if at.retry {
+	switch {
+	case at.retry:
 		rq.release()
 		rq.retries--
 		rq.held = true
+	case at.borrowed:
+		rq.borrowed--
 	}
 }
 
--- a/core/retry/request_test.go
+++ b/core/retry/request_test.go
@@ -46,6 +46,18 @@
 	assert.Equal(t, leftAt(wi, 0), float64(left-1))
 }
 
+// Guards against retries that count for ever after a borrowed one was not sent.
+func TestUnsentLoanLeavesNothingBehind(t *testing.T) {
+	wi := budget()
+	rq := sent(wi, start, 1)
+	rq.Borrow(start)
+	at, ok := rq.Send(start, "up")
+	assert.Assert(t, ok)
+	at.NotSent()
+	assert.Equal(t, spendAll(rq, start, retry.Retry), left)
+	assert.Equal(t, leftAt(wi, time.Minute), float64(left))
+}
+
 // Guards against an attempt that is sent beyond the budget: after a pause of the process, or without a retry.
 func TestNoAttemptIsSentWithoutARetry(t *testing.T) {
 	wi := budget()
--- a/test/gateway/retry_budget_test.go
+++ b/test/gateway/retry_budget_test.go
@@ -23,10 +23,20 @@
 	budgetFirst = flag.Uint64("budget-first", 1, "the first seed")
 )
 
+// retryBudget is the bound on the retries at a service, over all gateways.
+type retryBudget struct {
+	window       time.Duration
+	ratio, slack float64
+}
+
+// settings returns the gateways' settings for the budget.
+func (rb retryBudget) settings() object {
+	return object{"repeats": object{"window": rb.window.String(), "ratio": rb.ratio, "slack": rb.slack}}
+}
+
+var budget = retryBudget{4 * time.Second, 0.2, 20}
+
 const (
-	budgetWindow = 4 * time.Second
-	budgetRatio  = 0.2
-	budgetSlack  = 20.0
 	// budgetRate is the number of requests per second beside the failures, failedRequests the number that
 	// come at once when all upstreams fail.
 	budgetRate     = 40
@@ -76,15 +86,15 @@
 	stop := make(chan struct{})
 	bp.wg.Add(1)
 	go bp.sendSteadily(stop)
-	time.Sleep(budgetWindow + budgetWindow/4)
+	time.Sleep(budget.window * 5 / 4)
 	disturbance := bp.rnd.IntN(5)
-	delay := time.Duration((0.9 + 0.15*bp.rnd.Float64()) * float64(budgetWindow))
+	delay := time.Duration((0.9 + 0.15*bp.rnd.Float64()) * float64(budget.window))
 	t.Logf("%d gateways, disturbance %d, second failure after %s", gateways, disturbance, delay)
 	first := time.Now()
 	bp.fail(disturbance, 0)
 	time.Sleep(time.Until(first.Add(delay)))
 	bp.fail(disturbance, gateways-1)
-	time.Sleep(budgetWindow / 4)
+	time.Sleep(budget.window / 4)
 	close(stop)
 	bp.wg.Wait()
 	bp.check()
@@ -93,7 +103,7 @@
 // start starts gateway i, or its replacement.
 func (bp *budgetPlay) start(i int) {
 	gw, err := bp.fl.StartGateway(fmt.Sprintf("gateway-%d-%d", i, bp.rnd.Uint32()), bp.store, fleet.Location{Zone: "muc-a", Region: "muc"},
-		object{"repeats": object{"window": budgetWindow.String(), "ratio": budgetRatio, "slack": budgetSlack}})
+		budget.settings())
 	assert.NilError(bp.t, err)
 	bp.mu.Lock()
 	defer bp.mu.Unlock()
@@ -163,43 +173,53 @@
 
 // check compares the arrivals beyond the first of each request, in the worst span, with the bound.
 func (bp *budgetPlay) check() {
+	worst, allowed := budget.worstSpan(bp.sent, retries(bp.ups))
+	bp.t.Logf("%d requests; in the worst span %d retries of %.1f allowed", len(bp.sent), worst, allowed)
+	assert.Assert(bp.t, worst > 0)
+	assert.Assert(bp.t, float64(worst) <= allowed, "%d retries in a span, %.1f allowed", worst, allowed)
+}
+
+// retries returns when requests arrived at upstreams beyond the first arrival of each, in order.
+func retries(ups []*upstream.Upstream) []time.Time {
 	var all []upstream.Arrival
-	for _, up := range bp.ups {
+	for _, up := range ups {
 		all = append(all, up.RequestArrivals()...)
 	}
 	slices.SortFunc(all, func(a, b upstream.Arrival) int { return a.At.Compare(b.At) })
 	seen := map[string]bool{}
-	var retries []time.Time
+	var out []time.Time
 	for _, ar := range all {
 		if seen[ar.ID] {
-			retries = append(retries, ar.At)
+			out = append(out, ar.At)
 		}
 		seen[ar.ID] = true
 	}
-	slices.SortFunc(bp.sent, time.Time.Compare)
-	worst, allowed := 0, 0.0
+	return out
+}
+
+// worstSpan returns the retries and the bound of the span with most retries for its bound.
+func (rb retryBudget) worstSpan(sent, retries []time.Time) (worst int, allowed float64) {
+	slices.SortFunc(sent, time.Time.Compare)
 	for _, at := range retries {
-		for _, from := range []time.Time{at, at.Add(time.Millisecond - budgetWindow)} {
-			got, most := count(retries, from), retryBound(bp.sent, from)
+		for _, from := range []time.Time{at, at.Add(time.Millisecond - rb.window)} {
+			got, most := rb.count(retries, from), rb.bound(sent, from)
 			if allowed == 0 || float64(got)/most > float64(worst)/allowed {
 				worst, allowed = got, most
 			}
 		}
 	}
-	bp.t.Logf("%d requests, %d retries; in the worst span %d of %.1f allowed", len(bp.sent), len(retries), worst, allowed)
-	assert.Assert(bp.t, len(retries) > 0)
-	assert.Assert(bp.t, float64(worst) <= allowed, "%d retries in a span, %.1f allowed", worst, allowed)
+	return worst, allowed
 }
 
 // count returns how many of the times are in the span that begins at from.
-func count(times []time.Time, from time.Time) int {
+func (rb retryBudget) count(times []time.Time, from time.Time) int {
 	begin, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(times, from.Add(budgetWindow), time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(rb.window), time.Time.Compare)
 	return end - begin
 }
 
-// retryBound returns the retries allowed in the span that begins at from, by the requests in that span, the
-// one before it or the one half a window before it, whichever has most.
-func retryBound(sent []time.Time, from time.Time) float64 {
-	return budgetRatio*float64(max(count(sent, from), count(sent, from.Add(-budgetWindow/2)), count(sent, from.Add(-budgetWindow)))) + budgetSlack
+// bound returns the retries allowed in the span that begins at from, by the requests in that span, the one before
+// it or the one half a window before it, whichever has most.
+func (rb retryBudget) bound(sent []time.Time, from time.Time) float64 {
+	return rb.ratio*float64(max(rb.count(sent, from), rb.count(sent, from.Add(-rb.window/2)), rb.count(sent, from.Add(-rb.window)))) + rb.slack
 }
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -48,9 +49,13 @@
 	requestTimeout = 6 * time.Second
 )
 
+// soakBudget has the default ratio and slack, and a window within the soak's duration.
+var soakBudget = retryBudget{4 * time.Second, 0.5, 20}
+
 // exchange is one request of a caller and the response to it.
 type exchange struct {
 	id, kind, body string
+	sent           time.Time
 	response
 }
 
@@ -120,7 +125,7 @@
 	sf.mu.Unlock()
 	sf.stores[i].Restore()
 	sf.st.SetFault(kv.None)
-	gw, err := sf.fl.StartGateway(name, sf.stores[i].Addr, fleet.Location{Zone: "muc-a", Region: "muc"}, nil)
+	gw, err := sf.fl.StartGateway(name, sf.stores[i].Addr, fleet.Location{Zone: "muc-a", Region: "muc"}, soakBudget.settings())
 	assert.NilError(sf.t, err)
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
@@ -142,9 +147,10 @@
 		kind := kinds[rnd.IntN(len(kinds))]
 		id := fmt.Sprintf("c%d-%d", n, i)
 		body := strings.Repeat(id+" ", 1+rnd.IntN(200))
+		sent := time.Now()
 		re := sf.post(cl, sf.gateway(rnd.IntN(len(sf.stores))), id, kind, body)
 		sf.mu.Lock()
-		sf.exchanges = append(sf.exchanges, exchange{id, kind, body, re})
+		sf.exchanges = append(sf.exchanges, exchange{id, kind, body, sent, re})
 		sf.mu.Unlock()
 		time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
 	}
@@ -294,10 +300,25 @@
 			assert.Assert(t, ex.kind != "draft" || strings.HasPrefix(completeStream(), ex.response.body), "%s: the cut stream is not a prefix of the complete one: %q", ex.id, ex.response.body)
 		}
 	}
+	sf.checkBudget("desk", sf.desks, "lookup", "claim")
+	sf.checkBudget("lm", sf.lms, "draft")
 	assert.Assert(t, answered > len(sf.exchanges)/10, "only %d of %d requests were answered; want more than a tenth", answered, len(sf.exchanges))
 	t.Logf("%d requests, %d answered, %d gateway starts", len(sf.exchanges), answered, sf.starts)
 }
 
+// checkBudget checks that a service got no more retries than allowed in any span, over all gateways.
+func (sf *soakFixture) checkBudget(service string, ups []*upstream.Upstream, kinds ...string) {
+	var sent []time.Time
+	for _, ex := range sf.exchanges {
+		if slices.Contains(kinds, ex.kind) {
+			sent = append(sent, ex.sent)
+		}
+	}
+	worst, allowed := soakBudget.worstSpan(sent, retries(ups))
+	sf.t.Logf("%s: in the worst span %d retries of %.1f allowed", service, worst, allowed)
+	assert.Assert(sf.t, float64(worst) <= allowed, "%s: %d retries in a span, %.1f allowed", service, worst, allowed)
+}
+
 // checkAnswer checks that a complete answer is the upstream's answer to this request.
 func (ex exchange) checkAnswer(t *testing.T) {
 	t.Helper()
