--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -4,10 +4,24 @@
 // Retries are meant for occasional failures. When a whole pool fails or is full, they multiply its
 // work at the worst moment: three attempts for each request turn an overload of 1.2 into one of 3.6,
 // which then does not end by itself. It shows as a pool that stays full although callers send no
-// more than usual. So retries draw on a budget that only successes fill.
+// more than usual. So retries draw on a budget: that of a [Budget], which successes fill, or that of a
+// [Window], which bounds the retries at a service in any span, over all entries.
 //
 // # Usage
 //
+// A retry of a Window is taken before the attempt is prepared, checked again immediately before the first byte
+// is sent, and counts until the attempt has certainly arrived:
+//
+//	rq := window.Begin(now)
+//	at, _ := rq.Send(now, upstream) // the first attempt is free
+//	at.Confirm(now)                 // or at.NotSent()
+//	if rq.Spend(now, retry.Retry) {
+//		if at, ok := rq.Send(now, other); ok { send(); at.Confirm(now) }
+//	}
+//	rq.Release()
+//
+// A Budget is for entries that share nothing:
+//
 //	bu := retry.NewBudget()
 //	bu.Succeeded()
 //	at := retry.NewAttempts(bu)
