--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -100,8 +100,7 @@
 const staleConfigAge = 7 * time.Second
 
 // finalRefusalAge is the age of the configuration up to which a refusal by it is final. An accepted configuration
-// is in force within that time, so that a newer one cannot allow what this one refuses. The store confirms it a
-// little more often while nothing changes.
+// is in force within that time, so that a newer one cannot allow what this one refuses.
 const finalRefusalAge = 3 * time.Second
 
 // noConfigRetryAfter is the Retry-After of a process without any configuration. Only the store,
--- a/core/retry/loan.go
+++ b/core/retry/loan.go
@@ -5,8 +5,6 @@
 const (
 	// LoanTTL is how long after it was asked for a borrowed retry may be sent.
 	LoanTTL = 250 * time.Millisecond
-	// lendingReserve is the number of retries that a lender keeps for its own requests.
-	lendingReserve = 2
 	// askInterval is the pause after a loan was refused.
 	askInterval = 100 * time.Millisecond
 )
@@ -20,7 +18,7 @@
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
 	wi.advance(now)
-	if wi.left(now, Escalation) < 1+lendingReserve {
+	if wi.left(now, Escalation) < 1 {
 		return false
 	}
 	wi.outstanding++
--- a/io/sibling/loans.go
+++ b/io/sibling/loans.go
@@ -24,7 +24,7 @@
 	// reportTTL is how long a report of the retries left counts.
 	reportTTL = 3 * time.Second
 	// minReported is the least number of retries left for which an entry is asked.
-	minReported = 3
+	minReported = 1
 )
 
 // loans holds what is known of the other entries' retry budgets, and the loans that are asked for.
