--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -157,12 +157,12 @@
 			return jb.failure(core.CodeOutcomeLost, 0, "the upstream's answer was lost: "+at.reason)
 		}
 	case refused:
-		if jb.sends >= maxSends || !jb.spendRetry(retry.Retry) {
+		if jb.sends >= maxSends || !jb.spendRetry(ctx, retry.Retry) {
 			return jb.refusedFailure()
 		}
 	case stranger:
 		// The process that now has the address counts this as an arrival.
-		if jb.sends >= maxSends || !jb.spendRetry(retry.Retry) {
+		if jb.sends >= maxSends || !jb.spendRetry(ctx, retry.Retry) {
 			return jb.failure(core.CodeNoUpstream, jb.backoff(), "the upstreams that are listed are others by now")
 		}
 	case unreached, absent:
@@ -191,7 +191,7 @@
 		jb.noRetryReason = "the time is nearly up"
 	case !jb.hasUntried():
 		jb.noRetryReason = "no untried upstream is left"
-	case !jb.spendRetry(pu):
+	case !jb.spendRetry(ctx, pu):
 		jb.noRetryReason = "the budget for repeats is used up"
 	default:
 		jb.noRetryReason = ""
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -111,7 +111,7 @@
 		return false
 	case ctx.Err() != nil:
 		return false
-	case !jb.spendRetry(retry.Escalation):
+	case !jb.spendRetry(ctx, retry.Escalation):
 		jb.answerReason = reasonNoBudget
 		return false
 	}
--- a/core/forward/retry_budget.go
+++ b/core/forward/retry_budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"skylarkstand/core/balance"
@@ -11,9 +12,21 @@
 // retryWindow returns the retry budget of the job's service.
 func (jb *job) retryWindow() *retry.Window { return jb.retries.Window() }
 
+const (
+	// listingTime is how long after its start a process may be missing on the list of entries, and listingWait
+	// how long a retry waits for that.
+	listingTime = 5 * time.Second
+	listingWait = 1500 * time.Millisecond
+	// listingInterval is how often it looks.
+	listingInterval = 20 * time.Millisecond
+)
+
 // spendRetry takes a retry from the budget for the next attempt.
-func (jb *job) spendRetry(pu retry.Purpose) bool {
+func (jb *job) spendRetry(ctx context.Context, pu retry.Purpose) bool {
 	ok := jb.retries.Spend(time.Now(), pu) || jb.borrowRetry()
+	if !ok && pu != retry.Escalation && jb.awaitListing(ctx) {
+		ok = jb.retries.Spend(time.Now(), pu)
+	}
 	jb.fw.meters.budgetDecision(jb.service, pu, ok)
 	if ok {
 		jb.purpose = pu.String()
@@ -23,6 +36,34 @@
 	return ok
 }
 
+// awaitListing waits until a process that has just started is on the list of entries, from when on it has a part
+// of the slack: its first failures would not be retried otherwise. It returns false if there was nothing to wait for.
+func (jb *job) awaitListing(ctx context.Context) bool {
+	sh, began := jb.fw.components.Shares, time.Now()
+	if sh == nil || began.Sub(jb.fw.started) > listingTime || sh.Listed(began) {
+		return false
+	}
+	wait := listingWait
+	if left, bounded := jb.timeLeft(began); bounded {
+		wait = min(wait, left/2)
+	}
+	ti := time.NewTicker(listingInterval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case now := <-ti.C:
+			if sh.Listed(now) {
+				return true
+			}
+			if now.Sub(began) >= wait {
+				return false
+			}
+		}
+	}
+}
+
 // borrowRetry asks sibling entries for a retry.
 func (jb *job) borrowRetry() bool {
 	fw, now := jb.fw, time.Now()
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -101,6 +101,9 @@
 	return age <= maxListAge
 }
 
+// Listed reports whether this entry has found itself on the list.
+func (di *Divider) Listed(now time.Time) bool { return di.list.Standing(now, di.self, 0).Listed }
+
 // Part returns this entry's part of an allowance over any span of a window, from 0 to 1.
 func (di *Divider) Part(now time.Time, window time.Duration) float64 {
 	di.mu.Lock()
@@ -108,7 +111,7 @@
 	if !di.observe(now) {
 		return 0
 	}
-	if window != di.window || now.Sub(di.partAt) >= cacheTime {
+	if di.part == 0 || window != di.window || now.Sub(di.partAt) >= cacheTime {
 		di.part, di.partAt, di.window = di.compute(now, window), now, window
 	}
 	return di.part
--- a/io/sibling/gossip.go
+++ b/io/sibling/gossip.go
@@ -100,6 +100,8 @@
 	quarantined atomic.Pointer[[][]byte]
 	asksLeft    int
 	loans       loans
+	// loanWait is how long an answer to a request for a loan may take.
+	loanWait time.Duration
 	// membership is what heartbeats are sent for; nil for none.
 	membership Membership
 	// listen opens the socket for datagrams.
@@ -128,7 +130,7 @@
 		self: self, addr: addr, ld: ld, di: di, addrs: addrs, isReader: isReader, revisionChanged: make(chan struct{}, 1), rotation: rotation{},
 		limiter: rate.NewLimiter(sentRate, sentBurst), remote: func() map[core.Region][]string { return nil },
 		draining: repeater[balance.Incarnation]{rounds: drainingRounds}, crashes: repeater[suspect.Crash]{rounds: crashRounds},
-		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds}, trials: repeater[suspect.Fingerprint]{rounds: crashRounds}, asksLeft: askRounds,
+		cleared: repeater[suspect.Fingerprint]{rounds: crashRounds}, trials: repeater[suspect.Fingerprint]{rounds: crashRounds}, asksLeft: askRounds, loanWait: loanWait,
 		listen: func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp", addr) },
 	}
 	for _, opt := range opts {
--- a/io/sibling/loans.go
+++ b/io/sibling/loans.go
@@ -113,7 +113,7 @@
 	defer gs.loans.end(number)
 	data := binary.BigEndian.AppendUint64([]byte{askLoanFormat}, number)
 	sendDatagrams(gs.loans.pc, []string{addr}, binary.BigEndian.AppendUint64(data, service))
-	ti := time.NewTimer(loanWait)
+	ti := time.NewTimer(gs.loanWait)
 	defer ti.Stop()
 	select {
 	case <-given:
--- a/io/sibling/loans_test.go
+++ b/io/sibling/loans_test.go
@@ -51,8 +51,10 @@
 	assert.Assert(t, !borrower.BorrowRetry(pool))
 	report(100)
 	assert.Assert(t, !borrower.BorrowRetry("another"))
+	borrower.loanWait = time.Minute
 	assert.Assert(t, borrower.BorrowRetry(pool))
 	assert.Assert(t, borrower.BorrowRetry(pool))
 	assert.Equal(t, lent.left, 0)
+	borrower.loanWait = time.Millisecond
 	assert.Assert(t, !borrower.BorrowRetry(pool), "the lender has none left")
 }
