--- a/io/sibling/loans_test.go
+++ b/io/sibling/loans_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,20 +15,21 @@
 // lendingLoads lends retries while any are left, and reports how many there are.
 type lendingLoads struct {
 	Loads
-	left int
+	left atomic.Int64
 }
 
 func (ll *lendingLoads) LendRetry(service uint64) bool {
-	if service != balance.Hash(core.ServiceID("pool")) || ll.left == 0 {
+	if service != balance.Hash(core.ServiceID("pool")) || ll.left.Load() == 0 {
 		return false
 	}
-	ll.left--
+	ll.left.Add(-1)
 	return true
 }
 
-func newLender(t *testing.T, left int) (*Gossiper, *lendingLoads) {
+func newLender(t *testing.T, left int64) (*Gossiper, *lendingLoads) {
 	t.Helper()
-	ll := &lendingLoads{left: left}
+	ll := &lendingLoads{}
+	ll.left.Store(left)
 	pc, err := net.ListenPacket("udp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { pc.Close() })
@@ -54,7 +56,7 @@
 	borrower.loanWait = time.Minute
 	assert.Assert(t, borrower.BorrowRetry(pool))
 	assert.Assert(t, borrower.BorrowRetry(pool))
-	assert.Equal(t, lent.left, 0)
+	assert.Equal(t, lent.left.Load(), int64(0))
 	borrower.loanWait = time.Millisecond
 	assert.Assert(t, !borrower.BorrowRetry(pool), "the lender has none left")
 }
