Count a retry while the kernel may still repeat its packets, for windows of any length

What callers saw: nothing; found on reading the change again.

Cause: a sign of life of an upstream 0.4 s after an attempt counted as its arrival, but a packet lost twice arrives later, up to the 2.5 s for which the kernel repeats it. And the times of a retry were parts of the window, so that a window below 10 s covered less than these 2.5 s.

--- a/core/retry/confirm.go
+++ b/core/retry/confirm.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// confirmDelay is how long after an attempt was sent a sign of life of its upstream shows that it has
-	// arrived there: a round trip between regions, and a repeated packet.
-	confirmDelay = 400 * time.Millisecond
 	// sweepInterval is the pause between two searches for attempts that were unconfirmed for too long.
 	sweepInterval = time.Second
 	// unconfirmedWindows is the number of windows after which an attempt counts as confirmed. An upstream
@@ -18,10 +15,10 @@
 	unconfirmedWindows = 3
 )
 
-// Alive records that an upstream has sent something, which confirms the attempts that were sent to it some
-// time before.
+// Alive records that an upstream has sent something. That confirms the attempts that were sent to it so long ago
+// that their packets are not repeated any more.
 func (wi *Window) Alive(now time.Time, up core.UpstreamID) {
-	wi.confirmUntil(now, up, now.Add(-confirmDelay))
+	wi.confirmUntil(now, up, now.Add(-transitTime))
 }
 
 // Gone records that an upstream has ended, so that nothing sent to it before can arrive.
--- a/core/retry/loan.go
+++ b/core/retry/loan.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	wi.outstanding++
-	wi.lent = append(wi.lent, loan{wi.head + int64(LoanTTL/wi.bucketLength) + 1 + transitBuckets})
+	wi.lent = append(wi.lent, loan{wi.head + wi.bucketsIn(LoanTTL) + 1 + wi.transit})
 	return true
 }
 
--- a/core/retry/request.go
+++ b/core/retry/request.go
@@ -96,7 +96,7 @@
 	case now.Before(rq.borrowedUntil):
 		rq.borrowedUntil, at.borrowed = time.Time{}, true
 		rq.borrowed++
-	case (!rq.held || wi.head-rq.heldAt > holdBuckets) && !rq.spend(now, rq.purpose):
+	case (!rq.held || wi.head-rq.heldAt > wi.hold) && !rq.spend(now, rq.purpose):
 		return nil, false
 	default:
 		rq.held, at.retry = false, true
--- a/core/retry/request_test.go
+++ b/core/retry/request_test.go
@@ -101,9 +101,13 @@
 		{"the first may still arrive", func(_ *retry.Window, _, second *retry.Attempt, now time.Time) { second.Confirm(now) }, false},
 		{"the second may still arrive", func(_ *retry.Window, first, _ *retry.Attempt, now time.Time) { first.Confirm(now) }, false},
 		{"signs of life of both upstreams", func(wi *retry.Window, _, _ *retry.Attempt, now time.Time) {
-			wi.Alive(now.Add(time.Second), "frozen")
-			wi.Alive(now.Add(time.Second), "up")
+			wi.Alive(now.Add(3*time.Second), "frozen")
+			wi.Alive(now.Add(3*time.Second), "up")
 		}, true},
+		{"a sign of life while packets may be repeated", func(wi *retry.Window, _, second *retry.Attempt, now time.Time) {
+			wi.Alive(now.Add(2*time.Second), "frozen")
+			second.Confirm(now)
+		}, false},
 		{"a sign of life that may have been sent before", func(wi *retry.Window, _, second *retry.Attempt, now time.Time) {
 			wi.Alive(now.Add(100*time.Millisecond), "frozen")
 			second.Confirm(now)
--- a/core/retry/span_test.go
+++ b/core/retry/span_test.go
@@ -235,6 +235,9 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 48))
 			sv := &service{window: 10 * time.Second, ratio: []float64{0.2, 0.9}[rnd.IntN(2)], slack: float64(rnd.IntN(60))}
+			if seed%3 == 0 {
+				sv.window = time.Duration(2+rnd.IntN(30)) * time.Second
+			}
 			now := time.Unix(1_000_000, int64(rnd.IntN(int(time.Second))))
 			entries := make([]*entry, 1+rnd.IntN(8))
 			for i := range entries {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -27,6 +27,8 @@
 	slack        func(now time.Time) float64
 	length       time.Duration
 	bucketLength time.Duration
+	// delay, hold and transit are requestDelay, holdTime and transitTime in buckets.
+	delay, hold, transit int64
 
 	mu sync.Mutex
 	// epoch is the first time seen. Times are counted from it by the monotonic clock, since the
@@ -52,12 +54,16 @@
 	spanBuckets = 200
 	// ringLength covers the spans that contain the present, and the requests that pay for them.
 	ringLength = 2 * spanBuckets
-	// delayBuckets is how much later than its caller sent it a request may be counted.
-	delayBuckets = 2
-	// holdBuckets is how long a granted retry may wait until it is sent, and transitBuckets how long it may
-	// take from there: as long as a kernel repeats unacknowledged bytes.
-	holdBuckets    = 8
-	transitBuckets = 52
+)
+
+const (
+	// requestDelay is how much later than its caller sent it a request may be counted.
+	requestDelay = 100 * time.Millisecond
+	// holdTime is how long a granted retry may wait until it is sent.
+	holdTime = 400 * time.Millisecond
+	// transitTime is how long an attempt may take until it arrives. It is a little longer than the kernel repeats
+	// bytes that are not acknowledged, see io/upstream.
+	transitTime = 2600 * time.Millisecond
 )
 
 // Purpose is the reason for a retry.
@@ -89,10 +95,17 @@
 // NewWindow returns a window of the given length, with a ratio of retries to requests. slack
 // returns this entry's current share of the retries allowed beyond the ratio.
 func NewWindow(length time.Duration, ratio float64, slack func(now time.Time) float64) *Window {
-	return &Window{
+	wi := &Window{
 		ratio: ratio, slack: slack, length: length, bucketLength: length / spanBuckets,
 		unconfirmed: map[core.UpstreamID][]*Attempt{},
 	}
+	wi.delay, wi.hold, wi.transit = wi.bucketsIn(requestDelay), wi.bucketsIn(holdTime), wi.bucketsIn(transitTime)
+	return wi
+}
+
+// bucketsIn returns the number of buckets that cover a time.
+func (wi *Window) bucketsIn(d time.Duration) int64 {
+	return int64((d + wi.bucketLength - 1) / wi.bucketLength)
 }
 
 // Left returns the number of retries left for a purpose.
@@ -108,8 +121,8 @@
 func (wi *Window) left(now time.Time, pu Purpose) float64 {
 	// A span that begins within bucket b ends within bucket b+spanBuckets, and the one before it begins within
 	// bucket b-spanBuckets.
-	const first = -spanBuckets + 1 + delayBuckets
-	b := wi.head + holdBuckets + transitBuckets
+	first := min(-spanBuckets+1+wi.delay, 0)
+	b := wi.head + wi.hold + wi.transit
 	slack, retries, requests := wi.slack(now), wi.outstanding, 0.0
 	for i := b + first; i <= wi.head; i++ {
 		requests += wi.requests[place(i)]
@@ -120,7 +133,9 @@
 			retries += wi.settled[place(b)]
 		}
 		least = min(least, pu.share()*(wi.ratio*requests/2+slack)-retries)
-		requests += wi.requests[place(b-1+first)]
+		if i := b - 1 + first; i <= wi.head {
+			requests += wi.requests[place(i)]
+		}
 	}
 	return least
 }
