--- a/io/sibling/loans.go
+++ b/io/sibling/loans.go
@@ -13,14 +13,16 @@
 )
 
 // A datagram that asks for a retry consists of a format byte, a number and the hash of the service; the
-// reply that lends it of a format byte and the same number. Loans that are not given are not answered.
+// reply that lends it, or refuses to, of a format byte and the same number.
 const (
 	askLoanFormat = 0x8f
 	loanFormat    = 0x90
+	noLoanFormat  = 0x91
 	askLoanSize   = 1 + 8 + 8
 	loanSize      = 1 + 8
-	// loanWait is how long an answer may take within a region.
-	loanWait = 20 * time.Millisecond
+	// loanWait is how long the answers may take within a region, and maxLenders how many entries are asked.
+	loanWait   = 20 * time.Millisecond
+	maxLenders = 3
 	// reportTTL is how long a report of the retries left counts.
 	reportTTL = 3 * time.Second
 	// minReported is the least number of retries left for which an entry is asked.
@@ -32,7 +34,7 @@
 	mu      sync.Mutex
 	pc      net.PacketConn
 	reports map[string]budgetReport
-	asked   map[uint64]chan struct{}
+	asked   map[uint64]chan bool
 }
 
 // budgetReport is what an entry reported as left, by service.
@@ -44,7 +46,7 @@
 func (lo *loans) open(pc net.PacketConn) {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	lo.pc, lo.reports, lo.asked = pc, map[string]budgetReport{}, map[uint64]chan struct{}{}
+	lo.pc, lo.reports, lo.asked = pc, map[string]budgetReport{}, map[uint64]chan bool{}
 }
 
 func (lo *loans) recordReport(now time.Time, addr string, budgets []balance.RetryBudget) {
@@ -75,63 +77,81 @@
 
 // ask registers a request for a loan, and returns the address to send it to. The address is empty if no entry
 // has any left.
-func (lo *loans) ask(now time.Time, service uint64) (number uint64, given chan struct{}, addr string) {
+func (lo *loans) ask(now time.Time, service uint64) (number uint64, given chan bool, addr string) {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
 	if lo.pc == nil {
 		return 0, nil, ""
 	}
 	if addr = lo.lender(now, service); addr != "" {
-		number, given = rand.Uint64(), make(chan struct{}, 1)
+		number, given = rand.Uint64(), make(chan bool, 1)
 		lo.asked[number] = given
 	}
 	return number, given, addr
 }
 
+// recordRefusal records that an entry has no retry left to lend, in spite of its report.
+func (lo *loans) recordRefusal(addr string, service uint64) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if re, ok := lo.reports[addr]; ok {
+		re.left[service] = 0
+	}
+}
+
 func (lo *loans) end(number uint64) {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
 	delete(lo.asked, number)
 }
 
-func (lo *loans) receive(number uint64) {
+func (lo *loans) receive(number uint64, lent bool) {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
 	select {
-	case lo.asked[number] <- struct{}{}:
+	case lo.asked[number] <- lent:
 	default: // Nobody waits for it any more.
 	}
 }
 
-// BorrowRetry asks another entry of the region for a retry at a service, and reports whether it was lent.
+// BorrowRetry asks some entries of the region, one after the other, for a retry at a service, and reports
+// whether it was lent.
 func (gs *Gossiper) BorrowRetry(sv core.ServiceID) bool {
 	service := balance.Hash(sv)
-	number, given, addr := gs.loans.ask(time.Now(), service)
-	if addr == "" {
-		return false
-	}
-	defer gs.loans.end(number)
-	data := binary.BigEndian.AppendUint64([]byte{askLoanFormat}, number)
-	sendDatagrams(gs.loans.pc, []string{addr}, binary.BigEndian.AppendUint64(data, service))
 	ti := time.NewTimer(gs.loanWait)
 	defer ti.Stop()
-	select {
-	case <-given:
-		return true
-	case <-ti.C:
-		return false
+	for range maxLenders {
+		number, given, addr := gs.loans.ask(time.Now(), service)
+		if addr == "" {
+			return false
+		}
+		defer gs.loans.end(number)
+		data := binary.BigEndian.AppendUint64([]byte{askLoanFormat}, number)
+		sendDatagrams(gs.loans.pc, []string{addr}, binary.BigEndian.AppendUint64(data, service))
+		select {
+		case lent := <-given:
+			if lent {
+				return true
+			}
+			gs.loans.recordRefusal(addr, service)
+		case <-ti.C:
+			return false
+		}
 	}
+	return false
 }
 
 // receiveLoan processes a datagram about loans. It returns false for any other datagram.
 func (gs *Gossiper) receiveLoan(data []byte, addr string) bool {
 	switch {
 	case len(data) == askLoanSize && data[0] == askLoanFormat:
+		format := byte(noLoanFormat)
 		if gs.ld.LendRetry(binary.BigEndian.Uint64(data[9:])) {
-			gs.reply(append([]byte{loanFormat}, data[1:9]...), addr)
+			format = loanFormat
 		}
-	case len(data) == loanSize && data[0] == loanFormat:
-		gs.loans.receive(binary.BigEndian.Uint64(data[1:]))
+		gs.reply(append([]byte{format}, data[1:9]...), addr)
+	case len(data) == loanSize && (data[0] == loanFormat || data[0] == noLoanFormat):
+		gs.loans.receive(binary.BigEndian.Uint64(data[1:]), data[0] == loanFormat)
 	default:
 		return false
 	}
--- a/io/sibling/loans_test.go
+++ b/io/sibling/loans_test.go
@@ -57,6 +57,10 @@
 	assert.Assert(t, borrower.BorrowRetry(pool))
 	assert.Assert(t, borrower.BorrowRetry(pool))
 	assert.Equal(t, lent.left.Load(), int64(0))
-	borrower.loanWait = time.Millisecond
 	assert.Assert(t, !borrower.BorrowRetry(pool), "the lender has none left")
+
+	other, _ := newLender(t, 1)
+	report(100)
+	borrower.loans.recordReport(time.Now(), other.addr, []balance.RetryBudget{{Service: balance.Hash(pool), Left: 50}})
+	assert.Assert(t, borrower.BorrowRetry(pool), "the second one has one left")
 }
