--- a/core/membership/registrar.go
+++ b/core/membership/registrar.go
@@ -11,13 +11,14 @@
 	"skylarkstand/core"
 	"skylarkstand/core/event"
 	"skylarkstand/core/meter"
+	"skylarkstand/core/share"
 	"skylarkstand/core/watch"
 )
 
 const (
-	// LapseTime is how long an entry that has ended stays listed. Its retries still count in the window
-	// of the shared retry budget, and so it must not be shorter than that.
-	LapseTime = 12 * time.Second
+	// LapseTime is how long an entry that has ended stays listed. What it has used of what the entries
+	// share still counts for that long.
+	LapseTime = share.RegistrationTTL
 	// checkInterval is the pause between two checks for changes of the list, and collectTime how long a
 	// new entry waits for others that can be written in the same transaction.
 	checkInterval = 250 * time.Millisecond
--- a/core/retry/confirm.go
+++ b/core/retry/confirm.go
@@ -18,7 +18,7 @@
 // Alive records that an upstream has sent something. That confirms the attempts that were sent to it so long ago
 // that their packets are not repeated any more.
 func (wi *Window) Alive(now time.Time, up core.UpstreamID) {
-	wi.confirmUntil(now, up, now.Add(-transitTime))
+	wi.confirmUntil(now, up, now.Add(-TransitTime))
 }
 
 // Gone records that an upstream has ended, so that nothing sent to it before can arrive.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -27,7 +27,7 @@
 	slack        func(now time.Time) float64
 	length       time.Duration
 	bucketLength time.Duration
-	// delay, hold and transit are requestDelay, holdTime and transitTime in buckets.
+	// delay, hold and transit are requestDelay, HoldTime and TransitTime in buckets.
 	delay, hold, transit int64
 
 	mu sync.Mutex
@@ -59,11 +59,11 @@
 const (
 	// requestDelay is how much later than its caller sent it a request may be counted.
 	requestDelay = 100 * time.Millisecond
-	// holdTime is how long a granted retry may wait until it is sent.
-	holdTime = 400 * time.Millisecond
-	// transitTime is how long an attempt may take until it arrives. It is a little longer than the kernel repeats
+	// HoldTime is how long a granted retry may wait until it is sent.
+	HoldTime = 400 * time.Millisecond
+	// TransitTime is how long an attempt may take until it arrives. It is a little longer than the kernel repeats
 	// bytes that are not acknowledged, see io/upstream.
-	transitTime = 2600 * time.Millisecond
+	TransitTime = 2600 * time.Millisecond
 )
 
 // Purpose is the reason for a retry.
@@ -99,7 +99,7 @@
 		ratio: ratio, slack: slack, length: length, bucketLength: length / spanBuckets,
 		unconfirmed: map[core.UpstreamID][]*Attempt{},
 	}
-	wi.delay, wi.hold, wi.transit = wi.bucketsIn(requestDelay), wi.bucketsIn(holdTime), wi.bucketsIn(transitTime)
+	wi.delay, wi.hold, wi.transit = wi.bucketsIn(requestDelay), wi.bucketsIn(HoldTime), wi.bucketsIn(TransitTime)
 	return wi
 }
 
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/core/retry"
+	"skylarkstand/core/share"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -131,3 +132,8 @@
 	used := float64(retries) / float64(requests)
 	assert.Assert(t, used > 0.95*ratio && used <= ratio, "%.3f retries for each request", used)
 }
+
+// Guards against a part of the slack that another entry takes while a retry paid for by it may still arrive.
+func TestRetriesArriveWithinTheSettleTime(t *testing.T) {
+	assert.Assert(t, retry.HoldTime+retry.TransitTime <= share.SettleTime)
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -13,14 +13,14 @@
 // # Why the parts add up
 //
 // Equal parts: an entry uses one only while its list was confirmed within maxListAge, and after it has been
-// listed for a window, maxListAge and settleTime. Each entry that uses one in a window was thus listed before
+// listed for a window, maxListAge and SettleTime. Each entry that uses one in a window was thus listed before
 // any list in use was confirmed, or has left it within that time, and is counted by all. An entry whose list
 // was not confirmed for so long that it may have missed a process altogether begins anew.
 //
 // Parts by rank: ranks of listed entries differ, since an entry that finds itself on the list knows all
 // registrations before its own. An entry that was removed may use its part for maxListAge more, and one that
 // ended may have used it within the window, while an entry that started after the removal has the same rank.
-// A registration lasts for registrationTTL after its entry was last heard of, so that no more than three
+// A registration lasts for RegistrationTTL after its entry was last heard of, so that no more than three
 // entries use the part of one rank within a window, and all parts by rank add up to a third of that quarter.
 //
 // # Usage
@@ -41,15 +41,15 @@
 const (
 	// maxListAge is the age of the list up to which an entry takes a part.
 	maxListAge = 5 * time.Second
-	// settleTime is how long after it was granted something may still take effect elsewhere.
-	settleTime = 3 * time.Second
+	// SettleTime is how long after it was granted something may still take effect elsewhere.
+	SettleTime = 3 * time.Second
 	// maxGap is the time between two confirmations of the list in which no process can have joined and left
-	// it: less than registrationTTL.
+	// it: less than RegistrationTTL.
 	maxGap = 10 * time.Second
 	// cacheTime is how long a computed part is used.
 	cacheTime = 100 * time.Millisecond
-	// registrationTTL is the least time that an entry stays listed after it was last heard of.
-	registrationTTL = 12 * time.Second
+	// RegistrationTTL is the least time that an entry stays listed after it was last heard of.
+	RegistrationTTL = 12 * time.Second
 	// equalShare is the fraction of the allowance that is divided equally. The first rank has firstRank of it,
 	// and each other one half of the one before, so that all of them have twice as much.
 	equalShare = 0.75
@@ -118,13 +118,13 @@
 }
 
 func (di *Divider) compute(now time.Time, window time.Duration) float64 {
-	span := window + maxListAge + settleTime
+	span := window + maxListAge + SettleTime
 	st := di.list.Standing(now, di.self, span)
 	if !st.Listed {
 		return 0
 	}
 	part := 0.0
-	if window <= registrationTTL {
+	if window <= RegistrationTTL {
 		part = math.Ldexp(firstRank, -st.Rank)
 	}
 	if now.Sub(st.Since) >= span && now.Sub(di.freshSince) >= span {
