--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,11 +31,10 @@
 // cases are the cases by name. Each returns errBroken if the rule was broken.
 var cases = map[string]func(wo *world, trouble bool) error{
 	"keys":   playKeys,
-	"poison": func(wo *world, trouble bool) error { return playPoison(wo, trouble, 1500*time.Millisecond) },
+	"poison": playPoison,
 	"split":  func(wo *world, trouble bool) error { return playSplit(wo, trouble, "drafter-two") },
-	// For comparison: the request crashes runners at once, and the bad version is one of the first service.
-	"poison-at-once": func(wo *world, trouble bool) error { return playPoison(wo, trouble, 20*time.Millisecond) },
-	"split-first":    func(wo *world, trouble bool) error { return playSplit(wo, trouble, "drafter") },
+	// For comparison: the bad version is one of the first service.
+	"split-first": func(wo *world, trouble bool) error { return playSplit(wo, trouble, "drafter") },
 	// Further faults, which the report describes.
 	"events":   playEvents,
 	"unframed": playUnframed,
@@ -52,13 +51,13 @@
 	trouble := flag.Bool("trouble", true, "whether the disruption happens")
 	runnerID := flag.String("runner", "", "run a runner with this id instead of a case")
 	listen := flag.String("listen", "", "the address of the runner, if its requests may crash it")
-	crashAfter := flag.Duration("crash-after", 0, "the time after which they do")
+	crashAfter := flag.Duration("crash-after", 1500*time.Millisecond, "the time after which a poisonous request crashes its runner")
 	flag.Parse()
 	if *runnerID != "" {
 		fmt.Fprintln(os.Stderr, runRunner(*runnerID, *listen, *crashAfter))
 		os.Exit(exitFailed)
 	}
-	os.Exit(run(*name, *program, *record, *logs, *trouble))
+	os.Exit(run(*name, *trouble, options{program: *program, record: *record, logs: *logs, crashAfter: *crashAfter}))
 }
 
 // runRunner runs a runner process until it ends.
@@ -69,13 +68,13 @@
 	return runnerMain(id)
 }
 
-func run(name, program, record, logs string, trouble bool) int {
+func run(name string, trouble bool, opts options) int {
 	play, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "there is no case", name)
 		return exitFailed
 	}
-	wo, err := newWorld(program, record, logs)
+	wo, err := newWorld(opts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -136,8 +136,8 @@
 }
 
 // playPoison sends a request that crashes its runners again and again.
-func playPoison(wo *world, trouble bool, crashAfter time.Duration) error {
-	pp := &poisonPool{wo: wo, crashAfter: crashAfter, sent: map[string]time.Time{}, late: map[string]bool{}}
+func playPoison(wo *world, trouble bool) error {
+	pp := &poisonPool{wo: wo, crashAfter: wo.crashAfter, sent: map[string]time.Time{}, late: map[string]bool{}}
 	wo.configure(7, []object{{"name": "hule930", "api_keys": []string{"n2ctnfzs989anu6wsjnb"}, "priority": 1}}, []object{{
 		"name": "r-draft", "host": host, "prefix": "/draft/", "route_type": "streaming", "timeout_ms": 20000, "target_latency_ms": 4000,
 		"gap_target_ms": 800, "priority": 1, "max_attempts": 3, "public": false, "session_affinity": true, "stream_resume": true, "service": "drafter",
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -28,11 +28,12 @@
 type world struct {
 	program string
 	// dir is for the settings, and logs for the gateways' logs.
-	dir, logs string
-	start     time.Time
-	st        *kv.Store
-	store     string
-	servers   []*http.Server
+	dir, logs  string
+	crashAfter time.Duration
+	start      time.Time
+	st         *kv.Store
+	store      string
+	servers    []*http.Server
 
 	mu     sync.Mutex
 	record *os.File
@@ -48,8 +49,16 @@
 	cmd                   *exec.Cmd
 }
 
-func newWorld(program, record, logs string) (*world, error) {
-	program, err := filepath.Abs(program)
+// options are the options of a case.
+type options struct {
+	// program is the program under test, record the file for the record, and logs the folder for the gateways' logs.
+	program, record, logs string
+	// crashAfter is the time after which a poisonous request crashes its runner.
+	crashAfter time.Duration
+}
+
+func newWorld(opts options) (*world, error) {
+	program, err := filepath.Abs(opts.program)
 	if err != nil {
 		return nil, err
 	}
@@ -60,11 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
-	fi, err := os.Create(record)
+	fi, err := os.Create(opts.record)
 	if err != nil {
 		return nil, err
 	}
-	wo := &world{program: program, dir: dir, start: time.Now(), st: kv.New(), record: fi, logs: cmp.Or(logs, dir)}
+	wo := &world{program: program, dir: dir, start: time.Now(), st: kv.New(), record: fi, logs: cmp.Or(opts.logs, dir), crashAfter: opts.crashAfter}
 	wo.store, err = wo.serve("127.0.0.1", wo.st)
 	return wo, err
 }
