--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -96,6 +96,7 @@
 	}()
 	wo.logf("case %s, trouble %t", name, trouble)
 	err = play(wo, trouble)
+	defer wo.endRecord()
 	switch {
 	case errors.Is(err, errBroken):
 		wo.logf("result: broken")
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -121,12 +121,17 @@
 	for _, srv := range wo.servers {
 		_ = srv.Close()
 	}
+	wo.endRecord()
+	_ = os.RemoveAll(wo.dir)
+}
+
+// endRecord closes the record.
+func (wo *world) endRecord() {
 	wo.mu.Lock()
 	defer wo.mu.Unlock()
 	if !wo.closed {
 		wo.closed = true
 		_ = wo.record.Close()
-		_ = os.RemoveAll(wo.dir)
 	}
 }
 
