Log whose answer ended an attempt, and over which connection it came

It now says whether the answer bears the request's id, whether its connection had carried other requests, and how many answers to others were skipped in front of it.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -114,6 +114,12 @@
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
 	Signals
+	// Identified is set if the answer bears the id of the request.
+	Identified bool
+	// KeptConnection is set if the connection had carried another request before, and Skipped counts the
+	// answers to other requests that arrived in front of this one.
+	KeptConnection bool
+	Skipped        int
 	// Body ends with io.EOF only if the answer is complete, except with EndsWithConnection. Closing
 	// it early drops the connection, which makes the upstream stop.
 	Body io.ReadCloser
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -288,7 +288,7 @@
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "fingerprint", jb.traits.Whole().String())
+			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "answer", at.answerOrigin(), "fingerprint", jb.traits.Whole().String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
@@ -304,6 +304,15 @@
 // unframed reports whether the end of the answer's connection ends the answer.
 func (at *attempt) unframed() bool { return at.reply != nil && at.reply.EndsWithConnection }
 
+// answerOrigin describes how the answer came, for the log: an answer to another request may stand in its place.
+func (at *attempt) answerOrigin() string {
+	re := at.reply
+	if re == nil {
+		return ""
+	}
+	return fmt.Sprintf("identified=%t kept-connection=%t skipped=%d", re.Identified, re.KeptConnection, re.Skipped)
+}
+
 // reportedLoad returns the load that the upstream reported in its response, for the log.
 func (at *attempt) reportedLoad() string {
 	if at.reply == nil || at.reply.Load == nil {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -26,6 +26,8 @@
 	// is closed.
 	written     chan struct{}
 	writeFailed bool
+	// used is set once the connection has carried a request.
+	used bool
 }
 
 const (
@@ -119,10 +121,13 @@
 	if len(inline) < len(rq.Body) {
 		co.writeAsync(rq.Body)
 	}
+	kept := co.used
+	co.used = true
 	rs, err := co.read(rq)
 	if err != nil {
 		return nil, &Error{Sent: true, Err: err}
 	}
+	rs.KeptConnection = kept
 	return rs, nil
 }
 
@@ -167,7 +172,7 @@
 		}
 		// A connection that delivered responses to other requests may deliver more.
 		return &Response{
-			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0,
+			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0, Skipped: foreign,
 			EndsWithConnection: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody,
 		}, nil
 	}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -78,6 +78,10 @@
 	Body   io.ReadCloser
 	// ClosesConnection states that the connection is not reused after this response.
 	ClosesConnection bool
+	// KeptConnection states that the connection had carried another request before, and Skipped counts the
+	// responses to other requests that arrived in front of this one.
+	KeptConnection bool
+	Skipped        int
 	// EndsWithConnection states that the body has neither a length nor chunks: it ends with the
 	// connection, also if the upstream breaks off.
 	EndsWithConnection bool
