Reproduce TWICE between real processes

Callers of claims got two runs, and callers of claims and streams were told "not run" of work that ran. Nothing in the checks could see that: no stand-in sent an answer that belongs to no request, no upstream was a process that can be paused, and nothing compared the runs of one request.

- test/fleet's relay stalls one way, resets, and holds back closes.

--- a/test/fleet/relay.go
+++ b/test/fleet/relay.go
@@ -4,12 +4,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// Relay forwards TCP connections to an address. Cut closes them; Stall stops forwarding without
-// closing them.
+// Relay forwards TCP connections to an address. Cut closes them; Stall and StallTo stop forwarding
+// without closing them; Reset resets them; DelayClose holds back that one side has closed.
 type Relay struct {
 	Addr   string
 	li     net.Listener
@@ -19,9 +20,11 @@
 
 	mu      sync.Mutex
 	resumed *sync.Cond
-	stalled bool
+	stalled [2]bool // by direction
 	cut     bool
-	conns   map[net.Conn]bool
+	// closeDelay is how long the end of a connection is held back.
+	closeDelay time.Duration
+	conns      map[net.Conn]bool
 }
 
 // NewRelay returns a relay to an address, and its cleanup function.
@@ -64,18 +67,28 @@
 	re.mu.Lock()
 	re.conns[in], re.conns[out] = true, true
 	re.mu.Unlock()
-	go re.copy(in, out)
-	re.copy(out, in)
+	go re.copy(in, out, ToCaller)
+	re.copy(out, in, ToTarget)
 }
 
-func (re *Relay) copy(to, from net.Conn) {
+// Direction is a direction of a relay's connections.
+type Direction int
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	ToCaller
+)
+
+func (re *Relay) copy(to, from net.Conn, di Direction) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		re.mu.Lock()
-		for re.stalled {
+		for re.stalled[di] {
 			re.resumed.Wait()
 		}
+		delay := re.closeDelay
 		re.mu.Unlock()
 		if n > 0 {
 			re.forwarded.Add(int64(n))
@@ -84,6 +97,7 @@
 			}
 		}
 		if err != nil {
+			time.Sleep(delay)
 			break
 		}
 	}
@@ -102,7 +116,7 @@
 func (re *Relay) Cut() {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.cut, re.stalled = true, false
+	re.cut, re.stalled = true, [2]bool{}
 	re.resumed.Broadcast()
 	for conn := range re.conns {
 		conn.Close()
@@ -114,13 +128,39 @@
 func (re *Relay) Stall() {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.stalled = true
+	re.stalled = [2]bool{true, true}
+}
+
+// StallTo stalls one direction of all connections until Restore, as a path that is cut one way.
+func (re *Relay) StallTo(di Direction) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.stalled[di] = true
+}
+
+// DelayClose holds back the end of connections until Restore.
+func (re *Relay) DelayClose(du time.Duration) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.closeDelay = du
+}
+
+// Reset resets all connections that are open now.
+func (re *Relay) Reset() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for conn := range re.conns {
+		if tc, ok := conn.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+		conn.Close()
+	}
 }
 
-// Restore ends Cut and Stall: the relay forwards again.
+// Restore ends Cut, Stall, StallTo and DelayClose: the relay forwards again.
 func (re *Relay) Restore() {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.cut, re.stalled = false, false
+	re.cut, re.stalled, re.closeDelay = false, [2]bool{}, 0
 	re.resumed.Broadcast()
 }
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,13 +23,16 @@
 	"skylarkstand/test/fleet"
 )
 
+// keptLogs is a flag: the directory under which the logs of all processes are kept; empty to remove them.
+var keptLogs = flag.String("logs", "", "keep the logs of the processes under this directory")
+
 // bin is the directory of the program under test, which TestMain builds once.
 var bin string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "gateway")
 	if err == nil {
-		build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "skylarkstand")
+		build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "skylarkstand", "skylarkstand/standin")
 		build.Stderr = os.Stderr
 		err = build.Run()
 	}
@@ -61,7 +65,35 @@
 // newFixture starts two upstreams of each of two services, and a number of gateways.
 func newFixture(t *testing.T, gateways int) *fixture {
 	t.Helper()
-	fl, cleanup, err := fleet.New(bin, t.TempDir())
+	fx := newStoreFixture(t)
+	for i := range 2 {
+		fx.desks = append(fx.desks, fx.upstream(fmt.Sprint("i-desk-", i), "desk", "v1"))
+		fx.lms = append(fx.lms, fx.upstream(fmt.Sprint("i-lm-", i), "lm", "v1"))
+	}
+	for i := range gateways {
+		gw, err := fx.fl.StartGateway(fmt.Sprint("gateway-", i), fx.store,
+			fleet.Location{Zone: "muc-a", Region: "muc"}, nil)
+		assert.NilError(t, err)
+		fx.gws = append(fx.gws, gw)
+	}
+	return fx
+}
+
+// logDir returns the directory for the logs and records of a test's processes.
+func logDir(t *testing.T) string {
+	t.Helper()
+	if *keptLogs == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(*keptLogs, strings.ReplaceAll(t.Name(), "/", "-"))
+	assert.NilError(t, os.MkdirAll(dir, 0o755))
+	return dir
+}
+
+// newStoreFixture starts a store with a configuration, without upstreams and gateways.
+func newStoreFixture(t *testing.T) *fixture {
+	t.Helper()
+	fl, cleanup, err := fleet.New(bin, logDir(t))
 	assert.NilError(t, err)
 	t.Cleanup(cleanup)
 	fx := &fixture{t: t, st: kv.New(), fl: fl, addrs: map[string]string{}}
@@ -72,16 +104,6 @@
 	})
 	fx.store = strings.TrimPrefix(srv.URL, "http://")
 	fx.configure(1, "key-1")
-	for i := range 2 {
-		fx.desks = append(fx.desks, fx.upstream(fmt.Sprint("i-desk-", i), "desk", "v1"))
-		fx.lms = append(fx.lms, fx.upstream(fmt.Sprint("i-lm-", i), "lm", "v1"))
-	}
-	for i := range gateways {
-		gw, err := fl.StartGateway(fmt.Sprint("gateway-", i), fx.store,
-			fleet.Location{Zone: "muc-a", Region: "muc"}, nil)
-		assert.NilError(t, err)
-		fx.gws = append(fx.gws, gw)
-	}
 	return fx
 }
 
@@ -117,6 +139,7 @@
 			rt("lookup", "/lookup/", "safe", "desk", nil),
 			rt("claim", "/claim/", "unsafe", "desk", object{"max_attempts": 1}),
 			rt("draft", "/draft/", "streaming", "lm", object{"stream_resume": true, "sizes": []string{"small", "large"}}),
+			rt("compose", "/compose/", "streaming", "lm", object{"stream_resume": true, "sizes": []string{"small", "large"}, "max_attempts": 4, "target_latency_ms": 400}),
 			rt("open", "/open/", "safe", "desk", object{"public": true}),
 			rt("failing", "/failing/", "safe", "failing", object{"max_attempts": 4}),
 		},
--- /dev/null
+++ b/test/gateway/once_test.go
@@ -0,0 +1,135 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"skylarkstand/standin/rawupstream"
+	"skylarkstand/test/fleet"
+	"skylarkstand/test/oncecheck"
+)
+
+// journals hold the journals of upstreams in this process.
+type journals struct {
+	mu  sync.Mutex
+	all []*bytes.Buffer
+}
+
+// journal is the journal of one upstream.
+type journal struct {
+	jos *journals
+	out *bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (jo journal) Write(p []byte) (int, error) {
+	jo.jos.mu.Lock()
+	defer jo.jos.mu.Unlock()
+	return jo.out.Write(p)
+}
+
+func (jos *journals) add() journal {
+	jos.mu.Lock()
+	defer jos.mu.Unlock()
+	jo := journal{jos, new(bytes.Buffer)}
+	jos.all = append(jos.all, jo.out)
+	return jo
+}
+
+// runs returns the runs so far, of all upstreams.
+func (jos *journals) runs(t *testing.T) []rawupstream.Run {
+	t.Helper()
+	jos.mu.Lock()
+	defer jos.mu.Unlock()
+	var out []rawupstream.Run
+	for _, bu := range jos.all {
+		runs, err := rawupstream.ReadJournal(bytes.NewReader(bu.Bytes()))
+		assert.NilError(t, err)
+		out = append(out, runs...)
+	}
+	return out
+}
+
+// newRawFixture starts a gateway and upstreams of a service that write their answers themselves.
+func newRawFixture(t *testing.T, service string, cfgs ...rawupstream.Config) (*fixture, *journals) {
+	t.Helper()
+	fx, jos := newStoreFixture(t), &journals{}
+	for i, cfg := range cfgs {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { li.Close() })
+		cfg.ID, cfg.Slots = fmt.Sprint("i-raw-", i), 100
+		go func() { _ = rawupstream.New(cfg, jos.add()).Serve(li) }()
+		fx.st.Put("servers/"+cfg.ID, object{
+			"service": service, "address": li.Addr().String(), "zone": "muc-a", "version": "v1", "slots": 100, "state": "ready",
+			"warmup_left_ms": 0, "sequence": 1, "born": 1,
+		})
+	}
+	gw, err := fx.fl.StartGateway("gateway", fx.store, fleet.Location{Zone: "muc-a", Region: "muc"}, retryBudget{10 * time.Second, 5, 200}.settings())
+	assert.NilError(t, err)
+	fx.gws = append(fx.gws, gw)
+	return fx, jos
+}
+
+func never(rawupstream.Run, rawupstream.Run) bool { return false }
+
+// A refusal without an id stands in front of the answer to a claim that runs: the claim was sent to another
+// upstream, and callers were told that it had not run.
+func TestRefusalWithoutIDIsNotBelieved(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusBadRequest} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			cfg := rawupstream.Config{Work: 5 * time.Millisecond, Faults: rawupstream.Faults{Unnamed: 0.5, UnnamedStatus: status}}
+			fx, jos := newRawFixture(t, "desk", cfg, cfg)
+			refused := map[string]bool{}
+			for i := range 60 {
+				id := fmt.Sprint("claim-", i)
+				refused[id] = fx.sendAs(request{path: "/claim/1"}, id).status == http.StatusServiceUnavailable
+			}
+			time.Sleep(100 * time.Millisecond) // The last run ends.
+			runs := jos.runs(t)
+			for _, ru := range runs {
+				assert.Assert(t, !refused[ru.Request], "%s ran, although its caller received 503", ru.Request)
+			}
+			found := oncecheck.Find(runs, func(string) bool { return true }, never)
+			assert.Equal(t, len(found), 0, "%v", found)
+			assert.Assert(t, len(runs) > 30)
+		})
+	}
+}
+
+// A copy of the refusal of an earlier attempt stands in front of the answer to a later one at the same
+// upstream: the later attempt's run went on while the request ran elsewhere.
+func TestRefusalOfAnEarlierAttemptIsNotBelieved(t *testing.T) {
+	// byModel makes an upstream refuse or be unsure of the small model's work, and run the large one's.
+	byModel := func(small, large rawupstream.Faults) rawupstream.Config {
+		return rawupstream.Config{Work: time.Millisecond, Events: 3, Interval: time.Millisecond, FaultsOf: func(rq *http.Request) rawupstream.Faults {
+			if rq.Header.Get("X-Skylarkstand-Model") == "small" {
+				return small
+			}
+			return large
+		}}
+	}
+	refuses := rawupstream.Faults{Refuse: 1}
+	fx, jos := newRawFixture(t, "lm",
+		byModel(refuses, rawupstream.Faults{Repeat: 1, Slow: time.Second}),
+		byModel(rawupstream.Faults{Unsure: 1}, refuses),
+		byModel(refuses, rawupstream.Faults{Slow: time.Second}))
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() { fx.sendAs(request{path: "/draft/1", model: "*"}, fmt.Sprint("draft-", i)) })
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	runs := jos.runs(t)
+	assert.Assert(t, slices.ContainsFunc(runs, func(ru rawupstream.Run) bool { return ru.Upstream == "i-raw-0" }), "the first upstream ran nothing")
+	found := oncecheck.Find(runs, func(string) bool { return false }, never)
+	assert.Equal(t, len(found), 0, "%v", found)
+}
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -169,7 +169,7 @@
 	rq.Header.Set("X-Skylarkstand-Attempt-Id", id)
 	rq.Header.Set("X-Skylarkstand-Key", "key-1")
 	rq.Header.Set("X-Skylarkstand-Deadline-Ms", "4000")
-	if kind == "draft" {
+	if kind == "draft" || kind == "compose" {
 		rq.Header.Set("X-Skylarkstand-Model", "*")
 		rq.Header.Set("X-Skylarkstand-Token-Usage", "100,30")
 	}
