Believe no answer that does not bear the id of its request

Callers of claims got two runs, and a 503 of work that ran. An answer without an id counted as the answer to the request that waited on its connection, and "not run" was believed of it, of 421 by the status alone. Answers to health checks and to queries of the prefix cache bear no id and come over the same connections; a copy of one that arrives late stood in the place of the next answer. The class: a statement is believed without proof of what it is about.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -105,7 +105,8 @@
 	// Sealed is set when the answer carries an upstream's proof of origin. A success without it
 	// does not come from the upstream.
 	Sealed bool
-	// NotRun is set when the upstream guarantees that it did not run the call.
+	// NotRun is set when the upstream guarantees that it did not run the call. The client must be certain
+	// that the answer belongs to this call.
 	NotRun bool
 	// WrongUpstream is set when the address now belongs to another upstream.
 	WrongUpstream bool
@@ -114,8 +115,6 @@
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
 	Signals
-	// Identified is set if the answer bears the id of the request.
-	Identified bool
 	// KeptConnection is set if the connection had carried another request before, and Skipped counts the
 	// answers to other requests that arrived in front of this one.
 	KeptConnection bool
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -310,7 +310,7 @@
 	if re == nil {
 		return ""
 	}
-	return fmt.Sprintf("identified=%t kept-connection=%t skipped=%d", re.Identified, re.KeptConnection, re.Skipped)
+	return fmt.Sprintf("kept-connection=%t skipped=%d", re.KeptConnection, re.Skipped)
 }
 
 // reportedLoad returns the load that the upstream reported in its response, for the log.
