Send no request twice over one connection

Callers of streams had two engines at work on one request. All attempts of a request bear its id, so that a copy of the answer to an earlier attempt, which arrives late on the connection that both use, was taken for the answer to a later one: a stale refusal ended the attempt as not run, its connection was kept, and its run went on while the request ran elsewhere. It takes an upstream that gets the request again, as after an escalation, or another upstream at the address of the first, which concerns claims as well.

A call to an address that has answered the request before now uses a new connection, on which no earlier answer can arrive. With the check of the id, an answer that is believed is by construction that to this call.

Unit tests cover both packages.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -165,6 +166,7 @@
 	ca := &core.Call{
 		Exchange: jb.ex, To: at.to, Workspace: jb.workspace, Model: at.rq.Model,
 		ResumeAfter: at.after, Priority: at.queueRank, MaxConnections: jb.maxConnections(), BeforeSend: at.beforeSend,
+		NewConnection: slices.Contains(jb.answeredAt, at.to.Addr),
 	}
 	if at.bounded {
 		ca.Timeout = max(at.left-time.Since(at.sent), time.Millisecond)
@@ -235,6 +237,7 @@
 		at.jb.runs--
 	}
 	if at.reply != nil {
+		at.jb.answeredAt = append(at.jb.answeredAt, at.to.Addr)
 		at.closeBody(ve)
 	}
 	if ve == failed {
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -249,3 +250,37 @@
 		})
 	}
 }
+
+// An address that has refused a claim now belongs to another upstream: a copy of that refusal, which bears
+// the claim's id, would be taken for the answer to the second call.
+func TestSecondCallAtAnAddressUsesANewConnection(t *testing.T) {
+	for _, sc := range []struct {
+		testName string
+		sameAddr bool
+		want     []bool
+	}{
+		{testName: "addresses of their own", want: []bool{false, false, false}},
+		{testName: "the same address", sameAddr: true, want: []bool{false, true, true}},
+	} {
+		t.Run(sc.testName, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				fx := newFixture(t, refuses, refuses, answers(http.StatusOK, "done"))
+				for i := range 4 {
+					ho := core.Host{ID: core.UpstreamID(fmt.Sprint("up-", i)), Service: "pool", Version: "v1", Slots: 8, Addr: "10.0.0.1:80"}
+					if !sc.sameAddr {
+						ho.Addr = fmt.Sprintf("10.0.0.%d:80", i)
+					}
+					fx.fl.Put(ho)
+				}
+				status, _, err := fx.send(t.Context(), "/claim/1")
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK)
+				var got []bool
+				for _, ca := range fx.calls {
+					got = append(got, ca.NewConnection)
+				}
+				assert.DeepEqual(t, got, sc.want)
+			})
+		})
+	}
+}
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -33,6 +33,8 @@
 	tried []core.UpstreamID
 	runs  int
 	sends int
+	// answeredAt lists the addresses at which an attempt was answered.
+	answeredAt []string
 	// stage is the index of the model in the cascade, from the smallest, and nextStage the index
 	// to escalate to. rejected is the stage and the confidence of the last discarded answer.
 	stage, nextStage int
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -63,6 +63,8 @@
 	Body                 []byte
 	// MaxConnections bounds the open connections to the address; 0 means no limit.
 	MaxConnections int
+	// NewConnection makes the request use no kept connection, on which a copy of an earlier response may arrive.
+	NewConnection bool
 	// BeforeSend is called immediately before the first byte is written. If it returns false, nothing is
 	// written and the request fails with [ErrWithheld]. It may be nil.
 	BeforeSend func() bool
@@ -200,8 +202,10 @@
 
 // acquire returns an idle connection that is still usable, or a new one.
 func (cl *Client) acquire(ctx context.Context, addr string, rq *Request) (*conn, error) {
-	if co := cl.acquireIdle(addr); co != nil {
-		return co, nil
+	if !rq.NewConnection {
+		if co := cl.acquireIdle(addr); co != nil {
+			return co, nil
+		}
 	}
 	if !cl.reserve(addr, rq.MaxConnections) {
 		return nil, &Error{Err: ErrConnectionLimit}
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -329,3 +329,20 @@
 	assert.Assert(t, !upstream.MaybeSent(err))
 	cancel()
 }
+
+// A copy of the response to an earlier attempt stands on the kept connection: both attempts have one id.
+func TestNewConnectionCarriesNoEarlierResponse(t *testing.T) {
+	pe := newPeer(t, responds(response("a", "first")+response("a", "first")), responds(response("a", "second")))
+	cl, cleanup := upstream.New()
+	defer cleanup()
+	body := func(rq *upstream.Request) string {
+		rs, err := cl.Do(t.Context(), pe.addr, rq)
+		assert.NilError(t, err)
+		data, err := io.ReadAll(rs.Body)
+		assert.NilError(t, err)
+		return string(data)
+	}
+	assert.Equal(t, body(&upstream.Request{Method: "GET", Target: "/", Host: "a"}), "first")
+	assert.Equal(t, body(&upstream.Request{Method: "GET", Target: "/", Host: "a", NewConnection: true}), "second")
+	assert.Equal(t, pe.accepted.Load(), int64(2))
+}
