Bound the header of a response, and what is skipped before it

One upstream that sent a header without end ended a gateway, with every request on it: http.ReadResponse keeps a header of any length (the limit of net/http is in its Transport), 1.4 GB within two seconds. Responses to other requests and interim ones were skipped without end.

A header has 64 kB, interim responses 8, the body of a skipped response 1 MB, and a skipped response without framing ends the connection, since nothing can follow it. The request is lost (sent, unknown), the connection closed, and the attempt counts against its upstream as any lost one does.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -13,13 +13,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"skylarkstand/io/limited"
 )
 
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	addr      string
+	addr string
+	// br reads the connection through head, which limits what may arrive while a header is read.
 	br        *bufio.Reader
+	head      *headLimit
 	idleUntil time.Time
 	// written is closed once a body that is written asynchronously is complete; it is nil if
 	// the body was written before the response was awaited. writeFailed is set before written
@@ -30,6 +34,48 @@
 	used bool
 }
 
+// newConn returns the connection to an address.
+func newConn(nc net.Conn, addr string) *conn {
+	hl := &headLimit{rd: nc, left: maxHeader}
+	return &conn{Conn: nc, addr: addr, head: hl, br: bufio.NewReaderSize(hl, readBufferSize)}
+}
+
+const (
+	// maxHeader bounds one header, in bytes.
+	maxHeader = limited.MaxHeader
+	// maxInterim is how many interim responses are skipped before a connection is closed.
+	maxInterim = 8
+	// maxSkippedBody bounds the body of a response to another request, in bytes.
+	maxSkippedBody = 1 << 20
+)
+
+// ErrLongHeader: the header of a response does not end within its limit.
+var ErrLongHeader = errors.New("the header of the response is too long")
+
+// headLimit fails once more than left bytes have been read; a negative left is no limit. It is set for
+// each header: http.ReadResponse keeps all of one, however long.
+type headLimit struct {
+	rd   io.Reader
+	left int
+}
+
+const noLimit = -1
+
+// Read implements io.Reader.
+func (hl *headLimit) Read(p []byte) (int, error) {
+	if hl.left == 0 {
+		return 0, ErrLongHeader
+	}
+	if hl.left > 0 {
+		p = p[:min(len(p), hl.left)]
+	}
+	n, err := hl.rd.Read(p)
+	if hl.left > 0 {
+		hl.left -= n
+	}
+	return n, err
+}
+
 const (
 	// Keep-alive probes detect a peer that lost power or its network while a request is in
 	// flight: one probe per second, and two without a reply end the connection.
@@ -108,13 +154,13 @@
 
 // exchange sends a request and reads the header of its response.
 func (co *conn) exchange(rq *Request) (*Response, *Error) {
-	head := rq.head()
+	data := rq.head()
 	inline := rq.Body
 	if len(inline) > maxInlineBody {
 		inline = nil
 	}
-	head = append(head, inline...)
-	if n, err := co.Write(head); err != nil && n == 0 {
+	data = append(data, inline...)
+	if n, err := co.Write(data); err != nil && n == 0 {
 		return nil, &Error{Err: err}
 	}
 	co.written, co.writeFailed = nil, false
@@ -146,9 +192,11 @@
 
 // read returns the response to a request and skips those to other requests.
 func (co *conn) read(rq *Request) (*Response, error) {
-	foreign := 0
+	foreign, interim := 0, 0
 	for {
+		co.head.left = maxHeader
 		rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method}) //nolint:bodyclose // The caller closes it.
+		co.head.left = noLimit
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -156,28 +204,39 @@
 			return nil, err
 		}
 		if rs.StatusCode < http.StatusOK {
-			continue // An interim response; the final one follows.
+			interim++
+			if interim > maxInterim {
+				return nil, ErrForeignResponse
+			}
+			continue // The final response follows.
 		}
 		if rq.IsResponse != nil && !rq.IsResponse(rs.Header) {
 			foreign++
-			if foreign > maxForeign {
+			if foreign > maxForeign || endsWithConnection(rs) {
 				return nil, ErrForeignResponse
 			}
-			_, err := io.Copy(io.Discard, rs.Body)
-			rs.Body.Close()
+			n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxSkippedBody+1))
 			if err != nil {
 				return nil, err
 			}
+			if n > maxSkippedBody {
+				return nil, ErrForeignResponse
+			}
 			continue
 		}
 		// A connection that delivered responses to other requests may deliver more.
 		return &Response{
 			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0, Skipped: foreign,
-			EndsWithConnection: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody,
+			EndsWithConnection: endsWithConnection(rs),
 		}, nil
 	}
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(rs *http.Response) bool {
+	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody
+}
+
 // head encodes the request line and the headers.
 func (rq *Request) head() []byte {
 	var bu bytes.Buffer
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -18,7 +18,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -116,7 +115,7 @@
 	ErrConnectionLimit = errors.New("all connections are in use")
 	// ErrWithheld: BeforeSend returned false.
 	ErrWithheld = errors.New("the request was withheld")
-	// ErrForeignResponse: the connection delivers responses to other requests.
+	// ErrForeignResponse: the connection delivers what is no response to the request.
 	ErrForeignResponse = errors.New("answers to other requests")
 )
 
@@ -196,7 +195,7 @@
 		cl.release(addr)
 		return &Error{DialFailed: true, Err: err}
 	}
-	cl.put(&conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferSize)}, idleTimeout-idleMargin)
+	cl.put(newConn(nc, addr), idleTimeout-idleMargin)
 	return nil
 }
 
@@ -215,7 +214,7 @@
 		cl.release(addr)
 		return nil, &Error{DialFailed: true, Err: err}
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	return newConn(nc, addr), nil
 }
 
 // acquireIdle returns the most recently used idle connection. A connection that was closed, or
