Bound what is read of every peer's body

An answer of the store or of a sibling was read whole, whatever its length, a sibling's also after decompression; an event of a stream was bounded only if it had no line ends, so that lines without a blank one between them were kept without end, and blank lines were checked again with each further one (34 s of processor time for 256 kB). The body of a failed answer was drained by bytes and not by time, so that one that stalls held its request to the deadline. An engine's events without a blank line between them were kept without end.

- io/limited: 16 MB for a message (store, siblings, host list, ratings, status page), 64 kB for the headers of net/http's clients and servers, which had 10 MB and 1 MB; 32 MB for a decompressed copy of a sibling's replica.
- An event has 256 kB (1 MB before), with the blank lines before it.
- The drain of an unwanted answer takes 100 ms at most.

TestEndlessEventIsBrokenOff was not run on the code before, as it would take all memory.

--- a/app/entry.go
+++ b/app/entry.go
@@ -16,6 +16,7 @@
 	"skylarkstand/core/ledger"
 	"skylarkstand/io/agent"
 	"skylarkstand/io/caller"
+	"skylarkstand/io/limited"
 )
 
 type entryCmd struct {
@@ -111,7 +112,7 @@
 	if addr == "" {
 		return func() {}
 	}
-	hs := &http.Server{Addr: addr, Handler: ha, ReadHeaderTimeout: headerTimeout}
+	hs := &http.Server{Addr: addr, Handler: ha, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: limited.MaxHeader}
 	go func() { _ = hs.ListenAndServe() }()
 	return func() { _ = hs.Close() }
 }
--- a/app/gateway.go
+++ b/app/gateway.go
@@ -27,6 +27,7 @@
 	"skylarkstand/core/warmupsync"
 	"skylarkstand/core/watch"
 	"skylarkstand/io/front"
+	"skylarkstand/io/limited"
 	"skylarkstand/io/sibling"
 )
 
@@ -202,7 +203,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "an internal listener could not be opened")
 	}
-	hs := &http.Server{Handler: ha, ReadHeaderTimeout: headerTimeout}
+	hs := &http.Server{Handler: ha, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: limited.MaxHeader}
 	go func() { _ = hs.Serve(li) }()
 	return func() { _ = hs.Close() }, nil
 }
--- a/app/status_page.go
+++ b/app/status_page.go
@@ -13,6 +13,7 @@
 	"skylarkstand/core/declaration"
 	"skylarkstand/core/suspect"
 	"skylarkstand/io/agent"
+	"skylarkstand/io/limited"
 )
 
 // statusPage serves an entry's view of the system as JSON for `skylarkstand status`.
@@ -102,7 +103,7 @@
 	}
 	defer rs.Body.Close()
 	var es entryStatus
-	if err := json.NewDecoder(rs.Body).Decode(&es); err != nil {
+	if err := limited.DecodeJSON(rs.Body, &es); err != nil {
 		return eris.Wrap(err, "the entry's status cannot be decoded; check that this is its admin address")
 	}
 	fmt.Printf("entry %s in %s: generation %d in force, confirmed %.1f s ago\n", es.Process, es.Zone, es.Generation, es.ConfirmedAgo)
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -251,7 +251,9 @@
 // Any other body is closed unread, which makes the upstream stop its work.
 func (at *attempt) closeBody(ve verdict) {
 	if ve == refused || ve == stranger || ve == failed {
+		ti := time.AfterFunc(drainTimeout, func() { at.cancel(errStalled) })
 		drain(at.reply.Body)
+		ti.Stop()
 	}
 	at.reply.Body.Close()
 }
--- a/core/forward/broken_stream_test.go
+++ b/core/forward/broken_stream_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -156,3 +157,61 @@
 		})
 	})
 }
+
+// repeated sends text without end.
+type repeated struct {
+	text string
+	read int
+}
+
+func (re *repeated) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], re.text[(re.read+n)%len(re.text):])
+	}
+	re.read += n
+	return n, nil
+}
+
+func (re *repeated) Close() error { return nil }
+
+// An upstream sends bytes that end no event, without end: all of them were kept in memory.
+func TestEndlessEventIsBrokenOff(t *testing.T) {
+	const maxRead = 1 << 20
+	for name, text := range map[string]string{"no line end": "x", "no blank line": "data: x\n", "blank lines only": "\r\n", "comments": ": x\n"} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				var bodies []*repeated
+				fx := newFixture(t, func(context.Context, *core.Call) (*core.Reply, error) {
+					re := reply(http.StatusOK, "")
+					bodies = append(bodies, &repeated{text: text})
+					re.Body = bodies[len(bodies)-1]
+					return re, nil
+				})
+				_, got, err := fx.send(t.Context(), "/draft/1")
+				assert.Assert(t, err != nil)
+				assert.Equal(t, got, "")
+				for _, bo := range bodies {
+					assert.Assert(t, bo.read <= maxRead, "%d bytes were read", bo.read)
+				}
+			})
+		})
+	}
+}
+
+// The body of a failed answer stalls: its caller must get the answer of another upstream at once.
+func TestStalledFailureDoesNotHoldTheRequest(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		fx := newFixture(t, func(ctx context.Context, _ *core.Call) (*core.Reply, error) {
+			re := reply(http.StatusInternalServerError, "")
+			re.Body = &body{Reader: strings.NewReader("x"), ctx: ctx, pause: time.Hour}
+			return re, nil
+		}, answers(http.StatusOK, "done"))
+		began := time.Now()
+		status, got, err := fx.send(t.Context(), "/lookup/1")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, got, "done")
+		assert.Assert(t, time.Since(began) <= 200*time.Millisecond, "it took %s", time.Since(began))
+	})
+}
--- a/core/forward/events.go
+++ b/core/forward/events.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"skylarkstand/core"
 )
@@ -26,14 +27,15 @@
 	tail int
 }
 
-// maxEventSize bounds the size of one event, in bytes.
-const maxEventSize = 1 << 20
+// maxEventSize bounds the size of one event with the blank lines before it, in bytes. A host of the
+// smallest size has 144 MB for all of its streams.
+const maxEventSize = 256 << 10
 
 // eventBufferSize is the read buffer in bytes, enough for a few events of the usual size.
 const eventBufferSize = 1024
 
 var (
-	errLongEvent   = errors.New("an event is longer than 1 MB")
+	errLongEvent   = errors.New("an event is longer than 256 kB")
 	errInsideEvent = errors.New("the stream ended inside an event")
 	errNoEvent     = errors.New("the connection ended before the first event")
 )
@@ -56,21 +58,25 @@
 	if ev.err != nil {
 		return nil, ev.err
 	}
+	hasText := false
 	for {
 		line, err := ev.br.ReadSlice('\n')
+		if len(ev.buf)+len(line) > maxEventSize {
+			ev.err = errLongEvent
+			return nil, ev.err
+		}
 		ev.buf = append(ev.buf, line...)
+		blank := isBlank(line)
+		hasText = hasText || len(bytes.TrimSpace(line)) > 0
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.buf) > maxEventSize {
-				return nil, errLongEvent
-			}
 			continue
 		case errors.Is(err, io.EOF):
 			return ev.end()
 		case err != nil:
 			return nil, err
 		}
-		if isBlank(line) && len(bytes.TrimSpace(ev.buf)) > 0 {
+		if blank && hasText {
 			ev.begun = ev.begun || hasField(ev.buf)
 			return ev.buf, nil
 		}
@@ -118,8 +124,11 @@
 	return previous
 }
 
-// drainLimit bounds the bytes that are read of an unwanted answer so that its connection can be
-// reused.
-const drainLimit = 16 << 10
+// drainLimit and drainTimeout bound what is read of an unwanted answer, in bytes, and how long, so that its
+// connection can be reused.
+const (
+	drainLimit   = 16 << 10
+	drainTimeout = 100 * time.Millisecond
+)
 
 func drain(rd io.Reader) { _, _ = io.CopyN(io.Discard, rd, drainLimit) }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -23,6 +23,7 @@
 	"skylarkstand/core"
 	"skylarkstand/io/header"
 	"skylarkstand/io/health"
+	"skylarkstand/io/limited"
 )
 
 // Engine is the client of one model engine. It implements [core.Runner].
@@ -45,7 +46,7 @@
 func New(deps core.Deps, base string) *Engine {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, MaxIdleConns: maxIdleConns, IdleConnTimeout: time.Minute,
+		MaxIdleConnsPerHost: maxIdleConns, MaxIdleConns: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
 	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr}}
 }
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -25,6 +25,9 @@
 	done, ended bool
 }
 
+// maxOutput is the size in bytes from which events are forwarded although more have arrived.
+const maxOutput = 64 << 10
+
 // readBufferSize fits several events, in bytes: events that arrive together are forwarded together.
 const readBufferSize = 4 << 10
 
@@ -71,7 +74,7 @@
 		}
 		// An event ends with an empty line; reading on after that line would delay the token until
 		// the next one arrives.
-		if sm.done || len(sm.out) > 0 && len(line) == 0 && sm.br.Buffered() == 0 {
+		if sm.done || len(sm.out) > 0 && len(line) == 0 && sm.br.Buffered() == 0 || len(sm.out) >= maxOutput {
 			return sm.out, nil
 		}
 	}
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -131,3 +131,20 @@
 	assert.Assert(t, errors.As(err, &fl))
 	assert.Equal(t, fl.Code, core.CodeCrashed)
 }
+
+// An engine sends events without end and without the line between them: all of them were kept in memory.
+func TestEndlessEventsAreForwardedInParts(t *testing.T) {
+	sm, wr := newPipedStream()
+	line := "data: {" + string(sm.id) + "}\n"
+	go func() {
+		for {
+			if _, err := io.WriteString(wr, strings.Repeat(line, 1000)); err != nil {
+				return
+			}
+		}
+	}()
+	out, err := sm.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, len(out) < 2*maxOutput, "%d bytes", len(out))
+	wr.Close()
+}
--- a/io/hosts/hosts.go
+++ b/io/hosts/hosts.go
@@ -7,13 +7,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
+	"skylarkstand/io/limited"
 )
 
 // List is the client of the platform's host list. It implements [core.Hosts].
@@ -44,7 +44,7 @@
 		return nil, eris.Errorf("read the host list: the server responded with status %s", rs.Status)
 	}
 	var list []core.Host
-	if err := json.NewDecoder(rs.Body).Decode(&list); err != nil {
+	if err := limited.DecodeJSON(rs.Body, &list); err != nil {
 		return nil, eris.Wrap(err, "read the host list")
 	}
 	return list, nil
--- a/io/limited/limited.go
+++ b/io/limited/limited.go
@@ -7,6 +7,7 @@
 package limited
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 )
@@ -30,3 +31,12 @@
 	}
 	return raw, err
 }
+
+// DecodeJSON decodes a message of up to [MaxMessage] bytes into out.
+func DecodeJSON(rd io.Reader, out any) error {
+	raw, err := ReadAll(rd, MaxMessage)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, out)
+}
--- a/io/rater/rater.go
+++ b/io/rater/rater.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
+	"skylarkstand/io/limited"
 )
 
 // Rater implements [core.Rater].
@@ -51,7 +52,7 @@
 	if rs.StatusCode != http.StatusOK {
 		return 0, eris.Errorf("rating: the rating service responded with status %s", rs.Status)
 	}
-	if err := json.NewDecoder(rs.Body).Decode(&out); err != nil {
+	if err := limited.DecodeJSON(rs.Body, &out); err != nil {
 		return 0, eris.Wrap(err, "rating")
 	}
 	return out.Quality, nil
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -19,6 +19,7 @@
 	"skylarkstand/core"
 	"skylarkstand/io/header"
 	"skylarkstand/io/health"
+	"skylarkstand/io/limited"
 )
 
 // Service is the client of one plain service. It implements [core.Runner].
@@ -44,7 +45,7 @@
 func New(base string) *Service {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute,
+		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
 	return &Service{url: base, cli: &http.Client{Transport: tr}}
 }
--- a/io/sibling/sibling.go
+++ b/io/sibling/sibling.go
@@ -19,7 +19,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -30,6 +29,7 @@
 	"skylarkstand/core"
 	"skylarkstand/core/canary"
 	"skylarkstand/core/replica"
+	"skylarkstand/io/limited"
 	"skylarkstand/io/upstream"
 )
 
@@ -192,7 +192,7 @@
 			return Response{}, err
 		}
 		defer rs.Body.Close()
-		raw, err := io.ReadAll(rs.Body)
+		raw, err := limited.ReadAll(rs.Body, limited.MaxMessage)
 		return Response{rs.Status, rs.Header, raw}, eris.Wrap(err, "sibling")
 	}
 }
@@ -216,6 +216,10 @@
 	return eris.Wrap(json.Unmarshal(raw, out), "sibling")
 }
 
+// maxReplicaBytes bounds a decompressed response, in bytes. The replica of the largest planned fleet, with
+// 12,000 upstreams, has some 6 MB.
+const maxReplicaBytes = 32 << 20
+
 func decompress(rs Response) ([]byte, error) {
 	if rs.Header.Get("Content-Encoding") != "gzip" {
 		return rs.Body, nil
@@ -224,6 +228,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "sibling")
 	}
-	raw, err := io.ReadAll(zr)
+	raw, err := limited.ReadAll(zr, maxReplicaBytes)
 	return raw, eris.Wrap(err, "sibling")
 }
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -12,7 +12,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -20,6 +19,7 @@
 	"time"
 
 	"skylarkstand/core"
+	"skylarkstand/io/limited"
 )
 
 // Store implements [core.Store].
@@ -42,7 +42,7 @@
 func New(base string) *Store {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute,
+		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
 	return &Store{url: base, cli: &http.Client{Transport: tr}}
 }
@@ -71,7 +71,7 @@
 		return callError(err, write)
 	}
 	defer rs.Body.Close()
-	raw, err := io.ReadAll(rs.Body)
+	raw, err := limited.ReadAll(rs.Body, limited.MaxMessage)
 	if err != nil {
 		return callError(err, write)
 	}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -49,7 +49,7 @@
 	maxSkippedBody = 1 << 20
 )
 
-// ErrLongHeader: the header of a response does not end within its limit.
+// ErrLongHeader is the cause if the header of a response does not end within its limit.
 var ErrLongHeader = errors.New("the header of the response is too long")
 
 // headLimit fails once more than left bytes have been read; a negative left is no limit. It is set for
