Keep the line break of a long data line apart from a blank line

A caller read two events as one: a stream that was reset after a data line of 1,024 bytes, before its blank line, was resumed after that event. bufio.Reader.ReadSlice returns the line break of a line as long as its buffer alone, which was taken for the blank line that ends the event.

A part that continues a line is never blank.

--- a/core/forward/broken_stream_test.go
+++ b/core/forward/broken_stream_test.go
@@ -215,3 +215,19 @@
 		assert.Assert(t, time.Since(began) <= 200*time.Millisecond, "it took %s", time.Since(began))
 	})
 }
+
+// A stream breaks off after a data line as long as the read buffer, before the blank line: the line's own
+// break was taken for it, and the stream was resumed after an event that its caller had only in part.
+func TestLongDataLineIsNotSplitFromItsBlankLine(t *testing.T) {
+	for length := 1000; length < 2100; length++ {
+		for _, lineEnd := range []string{"\n", "\r\n"} {
+			first := "id: 1" + lineEnd + "data: " + strings.Repeat("x", length) + lineEnd
+			runInBubble(t, func(t *testing.T) {
+				fx := newFixture(t, breaksOff(first), answers(http.StatusOK, sound))
+				_, got, err := fx.send(t.Context(), "/draft/1")
+				assert.NilError(t, err)
+				assert.Equal(t, got, sound, "data line of %d bytes", length)
+			})
+		}
+	}
+}
--- a/core/forward/events.go
+++ b/core/forward/events.go
@@ -58,7 +58,7 @@
 	if ev.err != nil {
 		return nil, ev.err
 	}
-	hasText := false
+	hasText, continued := false, false
 	for {
 		line, err := ev.br.ReadSlice('\n')
 		if len(ev.buf)+len(line) > maxEventSize {
@@ -66,10 +66,12 @@
 			return nil, ev.err
 		}
 		ev.buf = append(ev.buf, line...)
-		blank := isBlank(line)
+		// ReadSlice may return the line break of a long line alone.
+		blank := !continued && isBlank(line)
+		continued = errors.Is(err, bufio.ErrBufferFull)
 		hasText = hasText || len(bytes.TrimSpace(line)) > 0
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
+		case continued:
 			continue
 		case errors.Is(err, io.EOF):
 			return ev.end()
