Pass on no promise of "not run" for a claim that ran

An upstream that has run a request that may run once only, and answers 408, 421, 429 or 503 without stating that it did not run it, had that status passed on. Callers take it for the promise that the request was not run, and send it again.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -284,3 +284,20 @@
 		})
 	}
 }
+
+// An upstream runs a claim and answers with a status that promises the contrary: its caller would send the
+// claim again.
+func TestStatusThatPromisesNotRunIsNotPassedOnForAClaim(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				fx := newFixture(t, answers(status, "ran"))
+				_, _, err := fx.send(t.Context(), "/claim/1")
+				var fl *core.Failure
+				assert.Assert(t, errors.As(err, &fl))
+				assert.Equal(t, fl.Ran, core.RanUnknown)
+				assert.Equal(t, len(fx.calls), 1)
+			})
+		})
+	}
+}
--- a/core/forward/verdict.go
+++ b/core/forward/verdict.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that their request was not run, so
+// that they send work again that may run once only. An upstream that has run it must not have it passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // classify classifies a reply by its header.
 //
 // A success without the upstream's seal, or with a content encoding that was not requested,
