Follow no redirect of a service or an engine

A plain service or an engine that answered with a redirect had the agent send the call, or a GET in its place, to whatever address it named; no configuration allows that, and a claim's outcome was then that of another call. Found while looking at all ways to an upstream.

A redirect is returned as the response. TestRedirectOfAServiceIsNotFollowed failed before.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -48,7 +48,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns, MaxIdleConns: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
-	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr}}
+	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
 // OnSignals implements [core.SignalSource].
--- a/io/health/health.go
+++ b/io/health/health.go
@@ -19,6 +19,10 @@
 // timeout bounds one check. It is short because the upstream runs on this host.
 const timeout = 500 * time.Millisecond
 
+// NoRedirect makes a client return a redirect as the response. Followed, it would send the request, or another
+// one, to an address that no configuration names.
+func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Check returns nil if the upstream at a base URL responds at all, with whatever status.
 func Check(cli *http.Client, base string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -47,7 +47,7 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
-	return &Service{url: base, cli: &http.Client{Transport: tr}}
+	return &Service{url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
 // IdempotencyKeyHeader is the header that carries the caller's idempotency key to the service.
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,3 +52,19 @@
 		}
 	}
 }
+
+// A service answers a call with a redirect: the call, or another one, was sent to an address that no
+// configuration names.
+func TestRedirectOfAServiceIsNotFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		calls := 0
+		other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls++ }))
+		srv := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		ans, err := service.New(srv.URL).Run(t.Context(), &core.Attempt{ID: "a", Operation: "claim", IdempotencyKey: "k"})
+		assert.NilError(t, err)
+		assert.Equal(t, ans.Status(), status)
+		assert.Equal(t, calls, 0)
+		srv.Close()
+		other.Close()
+	}
+}
