Admit nobody by a configuration whose workspaces have no keys

After the last keys of all workspaces were taken away, every caller was let in, with any key: the table asked for keys only while there were any. The absence of a key was taken for the absence of workspaces.

Keys are required as soon as the configuration has a workspace.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"skylarkstand/core"
+	"skylarkstand/core/route"
 )
 
 // Guards against a wrong "not run", which makes a caller send its request again: a repeated
@@ -301,3 +302,19 @@
 		})
 	}
 }
+
+// The last key of the last workspace is taken away: all callers were let in, with any key.
+func TestWorkspacesWithoutKeysAdmitNobody(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		fx := newFixture(t, answers(http.StatusOK, "done"))
+		fx.adoptWith(4, route.Workspace{ID: "school"})
+		for _, key := range []core.APIKey{"key", "stolen", ""} {
+			fx.key = key
+			_, _, err := fx.send(t.Context(), "/claim/1")
+			var fl *core.Failure
+			assert.Assert(t, errors.As(err, &fl), "key %q", key)
+			assert.Equal(t, fl.Code, core.CodeUnauthorized)
+		}
+		assert.Equal(t, len(fx.calls), 0)
+	})
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -130,6 +130,8 @@
 	hosts    map[string][]*Route
 	services map[core.ServiceID]*Service
 	keys     map[core.APIKey]*Workspace
+	// hasWorkspaces is set if the document has any, with keys or without.
+	hasWorkspaces bool
 }
 
 // New returns the table of a document, or an error if the document is invalid.
@@ -137,6 +139,7 @@
 	tb := &Table{
 		Version: doc.Version, Limits: doc.Limits, hosts: map[string][]*Route{},
 		services: map[core.ServiceID]*Service{}, keys: map[core.APIKey]*Workspace{},
+		hasWorkspaces: len(doc.Workspaces) > 0,
 	}
 	for _, sv := range doc.Services {
 		sv.targetLatency, sv.minPriority = 0, math.MaxInt
@@ -208,9 +211,9 @@
 // Workspace returns the workspace that holds a key, or nil.
 func (tb *Table) Workspace(key core.APIKey) *Workspace { return tb.keys[key] }
 
-// RequiresKey reports whether keys are required at all: a configuration without any key admits
-// every caller.
-func (tb *Table) RequiresKey() bool { return len(tb.keys) > 0 }
+// RequiresKey reports whether keys are required at all: a configuration without any workspace admits
+// every caller. One whose workspaces have no key admits nobody.
+func (tb *Table) RequiresKey() bool { return tb.hasWorkspaces }
 
 // ChooseService returns the service for a random number from 0 to 1.
 func (rt *Route) ChooseService(draw float64) core.ServiceID {
