End a canceled call by the end of its connection, which is repeated

Callers of streams had two engines at work on one request for as long as the first one read its prompt in. A canceled call was closed by a reset, which is one packet: if that is lost, the upstream learns nothing until it sends something. A connection's end is repeated until it is acknowledged. The reset was chosen so that a canceled request is not delivered when a cut link is back.

If the upstream has acknowledged all that was sent, there is nothing to discard: the end of the connection is sent, and the reset once that is acknowledged. Otherwise it is the reset alone, as before. An answer that is given up midway ends in the same way; its request was delivered even then.

On loopback, a process that was paused reads the request after both kinds of close, so that the reset protected nothing there.

--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -171,9 +171,8 @@
 		stop()
 		if cause := ctx.Err(); cause != nil {
 			er.Err = cause
-			co.discardUnsent()
 		}
-		cl.drop(co)
+		cl.abandon(co)
 		return nil, er
 	}
 	rs.Body = &body{ReadCloser: rs.Body, cl: cl, co: co, stop: stop, reuse: !rs.ClosesConnection, idle: keepAlive(rs.Header)}
@@ -267,6 +266,9 @@
 	cl.release(co.addr)
 }
 
+// abandon closes a connection on which a request may still run.
+func (cl *Client) abandon(co *conn) { co.abandon(func() { cl.release(co.addr) }) }
+
 // put keeps a connection for the next request, unless enough are idle already.
 func (cl *Client) put(co *conn, idle time.Duration) {
 	co.idleUntil = cl.now().Add(idle)
@@ -370,5 +372,9 @@
 		bo.cl.put(bo.co, bo.idle)
 		return
 	}
-	bo.cl.drop(bo.co)
+	if complete {
+		bo.cl.drop(bo.co)
+	} else {
+		bo.cl.abandon(bo.co)
+	}
 }
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -58,6 +58,8 @@
 	// store is the store's address, addrs the upstreams' addresses by id.
 	store string
 	addrs map[string]string
+	// relays are in front of upstreams, where a test has any.
+	relays []*fleet.Relay
 }
 
 type object = map[string]any
