--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -72,6 +72,8 @@
 		Text: "A refusal that says \"not run\" is true.",
 		Proofs: []Proof{
 			{"in every cell no request that was answered with not-run is in a journal of an engine or a service", requestCells},
+			{"any interleaving of answers, copies, bytes that are no answer and ends of connections, by the upstream's own record", "go test ./platform -run NotRunIsTrue"},
+			{"gateways and upstreams as processes that are paused, killed and cut off, by the upstreams' journals", "go test ./test/gateway -run 'Once|NotBelieved'"},
 		},
 	},
 	{
@@ -80,6 +82,7 @@
 			{"every fault is injected during calls, which are then retried with their key through the other entry; the services' journals have each key at most once", requestCells},
 			{"model check of claim, run and answer, with mutations of the model", modelCheck},
 			{"the real claim table over a store that loses, delays and refuses writes", "go test ./core/claim"},
+			{"without an agent: gateways and upstreams as processes, by the upstreams' journals; also no stream runs on after it has begun elsewhere", "go test ./test/gateway -run 'Once|NotBelieved|Canceled'"},
 		},
 	},
 	{
