--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"skylarkstand/io/limited"
 )
 
 // conn is one connection to an upstream. It carries one request at a time.
@@ -40,42 +38,6 @@
 	return &conn{Conn: nc, addr: addr, head: hl, br: bufio.NewReaderSize(hl, readBufferSize)}
 }
 
-const (
-	// maxHeader bounds one header, in bytes.
-	maxHeader = limited.MaxHeader
-	// maxInterim is how many interim responses are skipped before a connection is closed.
-	maxInterim = 8
-	// maxSkippedBody bounds the body of a response to another request, in bytes.
-	maxSkippedBody = 1 << 20
-)
-
-// ErrLongHeader is the cause if the header of a response does not end within its limit.
-var ErrLongHeader = errors.New("the header of the response is too long")
-
-// headLimit fails once more than left bytes have been read; a negative left is no limit. It is set for
-// each header: http.ReadResponse keeps all of one, however long.
-type headLimit struct {
-	rd   io.Reader
-	left int
-}
-
-const noLimit = -1
-
-// Read implements io.Reader.
-func (hl *headLimit) Read(p []byte) (int, error) {
-	if hl.left == 0 {
-		return 0, ErrLongHeader
-	}
-	if hl.left > 0 {
-		p = p[:min(len(p), hl.left)]
-	}
-	n, err := hl.rd.Read(p)
-	if hl.left > 0 {
-		hl.left -= n
-	}
-	return n, err
-}
-
 const (
 	// Keep-alive probes detect a peer that lost power or its network while a request is in
 	// flight: one probe per second, and two without a reply end the connection.
@@ -108,67 +70,6 @@
 // interrupt makes pending reads and writes fail.
 func (co *conn) interrupt() { _ = co.SetDeadline(past) }
 
-// reset closes the connection at once and discards what the kernel has not delivered yet.
-func (co *conn) reset() {
-	if tc, ok := co.Conn.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0)
-	}
-	co.Close()
-}
-
-// abandon closes a connection on which a request may still run, and calls closed once that is done.
-//
-// The end of a connection is repeated until it is acknowledged, and a reset is not: an upstream that misses it
-// learns nothing until it sends something. But the kernel would also deliver what it has not delivered yet, as
-// a canceled request when a cut link is back. So the end is sent if all was delivered, and a reset otherwise.
-func (co *conn) abandon(closed func()) {
-	tc, ok := co.Conn.(*net.TCPConn)
-	if !ok || !delivered(tc) || tc.CloseWrite() != nil {
-		co.reset()
-		closed()
-		return
-	}
-	go func() {
-		awaitEndAcked(tc)
-		co.reset()
-		closed()
-	}()
-}
-
-// delivered reports whether the other side has acknowledged all that was sent.
-func delivered(tc *net.TCPConn) bool {
-	unacked := -1
-	if rc, err := tc.SyscallConn(); err == nil {
-		_ = rc.Control(func(fd uintptr) {
-			if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-				unacked = n
-			}
-		})
-	}
-	return unacked == 0
-}
-
-// awaitEndAcked waits until the other side has acknowledged the end of the connection.
-func awaitEndAcked(tc *net.TCPConn) {
-	const first, longest = time.Millisecond, 200 * time.Millisecond
-	rc, err := tc.SyscallConn()
-	if err != nil {
-		return
-	}
-	until := time.Now().Add(unackedTimeout)
-	for wait := first; time.Now().Before(until); wait = min(2*wait, longest) {
-		pending := false
-		err := rc.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			pending = err == nil && info.State == unix.BPF_TCP_FIN_WAIT1
-		})
-		if err != nil || !pending {
-			return
-		}
-		time.Sleep(wait)
-	}
-}
-
 // usable reports whether an idle connection is open and has no unread data. Data that arrives
 // without a request belongs to none, and would be taken for the response to the next one.
 func (co *conn) usable() bool { return co.br.Buffered() == 0 && IsIdle(co.Conn) }
