--- a/test/gateway/once_soak_test.go
+++ b/test/gateway/once_soak_test.go
@@ -35,7 +35,6 @@
 	// onceUpstreams is the number of upstreams of each service.
 	onceUpstreams = 4
 	onceCallers   = 24
-	onceFaults    = 40
 )
 
 // onceSoak is a store, gateways and upstreams, into which random faults are injected.
@@ -103,6 +102,7 @@
 	if up.service == "lm" {
 		work = "150ms"
 	}
+	// --unnamed and --repeat are answers that belong to no request, or to another one.
 	pr, err := so.fl.Start(id, "standin", "--listen", up.addr, "upstream", "--id", id, "--journal", journal, "--work", work,
 		"--seed", fmt.Sprint(so.rnd.Uint32()), "--refuse", "0.15", "--repeat", "0.15", "--unnamed", "0.03", "--lose", "0.02", "--fail", "0.02", "--unsure", "0.4")
 	assert.NilError(so.t, err)
@@ -220,7 +220,7 @@
 	begin()
 }
 
-// restore ends the faults of the relay.
+// restore ends the faults of the relay, which also lets what it has held back go on.
 func (up *onceUpstream) restore() {
 	up.relay.Restore()
 	up.mu.Lock()
