Log the evidence by which work that may run once is sent again

exchange-resent (520) is written for each second send of such a request: the attempt before, where it was sent, its verdict, and what shows that it was not run: the status, the header that states it, the ids in the answer, whether its connection was kept and how many answers were skipped. attempt-ended has the same description of the answer.

A retry budget bounds their number.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -178,6 +178,9 @@
 	PermitGranted = &Event{519, "permit-granted", slog.LevelWarn,
 		"The request with `fingerprint` was in flight when three upstreams or more ended, so that each of its attempts needs a permit; this entry was granted one. `permits` counts those of all entries whose attempts have not shown yet that the request crashes nothing.",
 		"If the upstream ends again, find the request by `fingerprint` in `request-suspected` lines."}
+	ExchangeResent = &Event{520, "exchange-resent", slog.LevelWarn,
+		"A request that may run only once is sent to another upstream, since the attempt `before` was not run, by its `verdict`. `answer` is what shows that: the status, the header that states it, the ids of requests in the answer, and how it came. `before-address` is where the attempt was sent. Other lines do not make room for this one.",
+		"Compare it with the log of the upstream `before` if the request ran there."}
 	RatingsAway = &Event{540, "ratings-away", slog.LevelWarn,
 		"The rating service does not respond in time; cascades run the stage that is declared good enough.",
 		"Check the rating service."}
@@ -194,6 +197,6 @@
 		StoreDown, SegmentWritten, SegmentLate, StoreBack, MirrorListed, MirrorBySibling, StoreWriteLate, Registered, NoSeed,
 		LedgerSealed, TakeoverFiled, TakeoverLate, CopyDropped, CopiesLeft,
 		ClaimsBroken, ClaimUnfinished, ClaimUnreleased,
-		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, AttemptBegun, ExchangeCut, RequestSuspected, RequestQuarantined, PermitGranted, RatingsAway,
+		RequestFailed, BillLost, ExchangeEnded, ExchangeFailed, ExchangeRefused, AttemptEnded, StreamResumed, AttemptBegun, ExchangeCut, RequestSuspected, RequestQuarantined, PermitGranted, ExchangeResent, RatingsAway,
 	}
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -47,6 +47,10 @@
 	return defaultLineLimit
 }
 
+// Reserved reports whether lines of an event have a share of the log of their own, since each is the only trace
+// of what it tells.
+func Reserved(name string) bool { return name == ExchangeResent.Name || name == BillLost.Name }
+
 var byName = func() map[string]*Event {
 	out := map[string]*Event{}
 	for _, ev := range Catalogue() {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -100,6 +100,18 @@
 	Draining bool
 }
 
+// Origin is what shows to which call a reply belongs and what it states, for the log.
+type Origin struct {
+	// Statement is the header of the reply that states that the call was not run, and IDs are the ids of
+	// requests that it bears, both as received.
+	Statement string
+	IDs       []string
+	// KeptConnection is set if the connection had carried another request before, and Skipped counts the
+	// answers to other requests that arrived in front of this one.
+	KeptConnection bool
+	Skipped        int
+}
+
 // Reply is an upstream's answer to a call.
 type Reply struct {
 	Status int
@@ -118,10 +130,7 @@
 	// Load is the upstream's load when it answered; nil if it did not report one.
 	Load *Load
 	Signals
-	// KeptConnection is set if the connection had carried another request before, and Skipped counts the
-	// answers to other requests that arrived in front of this one.
-	KeptConnection bool
-	Skipped        int
+	Origin
 	// Body ends with io.EOF only if the answer is complete, except with EndsWithConnection. Closing
 	// it early drops the connection, which makes the upstream stop.
 	Body io.ReadCloser
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -55,7 +55,10 @@
 	firstChunkAt, lastChunkAt time.Time
 	// reason is why the attempt yielded no usable answer, for the log.
 	reason string
-	ended  bool
+	// ended is set once the attempt has ended, with the verdict and the time that it took.
+	ended   bool
+	verdict verdict
+	took    time.Duration
 	// budgeted is the attempt in the retry budget; nil until it is sent. withheld is set when the budget
 	// refused it just before that.
 	budgeted *retry.Attempt
@@ -266,8 +269,9 @@
 	if at.ended {
 		return
 	}
-	at.ended = true
 	jb, now := at.jb, time.Now()
+	at.ended, at.verdict, at.took = true, ve, now.Sub(at.sent)
+	jb.previous = at
 	at.permit.Release(now)
 	neutral := ve == lost && notUpstreamFault(context.Cause(at.ctx))
 	fw := jb.fw
@@ -296,7 +300,7 @@
 	if ve != taken {
 		event.Log(fw.deps.Log, event.AttemptEnded, "request", jb.ex.ID, "attempt", at.number, "upstream", at.to.ID,
 			"address", at.to.Addr, "version", at.to.Version, "model", at.rq.Model, "verdict", ve.String(), "why", at.reason,
-			"took", now.Sub(at.sent), "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "answer", at.answerOrigin(), "fingerprint", jb.traits.Whole().String())
+			"took", at.took, "pieces", at.chunks, "load", at.reportedLoad(), "unframed", at.unframed(), "answer", at.answerOrigin(), "fingerprint", jb.traits.Whole().String())
 	}
 	at.logAvoidanceChange(change, ve, failureRate)
 }
@@ -312,15 +316,6 @@
 // unframed reports whether the end of the answer's connection ends the answer.
 func (at *attempt) unframed() bool { return at.reply != nil && at.reply.EndsWithConnection }
 
-// answerOrigin describes how the answer came, for the log: an answer to another request may stand in its place.
-func (at *attempt) answerOrigin() string {
-	re := at.reply
-	if re == nil {
-		return ""
-	}
-	return fmt.Sprintf("kept-connection=%t skipped=%d", re.KeptConnection, re.Skipped)
-}
-
 // reportedLoad returns the load that the upstream reported in its response, for the log.
 func (at *attempt) reportedLoad() string {
 	if at.reply == nil || at.reply.Load == nil {
--- a/core/forward/fixture_test.go
+++ b/core/forward/fixture_test.go
@@ -218,6 +218,7 @@
 func refuses(context.Context, *core.Call) (*core.Reply, error) {
 	re := reply(http.StatusServiceUnavailable, "full")
 	re.NotRun = true
+	re.Origin = core.Origin{Statement: "1", IDs: []string{"r1"}}
 	return re, nil
 }
 
@@ -262,6 +263,8 @@
 	NoRetryReason string `json:"no-repeat"`
 	AnswerReason  string `json:"kept-answer"`
 	Candidates    int    `json:"candidates"`
+	Before        string `json:"before"`
+	Answer        string `json:"answer"`
 }
 
 // logLines returns the logged lines of the given events.
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -54,6 +54,8 @@
 	// deferred is the last failed attempt while another attempt is in progress that will show
 	// whether the upstream or the request caused the failure.
 	deferred *attempt
+	// previous is the last attempt that ended; nil before.
+	previous *attempt
 	// traits are what the request has in common with others.
 	traits suspect.Traits
 	// lastFailure is the reason of the newest failed attempt, and noRetryReason why no other one
@@ -290,6 +292,7 @@
 		at.headerTimeout = 0
 	}
 	at.logBegin(len(hosts), retriesLeft)
+	at.logResent()
 	return at, nil
 }
 
--- a/core/forward/log.go
+++ b/core/forward/log.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"skylarkstand/core"
@@ -18,6 +20,28 @@
 		"kept", ba.CachedTokens, "waits", ba.QueueTime, "read", at.prefillWait, "rank", at.queueRank, "patience", at.headerTimeout, "left", at.left, "repeats-left", round(retriesLeft), "after", at.after)
 }
 
+// answerOrigin describes the answer and how it came, for the log: an answer to another request may stand in its
+// place.
+func (at *attempt) answerOrigin() string {
+	re := at.reply
+	if re == nil {
+		return ""
+	}
+	const shown = 100 // bytes of what the upstream chose
+	return fmt.Sprintf("status=%d not-run=%.*q ids=%.*q kept-connection=%t skipped=%d",
+		re.Status, shown, re.Statement, shown, strings.Join(re.IDs, " "), re.KeptConnection, re.Skipped)
+}
+
+// logResent logs the evidence by which work that may run once is sent to a second upstream.
+func (at *attempt) logResent() {
+	jb, prev := at.jb, at.jb.previous
+	if prev == nil || jb.rt.Retry.Retryable() {
+		return
+	}
+	event.Log(jb.fw.deps.Log, event.ExchangeResent, "request", jb.ex.ID, "route", jb.rt.ID, "attempt", at.number, "upstream", at.to.ID, "address", at.to.Addr,
+		"before", prev.to.ID, "before-address", prev.to.Addr, "verdict", prev.verdict.String(), "why", prev.reason, "answer", prev.answerOrigin(), "took", prev.took)
+}
+
 // logAvoidanceChange logs that the entry avoids the attempt's upstream from now on, or no longer.
 func (at *attempt) logAvoidanceChange(change balance.AvoidanceChange, ve verdict, failureRate float64) {
 	lg := at.jb.fw.deps.Log
--- a/core/forward/log_test.go
+++ b/core/forward/log_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// A claim is sent to a second upstream: without the evidence for that, nobody could tell afterwards which answer
+// was false if it ran twice.
+func TestLogOfWorkThatIsSentAgain(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		fx := newFixture(t, refuses, answers(http.StatusOK, "done"))
+		status, _, err := fx.send(t.Context(), "/claim/1")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		calls, resent := fx.calls, fx.logLines("exchange-resent")
+		assert.Equal(t, len(resent), 1)
+		assert.Equal(t, resent[0].Request, "r1")
+		assert.Equal(t, resent[0].Attempt, 2)
+		assert.Equal(t, resent[0].Before, string(calls[0].To.ID))
+		assert.Equal(t, resent[0].Upstream, string(calls[1].To.ID))
+		assert.Equal(t, resent[0].Verdict, "refused")
+		assert.Equal(t, resent[0].Answer, `status=503 not-run="1" ids="r1" kept-connection=false skipped=0`)
+	})
+}
+
 // One upstream loses call after call. The entry must avoid it and log that, and log once more
 // when the upstream has recovered.
 func TestLogOfAvoidedUpstreams(t *testing.T) {
--- a/io/logline/logline_test.go
+++ b/io/logline/logline_test.go
@@ -137,6 +137,27 @@
 	})
 }
 
+// Every attempt fails at once, and their lines fill the log: the line about work that is sent again, which may run
+// once only, must still be written.
+func TestReservedEventsAreNotDroppedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		so := newStalledOutput()
+		lg, cleanup := logline.New(so, slog.LevelInfo, slog.String("process", "p1"))
+		logAll(lg, event.Started, 1)
+		time.Sleep(time.Second) // The writer blocks at the first line.
+		logAll(lg, event.ExchangeFailed, 290)
+		logAll(lg, event.AttemptBegun, 290)
+		logAll(lg, event.ExchangeRefused, 290)
+		logAll(lg, event.ExchangeResent, 20)
+		close(so.release)
+		time.Sleep(2 * time.Second)
+		cleanup()
+		_, written, dropped := read(t, so.buf.Bytes())
+		assert.Assert(t, dropped["exchange-refused"] > 0, "no line was dropped: the buffer was not full")
+		assert.Equal(t, written["exchange-resent"], 20)
+	})
+}
+
 // writeSizes records the length of each write.
 type writeSizes []int
 
--- a/io/logline/writer.go
+++ b/io/logline/writer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"skylarkstand/core/event"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// warnings may use. The rest is reserved for failed requests: they come at the same time as most
 	// lines, and they are the ones that operators look for.
 	infoShare = 0.75
+	// warningShare is that share for all other lines but those of reserved events.
+	warningShare = 0.95
 	// flushInterval is the maximum delay of a line. Lines within this time share a system call.
 	flushInterval = 50 * time.Millisecond
 	// maxWriteSize limits the bytes of a single write. Collectors that read 8 kB at a time lost the
@@ -63,8 +67,11 @@
 // admit reserves a place in the buffer for a line of an event. It returns false if the line has to
 // be dropped, because the buffer is full or a limit is reached.
 func (wr *writer) admit(now time.Time, lv slog.Level, name string, limit int) bool {
-	share := 1.0
-	if lv < slog.LevelWarn {
+	share := warningShare
+	switch {
+	case event.Reserved(name):
+		share = 1
+	case lv < slog.LevelWarn:
 		share = infoShare
 	}
 	wr.mu.Lock()
