Reproduce false "not run" by any answer that the protocol allows

TestNotRunIsTrueForAnyAnswer sends claims and lookups through a gateway process to upstreams that answer with whatever the protocol's grammar allows.

The answers are drawn from the grammar now, and judged at the end of the whole path.

--- a/standin/main.go
+++ b/standin/main.go
@@ -48,6 +48,8 @@
 	Lose     float64       `arg:"--lose" help:"share of requests that run and are not answered"`
 	Fail     float64       `arg:"--fail" help:"share of requests that run and fail"`
 	Unsure   float64       `arg:"--unsure" help:"share of streams with little confidence"`
+	Any      float64       `arg:"--any" help:"share of requests with any answer that the protocol's grammar allows"`
+	Stale    float64       `arg:"--stale" help:"share of answers before which an earlier answer to the same request arrives"`
 }
 
 type platformCmd struct {
@@ -105,7 +107,7 @@
 	return rawupstream.New(rawupstream.Config{
 		ID: cmd.ID, Slots: cmd.Slots, Work: cmd.Work, Events: cmd.Events, Interval: cmd.Interval, Seed: cmd.Seed,
 		Faults: rawupstream.Faults{
-			Refuse: cmd.Refuse, Repeat: cmd.Repeat, Unnamed: cmd.Unnamed, Lose: cmd.Lose, Fail: cmd.Fail, Unsure: cmd.Unsure,
+			Refuse: cmd.Refuse, Repeat: cmd.Repeat, Unnamed: cmd.Unnamed, Lose: cmd.Lose, Fail: cmd.Fail, Unsure: cmd.Unsure, Any: cmd.Any, Stale: cmd.Stale,
 		},
 	}, out).Serve(li)
 }
--- a/standin/rawupstream/rawupstream.go
+++ b/standin/rawupstream/rawupstream.go
@@ -57,6 +57,12 @@
 	Fail float64
 	// Unsure is the share that is answered with little confidence.
 	Unsure float64
+	// Any is the share that is answered by any answer that the protocol's grammar allows, after a run or without
+	// one; see drawAnswer.
+	Any float64
+	// Stale is the share before whose answer a copy of an earlier answer to the same request arrives, which may
+	// have come over another connection.
+	Stale float64
 	// Slow is how much longer than usual a request takes before its answer begins.
 	Slow time.Duration
 }
@@ -69,11 +75,13 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	running int
+	// answered are the last answers by request, of all connections.
+	answered map[string][]byte
 }
 
 // New returns an upstream that writes its runs to a journal.
 func New(cfg Config, out io.Writer) *Upstream {
-	return &Upstream{cfg: cfg, journal: &journal{out: out, upstream: cfg.ID}, rnd: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	return &Upstream{cfg: cfg, journal: &journal{out: out, upstream: cfg.ID}, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), answered: map[string][]byte{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -124,11 +132,12 @@
 	up.running--
 }
 
-// request is a request whose body has been read.
+// request is a request whose header has been read. whole is closed once its body has been read too.
 type request struct {
 	*http.Request
 	id     string
 	faults Faults
+	whole  chan struct{}
 }
 
 // conn is a connection. Its requests run one after the other.
@@ -140,6 +149,8 @@
 	gone chan struct{}
 	// last is the last complete answer.
 	last []byte
+	// id is the id of the request that is being answered.
+	id string
 }
 
 func (co *conn) read() {
@@ -151,14 +162,16 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
-			return
-		}
 		fa := co.up.cfg.Faults
 		if co.up.cfg.FaultsOf != nil {
 			fa = co.up.cfg.FaultsOf(rq)
 		}
-		co.requests <- &request{rq, rq.Header.Get(headerRequest), fa}
+		whole := make(chan struct{})
+		co.requests <- &request{rq, rq.Header.Get(headerRequest), fa, whole}
+		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+			return
+		}
+		close(whole)
 	}
 }
 
@@ -183,16 +196,27 @@
 // handle answers a request, and reports whether the connection is kept.
 func (co *conn) handle(rq *request) bool {
 	up, fa := co.up, rq.faults
+	co.id = rq.id
+	if stale := up.lastAnswer(rq.id); stale != nil && up.drawn(fa.Stale) && !co.send(stale) {
+		return false
+	}
 	if up.drawn(fa.Unnamed) && !co.send(refusal("", cmp.Or(fa.UnnamedStatus, http.StatusServiceUnavailable))) {
 		return false
 	}
 	if co.last != nil && up.drawn(fa.Repeat) && !co.send(co.last) {
 		return false
 	}
-	switch expected := rq.Header.Get("X-Skylarkstand-Expect-Instance"); {
+	expected := rq.Header.Get("X-Skylarkstand-Expect-Instance")
+	misdirected := expected != "" && expected != up.cfg.ID
+	if rq.id != "" && up.drawn(fa.Any) {
+		return co.handleAny(rq, misdirected)
+	}
+	switch {
+	case !co.await(rq.whole):
+		return false
 	case rq.id == "": // A health check or a query.
 		return co.answer(refusal("", http.StatusTooManyRequests))
-	case expected != "" && expected != up.cfg.ID:
+	case misdirected:
 		return co.answer(refusal(rq.id, http.StatusMisdirectedRequest))
 	case up.drawn(fa.Refuse) || !up.acquire():
 		return co.answer(refusal(rq.id, http.StatusServiceUnavailable))
@@ -218,7 +242,27 @@
 	case rq.Header.Get("X-Skylarkstand-Model") != "":
 		return co.stream(rq)
 	default:
-		return co.answer(answer(rq.id, http.StatusOK, up.cfg.ID+" did "+rq.id)), true
+		return co.answer(answer(rq.id, http.StatusOK, up.ownAnswer(rq.id))), true
+	}
+}
+
+// ownAnswer is the body of a success.
+func (up *Upstream) ownAnswer(id string) string { return up.cfg.ID + " did " + id }
+
+// lastAnswer returns the last answer to a request, of any connection; nil if there is none.
+func (up *Upstream) lastAnswer(id string) []byte {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.answered[id]
+}
+
+// await waits until a channel is closed, and returns false if the connection closes before.
+func (co *conn) await(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-co.gone:
+		return false
 	}
 }
 
@@ -268,6 +312,11 @@
 // answer sends an answer that may be repeated later.
 func (co *conn) answer(data []byte) bool {
 	co.last = data
+	if co.id != "" {
+		co.up.mu.Lock()
+		co.up.answered[co.id] = data
+		co.up.mu.Unlock()
+	}
 	return co.send(data)
 }
 
--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -146,7 +147,7 @@
 			rt("failing", "/failing/", "safe", "failing", object{"max_attempts": 4}),
 		},
 		"services": []object{{"name": "desk", "max_connections": 50}, {"name": "lm", "max_connections": 50}, {"name": "failing", "max_connections": 500}},
-		"limits":   object{"max_header_bytes": 8192, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   object{"max_header_bytes": 8192, "max_body_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []object{{"name": "school", "api_keys": keys}},
 	})
 }
@@ -161,6 +162,8 @@
 	// parts are the parts of the prompt; empty for two usual ones.
 	parts  string
 	header http.Header
+	// deadline is how long the caller waits; 0 stands for 4 s.
+	deadline time.Duration
 }
 
 // response is the response to a request.
@@ -202,7 +205,7 @@
 	}
 	rq.Header.Set("X-Skylarkstand-Attempt-Id", id)
 	rq.Header.Set("X-Skylarkstand-Key", req.key)
-	rq.Header.Set("X-Skylarkstand-Deadline-Ms", "4000")
+	rq.Header.Set("X-Skylarkstand-Deadline-Ms", strconv.FormatInt(cmp.Or(req.deadline, 4*time.Second).Milliseconds(), 10))
 	if req.model != "" {
 		rq.Header.Set("X-Skylarkstand-Model", req.model)
 		rq.Header.Set("X-Skylarkstand-Token-Usage", "100,30")
