Pass on no status that promises "not run" for any request that ran

What callers saw: 408, 421, 429 and 503 of lookups and streams that had run. Such a request may run again, but its caller was told what was not true.

Evidence: TestStatusThatPromisesNotRunIsNotPassedOn, lookups and resumable streams red before.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -91,9 +91,6 @@
 	at.observePrefill()
 	at.recordSignals()
 	ve := classify(re)
-	if !at.jb.rt.Retry.Retryable() && ve.mayHaveRun() && promisesNotRun(re.Status) {
-		ve = lost
-	}
 	if ve == taken && re.Status < http.StatusMultipleChoices && at.jb.shouldEscalate(re) {
 		ve = unsure
 	}
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -286,20 +286,22 @@
 	}
 }
 
-// An upstream runs a claim and answers with a status that promises the contrary: its caller would send the
-// claim again.
-func TestStatusThatPromisesNotRunIsNotPassedOnForAClaim(t *testing.T) {
-	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
-		t.Run(http.StatusText(status), func(t *testing.T) {
-			runInBubble(t, func(t *testing.T) {
-				fx := newFixture(t, answers(status, "ran"))
-				_, _, err := fx.send(t.Context(), "/claim/1")
-				var fl *core.Failure
-				assert.Assert(t, errors.As(err, &fl))
-				assert.Equal(t, fl.Ran, core.RanUnknown)
-				assert.Equal(t, len(fx.calls), 1)
+// An upstream runs a request and answers with a status that promises the contrary: its caller would be told what
+// is not true, and would send a claim again.
+func TestStatusThatPromisesNotRunIsNotPassedOn(t *testing.T) {
+	for path, calls := range map[string]int{"/claim/1": 1, "/lookup/1": 2, "/draft/1": 3, "/chat/1": 1} {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			t.Run(path+" "+http.StatusText(status), func(t *testing.T) {
+				runInBubble(t, func(t *testing.T) {
+					fx := newFixture(t, answers(status, "ran"))
+					_, _, err := fx.send(t.Context(), path)
+					var fl *core.Failure
+					assert.Assert(t, errors.As(err, &fl))
+					assert.Equal(t, fl.Ran, core.RanUnknown)
+					assert.Equal(t, len(fx.calls), calls)
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/core/forward/verdict.go
+++ b/core/forward/verdict.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// promisesNotRun reports whether callers take a status for the promise that their request was not run, so
-// that they send work again that may run once only. An upstream that has run it must not have it passed on.
+// promisesNotRun reports whether callers take a status for the promise that their request was not run. An
+// upstream's answer that has such a status and does not state that must not be passed on.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -77,6 +77,8 @@
 		return stranger
 	case re.NotRun:
 		return refused
+	case promisesNotRun(re.Status):
+		return lost
 	case !re.Sealed || re.Header.Get("Content-Encoding") != "":
 		return lost
 	case re.Status >= http.StatusInternalServerError:
