Send no request again to an address that has refused it

What callers saw: a claim that ran twice, or a false 503, where an address had changed hands: the upstream there refused a request for its predecessor, got it again under its own id, and a copy of the refusal came in front of the answer to the run. A copy bears the request's id, and may come over another connection.

Cause: an attempt excludes the upstreams that were called, by their ids, and the same process may have two.

--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -239,6 +239,9 @@
 	if ve.notRun() {
 		at.jb.runs--
 	}
+	if ve == refused || ve == stranger {
+		at.jb.refusedAt = append(at.jb.refusedAt, at.to.Addr)
+	}
 	if at.reply != nil {
 		at.jb.answeredAt = append(at.jb.answeredAt, at.to.Addr)
 		at.closeBody(ve)
--- a/core/forward/candidates.go
+++ b/core/forward/candidates.go
@@ -118,11 +118,19 @@
 	return jb.failure(core.CodeOverloaded, jb.backoff(), "the upstreams take no more work")
 }
 
+// notRefusing leaves out the upstreams at addresses where the request was refused.
+func (jb *job) notRefusing(hosts []core.Host) []core.Host {
+	if len(jb.refusedAt) == 0 {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(ho core.Host) bool { return slices.Contains(jb.refusedAt, ho.Addr) })
+}
+
 // hasUntried reports whether there is an upstream that was not called yet.
 func (jb *job) hasUntried() bool {
 	jb.fw.mu.Lock()
 	defer jb.fw.mu.Unlock()
-	return slices.ContainsFunc(jb.upstreams(time.Now()), func(ho core.Host) bool { return !slices.Contains(jb.tried, ho.ID) })
+	return slices.ContainsFunc(jb.notRefusing(jb.upstreams(time.Now())), func(ho core.Host) bool { return !slices.Contains(jb.tried, ho.ID) })
 }
 
 // evacuatedRetryAfter is the Retry-After for a service whose availability zones are all
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -35,6 +35,9 @@
 	sends int
 	// answeredAt lists the addresses at which an attempt was answered.
 	answeredAt []string
+	// refusedAt lists the addresses at which an upstream stated that it did not run the request. None of them gets
+	// it again, under whatever id: a copy of that answer could be taken for the next one.
+	refusedAt []string
 	// stage is the index of the model in the cascade, from the smallest, and nextStage the index
 	// to escalate to. rejected is the stage and the confidence of the last discarded answer.
 	stage, nextStage int
@@ -263,7 +266,7 @@
 	}
 	now = time.Now()
 	left, bounded = jb.timeLeft(now)
-	ho, pe, ok := jb.pickUpstream(now, fw.accepting(now, hosts), rq)
+	ho, pe, ok := jb.pickUpstream(now, fw.accepting(now, jb.notRefusing(hosts)), rq)
 	if !ok {
 		fw.mu.Unlock()
 		return nil, jb.unavailableFailure(now, hosts)
--- a/test/gateway/once_test.go
+++ b/test/gateway/once_test.go
@@ -135,6 +135,21 @@
 	assert.Assert(fx.t, len(runs) > count/2)
 }
 
+// A claim comes to an address that has changed hands, and then, under the new name, to the same address once more:
+// a copy of the first refusal stood in front of the answer to its run, over another connection.
+func TestAddressThatRefusedIsNotSentAClaimAgain(t *testing.T) {
+	cfg := rawupstream.Config{Work: 5 * time.Millisecond, Faults: rawupstream.Faults{Stale: 1}}
+	fx, jos := newRawFixture(t, "desk", cfg, cfg)
+	for i := range 30 {
+		fx.st.Put(fmt.Sprint("servers/i-gone-", i), object{
+			"service": "desk", "address": fx.relays[i%2].Addr, "zone": "muc-a", "version": "v1", "slots": 100, "state": "ready",
+			"warmup_left_ms": 0, "sequence": 1, "born": 1,
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // The gateway has read the list.
+	fx.sendClaims(jos, 60)
+}
+
 // A copy of the refusal of an earlier attempt stands in front of the answer to a later one at the same
 // upstream: the later attempt's run went on while the request ran elsewhere.
 func TestRefusalOfAnEarlierAttemptIsNotBelieved(t *testing.T) {
