Let no connection to an upstream carry an id twice

What callers saw: nothing so far. A caller that sends two requests with one id, against the protocol, could have a copy of the answer to the first taken for that to the second, and a claim run twice by it.

Cause: the rule was kept by the attempts of one request only, which ask for a new connection at an address that has answered them. It belongs to the connection: it remembers the ids that it has carried, 128 at most, and is closed after as many. The flag and the list of addresses go.

TestConnectionCarriesNoIDTwice replaces TestNewConnectionCarriesNoEarlierResponse; TestConnectionEndsBeforeItForgetsAnID counts the connections.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -77,9 +77,6 @@
 	ResumeAfter string
 	// MaxConnections is the maximum number of connections to the upstream; 0 means no bound.
 	MaxConnections int
-	// NewConnection is set if the exchange was answered at this address before: a copy of that answer could be
-	// taken for the answer to this call, as both bear the exchange's id.
-	NewConnection bool
 	// BeforeSend is called immediately before the first byte is sent. If it returns false, nothing is sent,
 	// and the call fails as not run. It may be nil.
 	BeforeSend func() bool
--- a/core/forward/attempt.go
+++ b/core/forward/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -169,7 +168,6 @@
 	ca := &core.Call{
 		Exchange: jb.ex, To: at.to, Workspace: jb.workspace, Model: at.rq.Model,
 		ResumeAfter: at.after, Priority: at.queueRank, MaxConnections: jb.maxConnections(), BeforeSend: at.beforeSend,
-		NewConnection: slices.Contains(jb.answeredAt, at.to.Addr),
 	}
 	if at.bounded {
 		ca.Timeout = max(at.left-time.Since(at.sent), time.Millisecond)
@@ -243,7 +241,6 @@
 		at.jb.refusedAt = append(at.jb.refusedAt, at.to.Addr)
 	}
 	if at.reply != nil {
-		at.jb.answeredAt = append(at.jb.answeredAt, at.to.Addr)
 		at.closeBody(ve)
 	}
 	if ve == failed {
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -33,8 +33,6 @@
 	tried []core.UpstreamID
 	runs  int
 	sends int
-	// answeredAt lists the addresses at which an attempt was answered.
-	answeredAt []string
 	// refusedAt lists the addresses at which an upstream stated that it did not run the request. None of them gets
 	// it again, under whatever id: a copy of that answer could be taken for the next one.
 	refusedAt []string
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -28,8 +28,9 @@
 	// is closed.
 	written     chan struct{}
 	writeFailed bool
-	// used is set once the connection has carried a request.
-	used bool
+	// used is set once the connection has carried a request, and carried are the ids of its requests.
+	used    bool
+	carried carriedIDs
 }
 
 // newConn returns the connection to an address.
@@ -103,7 +104,7 @@
 			return false // The upstream responded before it had read the body.
 		}
 	}
-	return !co.writeFailed && co.br.Buffered() == 0
+	return !co.writeFailed && co.br.Buffered() == 0 && len(co.carried) < maxCarried
 }
 
 // exchange sends a request and reads the header of its response.
@@ -123,6 +124,7 @@
 	}
 	kept := co.used
 	co.used = true
+	co.carried.add(rq.ID)
 	rs, err := co.read(rq)
 	if err != nil {
 		return nil, &Error{Sent: true, Err: err}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -62,8 +63,9 @@
 	Body                 []byte
 	// MaxConnections bounds the open connections to the address; 0 means no limit.
 	MaxConnections int
-	// NewConnection makes the request use no kept connection, on which a copy of an earlier response may arrive.
-	NewConnection bool
+	// ID identifies the request in its responses. No connection carries an id twice, since a copy of the response
+	// to the first request could be taken for that to the second. It may be empty, for a request without an id.
+	ID string
 	// BeforeSend is called immediately before the first byte is written. If it returns false, nothing is
 	// written and the request fails with [ErrWithheld]. It may be nil.
 	BeforeSend func() bool
@@ -135,6 +137,20 @@
 	open int
 }
 
+// takeIdle removes the most recently used idle connection that has not carried the id; nil if there is none.
+func (po *pool) takeIdle(id string) *conn {
+	if po == nil {
+		return nil
+	}
+	for i := len(po.idle) - 1; i >= 0; i-- {
+		if co := po.idle[i]; !co.carried.contains(id) {
+			po.idle = slices.Delete(po.idle, i, i+1)
+			return co
+		}
+	}
+	return nil
+}
+
 // Option configures a Client.
 type Option func(*Client)
 
@@ -200,10 +216,8 @@
 
 // acquire returns an idle connection that is still usable, or a new one.
 func (cl *Client) acquire(ctx context.Context, addr string, rq *Request) (*conn, error) {
-	if !rq.NewConnection {
-		if co := cl.acquireIdle(addr); co != nil {
-			return co, nil
-		}
+	if co := cl.acquireIdle(addr, rq.ID); co != nil {
+		return co, nil
 	}
 	if !cl.reserve(addr, rq.MaxConnections) {
 		return nil, &Error{Err: ErrConnectionLimit}
@@ -216,19 +230,16 @@
 	return newConn(nc, addr), nil
 }
 
-// acquireIdle returns the most recently used idle connection. A connection that was closed, or
-// that has unread data without a request, is dropped.
-func (cl *Client) acquireIdle(addr string) *conn {
+// acquireIdle returns the most recently used idle connection that has not carried the id. A connection
+// that was closed, or that has unread data without a request, is dropped.
+func (cl *Client) acquireIdle(addr, id string) *conn {
 	for {
 		cl.mu.Lock()
-		po := cl.pools[addr]
-		if po == nil || len(po.idle) == 0 {
-			cl.mu.Unlock()
+		co := cl.pools[addr].takeIdle(id)
+		cl.mu.Unlock()
+		if co == nil {
 			return nil
 		}
-		co := po.idle[len(po.idle)-1]
-		po.idle = po.idle[:len(po.idle)-1]
-		cl.mu.Unlock()
 		if cl.now().Before(co.idleUntil) && co.usable() {
 			return co
 		}
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -330,19 +332,34 @@
 	cancel()
 }
 
-// A copy of the response to an earlier attempt stands on the kept connection: both attempts have one id.
-func TestNewConnectionCarriesNoEarlierResponse(t *testing.T) {
-	pe := newPeer(t, responds(response("a", "first")+response("a", "first")), responds(response("a", "second")))
+// A copy of the response to an earlier request with the same id may stand on the kept connection, and would be
+// taken for the response to the second one.
+func TestConnectionCarriesNoIDTwice(t *testing.T) {
+	pe := newPeer(t, responds(response("a", "first")), responds(response("a", "second")))
 	cl, cleanup := upstream.New()
 	defer cleanup()
-	body := func(rq *upstream.Request) string {
-		rs, err := cl.Do(t.Context(), pe.addr, rq)
+	for _, want := range []string{"first", "second"} {
+		rs, err := cl.Do(t.Context(), pe.addr, &upstream.Request{ID: "a", Method: "GET", Target: "/", Host: "a"})
 		assert.NilError(t, err)
 		data, err := io.ReadAll(rs.Body)
 		assert.NilError(t, err)
-		return string(data)
+		assert.Equal(t, string(data), want)
 	}
-	assert.Equal(t, body(&upstream.Request{Method: "GET", Target: "/", Host: "a"}), "first")
-	assert.Equal(t, body(&upstream.Request{Method: "GET", Target: "/", Host: "a", NewConnection: true}), "second")
 	assert.Equal(t, pe.accepted.Load(), int64(2))
 }
+
+// A connection that forgot the ids of its first requests would carry one of them twice: it is closed before.
+func TestConnectionEndsBeforeItForgetsAnID(t *testing.T) {
+	const requests = 300
+	pe := newPeer(t, slices.Repeat([]handler{responds(response("", "x"))}, requests)...)
+	cl, cleanup := upstream.New()
+	defer cleanup()
+	for i := range requests {
+		id := strconv.Itoa(i)
+		rs, err := cl.Do(t.Context(), pe.addr, &upstream.Request{ID: id, Method: "GET", Target: "/" + id, Host: "a"})
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, rs.Body)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, pe.accepted.Load(), int64(3))
+}
