Give each call of an agent a connection of its own

What callers saw: the answer to somebody else's call, where a plain service sent an answer twice: its answers bear no id, and the copy on a kept connection was taken for the answer to the next call. Of a model engine, a copy of a refusal ended the next call as failed while the engine ran it.

TestCopyOfAnAnswerIsNotThatOfTheNextCall and TestCopyOfARefusalIsNotTheNextAnswer were red before.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -36,17 +36,19 @@
 }
 
 const (
-	dialTimeout  = 2 * time.Second
-	maxIdleConns = 256
+	dialTimeout = 2 * time.Second
 	// maxAnswer is the maximum size in bytes of an answer that is not streamed.
 	maxAnswer = 16 << 20
 )
 
 // New returns a client for the engine at a base URL.
+//
+// Each call has a connection of its own: a refusal has no id, and a late one on a kept connection would be taken
+// for the answer to the next call, which would go on at the engine.
 func New(deps core.Deps, base string) *Engine {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, MaxIdleConns: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
+		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives: true, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
 	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -148,3 +149,37 @@
 	assert.Assert(t, len(out) < 2*maxOutput, "%d bytes", len(out))
 	wr.Close()
 }
+
+// An engine sends a refusal twice on a connection: the copy, which has no id, was taken for the answer to the next
+// call, while that one ran.
+func TestCopyOfARefusalIsNotTheNextAnswer(t *testing.T) {
+	const body = `{"id":"chatcmpl-a2"}`
+	answers := []string{"HTTP/1.1 503 busy\r\nContent-Length: 0\r\n\r\n", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)}
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer li.Close()
+	go func() {
+		for call := 0; ; {
+			nc, err := li.Accept()
+			if err != nil {
+				return
+			}
+			last := ""
+			for br := bufio.NewReader(nc); ; call++ {
+				rq, err := http.ReadRequest(br)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, rq.Body)
+				_, _ = io.WriteString(nc, last+answers[call])
+				last = answers[call]
+			}
+			nc.Close()
+		}
+	}()
+	eng := New(core.NewDeps(), "http://"+li.Addr().String())
+	_, err = eng.Run(t.Context(), &core.Attempt{ID: "a1"})
+	assert.Assert(t, err != nil)
+	_, err = eng.Run(t.Context(), &core.Attempt{ID: "a2"})
+	assert.NilError(t, err)
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -31,8 +31,7 @@
 }
 
 const (
-	dialTimeout  = 2 * time.Second
-	maxIdleConns = 256
+	dialTimeout = 2 * time.Second
 	// maxAnswer is the maximum size of an answer in bytes.
 	maxAnswer = 1 << 20
 )
@@ -42,10 +41,13 @@
 // When a reused connection breaks, net/http automatically retries requests that it considers
 // idempotent, and it takes an Idempotency-Key header as such a sign. Therefore the key is sent
 // under another name and the body cannot be rewound: a call reaches the service at most once.
+//
+// Answers of a service have no id. Each call has a connection of its own, on which no late answer to another
+// call can arrive.
 func New(base string) *Service {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
+		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives: true, MaxResponseHeaderBytes: limited.MaxHeader,
 	}
 	return &Service{url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -68,3 +69,50 @@
 		other.Close()
 	}
 }
+
+// serveRepeated answers each call with the body that it was sent, and sends a copy of a connection's last answer
+// before the next one.
+func serveRepeated(t *testing.T) string {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { li.Close() })
+	go func() {
+		for {
+			nc, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				br, last := bufio.NewReader(nc), ""
+				for {
+					rq, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(rq.Body)
+					if err != nil {
+						return
+					}
+					own := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					_, _ = io.WriteString(nc, last+own)
+					last = own
+				}
+			}()
+		}
+	}()
+	return "http://" + li.Addr().String()
+}
+
+// A service sends an answer twice: the copy was taken for the answer to the next call, of another caller.
+func TestCopyOfAnAnswerIsNotThatOfTheNextCall(t *testing.T) {
+	svc := service.New(serveRepeated(t))
+	for _, want := range []string{"first", "second", "third"} {
+		ans, err := svc.Run(t.Context(), &core.Attempt{ID: core.AttemptID(want), Operation: "claim", Body: []byte(want)})
+		assert.NilError(t, err)
+		data, err := ans.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), want)
+	}
+}
