Widen the soak of work that must run once to the grammar of answers

Its upstreams answer a tenth of the requests with any answer of the protocol's grammar and send copies of answers over other connections; long bodies are written while answers are awaited; addresses change hands before the list says so; gateways run with a third of their time. It checks each status that promises "not run" and that a caller's answer is its own.

--- a/test/gateway/once_soak_test.go
+++ b/test/gateway/once_soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -102,9 +103,10 @@
 	if up.service == "lm" {
 		work = "150ms"
 	}
-	// --unnamed and --repeat are answers that belong to no request, or to another one.
+	// --unnamed, --repeat and --stale are answers that belong to no request, or to another one.
 	pr, err := so.fl.Start(id, "standin", "--listen", up.addr, "upstream", "--id", id, "--journal", journal, "--work", work,
-		"--seed", fmt.Sprint(so.rnd.Uint32()), "--refuse", "0.15", "--repeat", "0.15", "--unnamed", "0.03", "--lose", "0.02", "--fail", "0.02", "--unsure", "0.4")
+		"--seed", fmt.Sprint(so.rnd.Uint32()), "--refuse", "0.15", "--repeat", "0.15", "--unnamed", "0.03", "--lose", "0.02", "--fail", "0.02", "--unsure", "0.4",
+		"--any", "0.1", "--stale", "0.2")
 	assert.NilError(so.t, err)
 	up.process = pr
 	so.st.Put("servers/"+id, map[string]any{
@@ -150,7 +152,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		kind := kinds[rnd.IntN(len(kinds))]
 		id := fmt.Sprintf("%s-%d-%d", kind, n, i)
-		re := so.post(cl, so.gateway(rnd.IntN(len(so.gws))), id, kind, strings.Repeat(id+" ", 1+rnd.IntN(100)))
+		re := so.post(cl, so.gateway(rnd.IntN(len(so.gws))), id, kind, strings.Repeat(id+" ", 1+rnd.IntN(1000)))
 		so.answeredMu.Lock()
 		so.answered[fmt.Sprint(kind, " ", re.status)]++
 		so.answeredMu.Unlock()
@@ -165,7 +167,7 @@
 func (so *onceSoak) disturb() {
 	up, gw := so.ups[so.rnd.IntN(len(so.ups))], so.rnd.IntN(len(so.gws))
 	pause := time.Duration(100+so.rnd.IntN(2000)) * time.Millisecond
-	switch so.rnd.IntN(15) {
+	switch so.rnd.IntN(16) {
 	case 0:
 		up.disturb(up.relay.Cut)
 	case 1:
@@ -199,16 +201,36 @@
 	case 14:
 		so.version++
 		so.configure(so.version, "key-1", fmt.Sprint("key-", so.version))
+	case 15:
+		so.wg.Go(func() { throttle(so.gateway(gw), pause) })
 	}
 }
 
-// replace kills an upstream and starts another one at its address, which the store lists at once.
+// throttle gives a process a third of the time, in short turns.
+func throttle(pr *fleet.Process, du time.Duration) {
+	const turn = 30 * time.Millisecond
+	for end := time.Now().Add(du); time.Now().Before(end); time.Sleep(turn) {
+		pr.Freeze()
+		time.Sleep(2 * turn)
+		pr.Resume()
+	}
+}
+
+// replace kills an upstream and starts another one at its address, which the store lists at once. The old one may
+// stay listed for a while.
 func (so *onceSoak) replace(up *onceUpstream) {
 	up.mu.Lock()
 	pr, id := up.process, fmt.Sprintf("%s-%d", up.name, up.starts)
 	up.mu.Unlock()
 	pr.Kill()
-	so.st.Remove("servers/" + id)
+	if so.rnd.IntN(2) == 0 {
+		so.st.Remove("servers/" + id)
+	} else { // The address has changed hands before the list says so.
+		so.wg.Go(func() {
+			time.Sleep(500 * time.Millisecond)
+			so.st.Remove("servers/" + id)
+		})
+	}
 	so.startUpstream(up)
 }
 
@@ -273,8 +295,11 @@
 		ran[ru.Request] = true
 	}
 	for _, ex := range so.exchanges {
-		if ex.status == http.StatusServiceUnavailable && ex.err == nil {
-			assert.Check(so.t, !ran[ex.id], "%s ran, although its caller received 503: %s", ex.id, ex.response.body)
+		if ex.err == nil && slices.Contains(promises, ex.status) {
+			assert.Check(so.t, !ran[ex.id], "%s ran, although its caller received %d: %s", ex.id, ex.status, ex.response.body)
+		}
+		if ex.err == nil && ex.status < http.StatusMultipleChoices && (ex.kind == "claim" || ex.kind == "lookup") {
+			assert.Check(so.t, strings.HasSuffix(ex.response.body, " did "+ex.id), "%s was answered %d with %q", ex.id, ex.status, ex.response.body)
 		}
 	}
 	found := oncecheck.Find(runs, func(request string) bool { return strings.HasPrefix(request, "claim-") },
