Answer 503 on the own interface only for a request that was not run

What callers saw: 503 of a chat whose first stage had run, or of a call after an attempt that may have reached an upstream, with "ran": "unknown" in the body.

Cause: the status followed from the failure's code alone. A request that may have run keeps the code of its last refusal.

--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -18,7 +18,7 @@
 	Error core.Problem `json:"error"`
 }
 
-// statuses maps failure codes to HTTP statuses. All other codes map to 502.
+// statuses maps the codes of requests that were not run to HTTP statuses. All other codes map to 502.
 var statuses = map[core.Code]int{
 	core.CodeBadRequest:    http.StatusBadRequest,
 	core.CodeUnauthorized:  http.StatusUnauthorized,
@@ -42,6 +42,22 @@
 	core.CodeInternalError: http.StatusInternalServerError,
 }
 
+// status returns the HTTP status of a failure. Callers take 503 for the promise that the request was not run, so
+// that one which may have run never gets it.
+func status(fl *core.Failure) int {
+	st, ok := statuses[fl.Code]
+	switch {
+	case !ok:
+		return http.StatusBadGateway
+	case st != http.StatusServiceUnavailable || fl.Ran == core.NotRun:
+		return st
+	case fl.Code == core.CodeDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
 func asFailure(err error) *core.Failure {
 	var fl *core.Failure
 	if errors.As(err, &fl) {
@@ -56,16 +72,12 @@
 	fl := asFailure(err)
 	event.Log(srv.deps.Log, event.RequestFailed, "request", id, "code", fl.Code, "ran", fl.Ran, "message", fl.Message)
 	meter.RequestsFailed.Inc(srv.deps.Metrics, string(fl.Code), string(fl.Ran))
-	status, ok := statuses[fl.Code]
-	if !ok {
-		status = http.StatusBadGateway
-	}
 	hd := w.Header()
 	hd.Set("Content-Type", "application/json")
 	if fl.RetryAfter > 0 {
 		hd.Set("Retry-After", retryAfter(fl.RetryAfter))
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(status(fl))
 	_ = json.NewEncoder(w).Encode(errorBody{fl.Problem(id)})
 }
 
