--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -73,6 +73,7 @@
 		Proofs: []Proof{
 			{"in every cell no request that was answered with not-run is in a journal of an engine or a service", requestCells},
 			{"any interleaving of answers, copies, bytes that are no answer and ends of connections, by the upstream's own record", "go test ./platform -run NotRunIsTrue"},
+			{"any answer of the protocol's grammar, by the records of all upstreams and by what callers are told", "go test ./test/gateway -run NotRunIsTrue"},
 			{"gateways and upstreams as processes that are paused, killed and cut off, by the upstreams' journals", "go test ./test/gateway -run 'Once|NotBelieved'"},
 		},
 	},
