--- a/test/gateway/fixture_test.go
+++ b/test/gateway/fixture_test.go
@@ -141,6 +141,7 @@
 		"routes": []object{
 			rt("lookup", "/lookup/", "safe", "desk", nil),
 			rt("claim", "/claim/", "unsafe", "desk", object{"max_attempts": 1}),
+			rt("changing", "/changing/", []string{"unsafe", "safe"}[version%2], "desk", nil), // Its kind changes with each version.
 			rt("draft", "/draft/", "streaming", "lm", object{"stream_resume": true, "sizes": []string{"small", "large"}}),
 			rt("compose", "/compose/", "streaming", "lm", object{"stream_resume": true, "sizes": []string{"small", "large"}, "max_attempts": 4, "target_latency_ms": 400}),
 			rt("open", "/open/", "safe", "desk", object{"public": true}),
--- a/test/gateway/once_soak_test.go
+++ b/test/gateway/once_soak_test.go
@@ -48,15 +48,19 @@
 	answeredMu sync.Mutex
 	// answered counts the answers by kind of request and status.
 	answered map[string]int
+	// services are the services of all upstream processes, by id.
+	services map[string]string
 }
 
 // onceUpstream is an upstream process behind a relay.
 type onceUpstream struct {
-	name, service, addr string
-	relay               *fleet.Relay
+	name, addr string
+	relay      *fleet.Relay
 
-	mu       sync.Mutex
-	process  *fleet.Process
+	mu      sync.Mutex
+	process *fleet.Process
+	// service is the service of the present process.
+	service  string
 	starts   int
 	journals []string
 	// disturbed are the times in which it could not learn at once that a run was given up.
@@ -68,7 +72,7 @@
 
 func newOnceSoak(t *testing.T, seed uint64) *onceSoak {
 	t.Helper()
-	so := &onceSoak{soakFixture: &soakFixture{fixture: newStoreFixture(t), rnd: rand.New(rand.NewPCG(seed, 1)), version: 10}, answered: map[string]int{}}
+	so := &onceSoak{soakFixture: &soakFixture{fixture: newStoreFixture(t), rnd: rand.New(rand.NewPCG(seed, 1)), version: 10}, answered: map[string]int{}, services: map[string]string{}}
 	for _, service := range []string{"desk", "lm"} {
 		for i := range onceUpstreams {
 			addr, err := fleet.FreeAddr()
@@ -97,6 +101,7 @@
 	defer up.mu.Unlock()
 	up.starts++
 	id := fmt.Sprintf("%s-%d", up.name, up.starts)
+	so.services[id] = up.service
 	journal := filepath.Join(logDir(so.t), id+".journal")
 	up.journals = append(up.journals, journal)
 	work := "30ms"
@@ -148,7 +153,7 @@
 func (so *onceSoak) sendUntilDone(ctx context.Context, n int, rnd *rand.Rand) {
 	cl := &http.Client{Transport: &http.Transport{}}
 	defer cl.CloseIdleConnections()
-	kinds := []string{"claim", "claim", "lookup", "draft", "compose", "compose"}
+	kinds := []string{"claim", "claim", "lookup", "changing", "draft", "compose", "compose"}
 	for i := 0; ctx.Err() == nil; i++ {
 		kind := kinds[rnd.IntN(len(kinds))]
 		id := fmt.Sprintf("%s-%d-%d", kind, n, i)
@@ -217,7 +222,7 @@
 }
 
 // replace kills an upstream and starts another one at its address, which the store lists at once. The old one may
-// stay listed for a while.
+// stay listed for a while, and the new one may be of the other service.
 func (so *onceSoak) replace(up *onceUpstream) {
 	up.mu.Lock()
 	pr, id := up.process, fmt.Sprintf("%s-%d", up.name, up.starts)
@@ -231,9 +236,28 @@
 			so.st.Remove("servers/" + id)
 		})
 	}
+	if so.rnd.IntN(4) == 0 {
+		so.changeService(up)
+	}
 	so.startUpstream(up)
 }
 
+// changeService gives an address to the other service, unless few upstreams of the present one would be left.
+func (so *onceSoak) changeService(up *onceUpstream) {
+	left := 0
+	for _, other := range so.ups {
+		if other.service == up.service {
+			left++
+		}
+	}
+	if left <= onceUpstreams/2 {
+		return
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.service = map[string]string{"desk": "lm", "lm": "desk"}[up.service]
+}
+
 // disturb begins a fault of the relay, or leaves one as it is.
 func (up *onceUpstream) disturb(begin func()) {
 	up.mu.Lock()
@@ -293,12 +317,17 @@
 	ran := map[string]bool{}
 	for _, ru := range runs {
 		ran[ru.Request] = true
+		service := "desk"
+		if strings.HasPrefix(ru.Request, "draft-") || strings.HasPrefix(ru.Request, "compose-") {
+			service = "lm"
+		}
+		assert.Check(so.t, so.services[ru.Upstream] == service, "%s ran at %s of service %s", ru.Request, ru.Upstream, so.services[ru.Upstream])
 	}
 	for _, ex := range so.exchanges {
 		if ex.err == nil && slices.Contains(promises, ex.status) {
 			assert.Check(so.t, !ran[ex.id], "%s ran, although its caller received %d: %s", ex.id, ex.status, ex.response.body)
 		}
-		if ex.err == nil && ex.status < http.StatusMultipleChoices && (ex.kind == "claim" || ex.kind == "lookup") {
+		if ex.err == nil && ex.status < http.StatusMultipleChoices && ex.kind != "draft" && ex.kind != "compose" {
 			assert.Check(so.t, strings.HasSuffix(ex.response.body, " did "+ex.id), "%s was answered %d with %q", ex.id, ex.status, ex.response.body)
 		}
 	}
