--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -5,7 +5,8 @@
 // on logging. Lines therefore go through a bounded buffer to a single writer goroutine. Each event
 // has a limit on lines per second, and so have all events together. The last quarter of the buffer
 // and of the total limit is reserved for warnings, so that failed requests are logged in preference
-// to successful ones; a few events have a last part for themselves (see [event.Reserved]). Dropped lines are counted by event, and the counts are logged once a second.
+// to successful ones; a few events have a last part for themselves (see [event.Reserved]). Dropped
+// lines are counted by event, and the counts are logged once a second.
 //
 // Durations are written in seconds.
 //
