--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -8,6 +8,7 @@
 // cases are the cases by name.
 var cases = map[string]func(folder string) (int, error){
 	"bodies": bodies,
+	"pause":  pause,
 }
 
 func main() {
