--- a/review/stand2/bodies.go
+++ b/review/stand2/bodies.go
@@ -80,7 +80,7 @@
 			&runner{id: fmt.Sprint("i-orders-", i), service: "orders", version: "v1", work: 15 * time.Millisecond})
 	}
 	for _, ru := range runners {
-		if err := rg.addRunner(ru, "sapporo-a", 64); err != nil {
+		if err := rg.addRunner(ru, "sapporo-a"); err != nil {
 			return cannot, err
 		}
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,8 +7,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(folder string) (int, error){
-	"bodies": bodies,
-	"pause":  pause,
+	"bodies":  bodies,
+	"leaving": leaving,
+	"pause":   pause,
 }
 
 func main() {
--- a/review/stand2/pause.go
+++ b/review/stand2/pause.go
@@ -44,7 +44,7 @@
 			}
 			return 0
 		}
-		if err := rg.addRunner(ru, "sapporo-a", 64); err != nil {
+		if err := rg.addRunner(ru, "sapporo-a"); err != nil {
 			return cannot, err
 		}
 	}
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// runnerSlots is how many requests a runner says that it takes at a time.
+const runnerSlots = 64
+
 // runner is a sound runner: it runs what names it, answers with its seal, and stops when its caller leaves.
 type runner struct {
 	rg                *rig
@@ -23,29 +26,33 @@
 	// usual.
 	confidence func(id, model string) int
 	pause      func(id, model string, event int) time.Duration
+	// quiet leaves the runs out of the record.
+	quiet bool
 
 	mu   sync.Mutex
 	runs map[string]int
+	// arrivals are the times at which requests arrived that named this runner.
+	arrivals []time.Time
 	// running counts the requests at work.
 	running int
 }
 
 // addRunner starts a runner and lists it in the store.
-func (rg *rig) addRunner(ru *runner, zone string, slots int) error {
+func (rg *rig) addRunner(ru *runner, zone string) error {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	ru.rg, ru.addr, ru.runs, ru.born = rg, li.Addr().String(), map[string]int{}, time.Now().UnixMilli()
 	go func() { _ = http.Serve(li, ru) }()
-	rg.list(ru, zone, slots, "ready")
+	rg.list(ru, zone, "ready")
 	return nil
 }
 
 // list writes the runner's entry in the store.
-func (rg *rig) list(ru *runner, zone string, slots int, state string) {
+func (rg *rig) list(ru *runner, zone, state string) {
 	rg.store.Put("servers/"+ru.id, object{
-		"service": ru.service, "address": ru.addr, "zone": zone, "version": ru.version, "slots": slots, "state": state,
+		"service": ru.service, "address": ru.addr, "zone": zone, "version": ru.version, "slots": runnerSlots, "state": state,
 		"warmup_left_ms": 0, "sequence": 1, "born": ru.born,
 	})
 }
@@ -57,6 +64,18 @@
 	return ru.runs[id] > 0
 }
 
+// arrivalsAfter returns how many requests arrived after a time, and when the last one arrived.
+func (ru *runner) arrivalsAfter(at time.Time) (count int, last time.Time) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	for _, ar := range ru.arrivals {
+		if last = ar; ar.After(at) {
+			count++
+		}
+	}
+	return count, last
+}
+
 // ServeHTTP implements http.Handler.
 func (ru *runner) ServeHTTP(w http.ResponseWriter, rq *http.Request) {
 	hd := w.Header()
@@ -82,6 +101,7 @@
 	}
 	ru.mu.Lock()
 	ru.runs[id]++
+	ru.arrivals = append(ru.arrivals, time.Now())
 	ru.running++
 	running := ru.running
 	ru.mu.Unlock()
@@ -90,8 +110,10 @@
 		defer ru.mu.Unlock()
 		ru.running--
 	}()
-	ru.rg.note("runner %s runs %s %s %s, model %s, after event %q, body of %d bytes", ru.id, id, rq.Method, rq.RequestURI,
-		rq.Header.Get("X-Skylarkstand-Model"), rq.Header.Get("Last-Event-Id"), n)
+	if !ru.quiet {
+		ru.rg.note("runner %s runs %s %s %s, model %s, after event %q, body of %d bytes", ru.id, id, rq.Method, rq.RequestURI,
+			rq.Header.Get("X-Skylarkstand-Model"), rq.Header.Get("Last-Event-Id"), n)
+	}
 	hd.Set("X-Skylarkstand-Response-Seal", "seal-"+ru.id+"-"+id)
 	hd.Set("X-Skylarkstand-Server-Load", fmt.Sprintf("%d,0,64", running))
 	select {
