Read the answers to the product's own clients as those of upstreams

The clients of plain services, engines, the store, the list of hosts and the rating service used net/http's transport, whose write and read loops don't tell a caller whether its request was written, and which reads heads by rules of its own. They send over io/upstream now, through an http.RoundTripper.

What stays: one connection for each call of a service or an engine, the time to open one, https, the limit of a head. What is new: keep-alive probes and the limit on unacknowledged bytes, no proxy from the environment, nothing is sent twice by the client itself. Compression is not asked for, and an answer that is compressed all the same is an error: its encoding would not reach the caller.

No change for callers is meant.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -23,7 +23,7 @@
 	"skylarkstand/core"
 	"skylarkstand/io/header"
 	"skylarkstand/io/health"
-	"skylarkstand/io/limited"
+	"skylarkstand/io/upstream"
 )
 
 // Engine is the client of one model engine. It implements [core.Runner].
@@ -46,10 +46,7 @@
 // Each call has a connection of its own: a refusal has no id, and a late one on a kept connection would be taken
 // for the answer to the next call, which would go on at the engine.
 func New(deps core.Deps, base string) *Engine {
-	tr := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives: true, MaxResponseHeaderBytes: limited.MaxHeader,
-	}
+	tr := upstream.NewTransport(upstream.DialTimeout(dialTimeout), upstream.OneRequestPerConnection())
 	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
--- a/io/hosts/hosts.go
+++ b/io/hosts/hosts.go
@@ -14,6 +14,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/io/limited"
+	"skylarkstand/io/upstream"
 )
 
 // List is the client of the platform's host list. It implements [core.Hosts].
@@ -26,7 +27,7 @@
 
 // New returns a client for the host list at a base URL.
 func New(base string) *List {
-	return &List{url: base, cli: &http.Client{Timeout: callTimeout}}
+	return &List{url: base, cli: &http.Client{Timeout: callTimeout, Transport: upstream.NewTransport(upstream.DialTimeout(callTimeout))}}
 }
 
 // List implements [core.Hosts].
--- a/io/rater/rater.go
+++ b/io/rater/rater.go
@@ -10,11 +10,13 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"skylarkstand/core"
 	"skylarkstand/io/limited"
+	"skylarkstand/io/upstream"
 )
 
 // Rater implements [core.Rater].
@@ -24,7 +26,11 @@
 }
 
 // New returns a client for the rating service at a base URL.
-func New(base string) *Rater { return &Rater{url: base, cli: &http.Client{}} }
+func New(base string) *Rater {
+	return &Rater{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.DialTimeout(dialTimeout))}}
+}
+
+const dialTimeout = 2 * time.Second
 
 type ratingRequest struct {
 	Model   core.ModelID   `json:"model"`
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -19,7 +19,7 @@
 	"skylarkstand/core"
 	"skylarkstand/io/header"
 	"skylarkstand/io/health"
-	"skylarkstand/io/limited"
+	"skylarkstand/io/upstream"
 )
 
 // Service is the client of one plain service. It implements [core.Runner].
@@ -38,17 +38,12 @@
 
 // New returns a client for the service at a base URL.
 //
-// When a reused connection breaks, net/http automatically retries requests that it considers
-// idempotent, and it takes an Idempotency-Key header as such a sign. Therefore the key is sent
-// under another name and the body cannot be rewound: a call reaches the service at most once.
+// The key is not sent as Idempotency-Key, which clients and proxies take for the permission to send a request again.
 //
 // Answers of a service have no id. Each call has a connection of its own, on which no late answer to another
 // call can arrive.
 func New(base string) *Service {
-	tr := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives: true, MaxResponseHeaderBytes: limited.MaxHeader,
-	}
+	tr := upstream.NewTransport(upstream.DialTimeout(dialTimeout), upstream.OneRequestPerConnection())
 	return &Service{url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
@@ -60,13 +55,10 @@
 
 // Run implements [core.Runner].
 func (svc *Service) Run(ctx context.Context, at *core.Attempt) (core.Answer, error) {
-	body := io.NopCloser(bytes.NewReader(at.Body))
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, svc.url+"/"+url.PathEscape(string(at.Operation)), body)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, svc.url+"/"+url.PathEscape(string(at.Operation)), bytes.NewReader(at.Body))
 	if err != nil {
 		return nil, core.Refuse(core.CodeInternalError, 0, "the request to the service cannot be built: %v", err)
 	}
-	rq.ContentLength = int64(len(at.Body))
-	rq.GetBody = nil
 	rq.Header.Set("Content-Type", "application/json")
 	rq.Header.Set("X-Request-Id", string(at.ID))
 	if at.IdempotencyKey != "" {
@@ -100,7 +92,7 @@
 
 // unframed reports whether a response ends with its connection, also if the service has crashed.
 func unframed(rs *http.Response) bool {
-	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && !rs.Uncompressed
+	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
 }
 
 type answer struct {
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -20,6 +20,7 @@
 
 	"skylarkstand/core"
 	"skylarkstand/io/limited"
+	"skylarkstand/io/upstream"
 )
 
 // Store implements [core.Store].
@@ -34,17 +35,12 @@
 	// this is treated as unavailable.
 	callTimeout = 2 * time.Second
 	// watchWait is how long one long poll of a watch waits for a change before it is renewed.
-	watchWait    = 25 * time.Second
-	maxIdleConns = 64
+	watchWait = 25 * time.Second
 )
 
 // New returns a client for the store at a base URL.
 func New(base string) *Store {
-	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limited.MaxHeader,
-	}
-	return &Store{url: base, cli: &http.Client{Transport: tr}}
+	return &Store{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.DialTimeout(dialTimeout))}}
 }
 
 func (st *Store) keyURL(key string, qu url.Values) string {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -28,6 +28,8 @@
 	// is closed.
 	written     chan struct{}
 	writeFailed bool
+	// single is set if the connection carries one request only.
+	single bool
 	// used is set once the connection has carried a request, and carried are the ids of its requests.
 	used    bool
 	carried carriedIDs
@@ -50,9 +52,9 @@
 	unackedTimeout = 2500 * time.Millisecond
 )
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+func (cl *Client) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	di := net.Dialer{
-		Timeout:         dialTimeout,
+		Timeout:         cl.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, rc syscall.RawConn) error {
 			var opt error
@@ -109,7 +111,7 @@
 
 // exchange sends a request and reads the header of its response.
 func (co *conn) exchange(rq *Request) (*Response, *Error) {
-	data := rq.head()
+	data := rq.head(co.single)
 	inline := rq.Body
 	if len(inline) > maxInlineBody {
 		inline = nil
@@ -183,7 +185,7 @@
 		// A connection that delivered responses to other requests may deliver more.
 		return &Response{
 			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0, Skipped: foreign,
-			EndsWithConnection: endsWithConnection(rs),
+			EndsWithConnection: endsWithConnection(rs), parsed: rs,
 		}, nil
 	}
 }
@@ -193,13 +195,16 @@
 	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody
 }
 
-// head encodes the request line and the headers.
-func (rq *Request) head() []byte {
+// head encodes the request line and the headers. It announces that a single request closes its connection.
+func (rq *Request) head(single bool) []byte {
 	var bu bytes.Buffer
 	bu.Grow(1024 + min(len(rq.Body), maxInlineBody))
 	bu.WriteString(rq.Method + " " + rq.Target + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
 	// Writing to a buffer cannot fail.
 	_ = rq.Header.Write(&bu)
+	if single {
+		bu.WriteString("Connection: close\r\n")
+	}
 	if len(rq.Body) > 0 || rq.Method == http.MethodPost || rq.Method == http.MethodPut || rq.Method == http.MethodPatch {
 		bu.WriteString("Content-Length: " + strconv.Itoa(len(rq.Body)) + "\r\n")
 	}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -88,6 +88,9 @@
 	// EndsWithConnection states that the body has neither a length nor chunks: it ends with the
 	// connection, also if the upstream breaks off.
 	EndsWithConnection bool
+
+	// parsed is the response as net/http has parsed it, for [Transport].
+	parsed *http.Response
 }
 
 // Error is the error of a request without a response.
@@ -124,8 +127,11 @@
 // Client sends requests to upstreams and keeps their connections alive. It is safe for
 // concurrent use.
 type Client struct {
-	dial func(ctx context.Context, addr string) (net.Conn, error)
-	now  func() time.Time
+	dial        func(ctx context.Context, addr string) (net.Conn, error)
+	dialTimeout time.Duration
+	now         func() time.Time
+	// single is set if a connection carries one request only.
+	single bool
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -157,9 +163,17 @@
 // Clock sets the clock, for tests.
 func Clock(now func() time.Time) Option { return func(cl *Client) { cl.now = now } }
 
+// DialTimeout bounds the opening of a connection; the default is 600 ms.
+func DialTimeout(du time.Duration) Option { return func(cl *Client) { cl.dialTimeout = du } }
+
+// OneRequestPerConnection gives each request a connection of its own, on which no late response to another one can
+// arrive.
+func OneRequestPerConnection() Option { return func(cl *Client) { cl.single = true } }
+
 // New returns a client and a cleanup function that closes its idle connections.
 func New(opts ...Option) (*Client, func()) {
-	cl := &Client{pools: map[string]*pool{}, now: time.Now, dial: dial}
+	cl := &Client{pools: map[string]*pool{}, now: time.Now, dialTimeout: dialTimeout}
+	cl.dial = cl.dialTCP
 	for _, opt := range opts {
 		opt(cl)
 	}
@@ -191,7 +205,7 @@
 		cl.abandon(co)
 		return nil, er
 	}
-	rs.Body = &body{ReadCloser: rs.Body, cl: cl, co: co, stop: stop, reuse: !rs.ClosesConnection, idle: keepAlive(rs.Header)}
+	rs.Body = &body{ReadCloser: rs.Body, cl: cl, co: co, stop: stop, reuse: !rs.ClosesConnection && !cl.single, idle: keepAlive(rs.Header)}
 	return rs, nil
 }
 
@@ -227,7 +241,9 @@
 		cl.release(addr)
 		return nil, &Error{DialFailed: true, Err: err}
 	}
-	return newConn(nc, addr), nil
+	co := newConn(nc, addr)
+	co.single = cl.single
+	return co, nil
 }
 
 // acquireIdle returns the most recently used idle connection that has not carried the id. A connection
