Take no unframed answer for whole whose request was not written to its end

Callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one call only. The upload is written while the answer is read; if the write hears of the reset, the read sees the end of the connection, which ends an answer without framing. The failure of the write was only asked for before the connection was used again.

Rule: an answer without framing is whole only if its request was written to its end, and if the connection has not been reset. The end of the body ends a write that is still in progress, so that nothing waits; its result, and the state of the connection, don't depend on which call heard of the reset. It holds in the one client that reads the answers of upstreams, services, engines, the store, siblings and hosts. Answers with a length or chunks, early ones too, are taken as before. An order to an engine counts once its answer is whole.

What cannot be told: an upload that fits the buffers of the connection counts as written, so that an answer to it that ended in order is taken for whole even if the upstream has not read it.

--- a/io/engine/order.go
+++ b/io/engine/order.go
@@ -8,11 +8,16 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"skylarkstand/io/limited"
 )
 
 // ErrRefused reports that the engine refused an order.
 var ErrRefused = errors.New("engine: the order was refused")
 
+// maxOrderAnswer is the maximum size of an answer to an order in bytes.
+const maxOrderAnswer = 1 << 20
+
 // Order sends an order with its fencing number to the engine, as {"fence": 7, "order": …}.
 func (eng *Engine) Order(ctx context.Context, fence uint64, body []byte) error {
 	raw, err := json.Marshal(struct {
@@ -34,5 +39,8 @@
 	if rs.StatusCode != http.StatusOK {
 		return eris.Wrapf(ErrRefused, "the engine answered %s", rs.Status)
 	}
+	if _, err := limited.ReadAll(rs.Body, maxOrderAnswer); err != nil {
+		return eris.Wrap(err, "order")
+	}
 	return nil
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -117,11 +117,12 @@
 		inline = nil
 	}
 	data = append(data, inline...)
-	if n, err := co.Write(data); err != nil && n == 0 {
+	n, err := co.Write(data)
+	if err != nil && n == 0 {
 		return nil, &Error{Err: err}
 	}
-	co.written, co.writeFailed = nil, false
-	if len(inline) < len(rq.Body) {
+	co.written, co.writeFailed = nil, err != nil
+	if err == nil && len(inline) < len(rq.Body) {
 		co.writeAsync(rq.Body)
 	}
 	kept := co.used
@@ -148,6 +149,33 @@
 	}()
 }
 
+// endWrite ends the write of a body that is still in progress, and reports whether the request was written to its end.
+func (co *conn) endWrite() bool {
+	if co.written != nil {
+		_ = co.SetWriteDeadline(past)
+		<-co.written
+	}
+	return !co.writeFailed
+}
+
+// wasReset reports whether the other side has reset the connection, also if a call has reported that before.
+func (co *conn) wasReset() bool {
+	sc, ok := co.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = rc.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && reset
+}
+
 // read returns the response to a request and skips those to other requests.
 func (co *conn) read(rq *Request) (*Response, error) {
 	foreign, interim := 0, 0
@@ -184,7 +212,7 @@
 		}
 		// A connection that delivered responses to other requests may deliver more.
 		return &Response{
-			Status: rs.StatusCode, Header: rs.Header, Body: rs.Body, ClosesConnection: rs.Close || foreign > 0, Skipped: foreign,
+			Status: rs.StatusCode, Header: rs.Header, Body: &checkedBody{rs.Body, rs, co}, ClosesConnection: rs.Close || foreign > 0, Skipped: foreign,
 			EndsWithConnection: endsWithConnection(rs), parsed: rs,
 		}, nil
 	}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -6,7 +6,8 @@
 // twice; and which bytes on a connection belong to which request. An upstream may respond
 // before it has read a body, send more than one response, or stop sending on an open connection. A
 // connection that delivers bytes belonging to no request is closed, and a response counts as
-// complete only if its framing says so. A response without framing ends with its connection, and
+// complete only if its framing says so. A response without framing ends with its connection: it is broken if its
+// request was not written to its end, or the connection was reset, whichever call the kernel reports that to. Otherwise
 // whether it is complete is for the caller to find out; see [Response].
 //
 // # Usage
@@ -122,6 +123,9 @@
 	ErrWithheld = errors.New("the request was withheld")
 	// ErrForeignResponse: the connection delivers what is no response to the request.
 	ErrForeignResponse = errors.New("answers to other requests")
+	// ErrBrokenOff: a response without framing ended with its connection, which was reset or did not carry the whole
+	// request.
+	ErrBrokenOff = errors.New("the connection ended before the request was written, or by a reset")
 )
 
 // Client sends requests to upstreams and keeps their connections alive. It is safe for
