Reject answers whose status is none

Plain services' answers reached callers, and the store of answers, with 0, 20, 101, 600 and 999.

Cause: the parser of net/http takes any three characters that strconv.Atoi takes, and the client took all below 200 for interim.

Rule: 100 to 199 are interim, but for 101, which nothing asks for; 200 to 599 are answers; all else is a broken answer (RFC 9110, 15). It is heard of at once: what may be repeated goes to another upstream, a claim gets a 502 with an unknown outcome. The check stands in io/head, is asked by the one client of all peers, and by entries for the frames of agents. A health check that gets such an answer shows that the upstream lives, as before; it also does now for other bytes that are no answer, for which a live engine counted as crashed.

Frames were right before: TestAnswerWithoutAStatusIsUnknown has more rows.

--- a/io/agent/answer.go
+++ b/io/agent/answer.go
@@ -11,6 +11,7 @@
 	"skylarkstand/core/event"
 	"skylarkstand/core/meter"
 	"skylarkstand/io/frame"
+	"skylarkstand/io/head"
 	protocol "skylarkstand/io/link"
 )
 
@@ -53,18 +54,12 @@
 	case *frame.Frame_Chunk:
 		an.first, an.status, an.ctype = fr, int(body.Chunk.Status), body.Chunk.ContentType
 	}
-	if an.status < minStatus || an.status > maxStatus {
+	if !head.IsFinal(an.status) {
 		return core.OutcomeUnknown("upstream %s began its answer without a status", an.ln.host.ID)
 	}
 	return nil
 }
 
-// minStatus and maxStatus bound the status of an answer.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
 // read returns the next frame of this attempt.
 //
 // A frame of another attempt on this stream would deliver another caller's answer. It cannot happen
--- a/io/agent/answer_test.go
+++ b/io/agent/answer_test.go
@@ -59,7 +59,10 @@
 	}{
 		{"the end", &frame.Frame{Body: &frame.Frame_End{End: &frame.End{Attempt: "a"}}}, true},
 		{"no status", chunk(0), true},
+		{"a status below all", chunk(99), true},
 		{"an interim status", chunk(100), true},
+		{"the highest interim status", chunk(199), true},
+		{"a status above all", chunk(600), true},
 		{"a negative status", chunk(-200), true},
 		{"a large status", chunk(1000), true},
 		{"a failure of the upstream", chunk(500), false},
--- a/io/health/health.go
+++ b/io/health/health.go
@@ -10,10 +10,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"skylarkstand/io/head"
 )
 
 // timeout bounds one check. It is short because the upstream runs on this host.
@@ -23,7 +26,8 @@
 // one, to an address that no configuration names.
 func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Check returns nil if the upstream at a base URL responds at all, with whatever status.
+// Check returns nil if the upstream at a base URL responds at all, with whatever status: one that is in trouble and
+// sends what is no response has not crashed.
 func Check(cli *http.Client, base string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -32,6 +36,9 @@
 		return eris.Wrap(err, "the health check cannot be built")
 	}
 	rs, err := cli.Do(rq)
+	if errors.Is(err, head.ErrMalformed) {
+		return nil
+	}
 	if err != nil {
 		return eris.Wrap(err, "the upstream does not respond")
 	}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"skylarkstand/io/head"
 )
 
 // conn is one connection to an upstream. It carries one request at a time.
@@ -21,7 +24,7 @@
 	addr string
 	// br reads the connection through head, which limits what may arrive while a header is read.
 	br        *bufio.Reader
-	head      *headLimit
+	head      *headReader
 	idleUntil time.Time
 	// written is closed once a body that is written asynchronously is complete; it is nil if
 	// the body was written before the response was awaited. writeFailed is set before written
@@ -37,8 +40,8 @@
 
 // newConn returns the connection to an address.
 func newConn(nc net.Conn, addr string) *conn {
-	hl := &headLimit{rd: nc, left: maxHeader}
-	return &conn{Conn: nc, addr: addr, head: hl, br: bufio.NewReaderSize(hl, readBufferSize)}
+	hr := &headReader{rd: nc}
+	return &conn{Conn: nc, addr: addr, head: hr, br: bufio.NewReaderSize(hr, readBufferSize)}
 }
 
 const (
@@ -180,16 +183,11 @@
 func (co *conn) read(rq *Request) (*Response, error) {
 	foreign, interim := 0, 0
 	for {
-		co.head.left = maxHeader
-		rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method}) //nolint:bodyclose // The caller closes it.
-		co.head.left = noLimit
+		rs, err := co.readHeader(rq) //nolint:bodyclose // The caller closes it.
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
 			return nil, err
 		}
-		if rs.StatusCode < http.StatusOK {
+		if head.IsInterim(rs.StatusCode) {
 			interim++
 			if interim > maxInterim {
 				return nil, ErrForeignResponse
@@ -218,6 +216,23 @@
 	}
 }
 
+// readHeader reads the next response up to its body.
+func (co *conn) readHeader(rq *Request) (*http.Response, error) {
+	co.head.begin()
+	rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
+	co.head.end()
+	switch {
+	case err == nil:
+		return rs, head.Check(rs)
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case co.head.err == nil:
+		return nil, fmt.Errorf("%w: %w", head.ErrMalformed, err)
+	default:
+		return nil, err
+	}
+}
+
 // endsWithConnection reports whether a response has neither a length nor chunks.
 func endsWithConnection(rs *http.Response) bool {
 	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 && rs.Body != http.NoBody
--- a/io/upstream/limits.go
+++ b/io/upstream/limits.go
@@ -19,26 +19,30 @@
 // ErrLongHeader is the cause if the header of a response does not end within its limit.
 var ErrLongHeader = errors.New("the header of the response is too long")
 
-// headLimit fails once more than left bytes have been read; a negative left is no limit. It is set for
-// each header: http.ReadResponse keeps all of one, however long.
-type headLimit struct {
-	rd   io.Reader
-	left int
+// headReader reads a connection. While a header is read it fails once more than maxHeader bytes have arrived, since
+// http.ReadResponse keeps all of one.
+type headReader struct {
+	rd     io.Reader
+	inHead bool
+	left   int
+	// err is the last error of a read while a header was read.
+	err error
 }
 
-const noLimit = -1
+func (hr *headReader) begin() { hr.inHead, hr.left, hr.err = true, maxHeader, nil }
+func (hr *headReader) end()   { hr.inHead = false }
 
 // Read implements io.Reader.
-func (hl *headLimit) Read(p []byte) (int, error) {
-	if hl.left == 0 {
-		return 0, ErrLongHeader
+func (hr *headReader) Read(p []byte) (int, error) {
+	if !hr.inHead {
+		return hr.rd.Read(p)
 	}
-	if hl.left > 0 {
-		p = p[:min(len(p), hl.left)]
-	}
-	n, err := hl.rd.Read(p)
-	if hl.left > 0 {
-		hl.left -= n
+	if hr.left == 0 {
+		hr.err = ErrLongHeader
+		return 0, hr.err
 	}
+	n, err := hr.rd.Read(p[:min(len(p), hr.left)])
+	hr.left -= n
+	hr.err = err
 	return n, err
 }
