Reject answers with a blank in the name of a field

A blank in another name cost that line. Tabs and control bytes were rejected before.

Cause: the parser of net/http keeps a name with a blank as it is, and no look-up finds it.

--- a/io/head/head.go
+++ b/io/head/head.go
@@ -1,5 +1,5 @@
 // Package head checks the head of an HTTP/1.1 response for what the parser of net/http accepts although the protocol
-// does not. Such a response is broken as a whole, since its meaning is not known.
+// does not. Such a response is broken as a whole, since neither its meaning nor the end of its body is known.
 //
 // # Usage
 //
@@ -13,6 +13,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the error of a response that the protocol does not allow.
@@ -23,7 +25,7 @@
 	if !IsInterim(rs.StatusCode) && !IsFinal(rs.StatusCode) {
 		return fmt.Errorf("%w: its status is %03d", ErrMalformed, rs.StatusCode)
 	}
-	return nil
+	return CheckFields(rs.Header)
 }
 
 // IsFinal reports whether a status is that of an answer.
@@ -36,3 +38,19 @@
 func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
+
+// CheckFields checks the names and values of the fields of a head or a trailer. net/http keeps a name with a blank, so
+// that nobody who looks for the field finds it.
+func CheckFields(hd http.Header) error {
+	for name, vals := range hd {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: the name of its field %q has a blank or a control byte", ErrMalformed, name)
+		}
+		for _, val := range vals {
+			if !httpguts.ValidHeaderFieldValue(val) {
+				return fmt.Errorf("%w: its field %s has a control byte", ErrMalformed, name)
+			}
+		}
+	}
+	return nil
+}
--- a/io/upstream/checked_body.go
+++ b/io/upstream/checked_body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"skylarkstand/io/head"
 )
 
 // checkedBody is the body of a response. It ends with io.EOF only if nothing shows that the response is broken.
@@ -32,5 +34,5 @@
 	if endsWithConnection(cb.rs) && (!cb.co.endWrite() || cb.co.wasReset()) {
 		return ErrBrokenOff
 	}
-	return nil
+	return head.CheckFields(cb.rs.Trailer)
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -199,7 +199,7 @@
 			if foreign > maxForeign || endsWithConnection(rs) {
 				return nil, ErrForeignResponse
 			}
-			n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxSkippedBody+1))
+			n, err := io.Copy(io.Discard, io.LimitReader(&checkedBody{rs.Body, rs, co}, maxSkippedBody+1))
 			if err != nil {
 				return nil, err
 			}
--- a/test/gateway/broken_answer_test.go
+++ b/test/gateway/broken_answer_test.go
@@ -75,3 +75,25 @@
 	}
 	assertNeverReceived(t, broken)
 }
+
+// Guards against an answer in whose head the name of a field has a blank or a control byte: its framing was not heeded,
+// so that callers got bytes that were not in its body, or a part of it.
+func TestAnswerWithAMalformedFieldIsNotReceived(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n{head}"
+	assertNeverReceived(t, []brokenAnswer{
+		{"blank behind Content-Length", status + "Content-Length : 5\r\n\r\nwhole and more"},
+		{"blank behind Transfer-Encoding", status + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+		{"two lengths, one with a blank", status + "Content-Length : 500\r\nContent-Length: 3\r\n\r\n{body}"},
+		{"length and encoding with a blank", status + "Transfer-Encoding : chunked\r\n{length}\r\n{body}"},
+		{"blank in a name", status + "X Note: a\r\n{length}\r\n{body}"},
+		{"blank behind a name", status + "X-Note : a\r\n{length}\r\n{body}"},
+		{"tab behind a name", status + "X-Note\t: a\r\n{length}\r\n{body}"},
+		{"control byte in a name", status + "X-N\x01te: a\r\n{length}\r\n{body}"},
+		{"control byte in a value", status + "X-Note: a\x01b\r\n{length}\r\n{body}"},
+		{"carriage return in a value", status + "X-Note: a\rb\r\n{length}\r\n{body}"},
+		{"no name", status + ": a\r\n{length}\r\n{body}"},
+		{"no colon", status + "X-Note\r\n{length}\r\n{body}"},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + status + "{length}\r\n{body}"},
+		{"blank in a name of an answer to another request", "HTTP/1.1 200 OK\r\nX-Skylarkstand-Attempt-Id: other\r\nX Note: a\r\nContent-Length: 0\r\n\r\n" + status + "{length}\r\n{body}"},
+	})
+}
