Reject answers whose framing can be read in two ways

Callers could see: an answer that is framed for another reader.

Cause: the parser of net/http removes the fields that it does not heed, so that nothing shows them afterwards.

Rule: a head with a transfer encoding and a length, with a transfer encoding by HTTP/1.0, an interim head that announces a body, or another major version is broken as a whole (RFC 9112, 6.1 and 6.3). The client keeps the bytes of a head while it is parsed, up to the limit of a head, and the check looks at them.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -22,7 +22,7 @@
 type conn struct {
 	net.Conn
 	addr string
-	// br reads the connection through head, which limits what may arrive while a header is read.
+	// br reads the connection through head, which limits and keeps what arrives while a header is read.
 	br        *bufio.Reader
 	head      *headReader
 	idleUntil time.Time
@@ -218,12 +218,13 @@
 
 // readHeader reads the next response up to its body.
 func (co *conn) readHeader(rq *Request) (*http.Response, error) {
-	co.head.begin()
+	buffered, _ := co.br.Peek(co.br.Buffered()) // It reads nothing, so that it cannot fail.
+	co.head.begin(buffered)
 	rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
-	co.head.end()
+	raw := co.head.end()
 	switch {
 	case err == nil:
-		return rs, head.Check(rs)
+		return rs, head.Check(rs, raw)
 	case errors.Is(err, io.EOF):
 		return nil, io.ErrUnexpectedEOF
 	case co.head.err == nil:
--- a/test/gateway/broken_answer_test.go
+++ b/test/gateway/broken_answer_test.go
@@ -97,3 +97,13 @@
 		{"blank in a name of an answer to another request", "HTTP/1.1 200 OK\r\nX-Skylarkstand-Attempt-Id: other\r\nX Note: a\r\nContent-Length: 0\r\n\r\n" + status + "{length}\r\n{body}"},
 	})
 }
+
+// Guards against an answer whose end depends on who reads it.
+func TestAnswerWithAmbiguousFramingIsNotReceived(t *testing.T) {
+	assertNeverReceived(t, []brokenAnswer{
+		{"length and chunks", "HTTP/1.1 200 OK\r\n{head}{length}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+		{"chunks by HTTP/1.0", "HTTP/1.0 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+		{"body of an interim answer", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + inner},
+		{"another version", "HTTP/2.0 200 OK\r\n{head}{length}\r\n{body}"},
+	})
+}
