Take no refusal after the beginning of an answer for "not run"

Callers could hear: an agent that had begun an answer and then stated that the attempt was not run was believed, so that the work might run once more. The outcome is unknown now.

--- a/io/agent/answer.go
+++ b/io/agent/answer.go
@@ -116,7 +116,11 @@
 		return nil, io.EOF
 	case *frame.Frame_Failure:
 		an.ln.recordState(body.Failure.State)
-		return nil, protocol.FailureFromFrame(body.Failure)
+		fl := protocol.FailureFromFrame(body.Failure)
+		if fl.Ran == core.NotRun { // What has answered has run.
+			return nil, core.OutcomeUnknown("upstream %s refused the attempt after it had begun its answer", an.ln.host.ID)
+		}
+		return nil, fl
 	default:
 		return nil, core.OutcomeUnknown("upstream %s sent an unknown frame", an.ln.host.ID)
 	}
