Await services and engines that are slow to read

Found in reading docs/TIMERS.md over: with the client of upstreams, the calls of services and engines had got its limit on unacknowledged bytes. It is meant for links between hosts, and the kernel counts a full window too, so that a call of a service that didn't read a long body for 2.5 s was given up, with an unknown outcome.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -46,7 +46,7 @@
 // Each call has a connection of its own: a refusal has no id, and a late one on a kept connection would be taken
 // for the answer to the next call, which would go on at the engine.
 func New(deps core.Deps, base string) *Engine {
-	tr := upstream.NewTransport(upstream.DialTimeout(dialTimeout), upstream.OneRequestPerConnection())
+	tr := upstream.NewTransport(upstream.Dialer(net.Dialer{Timeout: dialTimeout}), upstream.OneRequestPerConnection())
 	return &Engine{deps: deps, url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
--- a/io/hosts/hosts.go
+++ b/io/hosts/hosts.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // New returns a client for the host list at a base URL.
 func New(base string) *List {
-	return &List{url: base, cli: &http.Client{Timeout: callTimeout, Transport: upstream.NewTransport(upstream.DialTimeout(callTimeout))}}
+	return &List{url: base, cli: &http.Client{Timeout: callTimeout, Transport: upstream.NewTransport(upstream.Dialer(net.Dialer{Timeout: callTimeout}))}}
 }
 
 // List implements [core.Hosts].
--- a/io/rater/rater.go
+++ b/io/rater/rater.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // New returns a client for the rating service at a base URL.
 func New(base string) *Rater {
-	return &Rater{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.DialTimeout(dialTimeout))}}
+	return &Rater{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.Dialer(net.Dialer{Timeout: dialTimeout}))}}
 }
 
 const dialTimeout = 2 * time.Second
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -43,7 +43,7 @@
 // Answers of a service have no id. Each call has a connection of its own, on which no late answer to another
 // call can arrive.
 func New(base string) *Service {
-	tr := upstream.NewTransport(upstream.DialTimeout(dialTimeout), upstream.OneRequestPerConnection())
+	tr := upstream.NewTransport(upstream.Dialer(net.Dialer{Timeout: dialTimeout}), upstream.OneRequestPerConnection())
 	return &Service{url: base, cli: &http.Client{Transport: tr, CheckRedirect: health.NoRedirect}}
 }
 
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -40,7 +40,7 @@
 
 // New returns a client for the store at a base URL.
 func New(base string) *Store {
-	return &Store{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.DialTimeout(dialTimeout))}}
+	return &Store{url: base, cli: &http.Client{Transport: upstream.NewTransport(upstream.Dialer(net.Dialer{Timeout: dialTimeout}))}}
 }
 
 func (st *Store) keyURL(key string, qu url.Values) string {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -55,9 +55,9 @@
 	unackedTimeout = 2500 * time.Millisecond
 )
 
-func (cl *Client) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+func dial(ctx context.Context, addr string) (net.Conn, error) {
 	di := net.Dialer{
-		Timeout:         cl.dialTimeout,
+		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, rc syscall.RawConn) error {
 			var opt error
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -131,9 +131,8 @@
 // Client sends requests to upstreams and keeps their connections alive. It is safe for
 // concurrent use.
 type Client struct {
-	dial        func(ctx context.Context, addr string) (net.Conn, error)
-	dialTimeout time.Duration
-	now         func() time.Time
+	dial func(ctx context.Context, addr string) (net.Conn, error)
+	now  func() time.Time
 	// single is set if a connection carries one request only.
 	single bool
 
@@ -167,8 +166,13 @@
 // Clock sets the clock, for tests.
 func Clock(now func() time.Time) Option { return func(cl *Client) { cl.now = now } }
 
-// DialTimeout bounds the opening of a connection; the default is 600 ms.
-func DialTimeout(du time.Duration) Option { return func(cl *Client) { cl.dialTimeout = du } }
+// Dialer sets what opens connections. The default is meant for links between hosts: it ends a connection within seconds
+// if the other side acknowledges nothing, which one that is slow to read looks like.
+func Dialer(di net.Dialer) Option {
+	return func(cl *Client) {
+		cl.dial = func(ctx context.Context, addr string) (net.Conn, error) { return di.DialContext(ctx, "tcp", addr) }
+	}
+}
 
 // OneRequestPerConnection gives each request a connection of its own, on which no late response to another one can
 // arrive.
@@ -176,8 +180,7 @@
 
 // New returns a client and a cleanup function that closes its idle connections.
 func New(opts ...Option) (*Client, func()) {
-	cl := &Client{pools: map[string]*pool{}, now: time.Now, dialTimeout: dialTimeout}
-	cl.dial = cl.dialTCP
+	cl := &Client{pools: map[string]*pool{}, now: time.Now, dial: dial}
 	for _, opt := range opts {
 		opt(cl)
 	}
