Keep the bytes of a header only while it is read

A compressed answer to a health check, which was not asked for, counted as a crash; it is a malformed response now like others. The reader of headers has a name that is not that of the package which checks them.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -22,9 +22,9 @@
 type conn struct {
 	net.Conn
 	addr string
-	// br reads the connection through head, which limits and keeps what arrives while a header is read.
+	// br reads the connection through hr, which limits and keeps what arrives while a header is read.
 	br        *bufio.Reader
-	head      *headReader
+	hr        *headReader
 	idleUntil time.Time
 	// written is closed once a body that is written asynchronously is complete; it is nil if
 	// the body was written before the response was awaited. writeFailed is set before written
@@ -41,7 +41,7 @@
 // newConn returns the connection to an address.
 func newConn(nc net.Conn, addr string) *conn {
 	hr := &headReader{rd: nc}
-	return &conn{Conn: nc, addr: addr, head: hr, br: bufio.NewReaderSize(hr, readBufferSize)}
+	return &conn{Conn: nc, addr: addr, hr: hr, br: bufio.NewReaderSize(hr, readBufferSize)}
 }
 
 const (
@@ -219,15 +219,15 @@
 // readHeader reads the next response up to its body.
 func (co *conn) readHeader(rq *Request) (*http.Response, error) {
 	buffered, _ := co.br.Peek(co.br.Buffered()) // It reads nothing, so that it cannot fail.
-	co.head.begin(buffered)
+	co.hr.begin(buffered)
 	rs, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
-	raw := co.head.end()
+	raw := co.hr.end()
 	switch {
 	case err == nil:
 		return rs, head.Check(rs, raw)
 	case errors.Is(err, io.EOF):
 		return nil, io.ErrUnexpectedEOF
-	case co.head.err == nil:
+	case co.hr.err == nil:
 		return nil, fmt.Errorf("%w: %w", head.ErrMalformed, err)
 	default:
 		return nil, err
--- a/io/upstream/limits.go
+++ b/io/upstream/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 
 	"skylarkstand/io/limited"
 )
@@ -24,26 +25,22 @@
 type headReader struct {
 	rd     io.Reader
 	inHead bool
-	left   int
-	seen   []byte
-	// err is the last error of a read while a header was read.
-	err error
+	// left is the number of bytes that may still arrive, seen are those that have, and err is the error of the last read.
+	left int
+	seen []byte
+	err  error
 }
 
 // begin begins a header of which some bytes have been read before.
 func (hr *headReader) begin(buffered []byte) {
 	hr.inHead, hr.left, hr.err = true, maxHeader, nil
-	hr.seen = append(hr.seen[:0], buffered...)
+	hr.seen = slices.Clone(buffered)
 }
 
-// end ends the header and returns its bytes, and what has arrived of the body. They are valid until the next call of
-// begin.
+// end ends the header and returns its bytes, and what has arrived of the body.
 func (hr *headReader) end() []byte {
-	hr.inHead = false
 	seen := hr.seen
-	if cap(seen) > readBufferSize {
-		hr.seen = nil // Kept connections hold no more than a usual header.
-	}
+	hr.inHead, hr.seen = false, nil // An idle connection holds nothing of its last header.
 	return seen
 }
 
--- a/io/upstream/transport.go
+++ b/io/upstream/transport.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+
+	"skylarkstand/io/head"
 )
 
 // Transport is an [http.RoundTripper], so that the answers to an http.Client are read, and judged, as those of
@@ -56,7 +57,7 @@
 }
 
 // errContentEncoding is the error of a response whose body the caller could not read.
-var errContentEncoding = errors.New("the response has a content encoding that was not asked for")
+var errContentEncoding = fmt.Errorf("%w: its content encoding was not asked for", head.ErrMalformed)
 
 // RoundTrip implements [http.RoundTripper]. Its errors are of type *Error.
 func (tr *Transport) RoundTrip(rq *http.Request) (*http.Response, error) {
