Test that early answers that are sound stay as they are

A refusal before the end of an upload that states that it was not run, and whose upstream reads on, is heeded through a gateway: the claim runs elsewhere. An unframed answer that comes early is whole if its upstream reads on to the end.

--- a/io/upstream/early_test.go
+++ b/io/upstream/early_test.go
@@ -60,23 +60,25 @@
 // An early answer whose framing shows its end is heeded, and so is an unframed one after the whole request.
 func TestSoundAnswersToLongRequests(t *testing.T) {
 	long := strings.Repeat("x", cut.LongUpload)
-	for _, sc := range []struct {
-		testName, text string
-		early          bool
-	}{
-		{"early, with a length", "HTTP/1.1 503 Busy\r\nId: r1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbusy", true},
-		{"early, with chunks", "HTTP/1.1 503 Busy\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n", true},
-		{"unframed", "HTTP/1.1 200 OK\r\nId: r1\r\n\r\nbusy", false},
-		{"unframed by HTTP/1.0", "HTTP/1.0 200 OK\r\nId: r1\r\n\r\nbusy", false},
+	const (
+		length, chunks = "HTTP/1.1 503 Busy\r\nId: r1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbusy", "HTTP/1.1 503 Busy\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n"
+		neither        = " 200 OK\r\nId: r1\r\n\r\nbusy"
+	)
+	early := func(end cut.EarlyEnd, text string) string {
+		return cut.ServeEarly(t, end, func(*http.Request) string { return text })
+	}
+	for _, sc := range []struct{ testName, addr string }{
+		{"early, with a length", early(cut.EarlyEndOnly, length)},
+		{"early, with chunks", early(cut.EarlyEndOnly, chunks)},
+		{"early, with a length, reading on", early(cut.EarlyReadOn, length)},
+		{"early, unframed, reading on", early(cut.EarlyReadOn, "HTTP/1.1"+neither)},
+		{"unframed", cut.Serve(t, "HTTP/1.1"+neither, cut.Closed)},
+		{"unframed by HTTP/1.0", cut.Serve(t, "HTTP/1.0"+neither, cut.Closed)},
 	} {
 		t.Run(sc.testName, func(t *testing.T) {
-			addr := cut.Serve(t, sc.text, cut.Closed)
-			if sc.early {
-				addr = cut.ServeEarly(t, cut.EarlyEndOnly, func(*http.Request) string { return sc.text })
-			}
 			for range 24 {
 				cl, cleanup := upstream.New()
-				rs, err := cl.Do(t.Context(), addr, request("r1", long))
+				rs, err := cl.Do(t.Context(), sc.addr, request("r1", long))
 				assert.NilError(t, err)
 				body, err := io.ReadAll(rs.Body)
 				assert.NilError(t, err)
--- a/test/cut/early.go
+++ b/test/cut/early.go
@@ -24,14 +24,16 @@
 	EarlyEndThenReset
 	// EarlyEndOnly: the peer's side ends in order, and nothing is read any more.
 	EarlyEndOnly
+	// EarlyReadOn: the request is read to its end, and then the connection ends in order. The answer is whole.
+	EarlyReadOn
 )
 
-// EarlyEnds are all early ends.
+// EarlyEnds are the ends that break an unframed answer.
 var EarlyEnds = []EarlyEnd{EarlyReset, EarlyUnread, EarlyEndThenReset, EarlyEndOnly}
 
 // String names an end, for the name of a test.
 func (ee EarlyEnd) String() string {
-	return [...]string{"reset", "closed unread", "ended and reset", "ended"}[ee]
+	return [...]string{"reset", "closed unread", "ended and reset", "ended", "read on"}[ee]
 }
 
 // LongUpload is the size in bytes of a body that the buffers of a connection cannot hold.
@@ -71,6 +73,9 @@
 		return
 	}
 	_, _ = io.WriteString(tc, answer(rq))
+	if end == EarlyReadOn {
+		_, _ = io.Copy(io.Discard, rq.Body)
+	}
 	if end == EarlyEndThenReset || end == EarlyEndOnly {
 		_ = tc.CloseWrite()
 	}
--- a/test/gateway/broken_answer_test.go
+++ b/test/gateway/broken_answer_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	texts := map[string]string{}
 	for _, ba := range broken {
-		texts["/"+ba.testName] = ba.text
+		texts[ba.testName] = ba.text
 	}
 	var mu sync.Mutex
 	arrivals := map[string]int{}
@@ -41,7 +41,7 @@
 		first := id != "" && arrivals[id] == 1
 		mu.Unlock()
 		_, testName, _ := strings.Cut(rq.URL.Path[1:], "/")
-		text := texts["/"+testName]
+		text := texts[testName]
 		if !first {
 			text = "HTTP/1.1 200 OK\r\n{head}{length}\r\n{body}"
 		}
@@ -51,12 +51,12 @@
 	fx := newAddressFixture(t, answers.Serve(t, answer), answers.Serve(t, answer))
 	for _, ba := range broken {
 		t.Run(ba.testName, func(t *testing.T) {
-			path := "/" + url.PathEscape(ba.testName)
-			re := fx.send(request{path: "/lookup" + path})
+			path := url.PathEscape(ba.testName)
+			re := fx.send(request{path: "/lookup/" + path})
 			assert.Assert(t, re.status == http.StatusOK && re.body == "whole", "a lookup got %d, %q", re.status, re.body)
-			re = fx.send(request{path: "/draft" + path, model: "*"})
+			re = fx.send(request{path: "/draft/" + path, model: "*"})
 			assert.Assert(t, re.err == nil && re.body == strings.Join(events, ""), "a stream got %d, %q", re.status, re.body)
-			re = fx.send(request{path: "/claim" + path})
+			re = fx.send(request{path: "/claim/" + path})
 			assert.Assert(t, re.status == http.StatusBadGateway, "a claim got %d, %q", re.status, re.body)
 			mu.Lock()
 			defer mu.Unlock()
--- a/test/gateway/early_answer_test.go
+++ b/test/gateway/early_answer_test.go
@@ -88,3 +88,23 @@
 		}
 	}
 }
+
+// Guards against an early refusal that is taken for a broken answer: the upstream states that it has not run the claim,
+// while it still reads the upload, and another one runs it.
+func TestEarlyRefusalIsHeeded(t *testing.T) {
+	refuse := cut.ServeEarly(t, cut.EarlyReadOn, func(rq *http.Request) string {
+		lines := "X-Skylarkstand-Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n"
+		return rawAnswer(rq, "HTTP/1.1 503 Busy", lines, "")
+	})
+	sound := answers.Serve(t, func(rq *http.Request) answers.Answer {
+		return answers.Answer{Text: rawAnswer(rq, "HTTP/1.1 200 OK", "Content-Length: 5\r\n", "whole")}
+	})
+	fx, upload := newAddressFixture(t, refuse, sound), strings.Repeat("x", cut.LongUpload)
+	for range 10 {
+		re := fx.send(request{path: "/claim/1", body: upload})
+		assert.Assert(t, re.status == http.StatusOK && re.body == "whole", "a claim got %d, %q", re.status, re.body)
+	}
+	fx = newAddressFixture(t, refuse)
+	re := fx.send(request{path: "/claim/1", body: upload})
+	assert.Equal(t, re.status, http.StatusServiceUnavailable)
+}
