Let the tests of broken answers depend on no time limit

Traced: TestUnframedAnswerBeforeTheEndOfAWriteIsUncertain, new: encoding a write of 12 MB took the call's 1.5 s, so that nothing was sent, and the error said so, truly. It asks for an unknown outcome of each write that has arrived now, and for no success of any.

--- a/io/store/early_test.go
+++ b/io/store/early_test.go
@@ -1,7 +1,9 @@
 package store_test
 
 import (
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,10 +17,16 @@
 func TestUnframedAnswerBeforeTheEndOfAWriteIsUncertain(t *testing.T) {
 	for _, end := range cut.EarlyEnds {
 		t.Run(end.String(), func(t *testing.T) {
-			st := store.New("http://" + cut.ServeEarly(t, end, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\n" + `{"revision":7}` }))
+			var arrived atomic.Bool
+			st := store.New("http://" + cut.ServeEarly(t, end, func(*http.Request) string {
+				arrived.Store(true)
+				return "HTTP/1.1 200 OK\r\n\r\n" + `{"revision":7}`
+			}))
 			for range 5 {
+				arrived.Store(false)
 				_, err := st.Swap(t.Context(), "a", 1, make([]byte, cut.LongUpload))
-				assert.ErrorIs(t, err, core.ErrUncertain)
+				// The time of a call may pass before a slow machine has sent the write.
+				assert.Assert(t, errors.Is(err, core.ErrUncertain) || !arrived.Load() && errors.Is(err, core.ErrUnavailable), "%v", err)
 			}
 		})
 	}
--- a/test/gateway/answers_test.go
+++ b/test/gateway/answers_test.go
@@ -94,7 +94,7 @@
 				wg.Go(func() {
 					for i := range requestsEach {
 						kind := []string{"claim", "lookup", "draft"}[rnd.IntN(3)]
-						rq := request{path: "/" + kind + "/1", body: strings.Repeat("x", rnd.IntN(12000))}
+						rq := request{path: "/" + kind + "/1", body: strings.Repeat("x", rnd.IntN(12000)), deadline: patience}
 						if kind == "draft" {
 							rq.model = "*"
 						}
--- a/test/gateway/broken_answer_test.go
+++ b/test/gateway/broken_answer_test.go
@@ -52,11 +52,11 @@
 	for _, ba := range broken {
 		t.Run(ba.testName, func(t *testing.T) {
 			path := url.PathEscape(ba.testName)
-			re := fx.send(request{path: "/lookup/" + path})
+			re := fx.send(request{path: "/lookup/" + path, deadline: patience})
 			assert.Assert(t, re.status == http.StatusOK && re.body == "whole", "a lookup got %d, %q", re.status, re.body)
-			re = fx.send(request{path: "/draft/" + path, model: "*"})
+			re = fx.send(request{path: "/draft/" + path, model: "*", deadline: patience})
 			assert.Assert(t, re.err == nil && re.body == strings.Join(events, ""), "a stream got %d, %q", re.status, re.body)
-			re = fx.send(request{path: "/claim/" + path})
+			re = fx.send(request{path: "/claim/" + path, deadline: patience})
 			assert.Assert(t, re.status == http.StatusBadGateway, "a claim got %d, %q", re.status, re.body)
 			mu.Lock()
 			defer mu.Unlock()
--- a/test/gateway/early_answer_test.go
+++ b/test/gateway/early_answer_test.go
@@ -30,13 +30,19 @@
 	return strings.Join(events[min(after, len(events)):], "")
 }
 
-// newAddressFixture starts a gateway in front of upstreams of two services that listen at the same addresses, and
-// accepts bodies of up to 16 MB.
+// patience is the time limit of requests whose answers must not depend on it.
+const patience = time.Minute
+
+// newAddressFixture starts a gateway in front of upstreams of two services that listen at the same addresses. It accepts
+// bodies of up to 16 MB and gives up no attempt for a slow machine.
 func newAddressFixture(t *testing.T, addrs ...string) *fixture {
 	t.Helper()
 	fx := newStoreFixture(t)
 	conf := fx.configuration(2, "key-1")
 	conf["limits"].(object)["max_body_bytes"] = 16 << 20
+	for _, rt := range conf["routes"].([]object) {
+		rt["timeout_ms"], rt["target_latency_ms"] = patience.Milliseconds(), patience.Milliseconds()
+	}
 	fx.st.Put("op/config", conf)
 	for i, addr := range addrs {
 		for _, service := range []string{"desk", "lm"} {
@@ -74,14 +80,14 @@
 				early := cut.ServeEarly(t, end, func(rq *http.Request) string { return half(rq, version) })
 				fx, upload := newAddressFixture(t, early, sound), strings.Repeat("x", cut.LongUpload)
 				for range 4 {
-					re := fx.send(request{path: "/lookup/1", body: upload})
+					re := fx.send(request{path: "/lookup/1", body: upload, deadline: patience})
 					assert.Assert(t, re.status == http.StatusOK && re.body == "whole answer", "a lookup got %d, %q", re.status, re.body)
-					re = fx.send(request{path: "/draft/1", model: "*", body: upload})
+					re = fx.send(request{path: "/draft/1", model: "*", body: upload, deadline: patience})
 					assert.Assert(t, re.err != nil || re.status == http.StatusOK && re.body == strings.Join(events, ""), "a stream got %d, %q", re.status, re.body)
 				}
 				fx = newAddressFixture(t, early)
 				for range 4 {
-					re := fx.send(request{path: "/claim/1", body: upload})
+					re := fx.send(request{path: "/claim/1", body: upload, deadline: patience})
 					assert.Assert(t, re.status == http.StatusBadGateway, "a claim got %d, %q", re.status, re.body)
 				}
 			})
@@ -101,10 +107,10 @@
 	})
 	fx, upload := newAddressFixture(t, refuse, sound), strings.Repeat("x", cut.LongUpload)
 	for range 10 {
-		re := fx.send(request{path: "/claim/1", body: upload})
+		re := fx.send(request{path: "/claim/1", body: upload, deadline: patience})
 		assert.Assert(t, re.status == http.StatusOK && re.body == "whole", "a claim got %d, %q", re.status, re.body)
 	}
 	fx = newAddressFixture(t, refuse)
-	re := fx.send(request{path: "/claim/1", body: upload})
+	re := fx.send(request{path: "/claim/1", body: upload, deadline: patience})
 	assert.Equal(t, re.status, http.StatusServiceUnavailable)
 }
