--- a/test/matrix/promises.go
+++ b/test/matrix/promises.go
@@ -66,7 +66,11 @@
 			{"in every cell each answer that looks complete has all its words in order and none of another request", requestCells},
 			{"events of other requests, streams cut without an end marker, and crashes of the engine", "go test ./io/engine"},
 			{"streams without framing that end at any byte, on every way of an answer", "go test ./core/forward ./test/gateway -run 'Stream|EndOfStream'"},
+			{"drawn answers of HTTP's grammar, half of them with a fault, by what callers of a gateway receive", "go test ./test/gateway -run WholeAnswersOnly"},
+			{"the same, by what each client of the product takes for an answer, and frames of agents", "go test ./io/... ./platform -run 'Grammar|Frames'"},
+			{"answers without framing that come before their request is written, and break off", "go test ./io/... ./platform ./test/gateway -run 'BeforeTheEnd|AtAnySize|ResetAfter|EarlyAnswer'"},
 		},
+		Unproved: "An answer without framing to a request that the buffers of the connection hold is taken for whole if its upstream ends the connection in order without having read the request.",
 	},
 	{
 		Text: "A refusal that says \"not run\" is true.",
